[Support][Http] Add value types, checked JSON, logs, metrics and the HTTP layer

Cause: every later part needs the same small types, and one HTTP client that can say truthfully whether a request may have run. Change: libraries Support and Http. A call counts as sent when the socket takes bytes out of its buffer; before that a failure is 'not run'.

--- /dev/null
+++ b/include/corianderlink/Http/EventLoop.h
@@ -0,0 +1,70 @@
+// One libevent loop per process: timers, descriptors and stop signals.
+#ifndef CORIANDERLINK_HTTP_EVENTLOOP_H_
+#define CORIANDERLINK_HTTP_EVENTLOOP_H_
+
+#include <sigc++/sigc++.h>
+
+#include <functional>
+#include <memory>
+
+#include "corianderlink/Support/Time.h"
+
+struct event;
+struct event_base;
+
+namespace corianderlink {
+
+/// A pending timer, descriptor watch or signal handler; destroying it cancels.
+class EventHandle {
+ public:
+  EventHandle() = default;
+  ~EventHandle();
+  EventHandle(EventHandle&&) noexcept;
+  EventHandle& operator=(EventHandle&&) noexcept;
+  bool active() const { return impl_ != nullptr; }
+  void Reset();
+
+ private:
+  friend class EventLoop;
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+/// Owns the event base.  All tasks of a process run on this one thread.
+class EventLoop {
+ public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  /// Runs until Stop().
+  void Run();
+  void Stop();
+
+  /// Calls `callback` once after `delay`.
+  [[nodiscard]] EventHandle After(Duration delay,
+                                  std::function<void()> callback);
+  /// Calls `callback` every `interval`.
+  [[nodiscard]] EventHandle Every(Duration interval,
+                                  std::function<void()> callback);
+  /// Calls `callback` when `fd` is readable.
+  [[nodiscard]] EventHandle OnReadable(int fd, std::function<void()> callback);
+  /// Calls `callback` on each `signal_number`.
+  [[nodiscard]] EventHandle OnSignal(int signal_number,
+                                     std::function<void()> callback);
+  /// Calls `callback` once from the loop, after the present callback returns.
+  void Post(std::function<void()> callback);
+
+  event_base* base() { return base_; }
+
+ private:
+  EventHandle Add(int fd, int16_t flags, const Duration* delay,
+                  std::function<void()> callback);
+
+  event_base* base_;
+};
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_HTTP_EVENTLOOP_H_
--- /dev/null
+++ b/include/corianderlink/Http/HttpServer.h
@@ -0,0 +1,47 @@
+// HTTP server over evhttp with streamed answers and bounded input.
+#ifndef CORIANDERLINK_HTTP_HTTPSERVER_H_
+#define CORIANDERLINK_HTTP_HTTPSERVER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "corianderlink/Http/HttpExchange.h"
+#include "corianderlink/Support/Address.h"
+
+struct evhttp;
+
+namespace corianderlink {
+
+class EventLoop;
+
+/// Limits on what a peer may send.
+struct HttpServerLimits {
+  size_t max_header_bytes = 16 * 1024;
+  size_t max_body_bytes = 8 * 1024 * 1024;
+  /// A request must arrive whole within this time.
+  int request_timeout_s = 20;
+};
+
+/// Listens on one address and hands each whole request to the handler.
+class HttpServer {
+ public:
+  using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
+
+  HttpServer(EventLoop& loop, HttpServerLimits limits, Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Binds the address.  Returns false if it cannot be bound.
+  bool Listen(const Address& address);
+
+ private:
+  const Handler handler_;
+  evhttp* http_;
+};
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_HTTP_HTTPSERVER_H_
--- /dev/null
+++ b/include/corianderlink/Support/Random.h
@@ -0,0 +1,29 @@
+// Random identifiers and jitter.
+#ifndef CORIANDERLINK_SUPPORT_RANDOM_H_
+#define CORIANDERLINK_SUPPORT_RANDOM_H_
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+namespace corianderlink {
+
+/// Source of random identifiers and jitter; seeded explicitly in tests.
+class RandomSource {
+ public:
+  /// Seeds from the operating system.
+  RandomSource();
+  explicit RandomSource(uint64_t seed) : engine_(seed) {}
+
+  /// 128 random bits as 32 hexadecimal digits.
+  std::string HexId();
+  /// Uniform in [0, 1).
+  double Uniform();
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_SUPPORT_RANDOM_H_
--- /dev/null
+++ b/lib/Http/EventLoop.cc
@@ -0,0 +1,100 @@
+// The libevent loop.
+#include "corianderlink/Http/EventLoop.h"
+
+#include <event2/event.h>
+
+#include <csignal>
+#include <utility>
+
+namespace corianderlink {
+
+struct EventHandle::Impl {
+  event* ev = nullptr;
+  std::function<void()> callback;
+
+  ~Impl() {
+    if (ev != nullptr) event_free(ev);
+  }
+};
+
+EventHandle::~EventHandle() = default;
+EventHandle::EventHandle(EventHandle&&) noexcept = default;
+EventHandle& EventHandle::operator=(EventHandle&&) noexcept = default;
+void EventHandle::Reset() { impl_.reset(); }
+
+namespace {
+
+timeval ToTimeval(Duration delay) {
+  const auto us = std::chrono::duration_cast<microseconds>(delay).count();
+  timeval tv{};
+  tv.tv_sec = us / 1000000;
+  tv.tv_usec = us % 1000000;
+  return tv;
+}
+
+}  // namespace
+
+EventLoop::EventLoop() : base_(event_base_new()) {
+  // A caller that went away must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+EventLoop::~EventLoop() { event_base_free(base_); }
+
+void EventLoop::Run() { event_base_dispatch(base_); }
+
+void EventLoop::Stop() { event_base_loopbreak(base_); }
+
+EventHandle EventLoop::Add(int fd, int16_t flags, const Duration* delay,
+                           std::function<void()> callback) {
+  EventHandle handle;
+  handle.impl_ = std::make_unique<EventHandle::Impl>();
+  handle.impl_->callback = std::move(callback);
+  const auto run = [](evutil_socket_t, int16_t, void* arg) {
+    // The callback may destroy its own handle, so run a copy.
+    const auto copy = static_cast<EventHandle::Impl*>(arg)->callback;
+    copy();
+  };
+  handle.impl_->ev = event_new(base_, fd, flags, run, handle.impl_.get());
+  if (delay == nullptr) {
+    event_add(handle.impl_->ev, nullptr);
+    return handle;
+  }
+  const timeval tv = ToTimeval(*delay);
+  event_add(handle.impl_->ev, &tv);
+  return handle;
+}
+
+EventHandle EventLoop::After(Duration delay, std::function<void()> callback) {
+  return Add(-1, EV_TIMEOUT, &delay, std::move(callback));
+}
+
+EventHandle EventLoop::Every(Duration interval,
+                             std::function<void()> callback) {
+  return Add(-1, EV_TIMEOUT | EV_PERSIST, &interval, std::move(callback));
+}
+
+EventHandle EventLoop::OnReadable(int fd, std::function<void()> callback) {
+  return Add(fd, EV_READ | EV_PERSIST, nullptr, std::move(callback));
+}
+
+EventHandle EventLoop::OnSignal(int signal_number,
+                                std::function<void()> callback) {
+  return Add(signal_number, EV_SIGNAL | EV_PERSIST, nullptr,
+             std::move(callback));
+}
+
+void EventLoop::Post(std::function<void()> callback) {
+  auto* copy = new std::function<void()>(std::move(callback));
+  const timeval now{};
+  event_base_once(
+      base_, -1, EV_TIMEOUT,
+      [](evutil_socket_t, int16_t, void* arg) {
+        const std::unique_ptr<std::function<void()>> owned(
+            static_cast<std::function<void()>*>(arg));
+        (*owned)();
+      },
+      copy, &now);
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Http/HttpClient.cc
@@ -0,0 +1,200 @@
+// The evhttp client.
+#include "corianderlink/Http/HttpClient.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include "corianderlink/Http/EventLoop.h"
+
+namespace corianderlink {
+namespace {
+
+evhttp_cmd_type MethodOf(const std::string& name) {
+  if (name == "POST") return EVHTTP_REQ_POST;
+  if (name == "PUT") return EVHTTP_REQ_PUT;
+  if (name == "DELETE") return EVHTTP_REQ_DELETE;
+  if (name == "PATCH") return EVHTTP_REQ_PATCH;
+  return EVHTTP_REQ_GET;
+}
+
+std::string TakeAll(evbuffer* buffer) {
+  std::string text(evbuffer_get_length(buffer), '\0');
+  evbuffer_remove(buffer, text.data(), text.size());
+  return text;
+}
+
+const char* ErrorText(evhttp_request_error error) {
+  switch (error) {
+    case EVREQ_HTTP_TIMEOUT:
+      return "upstream timed out";
+    case EVREQ_HTTP_EOF:
+      return "upstream closed the connection";
+    case EVREQ_HTTP_INVALID_HEADER:
+      return "upstream sent an invalid header";
+    case EVREQ_HTTP_BUFFER_ERROR:
+      return "connection failed";
+    case EVREQ_HTTP_DATA_TOO_LONG:
+      return "upstream answer too long";
+    default:
+      return "call cancelled";
+  }
+}
+
+/// One call.  Keeps itself alive until its connection has been freed.
+class EvhttpCall : public HttpCall,
+                   public std::enable_shared_from_this<EvhttpCall> {
+ public:
+  EvhttpCall(EventLoop& loop, HttpClient::DoneCallback done,
+             HttpClient::ChunkCallback on_chunk)
+      : loop_(loop), done_(std::move(done)), on_chunk_(std::move(on_chunk)) {}
+
+  void Start(const HttpRequest& request) {
+    self_ = shared_from_this();
+    connection_ = evhttp_connection_base_bufferevent_new(
+        loop_.base(), nullptr, nullptr, request.address.ip.c_str(),
+        request.address.port);
+    evhttp_connection_set_retries(connection_, 0);
+    // Counts bytes as sent when the socket takes them out of the buffer.
+    evbuffer_add_cb(
+        bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
+        [](evbuffer*, const evbuffer_cb_info* info, void* arg) {
+          if (info->n_deleted > 0) {
+            static_cast<EvhttpCall*>(arg)->bytes_sent_ = true;
+          }
+        },
+        this);
+    evhttp_request* out = evhttp_request_new(&EvhttpCall::OnDone, this);
+    evhttp_request_set_error_cb(out, &EvhttpCall::OnError);
+    if (on_chunk_) evhttp_request_set_chunked_cb(out, &EvhttpCall::OnChunk);
+    AddHeaders(out, request);
+    evbuffer_add(evhttp_request_get_output_buffer(out), request.body.data(),
+                 request.body.size());
+    timer_ = loop_.After(request.timeout, [this] {
+      reason_ = "deadline exceeded";
+      Finish(Failure());
+    });
+    const int rc = evhttp_make_request(connection_, out,
+                                       MethodOf(request.method),
+                                       request.target.c_str());
+    if (rc == 0) return;
+    reason_ = "connection could not be started";
+    loop_.Post([self = self_] { self->Finish(self->Failure()); });
+  }
+
+  void Cancel() override {
+    if (finished_) return;
+    finished_ = true;
+    FreeLater();
+  }
+
+  bool bytes_sent() const override { return bytes_sent_; }
+
+ private:
+  static void AddHeaders(evhttp_request* out, const HttpRequest& request) {
+    evkeyvalq* headers = evhttp_request_get_output_headers(out);
+    evhttp_add_header(headers, "Host", request.address.ToString().c_str());
+    evhttp_add_header(headers, "Connection", "close");
+    for (const auto& [name, value] : request.headers) {
+      evhttp_add_header(headers, name.c_str(), value.c_str());
+    }
+  }
+
+  static void OnError(evhttp_request_error error, void* arg) {
+    static_cast<EvhttpCall*>(arg)->reason_ = ErrorText(error);
+  }
+
+  static void OnChunk(evhttp_request* request, void* arg) {
+    auto* call = static_cast<EvhttpCall*>(arg);
+    if (call->finished_) return;
+    const int status = evhttp_request_get_response_code(request);
+    if (status < 200 || status >= 300) {
+      call->error_body_ += TakeAll(evhttp_request_get_input_buffer(request));
+      return;
+    }
+    const std::shared_ptr<EvhttpCall> keep_alive = call->self_;
+    call->on_chunk_(status, TakeAll(evhttp_request_get_input_buffer(request)));
+  }
+
+  static void OnDone(evhttp_request* request, void* arg) {
+    auto* call = static_cast<EvhttpCall*>(arg);
+    if (call->finished_) return;
+    if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
+      call->Finish(call->Failure());
+      return;
+    }
+    HttpResponse response;
+    response.outcome = Outcome::Ran();
+    response.status = evhttp_request_get_response_code(request);
+    response.body = call->error_body_ +
+                    TakeAll(evhttp_request_get_input_buffer(request));
+    const evkeyvalq* in = evhttp_request_get_input_headers(request);
+    for (const evkeyval* kv = in->tqh_first; kv != nullptr;
+         kv = kv->next.tqe_next) {
+      response.headers.emplace_back(kv->key, kv->value);
+    }
+    call->Finish(response);
+  }
+
+  HttpResponse Failure() const {
+    HttpResponse response;
+    response.outcome = bytes_sent_ ? Outcome::MayHaveRun(reason_)
+                                   : Outcome::NotRun(reason_);
+    return response;
+  }
+
+  void Finish(const HttpResponse& response) {
+    if (finished_) return;
+    finished_ = true;
+    const std::shared_ptr<EvhttpCall> keep_alive = self_;
+    FreeLater();
+    if (done_) done_(response);
+  }
+
+  // Freeing the connection within its own callback is not allowed.
+  void FreeLater() {
+    timer_.Reset();
+    loop_.Post([self = self_] {
+      if (self->connection_ != nullptr) {
+        evhttp_connection_free(self->connection_);
+      }
+      self->connection_ = nullptr;
+      self->self_.reset();
+    });
+  }
+
+  EventLoop& loop_;
+  HttpClient::DoneCallback done_;
+  HttpClient::ChunkCallback on_chunk_;
+  evhttp_connection* connection_ = nullptr;
+  EventHandle timer_;
+  std::shared_ptr<EvhttpCall> self_;
+  std::string reason_ = "connection failed";
+  std::string error_body_;
+  bool bytes_sent_ = false;
+  bool finished_ = false;
+};
+
+}  // namespace
+
+std::string HttpResponse::Header(const std::string& name) const {
+  for (const auto& [key, value] : headers) {
+    if (evutil_ascii_strcasecmp(key.c_str(), name.c_str()) == 0) return value;
+  }
+  return {};
+}
+
+std::shared_ptr<HttpCall> HttpClient::Start(const HttpRequest& request,
+                                            DoneCallback done,
+                                            ChunkCallback on_chunk) {
+  auto call =
+      std::make_shared<EvhttpCall>(loop_, std::move(done), std::move(on_chunk));
+  call->Start(request);
+  return call;
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Http/HttpExchange.cc
@@ -0,0 +1,187 @@
+// A request received by evhttp.
+#include "corianderlink/Http/HttpExchange.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+namespace corianderlink {
+namespace {
+
+// Bytes that a caller may send ahead while its request is being answered.
+constexpr size_t kMaxReadAheadBytes = 16 * 1024;
+
+const char* MethodName(evhttp_cmd_type type) {
+  switch (type) {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    case EVHTTP_REQ_PUT:
+      return "PUT";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
+    case EVHTTP_REQ_HEAD:
+      return "HEAD";
+    case EVHTTP_REQ_PATCH:
+      return "PATCH";
+    default:
+      return "OTHER";
+  }
+}
+
+const char* ReasonPhrase(int status) { return status < 400 ? "OK" : "Error"; }
+
+void AddHeaders(evhttp_request* request, const std::string& content_type,
+                const HttpHeaders& headers) {
+  evkeyvalq* out = evhttp_request_get_output_headers(request);
+  if (!content_type.empty()) {
+    evhttp_add_header(out, "Content-Type", content_type.c_str());
+  }
+  for (const auto& [name, value] : headers) {
+    // evhttp refuses values with line breaks, which keeps injection out.
+    evhttp_add_header(out, name.c_str(), value.c_str());
+  }
+}
+
+}  // namespace
+
+HttpExchange::HttpExchange(evhttp_request* request) : request_(request) {
+  method_ = MethodName(evhttp_request_get_command(request));
+  const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
+  if (uri != nullptr) {
+    const char* path = evhttp_uri_get_path(uri);
+    const char* query = evhttp_uri_get_query(uri);
+    path_ = path == nullptr ? "" : path;
+    query_ = query == nullptr ? "" : query;
+  }
+  evbuffer* input = evhttp_request_get_input_buffer(request);
+  body_.resize(evbuffer_get_length(input));
+  evbuffer_remove(input, body_.data(), body_.size());
+  const evkeyvalq* in = evhttp_request_get_input_headers(request);
+  for (const evkeyval* kv = in->tqh_first; kv != nullptr;
+       kv = kv->next.tqe_next) {
+    headers_.emplace_back(kv->key, kv->value);
+  }
+}
+
+HttpExchange::~HttpExchange() = default;
+
+std::string HttpExchange::Header(const std::string& name) const {
+  for (const auto& [key, value] : headers_) {
+    if (evutil_ascii_strcasecmp(key.c_str(), name.c_str()) == 0) return value;
+  }
+  return {};
+}
+
+std::optional<std::string> HttpExchange::Query(const std::string& name) const {
+  evkeyvalq params{};
+  if (evhttp_parse_query_str(query_.c_str(), &params) != 0) return {};
+  const char* value = evhttp_find_header(&params, name.c_str());
+  std::optional<std::string> found;
+  if (value != nullptr) found = value;
+  evhttp_clear_headers(&params);
+  return found;
+}
+
+void HttpExchange::WatchCaller() {
+  self_ = shared_from_this();
+  evhttp_connection* connection = evhttp_request_get_connection(request_);
+  bufferevent* bev = evhttp_connection_get_bufferevent(connection);
+  // While a request is handled evhttp stops reading and would notice neither
+  // a disconnection nor tolerate bytes sent ahead, so reading goes on here
+  // without a read callback and with a bound.
+  bufferevent_data_cb write_cb = nullptr;
+  bufferevent_event_cb event_cb = nullptr;
+  void* arg = nullptr;
+  bufferevent_getcb(bev, nullptr, &write_cb, &event_cb, &arg);
+  bufferevent_setcb(bev, nullptr, write_cb, event_cb, arg);
+  bufferevent_set_timeouts(bev, nullptr, nullptr);
+  bufferevent_setwatermark(bev, EV_READ, 0, kMaxReadAheadBytes);
+  bufferevent_enable(bev, EV_READ);
+  evhttp_connection_set_closecb(
+      connection,
+      [](evhttp_connection*, void* self) {
+        static_cast<HttpExchange*>(self)->OnCallerLeft();
+      },
+      this);
+}
+
+void HttpExchange::OnCallerLeft() {
+  if (request_ == nullptr) return;
+  const std::shared_ptr<HttpExchange> keep_alive = self_;
+  evhttp_request* request = request_;
+  request_ = nullptr;
+  self_.reset();
+  // evhttp has already taken the request off its connection by the time that
+  // the close callback runs for a disconnection; ending the reply frees it.
+  if (evhttp_request_get_connection(request) == nullptr) {
+    evhttp_send_reply_end(request);
+  }
+  signal_caller_left.emit();
+}
+
+void HttpExchange::Release() {
+  evhttp_connection* connection = evhttp_request_get_connection(request_);
+  if (connection != nullptr) {
+    evhttp_connection_set_closecb(connection, nullptr, nullptr);
+  }
+  request_ = nullptr;
+  self_.reset();
+}
+
+void HttpExchange::Reply(int status, const std::string& content_type,
+                         const std::string& body, const HttpHeaders& headers) {
+  if (request_ == nullptr || streaming_) return;
+  const std::shared_ptr<HttpExchange> keep_alive = self_;
+  AddHeaders(request_, content_type, headers);
+  evbuffer* out = evbuffer_new();
+  evbuffer_add(out, body.data(), body.size());
+  evhttp_request* request = request_;
+  Release();
+  evhttp_send_reply(request, status, ReasonPhrase(status), out);
+  evbuffer_free(out);
+}
+
+void HttpExchange::StartStream(int status, const std::string& content_type,
+                               const HttpHeaders& headers) {
+  if (request_ == nullptr || streaming_) return;
+  AddHeaders(request_, content_type, headers);
+  streaming_ = true;
+  evhttp_send_reply_start(request_, status, ReasonPhrase(status));
+}
+
+void HttpExchange::SendChunk(const std::string& chunk) {
+  if (request_ == nullptr || !streaming_ || chunk.empty()) return;
+  evbuffer* out = evbuffer_new();
+  evbuffer_add(out, chunk.data(), chunk.size());
+  evhttp_send_reply_chunk(request_, out);
+  evbuffer_free(out);
+}
+
+void HttpExchange::EndStream() {
+  if (request_ == nullptr || !streaming_) return;
+  const std::shared_ptr<HttpExchange> keep_alive = self_;
+  evhttp_request* request = request_;
+  Release();
+  evhttp_send_reply_end(request);
+}
+
+void HttpExchange::Abort() {
+  if (request_ == nullptr) return;
+  const std::shared_ptr<HttpExchange> keep_alive = self_;
+  evhttp_connection* connection = evhttp_request_get_connection(request_);
+  Release();
+  if (connection != nullptr) evhttp_connection_free(connection);
+}
+
+size_t HttpExchange::PendingBytes() const {
+  if (request_ == nullptr) return 0;
+  evhttp_connection* connection = evhttp_request_get_connection(request_);
+  if (connection == nullptr) return 0;
+  bufferevent* bev = evhttp_connection_get_bufferevent(connection);
+  return evbuffer_get_length(bufferevent_get_output(bev));
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Http/HttpServer.cc
@@ -0,0 +1,38 @@
+// The evhttp server.
+#include "corianderlink/Http/HttpServer.h"
+
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+
+#include "corianderlink/Http/EventLoop.h"
+
+namespace corianderlink {
+
+HttpServer::HttpServer(EventLoop& loop, HttpServerLimits limits,
+                       Handler handler)
+    : handler_(std::move(handler)), http_(evhttp_new(loop.base())) {
+  evhttp_set_max_headers_size(http_,
+                              static_cast<ev_ssize_t>(limits.max_header_bytes));
+  evhttp_set_max_body_size(http_,
+                           static_cast<ev_ssize_t>(limits.max_body_bytes));
+  evhttp_set_timeout(http_, limits.request_timeout_s);
+  evhttp_set_allowed_methods(
+      http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
+                 EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH);
+  evhttp_set_gencb(
+      http_,
+      [](evhttp_request* request, void* arg) {
+        auto exchange = std::make_shared<HttpExchange>(request);
+        exchange->WatchCaller();
+        static_cast<HttpServer*>(arg)->handler_(exchange);
+      },
+      this);
+}
+
+HttpServer::~HttpServer() { evhttp_free(http_); }
+
+bool HttpServer::Listen(const Address& address) {
+  return evhttp_bind_socket(http_, address.ip.c_str(), address.port) == 0;
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Http/Problem.cc
@@ -0,0 +1,41 @@
+// Errors as application/problem+json.
+#include "corianderlink/Http/Problem.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "corianderlink/Http/HttpExchange.h"
+
+namespace corianderlink {
+namespace {
+
+int64_t WholeSeconds(Duration d) {
+  const auto rounded = std::chrono::ceil<seconds>(d).count();
+  return std::max<int64_t>(1, rounded);
+}
+
+}  // namespace
+
+std::string Problem::ToJson() const {
+  nlohmann::json body = {{"type", "about:blank"},
+                         {"title", title},
+                         {"status", status},
+                         {"verdict", ToString(outcome.verdict)},
+                         {"detail", outcome.reason}};
+  if (!request_id.empty()) body["request_id"] = request_id;
+  if (retry_after) body["retry_after_s"] = WholeSeconds(*retry_after);
+  // Callers' bytes may appear in the reason; broken UTF-8 is replaced.
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void ReplyProblem(HttpExchange& exchange, const Problem& problem) {
+  HttpHeaders headers;
+  if (problem.retry_after) {
+    headers.emplace_back("Retry-After",
+                         std::to_string(WholeSeconds(*problem.retry_after)));
+  }
+  exchange.Reply(problem.status, "application/problem+json", problem.ToJson(),
+                 headers);
+}
+
+}  // namespace corianderlink
