--- a/include/corianderlink/Fleet/engine_keeper.h
+++ b/include/corianderlink/Fleet/engine_keeper.h
@@ -37,8 +37,8 @@
   /// Entries have to keep new work away.
   bool NeedsHold() const {
     return order && order->phase != OrderPhase::kDone && report &&
-           (InterruptsServing(report->config, order->config) ||
-            report->away || order->phase == OrderPhase::kSent);
+           (InterruptsServing(report->config, order->config) || report->away ||
+            order->phase == OrderPhase::kSent);
   }
 };
 
--- a/include/corianderlink/Http/http_client.h
+++ b/include/corianderlink/Http/http_client.h
@@ -61,8 +61,7 @@
 
   /// Starts a call.  `done` runs exactly once, from the loop, unless the call
   /// is cancelled.  If `on_chunk` is given, the body goes there instead.
-  std::shared_ptr<HttpCall> Start(const HttpRequest& request,
-                                  DoneCallback done,
+  std::shared_ptr<HttpCall> Start(const HttpRequest& request, DoneCallback done,
                                   ChunkCallback on_chunk = nullptr);
 
  private:
--- a/include/corianderlink/Serving/service_gateway.h
+++ b/include/corianderlink/Serving/service_gateway.h
@@ -26,8 +26,8 @@
   /// was tried if there is no other.  Nothing if the service has none.
   std::optional<Address> ChooseWorker(Time now, const ServiceId& service,
                                       const std::set<Address>& tried);
-  void OnWorkerResult(Time now, const ServiceId& service,
-                      const Address& worker, bool failed);
+  void OnWorkerResult(Time now, const ServiceId& service, const Address& worker,
+                      bool failed);
 
   /// Sends a query to the owner of a foreign claim.
   void AskOwner(const std::string& owner_address, const std::string& claim,
--- a/include/corianderlink/Support/time.h
+++ b/include/corianderlink/Support/time.h
@@ -14,7 +14,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
+  static constexpr bool is_steady = true;  // NOLINT: the standard's name.
   /// Reads CLOCK_BOOTTIME.
   static time_point now();
 };
--- a/lib/Authority/engine_reconciler.cc
+++ b/lib/Authority/engine_reconciler.cc
@@ -51,8 +51,7 @@
   return Record(std::move(order), "drained");
 }
 
-EngineDecision DecideSent(const EngineView& view, OrderRecord order,
-                          Time now) {
+EngineDecision DecideSent(const EngineView& view, OrderRecord order, Time now) {
   const EngineReport& report = *view.report;
   if (EngineHasOrder(report, order) && report.order_state == "done") {
     order.phase = OrderPhase::kDone;
@@ -102,8 +101,7 @@
   }
   if (view.report->config == *view.wanted) return Wait("as wanted");
   if (now < view.not_before) return Wait("backing off");
-  const bool interrupts =
-      InterruptsServing(view.report->config, *view.wanted);
+  const bool interrupts = InterruptsServing(view.report->config, *view.wanted);
   if (interrupts && !view.may_interrupt) return Wait("another engine is away");
   OrderRecord next;
   next.sequence = std::max(order.sequence, view.report->order_sequence) + 1;
--- a/lib/Authority/lease_holder.cc
+++ b/lib/Authority/lease_holder.cc
@@ -61,7 +61,15 @@
   // Extras ride only on renewals: after a change of holder the new holder has
   // to look at the rows first.
   const bool renewal = OwnsSeenRow() && !releasing_;
-  if (!renewal) return action;
+  if (!renewal) {
+    const auto dropped = std::exchange(queued_, {});
+    const CommitResult not_run{
+        CommitStatus::kNotRun, 0, {}, "the lease was not held"};
+    for (const Extra& extra : dropped) {
+      if (extra.done) extra.done(not_run);
+    }
+    return action;
+  }
   in_write_ = std::exchange(queued_, {});
   for (const Extra& extra : in_write_) {
     action.txn.conditions.insert(action.txn.conditions.end(),
--- a/lib/Fleet/fleet_server.cc
+++ b/lib/Fleet/fleet_server.cc
@@ -51,11 +51,11 @@
     : node_(node),
       notes_(node),
       roles_(RoleLimitsOf(node.settings().roles)),
-      reports_(node.loop(), node.client(), node.settings().timing.engine_poll,
-               [this](const Address& engine, Time asked,
-                      const std::string& body) {
-                 OnReport(engine, asked, body);
-               }) {
+      reports_(
+          node.loop(), node.client(), node.settings().timing.engine_poll,
+          [this](const Address& engine, Time asked, const std::string& body) {
+            OnReport(engine, asked, body);
+          }) {
   for (size_t i = 0; i < kShards; ++i) {
     Shard shard;
     shard.lease = std::make_unique<LeaseHolder>(
@@ -102,10 +102,9 @@
   }
   DecideRoles(now);
   if (!stopping_) return;
-  const bool idle =
-      std::none_of(shards_.begin(), shards_.end(), [&](const Shard& s) {
-        return s.lease->seen().holder == node_.self();
-      });
+  const bool idle = std::none_of(
+      shards_.begin(), shards_.end(),
+      [&](const Shard& s) { return s.lease->seen().holder == node_.self(); });
   if (idle || now - stop_began_ > kLongestStop) node_.loop().Stop();
 }
 
@@ -263,8 +262,7 @@
 void FleetServer::UpdateTargets() {
   std::map<Address, std::string> targets;
   for (const auto& [address, keeper] : keepers_) {
-    const bool open =
-        keeper.order && keeper.order->phase != OrderPhase::kDone;
+    const bool open = keeper.order && keeper.order->phase != OrderPhase::kDone;
     if (keeper.spec || open) targets[address] = "/v1/state";
   }
   reports_.SetTargets(std::move(targets));
@@ -366,42 +364,42 @@
   txn.conditions.push_back({key, keeper.order_version});
   txn.writes.push_back({key, EncodeOrderRecord(record)});
   const bool serving = keeper.report && !keeper.report->config.models.empty();
-  const bool starts =
-      record.phase == OrderPhase::kDraining && serving &&
-      InterruptsServing(keeper.report->config, record.config) &&
-      transition_.empty();
-  const bool ends = record.phase == OrderPhase::kDone &&
-                    transition_ == address.ToString();
+  const bool starts = record.phase == OrderPhase::kDraining && serving &&
+                      InterruptsServing(keeper.report->config, record.config) &&
+                      transition_.empty();
+  const bool ends =
+      record.phase == OrderPhase::kDone && transition_ == address.ToString();
   if (starts || ends) {
     txn.conditions.push_back({kTransitionKey, transition_version_});
     txn.writes.push_back(
-        {kTransitionKey,
-         starts ? std::optional<std::string>(address.ToString())
-                : std::nullopt});
+        {kTransitionKey, starts ? std::optional<std::string>(address.ToString())
+                                : std::nullopt});
   }
   keeper.busy = true;
   LeaseHolder& lease = *shards_[ShardOf(address)].lease;
-  lease.Enqueue(txn, [this, address, record, starts,
-                      ends](const CommitResult& result) {
-    const auto it = keepers_.find(address);
-    if (it == keepers_.end()) return;
-    EngineKeeper& held = it->second;
-    if (starts || ends) ReadFleetRows();
-    if (result.status == CommitStatus::kNotRun) {
-      held.busy = false;
-      return;
-    }
-    if (result.status != CommitStatus::kCommitted) return ReadOrder(address);
-    held.busy = false;
-    held.order = record;
-    held.order_version = result.version;
-    held.all_held.reset();
-    if (starts) transition_ = address.ToString();
-    if (starts || ends) transition_version_ = result.version;
-    if (ends) transition_.clear();
-    UpdateTargets();
-    node_.SendHeartbeat();
-  });
+  lease.Enqueue(
+      txn, [this, address, record, starts, ends](const CommitResult& result) {
+        const auto it = keepers_.find(address);
+        if (it == keepers_.end()) return;
+        EngineKeeper& held = it->second;
+        if (starts || ends) ReadFleetRows();
+        if (result.status == CommitStatus::kNotRun) {
+          held.busy = false;
+          return;
+        }
+        if (result.status != CommitStatus::kCommitted) {
+          return ReadOrder(address);
+        }
+        held.busy = false;
+        held.order = record;
+        held.order_version = result.version;
+        held.all_held.reset();
+        if (starts) transition_ = address.ToString();
+        if (starts || ends) transition_version_ = result.version;
+        if (ends) transition_.clear();
+        UpdateTargets();
+        node_.SendHeartbeat();
+      });
 }
 
 void FleetServer::SendOrder(Time now, EngineKeeper& keeper,
@@ -412,7 +410,8 @@
   request.address = keeper.address;
   request.method = "POST";
   request.target = "/v1/orders";
-  request.timeout = std::min<Duration>(kOrderTimeout, lease.valid_until() - now);
+  request.timeout =
+      std::min<Duration>(kOrderTimeout, lease.valid_until() - now);
   request.body = Json{{"sequence", record.sequence},
                       {"fencing", record.fencing},
                       {"config", ToJson(record.config)}}
@@ -448,18 +447,18 @@
   if (response.ok()) {
     keeper.failures = 0;
     // Not repeated before a report asked for from now on could show it.
-    keeper.not_before =
-        BootClock::now() + 2 * node_.settings().timing.engine_poll +
-        node_.settings().timing.engine_report_lag;
+    keeper.not_before = BootClock::now() +
+                        2 * node_.settings().timing.engine_poll +
+                        node_.settings().timing.engine_report_lag;
     return;
   }
   const int doublings = std::min(keeper.failures++, kMaxDoublings);
   keeper.not_before =
       BootClock::now() +
       std::min<Duration>(kLongestBackoff, kFirstBackoff * (1 << doublings));
-  keeper.last_reason = response.outcome.ran() ? "engine answered: " +
-                                                    response.body
-                                              : response.outcome.reason;
+  keeper.last_reason = response.outcome.ran()
+                           ? "engine answered: " + response.body
+                           : response.outcome.reason;
   Log(LogLevel::kWarning, "order_failed",
       {{"engine", engine.ToString()}, {"reason", keeper.last_reason}});
 }
@@ -486,8 +485,8 @@
       continue;
     }
     const EngineReport& report = *keeper.report;
-    const double decode_rate = static_cast<double>(report.max_batch) /
-                               (report.step_ms / 1000.0);
+    const double decode_rate =
+        static_cast<double>(report.max_batch) / (report.step_ms / 1000.0);
     autos.push_back(&keeper);
     demand.prefill_engines = prompt_rate / report.prefill_tokens_per_s;
     demand.decode_engines = output_rate / decode_rate;
@@ -509,8 +508,8 @@
     const bool is_prefill = keeper->report->config.role == "prefill";
     if (is_prefill == (to == "prefill")) continue;
     // The emptiest engine loses the least work.
-    const bool better = chosen == nullptr || keeper->report->in_flight <
-                                                 chosen->report->in_flight;
+    const bool better = chosen == nullptr ||
+                        keeper->report->in_flight < chosen->report->in_flight;
     if (better) chosen = keeper;
   }
   if (chosen == nullptr) return;
@@ -531,8 +530,8 @@
     Log(LogLevel::kInfo, "role_chosen",
         {{"engine", engine},
          {"role", to},
-         {"committed", result.status == CommitStatus::kCommitted ? "yes"
-                                                                 : "unclear"}});
+         {"committed",
+          result.status == CommitStatus::kCommitted ? "yes" : "unclear"}});
     ReadFleetRows();
   });
 }
@@ -571,10 +570,10 @@
     }
     if (keeper.order) {
       engine["order_sequence"] = keeper.order->sequence;
-      engine["order_phase"] =
-          keeper.order->phase == OrderPhase::kDone
-              ? "done"
-              : keeper.order->phase == OrderPhase::kSent ? "sent" : "draining";
+      engine["order_phase"] = keeper.order->phase == OrderPhase::kDone ? "done"
+                              : keeper.order->phase == OrderPhase::kSent
+                                  ? "sent"
+                                  : "draining";
     }
     engines.push_back(std::move(engine));
   }
--- a/lib/Fleet/note_api.cc
+++ b/lib/Fleet/note_api.cc
@@ -63,12 +63,11 @@
   if (rest == "/check" && post) return Check(exchange), true;
   if (rest.front() != '/') return false;
   const std::string tail = "/status";
-  const bool status = rest.size() > tail.size() + 1 &&
-                      rest.compare(rest.size() - tail.size(), tail.size(),
-                                   tail) == 0;
+  const bool status =
+      rest.size() > tail.size() + 1 &&
+      rest.compare(rest.size() - tail.size(), tail.size(), tail) == 0;
   if (status) {
-    NoteStatus(exchange,
-               NoteId(rest.substr(1, rest.size() - 1 - tail.size())));
+    NoteStatus(exchange, NoteId(rest.substr(1, rest.size() - 1 - tail.size())));
     return true;
   }
   Show(exchange, NoteId(rest.substr(1)));
@@ -136,12 +135,11 @@
                                });
       return;
     case NoteAcceptor::Action::Kind::kCommit:
-      node_.table().Commit(
-          action.txn, [s, again](const CommitResult& result) {
-            s->acceptor.OnCommit(result);
-            again(result.status == CommitStatus::kCommitted ||
-                  result.status == CommitStatus::kConflict);
-          });
+      node_.table().Commit(action.txn, [s, again](const CommitResult& result) {
+        s->acceptor.OnCommit(result);
+        again(result.status == CommitStatus::kCommitted ||
+              result.status == CommitStatus::kConflict);
+      });
       return;
     case NoteAcceptor::Action::Kind::kDone:
       return Finish(s);
@@ -183,9 +181,9 @@
     case NoteDecision::Kind::kUnavailable:
       return ReplyUnavailable(exchange, decision.reason);
     case NoteDecision::Kind::kUnknown:
-      return ReplyProblem(exchange, {503, "Note may have been accepted",
-                                     Outcome::MayHaveRun(decision.reason),
-                                     seconds(1), ""});
+      return ReplyProblem(
+          exchange, {503, "Note may have been accepted",
+                     Outcome::MayHaveRun(decision.reason), seconds(1), ""});
   }
 }
 
--- a/lib/Fleet/role_controller.cc
+++ b/lib/Fleet/role_controller.cc
@@ -60,8 +60,8 @@
 
 void RoleController::ObserveCrossings(Time now) {
   const double share = Share(average_);
-  const double bound = above_ ? slow_share_ - kSwingBand
-                              : slow_share_ + kSwingBand;
+  const double bound =
+      above_ ? slow_share_ - kSwingBand : slow_share_ + kSwingBand;
   const bool crossed = above_ ? share < bound : share > bound;
   if (!crossed) return;
   above_ = !above_;
@@ -107,8 +107,12 @@
     best = change;
     best_gain = gain;
   };
-  if (view.decode > 1) consider(RoleChange::kToPrefill, prefill + 1, decode - 1);
-  if (view.prefill > 1) consider(RoleChange::kToDecode, prefill - 1, decode + 1);
+  if (view.decode > 1) {
+    consider(RoleChange::kToPrefill, prefill + 1, decode - 1);
+  }
+  if (view.prefill > 1) {
+    consider(RoleChange::kToDecode, prefill - 1, decode + 1);
+  }
   return best;
 }
 
--- a/lib/Http/http_client.cc
+++ b/lib/Http/http_client.cc
@@ -75,9 +75,8 @@
       reason_ = "deadline exceeded";
       Finish(Failure());
     });
-    const int rc = evhttp_make_request(connection_, out,
-                                       MethodOf(request.method),
-                                       request.target.c_str());
+    const int rc = evhttp_make_request(
+        connection_, out, MethodOf(request.method), request.target.c_str());
     if (rc == 0) return;
     reason_ = "connection could not be started";
     loop_.Post([self = self_] { self->Finish(self->Failure()); });
@@ -132,8 +131,8 @@
     HttpResponse response;
     response.outcome = Outcome::Ran();
     response.status = evhttp_request_get_response_code(request);
-    response.body = call->error_body_ +
-                    TakeAll(evhttp_request_get_input_buffer(request));
+    response.body =
+        call->error_body_ + TakeAll(evhttp_request_get_input_buffer(request));
     const evkeyvalq* in = evhttp_request_get_input_headers(request);
     for (const evkeyval* kv = in->tqh_first; kv != nullptr;
          kv = kv->next.tqe_next) {
@@ -144,8 +143,8 @@
 
   HttpResponse Failure() const {
     HttpResponse response;
-    response.outcome = bytes_sent_ ? Outcome::MayHaveRun(reason_)
-                                   : Outcome::NotRun(reason_);
+    response.outcome =
+        bytes_sent_ ? Outcome::MayHaveRun(reason_) : Outcome::NotRun(reason_);
     return response;
   }
 
--- a/lib/Http/http_server.cc
+++ b/lib/Http/http_server.cc
@@ -16,9 +16,9 @@
   evhttp_set_max_body_size(http_,
                            static_cast<ev_ssize_t>(limits.max_body_bytes));
   evhttp_set_timeout(http_, limits.request_timeout_s);
-  evhttp_set_allowed_methods(
-      http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT |
-                 EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH);
+  evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
+                                        EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+                                        EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH);
   evhttp_set_gencb(
       http_,
       [](evhttp_request* request, void* arg) {
--- a/lib/Membership/peer_table.cc
+++ b/lib/Membership/peer_table.cc
@@ -72,9 +72,9 @@
     }
   }
   heard.insert(own_instance);
-  return static_cast<size_t>(std::count_if(
-      instances_.begin(), instances_.end(),
-      [&](const Instance& i) { return heard.count(i.id) > 0; }));
+  return static_cast<size_t>(
+      std::count_if(instances_.begin(), instances_.end(),
+                    [&](const Instance& i) { return heard.count(i.id) > 0; }));
 }
 
 }  // namespace corianderlink
--- a/lib/Node/node.cc
+++ b/lib/Node/node.cc
@@ -52,8 +52,8 @@
     peers_.Expire(BootClock::now());
     SendHeartbeat();
   });
-  instance_timer_ = loop_.Every(settings_.timing.instance_poll,
-                                [this] { PollInstances(); });
+  instance_timer_ =
+      loop_.Every(settings_.timing.instance_poll, [this] { PollInstances(); });
   head_timer_ =
       loop_.Every(settings_.timing.store_poll, [this] { PollReleaseHead(); });
   PollInstances();
@@ -112,7 +112,8 @@
       const auto& peers = peers_.peers();
       const auto it = peers.find(from);
       if (it == peers.end()) return;
-      auto update = release_.UpdateFor(message.release_request().have_revision());
+      auto update =
+          release_.UpdateFor(message.release_request().have_revision());
       if (!update) return;
       wire::Envelope reply;
       *reply.mutable_release_update() = std::move(*update);
@@ -131,8 +132,8 @@
 void Node::OnHeartbeat(const ProcessId& process,
                        const wire::Heartbeat& heartbeat) {
   peers_.OnHeartbeat(BootClock::now(), process, heartbeat);
-  const bool behind = !release_.has_state() ||
-                      heartbeat.revision() > state().revision;
+  const bool behind =
+      !release_.has_state() || heartbeat.revision() > state().revision;
   if (behind) {
     wire::Envelope request;
     request.mutable_release_request()->set_have_revision(state().revision);
@@ -265,8 +266,8 @@
   }
   if (!TokenMatches(*exchange)) {
     ReplyProblem(*exchange,
-                 {401, "Unauthorized", Outcome::NotRun("wrong or missing token"),
-                  std::nullopt, ""});
+                 {401, "Unauthorized",
+                  Outcome::NotRun("wrong or missing token"), std::nullopt, ""});
     return;
   }
   if (path == "/v1/dump") {
--- a/lib/Platform/http_objects.cc
+++ b/lib/Platform/http_objects.cc
@@ -29,14 +29,14 @@
   request.address = platform_;
   request.target = kObjectsPath + key;
   request.timeout = timeout_;
-  client_.Start(request, [callback = std::move(callback)](
-                             const HttpResponse& response) {
-    if (response.ok()) return callback(response.body, "");
-    callback(std::nullopt, response.outcome.ran()
-                               ? "object store status " +
-                                     std::to_string(response.status)
-                               : response.outcome.reason);
-  });
+  client_.Start(
+      request, [callback = std::move(callback)](const HttpResponse& response) {
+        if (response.ok()) return callback(response.body, "");
+        callback(std::nullopt,
+                 response.outcome.ran()
+                     ? "object store status " + std::to_string(response.status)
+                     : response.outcome.reason);
+      });
 }
 
 }  // namespace corianderlink
--- a/lib/Platform/http_table.cc
+++ b/lib/Platform/http_table.cc
@@ -15,24 +15,25 @@
   request.target = "/v1/table/transactions";
   request.body = EncodeTransaction(txn);
   request.timeout = timeout_;
-  client_.Start(request, [callback = std::move(callback)](
-                             const HttpResponse& response) {
-    CommitResult result;
-    if (response.ok()) {
-      callback(DecodeCommitResult(response.body));
-      return;
-    }
-    const bool not_run = response.outcome.verdict == Verdict::kNotRun;
-    result.status = not_run ? CommitStatus::kNotRun : CommitStatus::kUnknown;
-    // By the service's contract 503 is answered before anything is written.
-    if (response.outcome.ran() && response.status == 503) {
-      result.status = CommitStatus::kNotRun;
-    }
-    result.reason = response.outcome.ran()
-                        ? "table status " + std::to_string(response.status)
-                        : response.outcome.reason;
-    callback(result);
-  });
+  client_.Start(
+      request, [callback = std::move(callback)](const HttpResponse& response) {
+        CommitResult result;
+        if (response.ok()) {
+          callback(DecodeCommitResult(response.body));
+          return;
+        }
+        const bool not_run = response.outcome.verdict == Verdict::kNotRun;
+        result.status =
+            not_run ? CommitStatus::kNotRun : CommitStatus::kUnknown;
+        // By the service's contract 503 is answered before anything is written.
+        if (response.outcome.ran() && response.status == 503) {
+          result.status = CommitStatus::kNotRun;
+        }
+        result.reason = response.outcome.ran()
+                            ? "table status " + std::to_string(response.status)
+                            : response.outcome.reason;
+        callback(result);
+      });
 }
 
 void HttpTable::ReadPrefix(const std::string& prefix, ReadCallback callback) {
--- a/lib/Platform/table_codec.cc
+++ b/lib/Platform/table_codec.cc
@@ -47,7 +47,9 @@
     }
     for (const Json& item : json.at("writes")) {
       TableWrite write{item.at("key").get<std::string>(), std::nullopt};
-      if (item.contains("value")) write.value = item["value"].get<std::string>();
+      if (item.contains("value")) {
+        write.value = item["value"].get<std::string>();
+      }
       txn.writes.push_back(std::move(write));
     }
     return txn;
@@ -93,7 +95,9 @@
   ReadResult result;
   try {
     std::vector<TableRow> rows;
-    for (const Json& item : Json::parse(body).at("rows")) {
+    // Kept by name: a temporary would be gone before the loop's first step.
+    const Json json = Json::parse(body);
+    for (const Json& item : json.at("rows")) {
       TableRow row = RowFromJson(item);
       if (row.key.compare(0, prefix.size(), prefix) != 0) {
         result.reason = "table answered with another row: " + row.key;
--- a/lib/Release/desired_state.cc
+++ b/lib/Release/desired_state.cc
@@ -11,8 +11,8 @@
          std::vector<JsonError>& errors) {
   for (const auto& [id, spec] : added) {
     if (into.emplace(id, spec).second) continue;
-    errors.push_back({"/added/" + kind + "/" + id.value(),
-                      "a new name; it exists already"});
+    errors.push_back(
+        {"/added/" + kind + "/" + id.value(), "a new name; it exists already"});
   }
 }
 
@@ -70,17 +70,17 @@
   std::vector<JsonError> errors;
   DesiredState state;
   JsonReader reader(*json, "", errors);
-  state.revision = static_cast<Revision>(
-      reader.Integer("revision", 0, int64_t{1} << 53));
+  state.revision =
+      static_cast<Revision>(reader.Integer("revision", 0, int64_t{1} << 53));
   if (const Json* items = reader.Object("items")) {
     state.items = ParseItems(*items, "/items", errors);
   }
   if (const Json* marks = reader.Object("marks")) {
     for (const auto& [key, value] : marks->items()) {
       JsonReader mark(value, "/marks/" + key, errors);
-      state.marks[key] = {static_cast<Revision>(mark.Integer(
-                              "revision", 0, int64_t{1} << 53)),
-                          NoteId(mark.RequiredString("note"))};
+      state.marks[key] = {
+          static_cast<Revision>(mark.Integer("revision", 0, int64_t{1} << 53)),
+          NoteId(mark.RequiredString("note"))};
     }
   }
   reader.RejectUnknown();
--- a/lib/Release/items.cc
+++ b/lib/Release/items.cc
@@ -58,8 +58,8 @@
   const Json* statuses = reader.Array("not_run_statuses");
   for (size_t i = 0; statuses != nullptr && i < statuses->size(); ++i) {
     const Json& status = (*statuses)[i];
-    const bool valid = status.is_number_integer() && status >= 400 &&
-                       status <= 599;
+    const bool valid =
+        status.is_number_integer() && status >= 400 && status <= 599;
     if (!valid) reader.Fail("not_run_statuses", "statuses from 400 to 599");
     if (valid) call.not_run_statuses.insert(status.get<int64_t>());
   }
@@ -79,8 +79,8 @@
   if (workers.empty()) reader.Fail("workers", "at least one address");
   const Json* calls = reader.Array("calls");
   for (size_t i = 0; calls != nullptr && i < calls->size(); ++i) {
-    spec.calls.push_back(ParseCall(
-        (*calls)[i], path + "/calls/" + std::to_string(i), errors));
+    spec.calls.push_back(
+        ParseCall((*calls)[i], path + "/calls/" + std::to_string(i), errors));
   }
   return spec;
 }
@@ -197,14 +197,13 @@
                                     {"weights", spec.weights}};
   }
   for (const auto& [id, spec] : items.engines) {
-    json["engines"][id.value()] = {
-        {"address", spec.address.ToString()},
-        {"zone", spec.zone.value()},
-        {"role", ToString(spec.role)},
-        {"checks_fencing", spec.checks_fencing},
-        {"automatic_orders", spec.automatic_orders},
-        {"models", NamesOf(spec.models)},
-        {"adapters", NamesOf(spec.adapters)}};
+    json["engines"][id.value()] = {{"address", spec.address.ToString()},
+                                   {"zone", spec.zone.value()},
+                                   {"role", ToString(spec.role)},
+                                   {"checks_fencing", spec.checks_fencing},
+                                   {"automatic_orders", spec.automatic_orders},
+                                   {"models", NamesOf(spec.models)},
+                                   {"adapters", NamesOf(spec.adapters)}};
   }
   for (const auto& [id, spec] : items.services) {
     Json workers = Json::array();
--- a/lib/Release/note_acceptor.cc
+++ b/lib/Release/note_acceptor.cc
@@ -7,7 +7,9 @@
 
 const char kReleaseHeadKey[] = "release/head";
 
-std::string NoteRowKey(const NoteId& id) { return "release/notes/" + id.value(); }
+std::string NoteRowKey(const NoteId& id) {
+  return "release/notes/" + id.value();
+}
 
 std::string EncodeNoteRecord(const NoteRecord& record) {
   return Json{{"revision", record.revision}, {"note", ToJson(record.note)}}
--- a/lib/Release/release_note.cc
+++ b/lib/Release/release_note.cc
@@ -29,9 +29,9 @@
   const auto add = [&](const std::string& key, const std::string& section) {
     const auto [it, fresh] = section_of.emplace(key, section);
     if (fresh) return;
-    errors.push_back({"/" + section + "/" + key,
-                      "an item in one section only; it is also in " +
-                          it->second});
+    errors.push_back(
+        {"/" + section + "/" + key,
+         "an item in one section only; it is also in " + it->second});
   };
   for (const std::string& key : note.added.Keys()) add(key, "added");
   for (const std::string& key : note.changed.Keys()) add(key, "changed");
--- a/lib/Routing/admission_queue.cc
+++ b/lib/Routing/admission_queue.cc
@@ -54,15 +54,14 @@
   if (it != per_model_.end() && it->second >= model_limit) {
     return refuse("queue of this model is full", wait_s);
   }
-  const bool late =
-      ahead > 0 && now + FromSeconds(wait_s) > request.deadline;
+  const bool late = ahead > 0 && now + FromSeconds(wait_s) > request.deadline;
   if (late) {
     return refuse("the wait would exceed the deadline", wait_s);
   }
   const auto cls = static_cast<size_t>(request.cls);
   const DeadlineKey key{request.deadline, request.id};
-  classes_[cls][request.model][request.account].emplace(
-      key, Waiting{request, now});
+  classes_[cls][request.model][request.account].emplace(key,
+                                                        Waiting{request, now});
   where_[request.id] = {request.cls, request.model, request.account, key};
   queued_tokens_[cls] += request.cost_tokens;
   ++per_model_[request.model];
@@ -106,10 +105,9 @@
     }
   }
   // Promoted bulk goes behind urgent and ahead of chat.
-  const auto first_chat =
-      std::find_if(heads.begin(), heads.end(), [](const PendingRequest& r) {
-        return r.cls != PriorityClass::kUrgent;
-      });
+  const auto first_chat = std::find_if(
+      heads.begin(), heads.end(),
+      [](const PendingRequest& r) { return r.cls != PriorityClass::kUrgent; });
   heads.insert(first_chat, promoted.begin(), promoted.end());
   return heads;
 }
--- a/lib/Routing/ejector.cc
+++ b/lib/Routing/ejector.cc
@@ -12,10 +12,9 @@
 }  // namespace
 
 size_t Ejector::EjectedCount(Time now) const {
-  return static_cast<size_t>(
-      std::count_if(states_.begin(), states_.end(), [&](const auto& entry) {
-        return entry.second.until > now;
-      }));
+  return static_cast<size_t>(std::count_if(
+      states_.begin(), states_.end(),
+      [&](const auto& entry) { return entry.second.until > now; }));
 }
 
 void Ejector::OnSuccess(const Address& upstream) {
@@ -30,12 +29,13 @@
   ++state.failures_in_row;
   if (state.failures_in_row < limits_.failures || state.until > now) return;
   const auto allowed = std::max<size_t>(
-      1, static_cast<size_t>(static_cast<double>(fleet_size) *
-                             limits_.max_share));
+      1,
+      static_cast<size_t>(static_cast<double>(fleet_size) * limits_.max_share));
   const bool last_one = fleet_size <= 1;
   if (last_one || EjectedCount(now) >= allowed) return;
   const int doublings = std::min(state.ejections, kMaxDoublings);
-  state.until = now + std::min(limits_.longest, limits_.base * (1 << doublings));
+  state.until =
+      now + std::min(limits_.longest, limits_.base * (1 << doublings));
   ++state.ejections;
   state.failures_in_row = 0;
 }
--- a/lib/Routing/engine_router.cc
+++ b/lib/Routing/engine_router.cc
@@ -34,10 +34,14 @@
     if (it != engines_.end()) {
       it->second.spec = spec;
     } else {
-      engines_.emplace(
-          id, Engine{spec, std::nullopt, Time{}, {}, 0, 0,
-                     PrefixIndex(limits_.prefix_max_age,
-                                 limits_.prefix_max_pieces)});
+      engines_.emplace(id, Engine{spec,
+                                  std::nullopt,
+                                  Time{},
+                                  {},
+                                  0,
+                                  0,
+                                  PrefixIndex(limits_.prefix_max_age,
+                                              limits_.prefix_max_pieces)});
     }
     for (const ModelId& model : spec.models) by_model_[model].push_back(id);
   }
@@ -148,8 +152,8 @@
   const uint64_t queue = query.cls == PriorityClass::kUrgent
                              ? limits_.engine_queue_urgent
                              : limits_.engine_queue;
-  const auto room = static_cast<uint64_t>(
-      static_cast<double>(batch + queue) * share + 0.5);
+  const auto room =
+      static_cast<uint64_t>(static_cast<double>(batch + queue) * share + 0.5);
   const uint64_t in_flight = InFlight(now, id, engine);
   if (in_flight >= room) return {};
   const uint64_t cached =
@@ -157,9 +161,8 @@
                          query.prompt_tokens);
   const uint64_t uncached = query.prompt_tokens - cached;
   // Urgent requests overtake the engine's own queue.
-  const double backlog = query.cls == PriorityClass::kUrgent
-                             ? 0
-                             : PrefillBacklog(now, id, engine);
+  const double backlog =
+      query.cls == PriorityClass::kUrgent ? 0 : PrefillBacklog(now, id, engine);
   const double rate = engine.report ? engine.report->prefill_tokens_per_s
                                     : kDefaultPrefillTokensPerSecond;
   Duration predicted =
@@ -168,9 +171,9 @@
     predicted += kWaitPerQueued * static_cast<int64_t>(in_flight - batch + 1);
   }
   // A larger batch makes each step slower.
-  predicted += FromSeconds(static_cast<double>(in_flight) *
-                           engine.report->step_ms / 1000.0 /
-                           static_cast<double>(batch));
+  predicted +=
+      FromSeconds(static_cast<double>(in_flight) * engine.report->step_ms /
+                  1000.0 / static_cast<double>(batch));
   const EngineRole misfit = query.phase == RoutePhase::kStart
                                 ? EngineRole::kDecode
                                 : EngineRole::kPrefill;
--- a/lib/Serving/chat_reply.cc
+++ b/lib/Serving/chat_reply.cc
@@ -26,9 +26,9 @@
     return true;
   }
   if (!exchange_->streaming()) {
-    exchange_->StartStream(200, "text/event-stream",
-                           {{"X-Request-Id", id_.value()},
-                            {"Cache-Control", "no-cache"}});
+    exchange_->StartStream(
+        200, "text/event-stream",
+        {{"X-Request-Id", id_.value()}, {"Cache-Control", "no-cache"}});
   }
   std::string chunk;
   chunk.reserve(marker.size() + data.size() + 16);
@@ -39,19 +39,18 @@
 }
 
 void ChatReply::ReplyWhole() {
-  const Json body = {{"id", id_.value()},
-                     {"object", "chat.completion"},
-                     {"model", model_},
-                     {"choices",
-                      {{{"index", 0},
-                        {"message",
-                         {{"role", "assistant"}, {"content", text_}}},
-                        {"finish_reason", "stop"}}}},
-                     {"usage", usage_}};
-  exchange_->Reply(
-      200, "application/json",
-      body.dump(-1, ' ', false, Json::error_handler_t::replace),
-      {{"X-Request-Id", id_.value()}});
+  const Json body = {
+      {"id", id_.value()},
+      {"object", "chat.completion"},
+      {"model", model_},
+      {"choices",
+       {{{"index", 0},
+         {"message", {{"role", "assistant"}, {"content", text_}}},
+         {"finish_reason", "stop"}}}},
+      {"usage", usage_}};
+  exchange_->Reply(200, "application/json",
+                   body.dump(-1, ' ', false, Json::error_handler_t::replace),
+                   {{"X-Request-Id", id_.value()}});
 }
 
 void ChatReply::OnEnd(const ChatEnd& end) {
--- a/lib/Serving/chat_scheduler.cc
+++ b/lib/Serving/chat_scheduler.cc
@@ -175,10 +175,8 @@
   const double elapsed = ToSeconds(now - demand_since_);
   if (elapsed >= 1) {
     const double keep = std::exp(-elapsed / kDemandWindowSeconds);
-    prompt_rate_ =
-        prompt_rate_ * keep + prompt_tokens_ / elapsed * (1 - keep);
-    output_rate_ =
-        output_rate_ * keep + output_tokens_ / elapsed * (1 - keep);
+    prompt_rate_ = prompt_rate_ * keep + prompt_tokens_ / elapsed * (1 - keep);
+    output_rate_ = output_rate_ * keep + output_tokens_ / elapsed * (1 - keep);
     prompt_tokens_ = 0;
     output_tokens_ = 0;
     demand_since_ = now;
@@ -233,9 +231,8 @@
   std::map<Address, uint64_t> held;
   for (auto it = holds_.begin(); it != holds_.end();) {
     const auto peer = peers.find(it->first);
-    const bool forgotten =
-        peer == peers.end() ||
-        now - peer->second.last_heard > kHoldAfterSilence;
+    const bool forgotten = peer == peers.end() ||
+                           now - peer->second.last_heard > kHoldAfterSilence;
     if (forgotten) {
       it = holds_.erase(it);
       continue;
@@ -276,9 +273,9 @@
   }
   Json engines = Json::object();
   for (const EngineId& id : router_.EngineIds()) {
-    engines[id.value()] = {{"own_requests", router_.OwnRequests(id)},
-                           {"held", router_.Held(
-                                        router_.FindEngine(id)->address)}};
+    engines[id.value()] = {
+        {"own_requests", router_.OwnRequests(id)},
+        {"held", router_.Held(router_.FindEngine(id)->address)}};
   }
   dump["requests"] = tasks;
   dump["queued"] = queue_.size();
--- a/lib/Serving/chat_task.cc
+++ b/lib/Serving/chat_task.cc
@@ -57,8 +57,8 @@
   pending.model = options_.request.model;
   pending.cls = options_.request.cls;
   pending.deadline = options_.deadline;
-  pending.cost_tokens = static_cast<double>(query_.prompt_tokens +
-                                            options_.request.max_tokens);
+  pending.cost_tokens =
+      static_cast<double>(query_.prompt_tokens + options_.request.max_tokens);
   return pending;
 }
 
@@ -69,8 +69,7 @@
 
 void ChatTask::Requeue() {
   const bool first_time = attempts_ == 0;
-  const auto refusal =
-      scheduler_.Enqueue(shared_from_this(), first_time);
+  const auto refusal = scheduler_.Enqueue(shared_from_this(), first_time);
   if (!refusal) return;
   Refuse(429, "Too many requests", refusal->reason, refusal->retry_after);
 }
@@ -126,8 +125,8 @@
   size_t at = 0;
   while (at < delivered_events_.size()) {
     const size_t end = delivered_events_.find('\n', at);
-    const Json event = Json::parse(
-        delivered_events_.substr(at, end - at), nullptr, false);
+    const Json event =
+        Json::parse(delivered_events_.substr(at, end - at), nullptr, false);
     at = end == std::string::npos ? delivered_events_.size() : end + 1;
     if (!event.is_object() || !event.contains("choices")) continue;
     for (const Json& choice : event["choices"]) {
@@ -214,9 +213,9 @@
       assembler_.OnChunk(attempt_.number, offset, event.data);
   const bool first = !ready.empty() && !attempt_.first_token;
   for (const std::string& data : ready) OnToken(data);
-  const bool prefilled = first && scheduler_.router().RoleOf(
-                                      attempt_.choice.engine) ==
-                                      EngineRole::kPrefill;
+  const bool prefilled =
+      first && scheduler_.router().RoleOf(attempt_.choice.engine) ==
+                   EngineRole::kPrefill;
   // A prefill engine hands the stream over with its KV cache.
   if (prefilled) Move(/*to_decode=*/true);
 }
@@ -235,9 +234,9 @@
   }
   if (!had_first_token_) {
     had_first_token_ = true;
-    metrics.Record(std::string("first_token_seconds_") +
-                       ToString(options_.request.cls),
-                   ToSeconds(now - options_.arrived));
+    metrics.Record(
+        std::string("first_token_seconds_") + ToString(options_.request.cls),
+        ToSeconds(now - options_.arrived));
   }
   query_.phase = RoutePhase::kContinue;
   last_token_ = now;
@@ -280,11 +279,11 @@
   const std::string reason = response.outcome.ran()
                                  ? "answer ended without its end mark"
                                  : response.outcome.reason;
-  RetryOrFail({response.outcome.verdict == Verdict::kNotRun
-                   ? Verdict::kNotRun
-                   : Verdict::kMayHaveRun,
-               reason},
-              true);
+  RetryOrFail(
+      {response.outcome.verdict == Verdict::kNotRun ? Verdict::kNotRun
+                                                    : Verdict::kMayHaveRun,
+       reason},
+      true);
 }
 
 void ChatTask::RetryOrFail(const Outcome& outcome, bool engine_to_blame) {
@@ -301,8 +300,8 @@
   if (attempts_ < kMaxAttempts && in_budget) {
     scheduler_.node().metrics().Add("retries_total");
     if (!engine_to_blame) query_.excluded.clear();
-    idle_timer_ = scheduler_.node().loop().After(kRequeueDelay,
-                                                 [this] { Requeue(); });
+    idle_timer_ =
+        scheduler_.node().loop().After(kRequeueDelay, [this] { Requeue(); });
     return;
   }
   ChatEnd end;
@@ -337,8 +336,8 @@
                       const std::string& reason,
                       std::optional<Duration> retry_after) {
   // A stream that already delivered something has run in part.
-  const Outcome outcome = had_first_token_ ? Outcome::MayHaveRun(reason)
-                                           : Outcome::NotRun(reason);
+  const Outcome outcome =
+      had_first_token_ ? Outcome::MayHaveRun(reason) : Outcome::NotRun(reason);
   Finish({outcome, status, title, retry_after});
 }
 
--- a/lib/Serving/claim_attempt.cc
+++ b/lib/Serving/claim_attempt.cc
@@ -66,8 +66,7 @@
     case Step::kStore:
       action.kind = Action::Kind::kCommit;
       action.txn.conditions.push_back({row_key_, version_});
-      action.txn.writes.push_back(
-          {row_key_, EncodeClaimRecord(final_record_)});
+      action.txn.writes.push_back({row_key_, EncodeClaimRecord(final_record_)});
       return action;
     case Step::kInCall:
     case Step::kDone:
--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -63,16 +63,16 @@
       scheduler_(node),
       gateway_(node),
       jobs_(node, scheduler_),
-      reports_(node.loop(), node.client(), node.settings().timing.engine_poll,
-               [this](const Address& engine, Time asked,
-                      const std::string& body) {
-                 OnEngineReport(engine, asked, body);
-               }),
-      cache_events_(node.loop(), node.client(), kCacheEventPoll,
-                    [this](const Address& engine, Time,
-                           const std::string& body) {
-                      OnCacheEvents(engine, body);
-                    }),
+      reports_(
+          node.loop(), node.client(), node.settings().timing.engine_poll,
+          [this](const Address& engine, Time asked, const std::string& body) {
+            OnEngineReport(engine, asked, body);
+          }),
+      cache_events_(
+          node.loop(), node.client(), kCacheEventPoll,
+          [this](const Address& engine, Time, const std::string& body) {
+            OnCacheEvents(engine, body);
+          }),
       server_(node.loop(), LimitsOf(node.settings()),
               [this](Exchange e) { OnRequest(e); }) {
   node_.signal_release.connect(sigc::mem_fun(*this, &EntryServer::OnRelease));
@@ -200,9 +200,9 @@
                        {"zone", entry.zone},
                        {"weight", entry.weight}});
   }
-  const auto keep_s =
-      std::chrono::duration_cast<seconds>(node_.settings().timing.directory_keep)
-          .count();
+  const auto keep_s = std::chrono::duration_cast<seconds>(
+                          node_.settings().timing.directory_keep)
+                          .count();
   exchange->Reply(200, "application/json",
                   Json{{"entries", entries}, {"keep_s", keep_s}}.dump(),
                   {{"Cache-Control", "max-age=" + std::to_string(keep_s)}});
@@ -244,9 +244,8 @@
   options.account = account.id;
   options.account_weight = account.spec.weight;
   options.arrived = now;
-  options.deadline =
-      now + request->deadline.value_or(
-                DefaultDeadline(node_.settings().requests, request->cls));
+  options.deadline = now + request->deadline.value_or(DefaultDeadline(
+                               node_.settings().requests, request->cls));
   options.id = MakeRequestId(node_.random().HexId().substr(0, 16), account.id,
                              exchange->body());
   const auto marker = DecodeResumeMarker(exchange->Header("Last-Event-ID"));
@@ -339,10 +338,10 @@
   job.account = account.id;
   job.request = exchange->body();
   job.request_digest = Sha256Hex(account.id.value() + "\n" + exchange->body());
-  job.id = JobId(key.empty()
-                     ? node_.random().HexId()
-                     : Sha256Hex(account.id.value() + "\njob\n" + key)
-                           .substr(0, 32));
+  job.id = JobId(
+      key.empty()
+          ? node_.random().HexId()
+          : Sha256Hex(account.id.value() + "\njob\n" + key).substr(0, 32));
   jobs_.Submit(std::move(job), [this, exchange](const JobSubmission& result) {
     switch (result.kind) {
       case JobSubmission::Kind::kAccepted:
@@ -381,8 +380,8 @@
   call.method = exchange->method();
   const std::string path =
       slash == std::string::npos ? "/" : rest.substr(slash);
-  call.target = path + (exchange->query().empty() ? "" : "?") +
-                exchange->query();
+  call.target =
+      path + (exchange->query().empty() ? "" : "?") + exchange->query();
   call.content_type = exchange->Header("Content-Type");
   call.body = exchange->body();
   call.key = exchange->Header("Idempotency-Key");
@@ -406,8 +405,7 @@
         switch (result.kind) {
           case ClaimResult::Kind::kAnswer:
             exchange->Reply(result.answer.status, result.answer.content_type,
-                            result.answer.body,
-                            {{"X-Request-Id", request_id}});
+                            result.answer.body, {{"X-Request-Id", request_id}});
             return;
           case ClaimResult::Kind::kNotRun:
             return Reply(exchange, 503, "Call not run",
@@ -438,8 +436,8 @@
 void EntryServer::BeginStop() {
   if (stop_began_ != Time{}) return;
   stop_began_ = BootClock::now();
-  Log(LogLevel::kInfo, "stop_began", {{"in_flight", uint64_t{
-                                          scheduler_.in_flight()}}});
+  Log(LogLevel::kInfo, "stop_began",
+      {{"in_flight", uint64_t{scheduler_.in_flight()}}});
   node_.SetLeaving();
   jobs_.Drain();
   stop_timer_ = node_.loop().Every(kStopPoll, [this] { FinishStop(); });
--- a/lib/Serving/job_record.cc
+++ b/lib/Serving/job_record.cc
@@ -68,8 +68,7 @@
 }
 
 std::string EncodeOpenJobRecord(const OpenJobRecord& record) {
-  return Dump(
-      {{"owner", record.owner.value()}, {"attempts", record.attempts}});
+  return Dump({{"owner", record.owner.value()}, {"attempts", record.attempts}});
 }
 
 std::optional<OpenJobRecord> DecodeOpenJobRecord(const std::string& text) {
@@ -117,8 +116,8 @@
                             uint32_t attempts) {
   TableTransaction txn;
   txn.conditions = {{OpenJobRowKey(id), open_version}};
-  txn.writes = {{OpenJobRowKey(id),
-                 EncodeOpenJobRecord({ProcessId(), attempts})}};
+  txn.writes = {
+      {OpenJobRowKey(id), EncodeOpenJobRecord({ProcessId(), attempts})}};
   return txn;
 }
 
--- a/lib/Serving/job_runner.cc
+++ b/lib/Serving/job_runner.cc
@@ -54,53 +54,50 @@
 
 void JobRunner::Commit(const JobRecord& job, bool retried,
                        std::function<void(const JobSubmission&)> done) {
-  node_.table().Commit(
-      InsertJob(job),
-      [this, job, retried, done](const CommitResult& result) {
-        switch (result.status) {
-          case CommitStatus::kCommitted:
-            node_.metrics().Add("jobs_accepted_total");
-            done({JobSubmission::Kind::kAccepted, job, ""});
-            return;
-          case CommitStatus::kConflict:
-            return SettleSubmission(job, /*answer_lost=*/false, done);
-          case CommitStatus::kUnknown:
-            return SettleSubmission(job, /*answer_lost=*/true, done);
-          case CommitStatus::kNotRun:
-            done({retried ? JobSubmission::Kind::kUnknown
-                          : JobSubmission::Kind::kNotRun,
-                  job, "the table service did not take the job: " +
-                           result.reason});
-            return;
-        }
-      });
+  node_.table().Commit(InsertJob(job), [this, job, retried,
+                                        done](const CommitResult& result) {
+    switch (result.status) {
+      case CommitStatus::kCommitted:
+        node_.metrics().Add("jobs_accepted_total");
+        done({JobSubmission::Kind::kAccepted, job, ""});
+        return;
+      case CommitStatus::kConflict:
+        return SettleSubmission(job, /*answer_lost=*/false, done);
+      case CommitStatus::kUnknown:
+        return SettleSubmission(job, /*answer_lost=*/true, done);
+      case CommitStatus::kNotRun:
+        done({retried ? JobSubmission::Kind::kUnknown
+                      : JobSubmission::Kind::kNotRun,
+              job, "the table service did not take the job: " + result.reason});
+        return;
+    }
+  });
 }
 
 void JobRunner::SettleSubmission(
     const JobRecord& job, bool answer_lost,
     std::function<void(const JobSubmission&)> done) {
-  node_.table().ReadPrefix(
-      JobRowKey(job.id),
-      [this, job, answer_lost, done](const ReadResult& result) {
-        if (!result.rows) {
-          done({JobSubmission::Kind::kUnknown, job, result.reason});
-          return;
-        }
-        const TableRow* row = FindRow(*result.rows, JobRowKey(job.id));
-        if (row == nullptr && answer_lost) {
-          return Commit(job, /*retried=*/true, done);
-        }
-        const auto stored =
-            row == nullptr ? std::nullopt : DecodeJobRecord(row->value);
-        if (!stored) {
-          done({JobSubmission::Kind::kUnknown, job, "the job's row is unclear"});
-          return;
-        }
-        const bool same = stored->request_digest == job.request_digest;
-        done({same ? JobSubmission::Kind::kAccepted
-                   : JobSubmission::Kind::kKeyReused,
-              *stored, ""});
-      });
+  node_.table().ReadPrefix(JobRowKey(job.id), [this, job, answer_lost,
+                                               done](const ReadResult& result) {
+    if (!result.rows) {
+      done({JobSubmission::Kind::kUnknown, job, result.reason});
+      return;
+    }
+    const TableRow* row = FindRow(*result.rows, JobRowKey(job.id));
+    if (row == nullptr && answer_lost) {
+      return Commit(job, /*retried=*/true, done);
+    }
+    const auto stored =
+        row == nullptr ? std::nullopt : DecodeJobRecord(row->value);
+    if (!stored) {
+      done({JobSubmission::Kind::kUnknown, job, "the job's row is unclear"});
+      return;
+    }
+    const bool same = stored->request_digest == job.request_digest;
+    done({same ? JobSubmission::Kind::kAccepted
+               : JobSubmission::Kind::kKeyReused,
+          *stored, ""});
+  });
 }
 
 void JobRunner::Find(const JobId& id, const AccountId& account,
@@ -141,24 +138,24 @@
     const bool open = found.kind == JobLookup::Kind::kFound &&
                       found.job.state == JobState::kQueued;
     if (!open) return done(found);
-    ReadBoth(id, [this, found, done](const TableRow* job,
-                                     const TableRow* open_row) {
-      JobLookup lookup = found;
-      lookup.kind = JobLookup::Kind::kUnavailable;
-      lookup.reason = "the job changed meanwhile; try again";
-      if (job == nullptr || open_row == nullptr) return done(lookup);
-      JobRecord cancelled = found.job;
-      cancelled.state = JobState::kCancelled;
-      node_.table().Commit(
-          FinishJob(cancelled, job->version, open_row->version),
-          [lookup, cancelled, done](const CommitResult& commit) mutable {
-            if (commit.status == CommitStatus::kCommitted) {
-              lookup.kind = JobLookup::Kind::kFound;
-              lookup.job = cancelled;
-            }
-            done(lookup);
-          });
-    });
+    ReadBoth(
+        id, [this, found, done](const TableRow* job, const TableRow* open_row) {
+          JobLookup lookup = found;
+          lookup.kind = JobLookup::Kind::kUnavailable;
+          lookup.reason = "the job changed meanwhile; try again";
+          if (job == nullptr || open_row == nullptr) return done(lookup);
+          JobRecord cancelled = found.job;
+          cancelled.state = JobState::kCancelled;
+          node_.table().Commit(
+              FinishJob(cancelled, job->version, open_row->version),
+              [lookup, cancelled, done](const CommitResult& commit) mutable {
+                if (commit.status == CommitStatus::kCommitted) {
+                  lookup.kind = JobLookup::Kind::kFound;
+                  lookup.job = cancelled;
+                }
+                done(lookup);
+              });
+        });
   });
 }
 
@@ -199,8 +196,9 @@
     if (!owned) orphan_since_.emplace(id, now);
     if (MayTake(now, row)) Take(id, row);
   }
-  std::erase_if(orphan_since_,
-                [&](const auto& entry) { return open.count(entry.first) == 0; });
+  std::erase_if(orphan_since_, [&](const auto& entry) {
+    return open.count(entry.first) == 0;
+  });
   // A job that was cancelled or finished elsewhere stops here.
   std::vector<JobId> gone;
   for (const auto& [id, running] : running_) {
@@ -243,36 +241,35 @@
 
 void JobRunner::Load(const JobId& id, RowVersion open_version,
                      uint32_t attempts) {
-  node_.table().ReadPrefix(
-      JobRowKey(id),
-      [this, id, open_version, attempts](const ReadResult& result) {
-        const auto it = running_.find(id);
-        if (it == running_.end()) return;
-        Running& running = it->second;
-        running.open_version = open_version;
-        running.attempts = attempts;
-        const TableRow* row =
-            result.rows ? FindRow(*result.rows, JobRowKey(id)) : nullptr;
-        const auto job =
-            row == nullptr ? std::nullopt : DecodeJobRecord(row->value);
-        if (!job) return Release(id);
-        running.job = *job;
-        running.job_version = row->version;
-        LoadRequest(id);
-      });
+  node_.table().ReadPrefix(JobRowKey(id), [this, id, open_version,
+                                           attempts](const ReadResult& result) {
+    const auto it = running_.find(id);
+    if (it == running_.end()) return;
+    Running& running = it->second;
+    running.open_version = open_version;
+    running.attempts = attempts;
+    const TableRow* row =
+        result.rows ? FindRow(*result.rows, JobRowKey(id)) : nullptr;
+    const auto job =
+        row == nullptr ? std::nullopt : DecodeJobRecord(row->value);
+    if (!job) return Release(id);
+    running.job = *job;
+    running.job_version = row->version;
+    LoadRequest(id);
+  });
 }
 
 void JobRunner::LoadRequest(const JobId& id) {
   Running& running = running_[id];
   if (!running.job.request_in_object) return Run(id);
-  objects_.Get(JobRequestObject(id), [this, id](std::optional<std::string> text,
-                                                const std::string&) {
-    const auto it = running_.find(id);
-    if (it == running_.end()) return;
-    if (!text) return Release(id);
-    it->second.job.request = *text;
-    Run(id);
-  });
+  objects_.Get(JobRequestObject(id),
+               [this, id](std::optional<std::string> text, const std::string&) {
+                 const auto it = running_.find(id);
+                 if (it == running_.end()) return;
+                 if (!text) return Release(id);
+                 it->second.job.request = *text;
+                 Run(id);
+               });
 }
 
 void JobRunner::Run(const JobId& id) {
@@ -320,8 +317,8 @@
   if (end.outcome.ran()) {
     return StoreFinal(id, JobState::kDone, it->second.text);
   }
-  const bool bad_request = end.status >= 400 && end.status < 500 &&
-                           end.status != 429;
+  const bool bad_request =
+      end.status >= 400 && end.status < 500 && end.status != 429;
   if (bad_request || it->second.attempts >= kMaxAttempts) {
     return StoreFinal(id, JobState::kFailed, end.outcome.reason);
   }
@@ -334,8 +331,7 @@
   if (it == running_.end()) return;
   if (draining_) return Release(id);
   ++it->second.attempts;
-  it->second.timer =
-      node_.loop().After(kRetryDelay, [this, id] { Run(id); });
+  it->second.timer = node_.loop().After(kRetryDelay, [this, id] { Run(id); });
 }
 
 void JobRunner::StoreFinal(const JobId& id, JobState state,
@@ -350,16 +346,15 @@
   }
   running.job.result.clear();
   running.job.result_in_object = true;
-  objects_.Put(JobResultObject(id), result,
-               [this, id, state, result](bool stored) {
-                 const auto it = running_.find(id);
-                 if (it == running_.end()) return;
-                 if (stored) return CommitFinal(id);
-                 it->second.timer = node_.loop().After(
-                     kRetryDelay, [this, id, state, result] {
-                       StoreFinal(id, state, result);
-                     });
-               });
+  objects_.Put(
+      JobResultObject(id), result, [this, id, state, result](bool stored) {
+        const auto it = running_.find(id);
+        if (it == running_.end()) return;
+        if (stored) return CommitFinal(id);
+        it->second.timer = node_.loop().After(
+            kRetryDelay,
+            [this, id, state, result] { StoreFinal(id, state, result); });
+      });
 }
 
 void JobRunner::CommitFinal(const JobId& id) {
@@ -377,15 +372,15 @@
         if (!over) {
           // After a lost answer the repeated write conflicts with itself,
           // which ends the job here as well.
-          job->second.timer = node_.loop().After(
-              kRetryDelay, [this, id] { CommitFinal(id); });
+          job->second.timer =
+              node_.loop().After(kRetryDelay, [this, id] { CommitFinal(id); });
           return;
         }
         Log(LogLevel::kInfo, "job_finished",
             {{"job", id.value()},
              {"state", ToString(job->second.job.state)},
-             {"stored", result.status == CommitStatus::kCommitted ? "here"
-                                                                  : "before"}});
+             {"stored",
+              result.status == CommitStatus::kCommitted ? "here" : "before"}});
         running_.erase(job);
       });
 }
--- a/lib/Serving/service_gateway.cc
+++ b/lib/Serving/service_gateway.cc
@@ -112,10 +112,9 @@
   }
   const wire::ClaimAnswer& answer = message.claim_answer();
   if (answer.status() == wire::ClaimAnswer::UNKNOWN) return;
-  const ClaimAnswerStatus status =
-      answer.status() == wire::ClaimAnswer::NEVER
-          ? ClaimAnswerStatus::kNever
-          : ClaimAnswerStatus::kDispatched;
+  const ClaimAnswerStatus status = answer.status() == wire::ClaimAnswer::NEVER
+                                       ? ClaimAnswerStatus::kNever
+                                       : ClaimAnswerStatus::kDispatched;
   auto [begin, end] = askers_.equal_range(answer.nonce());
   std::vector<std::shared_ptr<ServiceTask>> asking;
   for (auto it = begin; it != end; ++it) {
--- a/lib/Serving/service_task.cc
+++ b/lib/Serving/service_task.cc
@@ -137,8 +137,8 @@
   const Time now = BootClock::now();
   ClaimedAnswer answer{response.outcome, response.status,
                        response.Header("Content-Type"), response.body};
-  const bool refused =
-      response.outcome.ran() && call_.not_run_statuses.count(response.status) > 0;
+  const bool refused = response.outcome.ran() &&
+                       call_.not_run_statuses.count(response.status) > 0;
   if (refused) {
     answer.outcome = Outcome::NotRun("the service refused with status " +
                                      std::to_string(response.status));
@@ -166,8 +166,9 @@
     const auto self = shared_from_this();
     // The answer is not held back by a slow store; storing goes on.
     store_timer_ = gateway_.node().loop().After(kMaxStoreWait, [self] {
-      if (self->done_) std::exchange(self->done_, nullptr)(
-          self->claim_->result());
+      if (self->done_) {
+        std::exchange(self->done_, nullptr)(self->claim_->result());
+      }
     });
     return DriveClaim();
   }
--- a/lib/Serving/sse_parser.cc
+++ b/lib/Serving/sse_parser.cc
@@ -49,8 +49,8 @@
 std::optional<SseEvent> SseParser::Next() {
   const size_t end = buffer_.find("\n\n", consumed_);
   if (end == std::string::npos) return std::nullopt;
-  const std::string_view block =
-      std::string_view(buffer_).substr(consumed_, end - consumed_);
+  const std::string_view all = buffer_;
+  const std::string_view block = all.substr(consumed_, end - consumed_);
   SseEvent event = ParseEvent(block);
   consumed_ = end + 2;
   return event;
--- a/lib/Support/log.cc
+++ b/lib/Support/log.cc
@@ -43,7 +43,7 @@
 std::string Quoted(std::string_view value) {
   if (!value.empty() &&
       value.find_first_of(" \"=\n\r\t") == std::string_view::npos) {
-    return std::string(value);
+    return std::string{value};
   }
   std::string quoted = "\"";
   for (const char c : value) {
@@ -58,9 +58,9 @@
 LogField::LogField(std::string_view k, std::string_view v)
     : key(k), value(Quoted(v)) {}
 LogField::LogField(std::string_view k, const char* v)
-    : LogField(k, std::string_view(v)) {}
+    : LogField(k, std::string_view{v}) {}
 LogField::LogField(std::string_view k, const std::string& v)
-    : LogField(k, std::string_view(v)) {}
+    : LogField(k, std::string_view{v}) {}
 LogField::LogField(std::string_view k, int64_t v)
     : key(k), value(std::to_string(v)) {}
 LogField::LogField(std::string_view k, uint64_t v)
@@ -82,8 +82,8 @@
                   "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
            << " " << blog::expressions::smessage),
       blog::keywords::auto_flush = true);
-  blog::core::get()->set_filter(
-      blog::expressions::attr<LogLevel>("Severity") >= lowest);
+  blog::core::get()->set_filter(blog::expressions::attr<LogLevel>("Severity") >=
+                                lowest);
 }
 
 LogLevel ParseLogLevel(std::string_view text) {
--- a/tools/common/process_main.h
+++ b/tools/common/process_main.h
@@ -27,7 +27,8 @@
 };
 
 inline std::string Trimmed(std::string text) {
-  while (!text.empty() && std::isspace(static_cast<unsigned char>(text.back()))) {
+  while (!text.empty() &&
+         std::isspace(static_cast<unsigned char>(text.back()))) {
     text.pop_back();
   }
   return text;
--- a/tools/standin-engine/engine.cc
+++ b/tools/standin-engine/engine.cc
@@ -18,8 +18,8 @@
 std::string PromptOf(const Json& body) {
   std::string prompt;
   for (const Json& message : body.at("messages")) {
-    prompt += message.value("role", "") + ":" + message.value("content", "") +
-              "\n";
+    prompt +=
+        message.value("role", "") + ":" + message.value("content", "") + "\n";
   }
   return prompt;
 }
@@ -61,16 +61,15 @@
   if (path == "/v1/orders") return OnOrder(exchange);
   if (path == "/faults") return OnFaults(exchange);
   if (path == "/record") {
-    exchange->Reply(200, "application/json",
-                    Json{{"orders", record_}, {"streams_cut", streams_cut_}}
-                        .dump());
+    exchange->Reply(
+        200, "application/json",
+        Json{{"orders", record_}, {"streams_cut", streams_cut_}}.dump());
     return;
   }
   if (path == "/v1/cache_events") {
     const std::string after = exchange->Query("after").value_or("0");
     const uint64_t sequence = std::strtoull(after.c_str(), nullptr, 10);
-    const Json events =
-        cache_.EventsAfter(sequence, faults_.event_gap_every);
+    const Json events = cache_.EventsAfter(sequence, faults_.event_gap_every);
     exchange->Reply(200, "application/json", Json{{"events", events}}.dump());
     return;
   }
@@ -119,8 +118,7 @@
   const auto pieces = PieceHashes(model, stream->prompt);
   const uint64_t cached = cache_.Hits(pieces) * kPieceTokens;
   stream->prefill_left = static_cast<double>(
-      stream->prompt_tokens + offset -
-      std::min(cached, stream->prompt_tokens));
+      stream->prompt_tokens + offset - std::min(cached, stream->prompt_tokens));
   streams_[stream->request_id] = stream;
   arrival_order_.push_back(stream);
   if (body.contains("kv_source")) {
@@ -156,14 +154,13 @@
 }
 
 void StandinEngine::SendToken(Stream& stream, uint64_t index) {
-  const Json data = {
-      {"id", stream.request_id},
-      {"object", "chat.completion.chunk"},
-      {"model", stream.model},
-      {"choices",
-       {{{"index", 0},
-         {"delta", {{"content", stream.text.At(index)}}},
-         {"finish_reason", nullptr}}}}};
+  const Json data = {{"id", stream.request_id},
+                     {"object", "chat.completion.chunk"},
+                     {"model", stream.model},
+                     {"choices",
+                      {{{"index", 0},
+                        {"delta", {{"content", stream.text.At(index)}}},
+                        {"finish_reason", nullptr}}}}};
   stream.sent = index + 1;
   stream.exchange->SendChunk("id: " + std::to_string(index) +
                              "\ndata: " + data.dump() + "\n\n");
@@ -204,7 +201,9 @@
 
 void StandinEngine::OnCancel(const Exchange& exchange, const std::string& id) {
   const auto it = streams_.find(id);
-  if (it == streams_.end()) return ReplyError(*exchange, 404, "no such request");
+  if (it == streams_.end()) {
+    return ReplyError(*exchange, 404, "no such request");
+  }
   const StreamPtr stream = it->second;
   streams_.erase(it);
   std::erase(arrival_order_, stream);
@@ -215,7 +214,9 @@
 
 void StandinEngine::OnExport(const Exchange& exchange, const std::string& id) {
   const auto it = streams_.find(id);
-  if (it == streams_.end()) return ReplyError(*exchange, 404, "no such request");
+  if (it == streams_.end()) {
+    return ReplyError(*exchange, 404, "no such request");
+  }
   exchange->Reply(200, "application/octet-stream", "kv");
 }
 
@@ -278,7 +279,8 @@
   }
   if (sequence == order_.sequence && order_.state != "failed") {
     order_.fencing = std::max(order_.fencing, fencing);
-    exchange->Reply(200, "application/json", Json{{"state", order_.state}}.dump());
+    exchange->Reply(200, "application/json",
+                    Json{{"state", order_.state}}.dump());
     return;
   }
   if (options_.check_fencing && sequence < order_.sequence) {
@@ -313,7 +315,8 @@
     return;
   }
   const milliseconds duration =
-      options_.load_time + (role_changes ? options_.role_time : milliseconds(0));
+      options_.load_time +
+      (role_changes ? options_.role_time : milliseconds(0));
   order_timer_ = loop_.After(duration, [this] { LoadWeights(); });
 }
 
@@ -408,7 +411,9 @@
 
 void StandinEngine::OnFaults(const Exchange& exchange) {
   const Json json = Json::parse(exchange->body(), nullptr, false);
-  if (!json.is_object()) return ReplyError(*exchange, 400, "expected an object");
+  if (!json.is_object()) {
+    return ReplyError(*exchange, 400, "expected an object");
+  }
   faults_.report_lag =
       milliseconds(json.value("report_lag_ms", faults_.report_lag.count()));
   faults_.event_gap_every =
--- a/tools/standin-service/main.cc
+++ b/tools/standin-service/main.cc
@@ -38,7 +38,8 @@
       return;
     }
     if (exchange->path() == "/ledger") {
-      exchange->Reply(200, "application/json", Json{{"ledger", ledger_}}.dump());
+      exchange->Reply(200, "application/json",
+                      Json{{"ledger", ledger_}}.dump());
       return;
     }
     if (down_) {
