[Routing] Learn the drain rate only while requests wait

Ruled out: the account limit (the refusals came with room to spare). Change: tokens and time count only while the queue is not empty; until one second of that was seen, nothing is refused for its wait. Test: AdmissionQueueTest.FirstBurstAfterQuietIsNotRefused, failing on the old version and passing on this one.

--- a/include/corianderlink/Routing/admission_queue.h
+++ b/include/corianderlink/Routing/admission_queue.h
@@ -75,7 +75,8 @@
   size_t size() const { return where_.size(); }
   /// Tokens waiting in `cls` and the classes ahead of it.
   double TokensAhead(PriorityClass cls) const;
-  /// Tokens dispatched per second, averaged over some seconds; 0 if unknown.
+  /// Tokens dispatched per second while requests were waiting; 0 if that was
+  /// not observed for long enough.  Idle time says nothing about capacity.
   double DrainRate(Time now) const;
 
  private:
@@ -99,6 +100,7 @@
   };
 
   const Waiting* HeadOf(const ModelQueue& queue) const;
+  void CountBacklog(Time now);
   Waiting Take(const RequestId& id);
   double VirtualTime(PriorityClass cls, const AccountId& account) const;
 
@@ -111,8 +113,9 @@
   std::array<std::unordered_map<AccountId, double>, kPriorityClasses> served_;
   std::array<double, kPriorityClasses> virtual_now_{};
   double drained_tokens_ = 0;
-  mutable double drain_rate_ = 0;
-  Time drain_since_{};
+  double backlog_seconds_ = 0;
+  double drain_rate_ = 0;
+  Time backlog_mark_{};
 };
 
 }  // namespace corianderlink
--- a/lib/Routing/admission_queue.cc
+++ b/lib/Routing/admission_queue.cc
@@ -3,13 +3,12 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 
 namespace corianderlink {
 namespace {
 
-// Window of the average drain rate.
-constexpr double kDrainWindowSeconds = 5;
+// Backlogged time over which the drain rate is measured.
+constexpr double kDrainWindowSeconds = 1;
 // Time to come back while nothing drains yet.
 constexpr seconds kDefaultRetryAfter{2};
 // Accounts whose service is remembered in each class.
@@ -23,18 +22,29 @@
   return tokens;
 }
 
+// Adds the time since the last call during which requests were waiting.
+void AdmissionQueue::CountBacklog(Time now) {
+  if (!where_.empty()) backlog_seconds_ += ToSeconds(now - backlog_mark_);
+  backlog_mark_ = now;
+  if (backlog_seconds_ < kDrainWindowSeconds) return;
+  const double rate = drained_tokens_ / backlog_seconds_;
+  drain_rate_ = drain_rate_ == 0 ? rate : (drain_rate_ + rate) / 2;
+  drained_tokens_ = 0;
+  backlog_seconds_ = 0;
+}
+
 double AdmissionQueue::DrainRate(Time now) const {
-  const double elapsed = ToSeconds(now - drain_since_);
-  if (elapsed <= 0) return drain_rate_;
-  // Exponential average; the tokens since the last update count for the time
-  // that has passed.
-  const double decay = std::exp(-elapsed / kDrainWindowSeconds);
-  return drain_rate_ * decay + drained_tokens_ / elapsed * (1 - decay);
+  // A stall shows up before its window is over.
+  const double stalled = where_.empty() ? 0 : ToSeconds(now - backlog_mark_);
+  const double waited = backlog_seconds_ + stalled;
+  if (waited < kDrainWindowSeconds) return drain_rate_;
+  return drained_tokens_ / waited;
 }
 
 std::optional<Refusal> AdmissionQueue::Offer(Time now,
                                              const PendingRequest& request,
                                              double spread) {
+  CountBacklog(now);
   const double rate = DrainRate(now);
   const double ahead = TokensAhead(request.cls);
   const double wait_s = rate > 0 ? ahead / rate : 0;
@@ -131,18 +141,14 @@
 
 void AdmissionQueue::Dispatched(Time now, const RequestId& id) {
   if (where_.count(id) == 0) return;
+  CountBacklog(now);
   const PendingRequest request = Take(id).request;
   const auto cls = static_cast<size_t>(request.cls);
   if (served_[cls].size() > kMaxAccountsTracked) served_[cls].clear();
   double& served = served_[cls][request.account];
   virtual_now_[cls] = std::max(virtual_now_[cls], served);
   served += request.cost_tokens / request.account_weight;
-  if (drain_since_ == Time{}) drain_since_ = now;
   drained_tokens_ += request.cost_tokens;
-  if (ToSeconds(now - drain_since_) < 1) return;
-  drain_rate_ = DrainRate(now);
-  drain_since_ = now;
-  drained_tokens_ = 0;
 }
 
 void AdmissionQueue::Remove(const RequestId& id) {
@@ -150,6 +156,7 @@
 }
 
 std::vector<PendingRequest> AdmissionQueue::Expire(Time now) {
+  CountBacklog(now);
   std::vector<PendingRequest> expired;
   for (const ClassQueue& models : classes_) {
     for (const auto& [model, accounts] : models) {
--- /dev/null
+++ b/unittests/Routing/admission_queue_test.cc
@@ -0,0 +1,132 @@
+// Tests of admission: order, fairness, refusals.
+#include "corianderlink/Routing/admission_queue.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace corianderlink {
+namespace {
+
+const Time kStart{seconds(1000)};
+
+PendingRequest Request(int id, const std::string& account, PriorityClass cls,
+                       double cost = 100) {
+  PendingRequest request;
+  request.id = RequestId("r" + std::to_string(id));
+  request.account = AccountId(account);
+  request.model = ModelId("m");
+  request.cls = cls;
+  request.deadline = kStart + seconds(2);
+  request.cost_tokens = cost;
+  return request;
+}
+
+TEST(AdmissionQueueTest, FirstBurstAfterQuietIsNotRefused) {
+  AdmissionQueue queue({});
+  Time now = kStart;
+  int id = 0;
+  // Quiet: a request every second, dispatched at once.
+  for (int i = 0; i < 60; ++i, now += seconds(1)) {
+    PendingRequest request = Request(++id, "a", PriorityClass::kChat);
+    request.deadline = now + seconds(2);
+    ASSERT_FALSE(queue.Offer(now, request, 0));
+    queue.Dispatched(now + microseconds(50), request.id);
+  }
+  // Broadcast: nothing is known yet about how fast the engines drain.
+  for (int i = 0; i < 200; ++i) {
+    PendingRequest request = Request(++id, "a", PriorityClass::kChat);
+    request.deadline = now + seconds(2);
+    EXPECT_FALSE(queue.Offer(now, request, 0)) << "request " << i;
+  }
+}
+
+TEST(AdmissionQueueTest, RefusalComesWithTheTimeThatTheQueueNeeds) {
+  AdmissionQueue queue({});
+  Time now = kStart;
+  int id = 0;
+  for (int i = 0; i < 500; ++i) {
+    PendingRequest request = Request(++id, "a", PriorityClass::kChat);
+    request.deadline = now + seconds(60);
+    ASSERT_FALSE(queue.Offer(now, request, 0));
+  }
+  // 10 requests of 100 tokens a second drain for 20 s.
+  for (int i = 0; i < 200; ++i) {
+    now += milliseconds(100);
+    queue.Dispatched(now, queue.Heads(now).front().id);
+  }
+  PendingRequest late = Request(++id, "a", PriorityClass::kChat);
+  late.deadline = now + seconds(2);
+  const auto refusal = queue.Offer(now, late, 0);
+  ASSERT_TRUE(refusal);
+  EXPECT_NEAR(ToSeconds(refusal->retry_after), 30, 3);
+  const auto spread = queue.Offer(now, late, 0.9);
+  ASSERT_TRUE(spread);
+  EXPECT_GT(spread->retry_after, refusal->retry_after);
+}
+
+TEST(AdmissionQueueTest, EqualAccountsGetEqualShares) {
+  AdmissionQueue queue({});
+  int id = 0;
+  std::map<RequestId, std::string> account_of;
+  // Account "flood" has asked for ten times as much as the others.
+  for (int i = 0; i < 1000; ++i) {
+    const std::string account =
+        i % 13 < 10 ? "flood" : "small" + std::to_string(i % 13);
+    const PendingRequest request = Request(++id, account, PriorityClass::kChat);
+    account_of[request.id] = account;
+    ASSERT_FALSE(queue.Offer(kStart, request, 0));
+  }
+  std::map<std::string, double> served;
+  for (int i = 0; i < 200; ++i) {
+    const PendingRequest head = queue.Heads(kStart).front();
+    queue.Dispatched(kStart, head.id);
+    served[account_of[head.id]] += head.cost_tokens;
+  }
+  double sum = 0;
+  double squares = 0;
+  for (const auto& [account, tokens] : served) {
+    sum += tokens;
+    squares += tokens * tokens;
+  }
+  const double jain = sum * sum / (4 * squares);
+  EXPECT_GE(jain, 0.95);
+}
+
+// Naive reference: scans all waiting requests for the class order.
+RC_GTEST_PROP(AdmissionQueueProperty, UrgentGoesFirstAndNothingIsLost, ()) {
+  AdmissionQueue queue({});
+  std::map<RequestId, PriorityClass> waiting;
+  const auto operations =
+      *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
+  int id = 0;
+  const Time now = kStart;
+  for (const int operation : operations) {
+    if (operation < 5) {
+      const auto cls = static_cast<PriorityClass>(operation % 3);
+      const PendingRequest request =
+          Request(++id, "a" + std::to_string(operation), cls);
+      RC_ASSERT(!queue.Offer(now, request, 0));
+      waiting[request.id] = cls;
+      continue;
+    }
+    const auto heads = queue.Heads(now);
+    RC_ASSERT(heads.empty() == waiting.empty());
+    if (heads.empty()) continue;
+    const auto best = std::min_element(
+        waiting.begin(), waiting.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    RC_ASSERT(heads.front().cls == best->second);
+    if (operation == 5) queue.Remove(heads.front().id);
+    if (operation > 5) queue.Dispatched(now, heads.front().id);
+    waiting.erase(heads.front().id);
+    RC_ASSERT(queue.size() == waiting.size());
+  }
+  RC_ASSERT(queue.Expire(now + seconds(3)).size() == waiting.size());
+  RC_ASSERT(queue.size() == 0u);
+}
+
+}  // namespace
+}  // namespace corianderlink
