[Http] Let new requests overtake bursts of tokens

Cause: engines step together, so that hundreds of tokens arrive at once, and each hop of a new request (accept, connect, write, first token) waited behind them. Change: sockets that already stream get the lowest event priority, and the loop looks for other events after 16 of their callbacks.

--- a/include/corianderlink/Http/event_loop.h
+++ b/include/corianderlink/Http/event_loop.h
@@ -14,6 +14,10 @@
 
 namespace corianderlink {
 
+/// Priority of sockets that stream an answer.  All other events go first, so
+/// that a burst of tokens does not delay new requests.
+constexpr int kStreamPriority = 3;
+
 /// A pending timer, descriptor watch or signal handler; destroying it cancels.
 class EventHandle {
  public:
--- a/include/corianderlink/Http/http_exchange.h
+++ b/include/corianderlink/Http/http_exchange.h
@@ -5,6 +5,7 @@
 #include <sigc++/sigc++.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -74,6 +75,7 @@
   std::string body_;
   HttpHeaders headers_;
   bool streaming_ = false;
+  uint64_t chunks_sent_ = 0;
   std::shared_ptr<HttpExchange> self_;
 };
 
--- a/lib/Http/event_loop.cc
+++ b/lib/Http/event_loop.cc
@@ -33,9 +33,24 @@
   return tv;
 }
 
+// Events get the middle priority unless they are set lower.
+constexpr int kPriorities = 4;
+// Streaming callbacks that run before other events are looked for.
+constexpr int kStreamCallbacksPerTurn = 16;
+
+event_base* NewBase() {
+  event_config* config = event_config_new();
+  event_config_set_max_dispatch_interval(
+      config, nullptr, kStreamCallbacksPerTurn, kStreamPriority);
+  event_base* base = event_base_new_with_config(config);
+  event_config_free(config);
+  event_base_priority_init(base, kPriorities);
+  return base;
+}
+
 }  // namespace
 
-EventLoop::EventLoop() : base_(event_base_new()) {
+EventLoop::EventLoop() : base_(NewBase()) {
   // A caller that went away must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
 }
--- a/lib/Http/http_client.cc
+++ b/lib/Http/http_client.cc
@@ -118,6 +118,12 @@
       return;
     }
     const std::shared_ptr<EvhttpCall> keep_alive = call->self_;
+    if (!call->streaming_) {
+      call->streaming_ = true;
+      bufferevent_priority_set(
+          evhttp_connection_get_bufferevent(call->connection_),
+          kStreamPriority);
+    }
     call->on_chunk_(status, TakeAll(evhttp_request_get_input_buffer(request)));
   }
 
@@ -177,6 +183,7 @@
   std::string reason_ = "connection failed";
   std::string error_body_;
   bool bytes_sent_ = false;
+  bool streaming_ = false;
   bool finished_ = false;
 };
 
--- a/lib/Http/http_exchange.cc
+++ b/lib/Http/http_exchange.cc
@@ -7,6 +7,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include "corianderlink/Http/event_loop.h"
+
 namespace corianderlink {
 namespace {
 
@@ -159,6 +161,10 @@
   evbuffer_add(out, chunk.data(), chunk.size());
   evhttp_send_reply_chunk(request_, out);
   evbuffer_free(out);
+  if (++chunks_sent_ != 2) return;
+  evhttp_connection* connection = evhttp_request_get_connection(request_);
+  bufferevent_priority_set(evhttp_connection_get_bufferevent(connection),
+                           kStreamPriority);
 }
 
 void HttpExchange::EndStream() {
