--- a/include/corianderlink/Fleet/engine_keeper.h
+++ b/include/corianderlink/Fleet/engine_keeper.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "corianderlink/Authority/engine_reconciler.h"
+#include "corianderlink/Membership/hold_barrier.h"
 #include "corianderlink/Platform/table.h"
 #include "corianderlink/Release/specs.h"
 #include "corianderlink/Support/address.h"
@@ -27,8 +28,8 @@
   RowVersion order_version = 0;
   /// A write of the row or a message to the engine is outstanding.
   bool busy = false;
-  /// Since when all live entries acknowledge the hold.
-  std::optional<Time> all_held;
+  /// Since when all entries acknowledge the hold.
+  HoldBarrier barrier;
   Time not_before{};
   int failures = 0;
   /// The last decision's reason, for status and dump.
--- a/include/corianderlink/Fleet/fleet_server.h
+++ b/include/corianderlink/Fleet/fleet_server.h
@@ -52,7 +52,6 @@
 
   void Reconcile(Time now, EngineKeeper& keeper);
   std::optional<EngineConfig> WantedConfig(const EngineKeeper& keeper) const;
-  std::optional<Time> AllEntriesHeld(Time now, EngineKeeper& keeper) const;
   bool MayInterrupt(const EngineKeeper& keeper) const;
   void Record(EngineKeeper& keeper, const OrderRecord& record);
   void SendOrder(Time now, EngineKeeper& keeper, const OrderRecord& record);
--- a/include/corianderlink/Serving/chat_scheduler.h
+++ b/include/corianderlink/Serving/chat_scheduler.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "corianderlink/Http/event_loop.h"
+#include "corianderlink/Membership/hold_book.h"
 #include "corianderlink/Node/node.h"
 #include "corianderlink/Routing/admission_queue.h"
 #include "corianderlink/Routing/engine_router.h"
@@ -49,6 +50,7 @@
  private:
   void ParkForUrgent(const PendingRequest& urgent);
   void ExpireQueued();
+  bool MaySend(Time now) const;
   void UpdateHolds();
   void MoveHeldStreams();
   void ForgetSilentPeers();
@@ -59,9 +61,8 @@
   RetryBudget retry_budget_;
   std::unordered_map<RequestId, std::shared_ptr<ChatTask>> tasks_;
   std::map<AccountId, size_t> per_account_;
-  // Holds of each fleet process, by engine address.
-  std::map<ProcessId, std::map<Address, uint64_t>> holds_;
-  std::map<Address, uint64_t> held_;
+  HoldBook hold_book_;
+  Holds held_;
   double prompt_tokens_ = 0;
   double output_tokens_ = 0;
   Time demand_since_{};
--- a/lib/Fleet/fleet_server.cc
+++ b/lib/Fleet/fleet_server.cc
@@ -297,30 +297,6 @@
   return config;
 }
 
-std::optional<Time> FleetServer::AllEntriesHeld(Time now,
-                                                EngineKeeper& keeper) const {
-  std::set<std::string> missing;
-  for (const Instance& instance : node_.peers().instances()) {
-    missing.insert(instance.id);
-  }
-  // A listed instance whose entry is not heard may still send work.
-  for (const PeerState* peer : node_.peers().Live(now, "entry")) {
-    bool obeys = false;
-    for (const wire::Hold& hold : peer->heartbeat.obeyed()) {
-      obeys = obeys || (hold.address() == keeper.address.ToString() &&
-                        hold.sequence() == keeper.order->sequence);
-    }
-    if (obeys) missing.erase(peer->heartbeat.instance());
-    if (!obeys) missing.insert(peer->heartbeat.instance());
-  }
-  if (!missing.empty()) {
-    keeper.all_held.reset();
-  } else if (!keeper.all_held) {
-    keeper.all_held = now;
-  }
-  return keeper.all_held;
-}
-
 bool FleetServer::MayInterrupt(const EngineKeeper& keeper) const {
   const bool serving = keeper.report && !keeper.report->config.models.empty();
   if (!serving) return true;
@@ -340,7 +316,11 @@
   view.max_report_lag = node_.settings().timing.engine_report_lag;
   view.may_interrupt = MayInterrupt(keeper);
   const bool open = keeper.order && keeper.order->phase != OrderPhase::kDone;
-  if (open) view.all_entries_held = AllEntriesHeld(now, keeper);
+  if (open) {
+    const std::set<std::string> missing = MissingAcknowledgements(
+        now, node_.peers(), keeper.address, keeper.order->sequence);
+    view.all_entries_held = keeper.barrier.Observe(now, missing.empty());
+  }
   const EngineDecision decision = DecideEngine(view, now);
   if (decision.reason != keeper.last_reason) {
     keeper.last_reason = decision.reason;
@@ -393,7 +373,7 @@
         held.busy = false;
         held.order = record;
         held.order_version = result.version;
-        held.all_held.reset();
+        held.barrier.Reset();
         if (starts) transition_ = address.ToString();
         if (starts || ends) transition_version_ = result.version;
         if (ends) transition_.clear();
--- /dev/null
+++ b/lib/Membership/hold_book.cc
@@ -0,0 +1,54 @@
+// An entry's view of the engines that take no new work.
+#include "corianderlink/Membership/hold_book.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corianderlink {
+
+void HoldBook::OnHeartbeat(Time now, const ProcessId& process,
+                           const wire::Heartbeat& heartbeat) {
+  heard_instances_.insert(heartbeat.instance());
+  Holds holds;
+  for (const wire::Hold& hold : heartbeat.holds()) {
+    const auto address = Address::Parse(hold.address());
+    if (address) holds[*address] = hold.sequence();
+  }
+  Announcement& known = announced_[process];
+  // A hold that was lifted is lifted for silent announcers of it too.
+  for (const auto& [address, sequence] : known.holds) {
+    if (holds.count(address) > 0) continue;
+    for (auto& [other, announcement] : announced_) {
+      const auto it = announcement.holds.find(address);
+      if (other == process || it == announcement.holds.end()) continue;
+      if (it->second <= sequence) announcement.holds.erase(it);
+    }
+  }
+  known.heard = now;
+  known.holds = std::move(holds);
+}
+
+void HoldBook::Expire(Time now) {
+  std::erase_if(announced_, [&](const auto& entry) {
+    return now - entry.second.heard > keep_silent_;
+  });
+}
+
+Holds HoldBook::Current() const {
+  Holds current;
+  for (const auto& [process, announcement] : announced_) {
+    for (const auto& [address, sequence] : announcement.holds) {
+      current[address] = std::max(current[address], sequence);
+    }
+  }
+  return current;
+}
+
+bool HoldBook::MaySend(Time now, const std::set<std::string>& listed) const {
+  if (now - started_ >= start_wait_) return true;
+  return !listed.empty() &&
+         std::includes(heard_instances_.begin(), heard_instances_.end(),
+                       listed.begin(), listed.end());
+}
+
+}  // namespace corianderlink
--- a/lib/Serving/chat_scheduler.cc
+++ b/lib/Serving/chat_scheduler.cc
@@ -19,6 +19,8 @@
 // A hold of a fleet process that fell silent is kept this long, since its
 // order may still reach the engine.
 constexpr seconds kHoldAfterSilence{30};
+// A new process waits this long at most for the holds of all fleet processes.
+constexpr seconds kHoldStartWait{3};
 
 AdmissionLimits LimitsOf(const NodeSettings& settings) {
   AdmissionLimits limits;
@@ -33,6 +35,7 @@
       router_({}, {}, node.settings().zone),
       queue_(LimitsOf(node.settings())),
       retry_budget_(node.settings().requests.retry_budget_ratio, kRetryBurst),
+      hold_book_(BootClock::now(), kHoldStartWait, kHoldAfterSilence),
       demand_since_(BootClock::now()) {
   timer_ = node_.loop().Every(kPumpInterval, [this] {
     ExpireQueued();
@@ -75,8 +78,17 @@
   });
 }
 
+bool ChatScheduler::MaySend(Time now) const {
+  std::set<std::string> listed;
+  for (const Instance& instance : node_.peers().instances()) {
+    listed.insert(instance.id);
+  }
+  return hold_book_.MaySend(now, listed);
+}
+
 void ChatScheduler::Pump() {
   const Time now = BootClock::now();
+  if (queue_.size() == 0 || !MaySend(now)) return;
   bool placed = true;
   while (placed) {
     placed = false;
@@ -197,22 +209,7 @@
     sharing_peers_.insert(peer);
     return;
   }
-  std::map<Address, uint64_t> holds;
-  for (const wire::Hold& hold : heartbeat.holds()) {
-    const auto address = Address::Parse(hold.address());
-    if (address) holds[*address] = hold.sequence();
-  }
-  std::map<Address, uint64_t>& known = holds_[peer];
-  // A hold that was lifted is lifted for dead announcers of it too.
-  for (const auto& [address, sequence] : known) {
-    if (holds.count(address) > 0) continue;
-    for (auto& [other, others] : holds_) {
-      const auto it = others.find(address);
-      if (other == peer || it == others.end()) continue;
-      if (it->second <= sequence) others.erase(it);
-    }
-  }
-  known = std::move(holds);
+  hold_book_.OnHeartbeat(BootClock::now(), peer, heartbeat);
   UpdateHolds();
 }
 
@@ -226,22 +223,8 @@
 }
 
 void ChatScheduler::UpdateHolds() {
-  const Time now = BootClock::now();
-  const auto& peers = node_.peers().peers();
-  std::map<Address, uint64_t> held;
-  for (auto it = holds_.begin(); it != holds_.end();) {
-    const auto peer = peers.find(it->first);
-    const bool forgotten = peer == peers.end() ||
-                           now - peer->second.last_heard > kHoldAfterSilence;
-    if (forgotten) {
-      it = holds_.erase(it);
-      continue;
-    }
-    for (const auto& [address, sequence] : it->second) {
-      held[address] = std::max(held[address], sequence);
-    }
-    ++it;
-  }
+  hold_book_.Expire(BootClock::now());
+  Holds held = hold_book_.Current();
   if (held == held_) return;
   held_ = std::move(held);
   std::set<Address> addresses;
--- /dev/null
+++ b/unittests/Common/fake_table.h
@@ -0,0 +1,121 @@
+// Table service in virtual time with outages, delays, lost answers and writes
+// that land long after their sender gave up.
+#ifndef CORIANDERLINK_UNITTESTS_COMMON_FAKE_TABLE_H_
+#define CORIANDERLINK_UNITTESTS_COMMON_FAKE_TABLE_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Common/virtual_loop.h"
+#include "corianderlink/Platform/table.h"
+
+namespace corianderlink {
+
+/// Satisfies TableStore.
+class FakeTable {
+ public:
+  explicit FakeTable(VirtualLoop& loop) : loop_(loop) {}
+
+  /// Requests fail while down; those on their way may still land.
+  bool down = false;
+  double lose_answer = 0;
+  int max_delay_ms = 30;
+  /// Extra delay of a few requests.
+  int late_delay_ms = 3000;
+  uint64_t answers_lost = 0;
+
+  void Commit(const TableTransaction& txn, CommitCallback callback) {
+    if (down && loop_.Chance(0.5)) {
+      CommitResult result;
+      result.status = CommitStatus::kNotRun;
+      result.reason = "down";
+      loop_.After(loop_.Millis(0, 5), [=] { callback(result); });
+      return;
+    }
+    const bool lost = down || loop_.Chance(lose_answer);
+    const bool late = loop_.Chance(0.02);
+    const Duration arrival =
+        loop_.Millis(0, max_delay_ms) +
+        (late ? loop_.Millis(0, late_delay_ms) : Duration(0));
+    if (lost) ++answers_lost;
+    // The sender gives up after its timeout, whatever happens here.
+    const auto answered = std::make_shared<bool>(false);
+    const auto answer = [=](const CommitResult& result) {
+      if (std::exchange(*answered, true)) return;
+      callback(result);
+    };
+    loop_.After(arrival, [this, txn, lost, answer] {
+      // A request that meets an outage on its way may land or not.
+      if (down && loop_.Chance(0.5)) return;
+      const CommitResult result = Apply(txn);
+      if (!lost) loop_.After(loop_.Millis(0, 10), [=] { answer(result); });
+    });
+    loop_.After(milliseconds(kTimeoutMs), [answer] {
+      CommitResult unknown;
+      unknown.status = CommitStatus::kUnknown;
+      unknown.reason = "timeout";
+      answer(unknown);
+    });
+  }
+
+  void ReadPrefix(const std::string& prefix, ReadCallback callback) {
+    const bool fails = down || loop_.Chance(lose_answer);
+    loop_.After(loop_.Millis(0, max_delay_ms), [this, prefix, callback, fails] {
+      ReadResult result;
+      if (fails || down) {
+        result.reason = "down";
+      } else {
+        result.rows = Rows(prefix);
+      }
+      loop_.After(loop_.Millis(0, 10), [=] { callback(result); });
+    });
+  }
+
+  CommitResult Apply(const TableTransaction& txn) {
+    CommitResult result;
+    for (const TableCondition& condition : txn.conditions) {
+      const TableRow row = Row(condition.key);
+      if (row.version != condition.version) result.conflicts.push_back(row);
+    }
+    if (!result.conflicts.empty()) {
+      result.status = CommitStatus::kConflict;
+      return result;
+    }
+    result.status = CommitStatus::kCommitted;
+    result.version = ++version_;
+    for (const TableWrite& write : txn.writes) {
+      if (write.value) rows_[write.key] = {write.key, version_, *write.value};
+      if (!write.value) rows_.erase(write.key);
+    }
+    return result;
+  }
+
+  TableRow Row(const std::string& key) const {
+    const auto it = rows_.find(key);
+    return it == rows_.end() ? TableRow{key, 0, ""} : it->second;
+  }
+
+  std::vector<TableRow> Rows(const std::string& prefix) const {
+    std::vector<TableRow> rows;
+    for (const auto& [key, row] : rows_) {
+      if (key.compare(0, prefix.size(), prefix) == 0) rows.push_back(row);
+    }
+    return rows;
+  }
+
+ private:
+  static constexpr int kTimeoutMs = 100;
+
+  VirtualLoop& loop_;
+  std::map<std::string, TableRow> rows_;
+  RowVersion version_ = 0;
+};
+
+static_assert(TableStore<FakeTable>);
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_UNITTESTS_COMMON_FAKE_TABLE_H_
