--- a/include/corianderlink/Authority/order_gate.h
+++ b/include/corianderlink/Authority/order_gate.h
@@ -31,6 +31,9 @@
   /// nothing if the lease has ended or no slot is free: then do not write.
   std::optional<int> Arm(int fd, Time lease_end, Duration undelivered_limit);
 
+  /// True once the lease ended and the descriptor was replaced.
+  bool WasCut(int handle) const;
+
   /// Ends the guard, before `fd` is closed.  Returns true if it was cut.
   bool Disarm(int handle);
 };
--- a/include/corianderlink/Authority/order_record.h
+++ b/include/corianderlink/Authority/order_record.h
@@ -14,10 +14,10 @@
 
 /// Phase of an order.
 enum class OrderPhase {
-  kDraining,  ///< Entries stop sending new work; nothing was sent yet.
-  kSent,      ///< May have reached the engine.
-  kDone,      ///< The engine reported it done.
-  kAbandoned, ///< Never sent, or dropped by a restart of the engine.
+  kDraining,   ///< Entries stop sending new work; nothing was sent yet.
+  kSent,       ///< May have reached the engine.
+  kDone,       ///< The engine reported it done.
+  kAbandoned,  ///< Never sent, or dropped by a restart of the engine.
 };
 
 /// True while the order may still be carried out.
@@ -28,7 +28,6 @@
 /// The phase's spelling in rows and dumps.
 const char* ToString(OrderPhase phase);
 
-
 /// There is one row per engine address, so an engine has one open order at a
 /// time, and the sequence goes on when an address is withdrawn and added again
 /// under any name.
--- a/lib/Authority/order_gate.cc
+++ b/lib/Authority/order_gate.cc
@@ -120,6 +120,11 @@
   return std::nullopt;
 }
 
+bool OrderGate::WasCut(int handle) const {
+  assert(handle >= 0 && handle < kMaxOrders);
+  return g_slots[handle].cut.load();
+}
+
 bool OrderGate::Disarm(int handle) {
   assert(handle >= 0 && handle < kMaxOrders);
   ClearTimer(handle);
--- a/lib/Fleet/fleet_server.cc
+++ b/lib/Fleet/fleet_server.cc
@@ -351,8 +351,7 @@
   const bool starts = record.phase == OrderPhase::kDraining && serving &&
                       InterruptsServing(keeper.report->config, record.config) &&
                       transition_.empty();
-  const bool ends =
-      !IsOpen(record.phase) && transition_ == address.ToString();
+  const bool ends = !IsOpen(record.phase) && transition_ == address.ToString();
   if (starts || ends) {
     txn.conditions.push_back({kTransitionKey, transition_version_});
     txn.writes.push_back(
@@ -410,7 +409,7 @@
       });
   // No byte leaves before the loop runs on, so the guard is in time.
   *gate_handle = gate_.Arm(call->fd(), lease.valid_until(),
-                            node_.settings().timing.lease_guard / 2);
+                           node_.settings().timing.lease_guard / 2);
   if (!*gate_handle) {
     call->Cancel();
     keeper.busy = false;
--- a/lib/Membership/hold_barrier.cc
+++ b/lib/Membership/hold_barrier.cc
@@ -25,8 +25,7 @@
 }
 
 wire::Hold HoldBarrier::Announcement(const ProcessId& self,
-                                     const Address& engine,
-                                     uint64_t sequence,
+                                     const Address& engine, uint64_t sequence,
                                      uint64_t fencing) const {
   wire::Hold hold;
   hold.set_address(engine.ToString());
--- /dev/null
+++ b/unittests/Http/http_client_test.cc
@@ -0,0 +1,158 @@
+// Tests of the client's verdicts against peers that break off at every point.
+#include "corianderlink/Http/http_client.h"
+
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <thread>
+
+#include "corianderlink/Http/event_loop.h"
+
+namespace corianderlink {
+namespace {
+
+/// A peer that handles each connection with `serve` on a thread of its own.
+class RawPeer {
+ public:
+  explicit RawPeer(std::function<void(int fd)> serve) {
+    listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
+    listen(listener_, 8);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    this->address = {"127.0.0.1", ntohs(address.sin_port)};
+    thread_ = std::thread([this, serve = std::move(serve)] {
+      int fd = -1;
+      while ((fd = accept(listener_, nullptr, nullptr)) >= 0) {
+        ++connections;
+        serve(fd);
+        close(fd);
+      }
+    });
+  }
+  ~RawPeer() {
+    shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    close(listener_);
+  }
+
+  Address address;
+  std::atomic<int> connections{0};
+
+ private:
+  int listener_;
+  std::thread thread_;
+};
+
+/// Reads one request; true if it came whole.
+bool ReadRequest(int fd) {
+  std::string text;
+  char buffer[1024];
+  while (text.find("order!") == std::string::npos) {
+    const ssize_t n = read(fd, buffer, sizeof(buffer));
+    if (n <= 0) return false;
+    text.append(buffer, static_cast<size_t>(n));
+  }
+  return true;
+}
+
+void Write(int fd, const std::string& text) {
+  const ssize_t n = write(fd, text.data(), text.size());
+  (void)n;
+}
+
+HttpResponse Post(const Address& address,
+                  Duration timeout = milliseconds(2000)) {
+  EventLoop loop;
+  HttpClient client(loop);
+  HttpRequest request;
+  request.address = address;
+  request.method = "POST";
+  request.body = "order!";
+  request.timeout = timeout;
+  HttpResponse result;
+  client.Start(request, [&](const HttpResponse& response) {
+    result = response;
+    loop.Post([&loop] { loop.Post([&loop] { loop.Stop(); }); });
+  });
+  loop.Run();
+  return result;
+}
+
+TEST(HttpClientTest, RefusedConnectionIsNotRun) {
+  Address address;
+  {
+    RawPeer peer([](int) {});
+    address = peer.address;
+  }
+  EXPECT_EQ(Post(address).outcome.verdict, Verdict::kNotRun);
+}
+
+TEST(HttpClientTest, CloseBeforeReadingMayHaveRunAndIsNotRepeated) {
+  for (int i = 0; i < 20; ++i) {
+    RawPeer peer([](int) {});
+    EXPECT_EQ(Post(peer.address).outcome.verdict, Verdict::kMayHaveRun);
+    EXPECT_EQ(peer.connections, 1);
+  }
+}
+
+TEST(HttpClientTest, CloseAfterReadingMayHaveRunAndIsNotRepeated) {
+  std::atomic<int> requests{0};
+  RawPeer peer([&](int fd) { requests += ReadRequest(fd) ? 1 : 0; });
+  EXPECT_EQ(Post(peer.address).outcome.verdict, Verdict::kMayHaveRun);
+  EXPECT_EQ(requests, 1);
+  EXPECT_EQ(peer.connections, 1);
+}
+
+TEST(HttpClientTest, HalfAnswerMayHaveRun) {
+  for (const char* half :
+       {"HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\n\r",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"}) {
+    RawPeer peer([half](int fd) {
+      ReadRequest(fd);
+      Write(fd, half);
+    });
+    EXPECT_EQ(Post(peer.address).outcome.verdict, Verdict::kMayHaveRun) << half;
+  }
+}
+
+TEST(HttpClientTest, SilentPeerMayHaveRunAtTheTimeout) {
+  std::atomic<bool> stop{false};
+  RawPeer peer([&](int fd) {
+    ReadRequest(fd);
+    char end;
+    const ssize_t n = read(fd, &end, 1);  // Until the client closes.
+    (void)n;
+  });
+  EXPECT_EQ(Post(peer.address, milliseconds(100)).outcome.verdict,
+            Verdict::kMayHaveRun);
+}
+
+TEST(HttpClientTest, WholeAnswerRan) {
+  RawPeer peer([](int fd) {
+    ReadRequest(fd);
+    Write(fd, "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok");
+  });
+  const HttpResponse response = Post(peer.address);
+  EXPECT_TRUE(response.outcome.ran());
+  EXPECT_EQ(response.status, 201);
+  EXPECT_EQ(response.body, "ok");
+}
+
+TEST(HttpClientTest, GarbageAnswerIsAnErrorAndNotACrash) {
+  RawPeer peer([](int fd) {
+    ReadRequest(fd);
+    Write(fd, std::string("\0\xff\xfe garbage \r\n\r\n\r\n", 18));
+  });
+  EXPECT_FALSE(Post(peer.address).ok());
+}
+
+}  // namespace
+}  // namespace corianderlink
