--- a/include/corianderlink/Serving/chat_task.h
+++ b/include/corianderlink/Serving/chat_task.h
@@ -82,6 +82,8 @@
   const RouteQuery& query() const { return query_; }
   bool running() const { return attempt_.call != nullptr; }
   const EngineId& engine() const { return attempt_.choice.engine; }
+  /// Offset of the next token to deliver.
+  uint64_t delivered() const { return assembler_.next_offset(); }
   bool ended() const { return ended_; }
   bool has_token() const { return had_first_token_; }
 
--- a/lib/Serving/chat_scheduler.cc
+++ b/lib/Serving/chat_scheduler.cc
@@ -245,6 +245,7 @@
                      {"class", ToString(task->request().cls)},
                      {"model", task->request().model.value()},
                      {"running", task->running()},
+                     {"delivered", task->delivered()},
                      {"engine", task->engine().value()}});
   }
   Json engines = Json::object();
--- /dev/null
+++ b/unittests/Process/bad_input_test.cc
@@ -0,0 +1,184 @@
+// Bad input on a real entry and fleet process: a clear error, no crash, other
+// callers unaffected.
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Process/local_fleet.h"
+
+namespace corianderlink {
+namespace {
+
+/// A raw connection of a caller that does not speak properly.
+class RawCaller {
+ public:
+  explicit RawCaller(const std::string& address) {
+    const Address to = Address::Parse(address).value();
+    fd_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(to.port);
+    inet_pton(AF_INET, to.ip.c_str(), &target.sin_addr);
+    connect(fd_, reinterpret_cast<sockaddr*>(&target), sizeof(target));
+  }
+  ~RawCaller() { close(fd_); }
+
+  void Send(const std::string& bytes) {
+    size_t at = 0;
+    while (at < bytes.size()) {
+      const ssize_t n =
+          send(fd_, bytes.data() + at, bytes.size() - at, MSG_NOSIGNAL);
+      if (n <= 0) return;
+      at += static_cast<size_t>(n);
+    }
+  }
+
+  /// What arrives until `end` was seen, the peer closes or 3 s pass.
+  std::string ReadUntil(const std::string& end) {
+    std::string text;
+    char buffer[4096];
+    pollfd ready{fd_, POLLIN, 0};
+    while (text.find(end) == std::string::npos && poll(&ready, 1, 3000) > 0) {
+      const ssize_t n = read(fd_, buffer, sizeof(buffer));
+      if (n <= 0) break;
+      text.append(buffer, static_cast<size_t>(n));
+    }
+    return text;
+  }
+
+ private:
+  int fd_;
+};
+
+class BadInputTest : public testing::Test {
+ protected:
+  BadInputTest() : fleet_(22000, 1, 1, 1) {}
+  void SetUp() override {
+    ASSERT_TRUE(fleet_.Start());
+    ASSERT_TRUE(fleet_.ApplyFirstNote());
+  }
+
+  /// Another caller is served as always.
+  void ExpectServes() {
+    const HttpResponse chat =
+        Call(fleet_.entry(0), "POST", "/v1/chat/completions",
+             LocalFleet::Chat("hello", 3, false));
+    EXPECT_EQ(chat.status, 200) << chat.body;
+  }
+
+  std::string Post(const std::string& target, const std::string& body) {
+    const HttpResponse answer = Call(fleet_.entry(0), "POST", target, body);
+    const Json json = Json::parse(answer.body, nullptr, false);
+    EXPECT_TRUE(json.is_object()) << answer.body;
+    EXPECT_EQ(json.value("verdict", ""), "not run") << answer.body;
+    return std::to_string(answer.status) + " " + json.value("detail", "");
+  }
+
+  LocalFleet fleet_;
+};
+
+TEST_F(BadInputTest, MalformedRequestsGetAnErrorWithAVerdict) {
+  EXPECT_EQ(Post("/v1/chat/completions", "\xff\xfe{").substr(0, 3), "400");
+  EXPECT_EQ(Post("/v1/chat/completions", "[]").substr(0, 3), "400");
+  const std::string errors = Post(
+      "/v1/chat/completions",
+      R"({"model":7,"messages":[{"role":1}],"max_tokens":-1,"priority":"x"})");
+  for (const char* path :
+       {"/model", "/messages/0/role", "/max_tokens", "/priority"}) {
+    EXPECT_NE(errors.find(path), std::string::npos) << errors;
+  }
+  EXPECT_EQ(Post("/v1/chat/completions",
+                 R"({"model":"none","messages":[{"role":"user"}]})")
+                .substr(0, 3),
+            "404");
+  EXPECT_EQ(Post("/v1/services/none/x", "").substr(0, 3), "404");
+  EXPECT_EQ(Post("/nowhere", "").substr(0, 3), "404");
+  ExpectServes();
+}
+
+TEST_F(BadInputTest, GarbageAndHalfRequestsHurtNobody) {
+  for (const std::string& bytes :
+       {std::string("\0\1\2\3\xff\xff\r\n\r\n", 10), std::string(5000, 'A'),
+        std::string("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: "
+                    "99999\r\n\r\n{\"half\":"),
+        std::string("POST / HTTP/1.1\r\nContent-Length: -5\r\n\r\n"),
+        std::string("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "zzzz\r\n"),
+        std::string("GET http://[ HTTP/1.1\r\n\r\n"),
+        std::string("BREW / HTTP/9.9\r\n\r\n")}) {
+    RawCaller caller(fleet_.entry(0));
+    caller.Send(bytes);
+    ExpectServes();
+  }
+}
+
+TEST_F(BadInputTest, OversizedHeadersAndBodiesAreRefused) {
+  {
+    RawCaller caller(fleet_.entry(0));
+    caller.Send("GET / HTTP/1.1\r\nX: " + std::string(100000, 'h') +
+                "\r\n\r\n");
+    EXPECT_EQ(caller.ReadUntil("\r\n").find(" 200 "), std::string::npos);
+  }
+  {
+    RawCaller caller(fleet_.entry(0));
+    caller.Send("POST /v1/jobs HTTP/1.1\r\nContent-Length: 999999999\r\n\r\n");
+    const std::string answer = caller.ReadUntil("\r\n");
+    EXPECT_NE(answer.find("413"), std::string::npos) << answer;
+  }
+  ExpectServes();
+}
+
+TEST_F(BadInputTest, BytesSentAheadOfAnAnswerDoNotBreakIt) {
+  RawCaller caller(fleet_.entry(0));
+  const std::string body = LocalFleet::Chat("ahead", 40, true);
+  caller.Send("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n" + body);
+  for (int i = 0; i < 50; ++i) caller.Send("GET /health HTTP/1.1\r\n\r\n");
+  EXPECT_NE(caller.ReadUntil("[DONE]").find("[DONE]"), std::string::npos);
+  ExpectServes();
+}
+
+TEST_F(BadInputTest, CallerThatLeavesFreesItsEngine) {
+  const HttpResponse broken =
+      Call(fleet_.entry(0), "POST", "/v1/chat/completions",
+           LocalFleet::Chat("leaves", 5000, true), {}, 500);
+  EXPECT_EQ(broken.outcome.verdict, Verdict::kMayHaveRun);
+  EXPECT_TRUE(WaitFor(seconds(5), [this] {
+    const HttpResponse state = Call(fleet_.engine(0), "GET", "/v1/state");
+    return Json::parse(state.body)["in_flight"] == 0;
+  }));
+}
+
+TEST_F(BadInputTest, SlowReaderHurtsNobody) {
+  RawCaller caller(fleet_.entry(0));
+  const std::string body = LocalFleet::Chat("slow", 100000, true);
+  caller.Send("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: " +
+              std::to_string(body.size()) + "\r\n\r\n" + body);
+  ExpectServes();
+}
+
+TEST_F(BadInputTest, AdministrationNeedsItsToken) {
+  for (const char* target : {"/v1/dump", "/v1/status", "/v1/notes"}) {
+    EXPECT_EQ(Call(fleet_.fleet_admin(0), "GET", target).status, 401);
+    EXPECT_EQ(Call(fleet_.fleet_admin(0), "GET", target, "",
+                   {{"Authorization", "Bearer wrong"}})
+                  .status,
+              401);
+  }
+  EXPECT_EQ(fleet_.Apply(0, "no note").status, 400);
+  EXPECT_EQ(fleet_.Apply(0, {{"id", "x"}}).status, 400);
+  ExpectServes();
+}
+
+TEST_F(BadInputTest, ForeignFramesOnThePeerAddressAreIgnored) {
+  RawCaller caller(fleet_.At(310));
+  caller.Send(std::string("\xff\0\0\0\0\0\0\0\1\x7f", 10) +
+              std::string(10000, 'Z'));
+  ExpectServes();
+}
+
+}  // namespace
+}  // namespace corianderlink
