[Routing] Refuse by an account's own backlog and leave room to the deadline

Lengths are heavy-tailed now. Change: the predicted wait counts the account's own tokens at its fair share, and may take 60% of the time to the deadline.

--- a/include/corianderlink/Routing/admission_queue.h
+++ b/include/corianderlink/Routing/admission_queue.h
@@ -48,6 +48,9 @@
   double max_model_share = 0.5;
   /// A bulk request that waited this long goes ahead of chat, not of urgent.
   Duration bulk_promotion = seconds(30);
+  /// A request is queued only if its predicted wait is at most this share of
+  /// the time to its deadline; the rest covers errors of the prediction.
+  double max_wait_share = 0.6;
   /// Longest time to come back that is told to a caller.
   Duration max_retry_after = seconds(120);
 };
@@ -99,6 +102,14 @@
     DeadlineKey key;
   };
 
+  /// Tokens that one account has waiting in one class.
+  struct AccountBacklog {
+    double tokens = 0;
+    double weight = 1;
+    size_t requests = 0;
+  };
+
+  double TokensBefore(const PendingRequest& request) const;
   const Waiting* HeadOf(const ModelQueue& queue) const;
   void CountBacklog(Time now);
   Waiting Take(const RequestId& id);
@@ -107,6 +118,10 @@
   const AdmissionLimits limits_;
   std::array<ClassQueue, kPriorityClasses> classes_;
   std::array<double, kPriorityClasses> queued_tokens_{};
+  std::array<std::unordered_map<AccountId, AccountBacklog>, kPriorityClasses>
+      backlogs_;
+  // Sum of the weights of the accounts that have a backlog.
+  std::array<double, kPriorityClasses> active_weight_{};
   std::unordered_map<RequestId, Place> where_;
   std::map<ModelId, size_t> per_model_;
   // Service per weight that each account has received, by class.
--- a/lib/Routing/admission_queue.cc
+++ b/lib/Routing/admission_queue.cc
@@ -41,12 +41,25 @@
   return drained_tokens_ / waited;
 }
 
+// Tokens that are served before `request` if it is queued now.  Within its
+// class an account waits for its own backlog at its fair share of the rate, so
+// that an account that floods the queue does not get the others refused.
+double AdmissionQueue::TokensBefore(const PendingRequest& request) const {
+  const auto cls = static_cast<size_t>(request.cls);
+  const double all = TokensAhead(request.cls);
+  const double urgent = all - queued_tokens_[cls];
+  const auto own = backlogs_[cls].find(request.account);
+  if (own == backlogs_[cls].end()) return urgent;
+  const double share = request.account_weight / active_weight_[cls];
+  return std::min(all, urgent + own->second.tokens / share);
+}
+
 std::optional<Refusal> AdmissionQueue::Offer(Time now,
                                              const PendingRequest& request,
                                              double spread) {
   CountBacklog(now);
   const double rate = DrainRate(now);
-  const double ahead = TokensAhead(request.cls);
+  const double ahead = TokensBefore(request);
   const double wait_s = rate > 0 ? ahead / rate : 0;
   const auto refuse = [&](std::string reason, double base_s) {
     const Duration base = std::max<Duration>(FromSeconds(base_s),
@@ -64,7 +77,9 @@
   if (it != per_model_.end() && it->second >= model_limit) {
     return refuse("queue of this model is full", wait_s);
   }
-  const bool late = ahead > 0 && now + FromSeconds(wait_s) > request.deadline;
+  const double allowed_s =
+      limits_.max_wait_share * ToSeconds(request.deadline - now);
+  const bool late = ahead > 0 && wait_s > allowed_s;
   if (late) {
     return refuse("the wait would exceed the deadline", wait_s);
   }
@@ -74,6 +89,12 @@
                                                         Waiting{request, now});
   where_[request.id] = {request.cls, request.model, request.account, key};
   queued_tokens_[cls] += request.cost_tokens;
+  AccountBacklog& backlog = backlogs_[cls][request.account];
+  if (backlog.requests++ == 0) {
+    backlog.weight = request.account_weight;
+    active_weight_[cls] += backlog.weight;
+  }
+  backlog.tokens += request.cost_tokens;
   ++per_model_[request.model];
   // An account that was idle starts at the present virtual time.
   double& served = served_[cls][request.account];
@@ -134,6 +155,12 @@
   if (queue.empty()) accounts.erase(place.account);
   if (accounts.empty()) classes_[cls].erase(place.model);
   if (--per_model_[place.model] == 0) per_model_.erase(place.model);
+  const auto backlog = backlogs_[cls].find(place.account);
+  backlog->second.tokens -= waiting.request.cost_tokens;
+  if (--backlog->second.requests == 0) {
+    active_weight_[cls] -= backlog->second.weight;
+    backlogs_[cls].erase(backlog);
+  }
   queued_tokens_[cls] =
       std::max(0.0, queued_tokens_[cls] - waiting.request.cost_tokens);
   return waiting;
--- a/tools/corianderlink-experiment/admission.cc
+++ b/tools/corianderlink-experiment/admission.cc
@@ -16,6 +16,7 @@
 
 constexpr double kPromptTokens = 1000;
 constexpr double kOutputTokens = 100;
+constexpr double kMaxOutputTokens = 1000;
 constexpr seconds kChatDeadline{2};
 constexpr seconds kBulkDeadline{600};
 
@@ -76,7 +77,7 @@
   struct Open {
     PendingRequest request;
     Time arrived{};
-    double output_left = kOutputTokens;
+    double output_left = 0;
     bool started = false;
     /// Changes whenever the request leaves its slot.
     int run = 0;
@@ -106,8 +107,12 @@
     open.request.deadline =
         events_.now() + (source.cls == PriorityClass::kBulk
                              ? Duration(kBulkDeadline)
-                             : Duration(kChatDeadline));
+                             : Duration(kChatDeadline)) -
+        FromSeconds(kPromptTokens / deployment_.prefill_tokens_per_s);
     open.arrived = events_.now();
+    // Heavy-tailed, so that slots do not free up in step.
+    open.output_left = std::min(kMaxOutputTokens,
+                                HeavyTailed(random_, kOutputTokens));
     if (naive_) {
       fifo_.push_back(open);
       return Pump();
