[Fleet] Keep noise out of role changes with two averages of the demand

Ruled out: dwell time alone (the changes are spread over the run). Change: a large gain counts by the 10 s average, a small one only by the 60 s average; both limits grow with the deployment's weight.

--- a/include/corianderlink/Fleet/role_controller.h
+++ b/include/corianderlink/Fleet/role_controller.h
@@ -1,7 +1,9 @@
 // Decides how many engines compute prompts and how many generate.
 //
 // A change is made only if the work that it saves over the horizon exceeds the
-// work lost while the engine is away, weighted per deployment.
+// work lost while the engine is away, weighted per deployment.  Two averages of
+// the demand keep noise out: a large gain counts as soon as the short average
+// shows it, a small one only once the long average does.
 #ifndef CORIANDERLINK_FLEET_ROLE_CONTROLLER_H_
 #define CORIANDERLINK_FLEET_ROLE_CONTROLLER_H_
 
@@ -23,14 +25,15 @@
 struct RoleLimits {
   /// 0 weighs goodput only; 1 weighs changes most.
   double change_weight = 0.5;
-  /// An engine keeps its role at least this long.
-  Duration minimum_dwell = seconds(120);
+  /// Time between two changes.
+  Duration minimum_dwell = seconds(10);
   /// Time over which a change has to pay.
   Duration horizon = seconds(300);
   /// Time that a change takes an engine away.
   Duration time_away = seconds(5);
-  /// Window of the demand average.
-  Duration smoothing = seconds(10);
+  /// Windows of the two demand averages.
+  Duration short_window = seconds(10);
+  Duration long_window = seconds(60);
 };
 
 /// State of the fleet when a decision is due.
@@ -60,17 +63,21 @@
   static double ServedShare(const RoleDemand& demand, double prefill,
                             double decode);
 
-  /// The averaged demand.
-  const RoleDemand& demand() const { return average_; }
+  /// The demand over the short window.
+  const RoleDemand& demand() const { return short_; }
   /// How long the demand is expected to stay on its present side; the shorter,
   /// the faster it swings.
   Duration ExpectedPersistence(Time now) const;
 
  private:
   void ObserveCrossings(Time now);
+  double GainShare(const RoleDemand& demand, const RoleView& view,
+                   RoleChange change) const;
+  bool Pays(Time now, const RoleView& view, RoleChange change) const;
 
   const RoleLimits limits_;
-  RoleDemand average_;
+  RoleDemand short_;
+  RoleDemand long_;
   Time last_demand_{};
   Time last_change_{};
   bool changed_once_ = false;
--- a/include/corianderlink/Node/node_settings.h
+++ b/include/corianderlink/Node/node_settings.h
@@ -57,7 +57,7 @@
 struct RoleSettings {
   /// 0 weighs goodput only; 1 weighs role changes most.
   double change_weight = 0.5;
-  Duration minimum_dwell = seconds(120);
+  Duration minimum_dwell = seconds(10);
   Duration horizon = seconds(300);
 };
 
--- a/lib/Fleet/role_controller.cc
+++ b/lib/Fleet/role_controller.cc
@@ -15,12 +15,28 @@
 // Gain in work over cost in work that is asked for at weight 0 and 1.
 constexpr double kPayoffAtGoodput = 1.0;
 constexpr double kPayoffAtFewChanges = 4.0;
+// Share of the offered work that a change has to gain, by the short and the
+// long average, at weight 0; and what weight 1 adds.
+constexpr double kShortGain = 0.05;
+constexpr double kShortGainPerWeight = 0.06;
+constexpr double kLongGain = 0.01;
+constexpr double kLongGainPerWeight = 0.03;
 
 double Share(const RoleDemand& demand) {
   const double sum = demand.prefill_engines + demand.decode_engines;
   return sum > 0 ? demand.prefill_engines / sum : 0.5;
 }
 
+// Moves `average` towards `demand` over `window`.
+void Smooth(RoleDemand& average, const RoleDemand& demand, double elapsed_s,
+            Duration window) {
+  const double keep = std::exp(-elapsed_s / ToSeconds(window));
+  average.prefill_engines =
+      average.prefill_engines * keep + demand.prefill_engines * (1 - keep);
+  average.decode_engines =
+      average.decode_engines * keep + demand.decode_engines * (1 - keep);
+}
+
 }  // namespace
 
 double RoleController::ServedShare(const RoleDemand& demand, double prefill,
@@ -40,26 +56,23 @@
   if (!has_slow_share_) {
     has_slow_share_ = true;
     first_demand_ = now;
-    average_ = demand;
+    short_ = long_ = demand;
     slow_share_ = Share(demand);
     last_demand_ = now;
     return;
   }
   const double elapsed = ToSeconds(now - last_demand_);
   last_demand_ = now;
-  const double keep = std::exp(-elapsed / ToSeconds(limits_.smoothing));
-  average_.prefill_engines =
-      average_.prefill_engines * keep + demand.prefill_engines * (1 - keep);
-  average_.decode_engines =
-      average_.decode_engines * keep + demand.decode_engines * (1 - keep);
+  Smooth(short_, demand, elapsed, limits_.short_window);
+  Smooth(long_, demand, elapsed, limits_.long_window);
   const double slow_keep =
       std::exp(-elapsed / (kSlowHorizons * ToSeconds(limits_.horizon)));
-  slow_share_ = slow_share_ * slow_keep + Share(average_) * (1 - slow_keep);
+  slow_share_ = slow_share_ * slow_keep + Share(short_) * (1 - slow_keep);
   ObserveCrossings(now);
 }
 
 void RoleController::ObserveCrossings(Time now) {
-  const double share = Share(average_);
+  const double share = Share(short_);
   const double bound =
       above_ ? slow_share_ - kSwingBand : slow_share_ + kSwingBand;
   const bool crossed = above_ ? share < bound : share > bound;
@@ -83,37 +96,46 @@
   return std::min(limits_.horizon, std::max(mean - open, Duration(0)));
 }
 
+double RoleController::GainShare(const RoleDemand& demand, const RoleView& view,
+                                 RoleChange change) const {
+  const auto prefill = static_cast<double>(view.prefill);
+  const auto decode = static_cast<double>(view.decode);
+  const double step = change == RoleChange::kToPrefill ? 1 : -1;
+  return ServedShare(demand, prefill + step, decode - step) -
+         ServedShare(demand, prefill, decode);
+}
+
+bool RoleController::Pays(Time now, const RoleView& view,
+                          RoleChange change) const {
+  const size_t from =
+      change == RoleChange::kToPrefill ? view.decode : view.prefill;
+  if (from <= 1) return false;
+  const double weight = limits_.change_weight;
+  const double quick = GainShare(short_, view, change);
+  const double lasting = GainShare(long_, view, change);
+  const bool significant =
+      quick >= kShortGain + kShortGainPerWeight * weight ||
+      (quick > 0 && lasting >= kLongGain + kLongGainPerWeight * weight);
+  if (!significant) return false;
+  const double payoff =
+      kPayoffAtGoodput + (kPayoffAtFewChanges - kPayoffAtGoodput) * weight;
+  const double offered = short_.prefill_engines + short_.decode_engines;
+  const double gain =
+      std::max(quick, lasting) * offered * ToSeconds(ExpectedPersistence(now));
+  return gain > ToSeconds(limits_.time_away) * payoff;
+}
+
 std::optional<RoleChange> RoleController::Decide(Time now,
                                                  const RoleView& view) const {
   if (view.unsettled || !has_slow_share_) return std::nullopt;
   if (changed_once_ && now - last_change_ < limits_.minimum_dwell) {
     return std::nullopt;
   }
-  const auto prefill = static_cast<double>(view.prefill);
-  const auto decode = static_cast<double>(view.decode);
-  const double present = ServedShare(average_, prefill, decode);
-  const double offered = average_.prefill_engines + average_.decode_engines;
-  const double payoff =
-      kPayoffAtGoodput +
-      (kPayoffAtFewChanges - kPayoffAtGoodput) * limits_.change_weight;
-  const double persistence_s = ToSeconds(ExpectedPersistence(now));
-  std::optional<RoleChange> best;
-  double best_gain = 0;
-  const auto consider = [&](RoleChange change, double p, double d) {
-    const double gained_share = ServedShare(average_, p, d) - present;
-    const double gain = gained_share * offered * persistence_s;
-    const double cost = ToSeconds(limits_.time_away) * payoff;
-    if (gain <= cost || gain <= best_gain) return;
-    best = change;
-    best_gain = gain;
-  };
-  if (view.decode > 1) {
-    consider(RoleChange::kToPrefill, prefill + 1, decode - 1);
-  }
-  if (view.prefill > 1) {
-    consider(RoleChange::kToDecode, prefill - 1, decode + 1);
+  for (const RoleChange change :
+       {RoleChange::kToPrefill, RoleChange::kToDecode}) {
+    if (Pays(now, view, change)) return change;
   }
-  return best;
+  return std::nullopt;
 }
 
 void RoleController::OnChanged(Time now, RoleChange) {
--- a/tools/corianderlink-experiment/admission.cc
+++ b/tools/corianderlink-experiment/admission.cc
@@ -105,14 +105,14 @@
     open.request.cls = source.cls;
     open.request.cost_tokens = kPromptTokens + kOutputTokens;
     open.request.deadline =
-        events_.now() + (source.cls == PriorityClass::kBulk
-                             ? Duration(kBulkDeadline)
-                             : Duration(kChatDeadline)) -
+        events_.now() +
+        (source.cls == PriorityClass::kBulk ? Duration(kBulkDeadline)
+                                            : Duration(kChatDeadline)) -
         FromSeconds(kPromptTokens / deployment_.prefill_tokens_per_s);
     open.arrived = events_.now();
     // Heavy-tailed, so that slots do not free up in step.
-    open.output_left = std::min(kMaxOutputTokens,
-                                HeavyTailed(random_, kOutputTokens));
+    open.output_left =
+        std::min(kMaxOutputTokens, HeavyTailed(random_, kOutputTokens));
     if (naive_) {
       fifo_.push_back(open);
       return Pump();
@@ -181,18 +181,17 @@
     open.started = true;
     if (open.request.cls == PriorityClass::kBulk) bulk_running_.push_back(id);
     const int run = open.run;
-    events_.After(
-        FromSeconds(prefill + open.output_left * deployment_.step_s),
-        [this, id, run] {
-          const auto it = open_.find(id);
-          if (it == open_.end() || it->second.run != run) return;
-          if (it->second.request.cls == PriorityClass::kBulk) {
-            ++result_.bulk_done;
-          }
-          open_.erase(it);
-          ++free_slots_;
-          Pump();
-        });
+    events_.After(FromSeconds(prefill + open.output_left * deployment_.step_s),
+                  [this, id, run] {
+                    const auto it = open_.find(id);
+                    if (it == open_.end() || it->second.run != run) return;
+                    if (it->second.request.cls == PriorityClass::kBulk) {
+                      ++result_.bulk_done;
+                    }
+                    open_.erase(it);
+                    ++free_slots_;
+                    Pump();
+                  });
   }
 
   void OnFirstToken(const Open& open, double prefill) {
@@ -299,8 +298,8 @@
   }
   const AdmissionResult ours = AdmissionSim(d, seed, false).Run(sources, 120);
   const AdmissionResult naive = AdmissionSim(d, seed, true).Run(sources, 120);
-  PrintBound(counts, "admission.jain_index", Jain(ours.served_tokens), ">=",
-             0.95, Jain(naive.served_tokens),
+  PrintBound(counts, "admission.jain_index", Jain(ours.served_tokens),
+             ">=", 0.95, Jain(naive.served_tokens),
              {{"experiment", "admission"},
               {"deployment", d.name},
               {"seed", seed},
--- a/tools/corianderlink-experiment/capacity.cc
+++ b/tools/corianderlink-experiment/capacity.cc
@@ -36,12 +36,14 @@
 double HeapBytes() { return static_cast<double>(mallinfo2().uordblks); }
 
 /// Builds something and measures its heap and time; it lives until measured.
-Point Measure(double size, const std::function<std::shared_ptr<void>()>& build) {
+Point Measure(double size,
+              const std::function<std::shared_ptr<void>()>& build) {
   const double before = HeapBytes();
   const Time begin = BootClock::now();
   const std::shared_ptr<void> kept = build();
   const Time end = BootClock::now();
-  return {size, HeapBytes() - before, static_cast<double>((end - begin).count())};
+  return {size, HeapBytes() - before,
+          static_cast<double>((end - begin).count())};
 }
 
 /// Least squares; the error is the largest relative distance from the line.
@@ -63,14 +65,12 @@
   for (const Point& p : points) {
     sizes.push_back({p.size, value(p)});
     const double fitted = base + slope * p.size;
-    if (value(p) > 0) error = std::max(error, std::abs(fitted - value(p)) / value(p));
+    if (value(p) > 0)
+      error = std::max(error, std::abs(fitted - value(p)) / value(p));
   }
-  std::cout << nlohmann::json{{"item", item},
-                              {"unit", unit},
-                              {"per_item", slope},
-                              {"base", base},
-                              {"largest_error", error},
-                              {"points", sizes}}
+  std::cout << nlohmann::json{{"item", item},           {"unit", unit},
+                              {"per_item", slope},      {"base", base},
+                              {"largest_error", error}, {"points", sizes}}
                    .dump()
             << std::endl;
 }
@@ -84,9 +84,9 @@
   state.items.models[ModelId("m")] = {"m@1"};
   for (int i = 0; i < engines; ++i) {
     EngineSpec spec;
-    spec.address = {"10.1." + std::to_string(i / 250) + "." +
-                        std::to_string(i % 250 + 1),
-                    9000};
+    spec.address = {
+        "10.1." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1),
+        9000};
     spec.zone = ZoneId("zone-1");
     spec.models.insert(ModelId("m"));
     const std::string name = "engine-" + std::to_string(i);
@@ -116,8 +116,8 @@
   std::vector<Point> decisions;
   for (const int size : {100, 500, 2000, 7400}) {
     points.push_back(Measure(size, [size] {
-      auto router = std::make_shared<EngineRouter>(RouterLimits(),
-                                                   EjectorLimits(), ZoneId("z"));
+      auto router = std::make_shared<EngineRouter>(
+          RouterLimits(), EjectorLimits(), ZoneId("z"));
       router->SetEngines(StateWith(size, 0).items.engines);
       EngineReport report;
       report.boot_id = "0123456789abcdef0123456789abcdef";
@@ -127,8 +127,8 @@
       }
       return router;
     }));
-    decisions.push_back({static_cast<double>(size), 0,
-                         DecisionNanoseconds(size)});
+    decisions.push_back(
+        {static_cast<double>(size), 0, DecisionNanoseconds(size)});
   }
   PrintFit("worker in the router", "bytes", points, Bytes);
   PrintFit("routing decision by workers", "ns", decisions, Nanoseconds);
--- a/tools/corianderlink-experiment/main.cc
+++ b/tools/corianderlink-experiment/main.cc
@@ -22,9 +22,10 @@
   app.add_option("--policy", policy, "prints results without bounds");
   app.require_subcommand(1);
   app.fallthrough();
-  app.footer("Example:\n  corianderlink-experiment all --seed 1\n"
-             "Exit status: 0 if the runs ended, whatever the bounds say; 2 for "
-             "bad arguments.");
+  app.footer(
+      "Example:\n  corianderlink-experiment all --seed 1\n"
+      "Exit status: 0 if the runs ended, whatever the bounds say; 2 for "
+      "bad arguments.");
   BoundCounts counts;
   const auto deployment = [&] {
     return deployment_name == "karoo" ? Karoo() : CopaAustral();
@@ -35,8 +36,9 @@
       ->callback([&] { RunAdmission(deployment(), seed, counts); });
   app.add_subcommand("routing", "choice of engines and its cost")
       ->callback([&] { RunRouting(deployment(), seed, counts); });
-  app.add_subcommand("retries", "load added by retries")
-      ->callback([&] { RunRetries(seed, counts); });
+  app.add_subcommand("retries", "load added by retries")->callback([&] {
+    RunRetries(seed, counts);
+  });
   app.add_subcommand("capacity", "bytes and nanoseconds per item of state")
       ->callback([] { RunCapacity(); });
   app.add_subcommand("all", "everything but capacity, both deployments")
--- a/tools/corianderlink-experiment/roles.cc
+++ b/tools/corianderlink-experiment/roles.cc
@@ -30,8 +30,7 @@
   int best = 1;
   double best_share = -1;
   for (int p = 1; p < d.engines; ++p) {
-    const double share =
-        RoleController::ServedShare(demand, p, d.engines - p);
+    const double share = RoleController::ServedShare(demand, p, d.engines - p);
     if (share <= best_share) continue;
     best = p;
     best_share = share;
@@ -81,8 +80,8 @@
             std::min(1.0, RoleController::ServedShare(demand, p, q)) * rate *
             kGridSeconds;
         // A change that gains nothing is not made.
-        const double total = served + value[s + 1][static_cast<size_t>(to)] -
-                             1e-6 * moved;
+        const double total =
+            served + value[s + 1][static_cast<size_t>(to)] - 1e-6 * moved;
         if (total <= best) continue;
         best = total;
         choice[s][static_cast<size_t>(from)] = to;
@@ -91,9 +90,9 @@
     }
   }
   std::vector<int> schedule;
-  int state = static_cast<int>(
-      std::max_element(value[0].begin() + 1, value[0].end()) -
-      value[0].begin());
+  int state =
+      static_cast<int>(std::max_element(value[0].begin() + 1, value[0].end()) -
+                       value[0].begin());
   for (size_t s = 0; s < steps; ++s) {
     state = choice[s][static_cast<size_t>(state)];
     schedule.push_back(state);
@@ -153,8 +152,8 @@
 
 Policy Offline(const std::vector<int>& schedule) {
   return [schedule](double t, const RoleDemand&, SplitFleet& fleet, Time) {
-    const auto step = std::min(schedule.size() - 1,
-                               static_cast<size_t>(t / kGridSeconds));
+    const auto step =
+        std::min(schedule.size() - 1, static_cast<size_t>(t / kGridSeconds));
     // Engines that are away count for their new role.
     if (fleet.away() > 0) return;
     while (fleet.prefill() + (fleet.away() > 0 ? 1 : 0) < schedule[step]) {
@@ -171,7 +170,6 @@
   RoleLimits limits;
   limits.change_weight = d.change_weight;
   limits.time_away = FromSeconds(d.away_s);
-  limits.minimum_dwell = seconds(10);
   auto controller = std::make_shared<RoleController>(limits);
   return [controller](double, const RoleDemand& demand, SplitFleet& fleet,
                       Time now) {
@@ -188,9 +186,9 @@
 }
 
 double Goodput(const SplitResult& r) {
-  return r.sent == 0 ? 1
-                     : static_cast<double>(r.good) /
-                           static_cast<double>(r.sent);
+  return r.sent == 0
+             ? 1
+             : static_cast<double>(r.good) / static_cast<double>(r.sent);
 }
 
 int RealShifts(const Workload& w) {
@@ -224,23 +222,22 @@
   const SplitResult best =
       Run(w, d, seed, schedule.front(), Offline(schedule), lose_at);
   const SplitResult ours = Run(w, d, seed, first, Ours(d), lose_at);
-  nlohmann::json details = {
-      {"experiment", "roles"},
-      {"deployment", d.name},
-      {"shape", ToString(w.shape)},
-      {"period_s", w.period_s},
-      {"seed", seed},
-      {"engine_lost", lose_at >= 0},
-      {"goodput",
-       {{"static", Goodput(fixed)},
-        {"follower", Goodput(follower)},
-        {"offline", Goodput(best)},
-        {"ours", Goodput(ours)}}},
-      {"changes",
-       {{"follower", follower.changes},
-        {"offline", best.changes},
-        {"ours", ours.changes}}},
-      {"most_away", ours.most_away}};
+  nlohmann::json details = {{"experiment", "roles"},
+                            {"deployment", d.name},
+                            {"shape", ToString(w.shape)},
+                            {"period_s", w.period_s},
+                            {"seed", seed},
+                            {"engine_lost", lose_at >= 0},
+                            {"goodput",
+                             {{"static", Goodput(fixed)},
+                              {"follower", Goodput(follower)},
+                              {"offline", Goodput(best)},
+                              {"ours", Goodput(ours)}}},
+                            {"changes",
+                             {{"follower", follower.changes},
+                              {"offline", best.changes},
+                              {"ours", ours.changes}}},
+                            {"most_away", ours.most_away}};
   if (!only.empty()) {
     std::cout << details.dump() << std::endl;
     return;
@@ -251,13 +248,13 @@
                Goodput(ours) / std::max(1e-9, Goodput(best)), ">=", 0.95,
                naive / std::max(1e-9, Goodput(best)), details);
   }
-  PrintBound(counts, "roles.goodput_vs_simple", Goodput(ours) - naive, ">=",
-             -Spread(w, d), 0, details);
+  PrintBound(counts, "roles.goodput_vs_simple", Goodput(ours) - naive,
+             ">=", -Spread(w, d), 0, details);
   PrintBound(counts, "roles.one_in_transition", ours.most_away, "<=", 1,
              follower.most_away, details);
   if (d.change_weight < 0.5 || lose_at >= 0) return;
-  PrintBound(counts, "roles.changes", ours.changes, "<=",
-             best.changes + RealShifts(w), follower.changes, details);
+  PrintBound(counts, "roles.changes", ours.changes,
+             "<=", best.changes + RealShifts(w), follower.changes, details);
 }
 
 }  // namespace
--- a/tools/corianderlink-experiment/routing.cc
+++ b/tools/corianderlink-experiment/routing.cc
@@ -25,9 +25,9 @@
   std::map<EngineId, EngineSpec> engines;
   for (int i = 0; i < count; ++i) {
     EngineSpec spec;
-    spec.address = {"10.0." + std::to_string(i / 250) + "." +
-                        std::to_string(i % 250 + 1),
-                    9000};
+    spec.address = {
+        "10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1),
+        9000};
     spec.zone = ZoneId("z" + std::to_string(i % 9));
     spec.models.insert(ModelId("m"));
     engines[EngineId("e" + std::to_string(i))] = spec;
@@ -80,10 +80,10 @@
   }
 
   RoutingResult Run() {
-    const double rate = 0.6 * deployment_.engines /
-                        (kOutputTokens * deployment_.step_s /
-                             deployment_.batch +
-                         kTailTokens / deployment_.prefill_tokens_per_s);
+    const double rate =
+        0.6 * deployment_.engines /
+        (kOutputTokens * deployment_.step_s / deployment_.batch +
+         kTailTokens / deployment_.prefill_tokens_per_s);
     arrive_ = [this, rate] {
       Arrive();
       std::exponential_distribution<double> gap(rate);
@@ -117,8 +117,8 @@
   void Arrive() {
     // Zipf-like choice of a shared prefix.
     std::uniform_real_distribution<double> uniform(0, 1);
-    const auto prefix = static_cast<uint64_t>(
-        kPrefixes * std::pow(uniform(random_), 2.0));
+    const auto prefix =
+        static_cast<uint64_t>(kPrefixes * std::pow(uniform(random_), 2.0));
     RouteQuery query;
     query.model = ModelId("m");
     for (uint64_t i = 0; i < kPiecesPerPrefix; ++i) {
@@ -250,21 +250,20 @@
   for (const double lag : {0.2, 1.0, 5.0}) {
     const RoutingResult ours = RoutingSim(deployment, seed, false, lag).Run();
     const RoutingResult naive = RoutingSim(deployment, seed, true, lag).Run();
-    PrintBound(counts, "routing.p95_first_token_vs_round_robin",
-               P95(ours.first_token_s) / P95(naive.first_token_s), "<=", 1.0,
-               1.0,
-               {{"experiment", "routing"},
-                {"deployment", deployment.name},
-                {"seed", seed},
-                {"report_lag_s", lag},
-                {"p95_first_token_s",
-                 {{"ours", P95(ours.first_token_s)},
-                  {"round_robin", P95(naive.first_token_s)}}},
-                {"computed_share",
-                 {{"ours", ours.computed_tokens / ours.prompt_tokens},
-                  {"round_robin",
-                   naive.computed_tokens / naive.prompt_tokens}}},
-                {"no_room", ours.no_room}});
+    PrintBound(
+        counts, "routing.p95_first_token_vs_round_robin",
+        P95(ours.first_token_s) / P95(naive.first_token_s), "<=", 1.0, 1.0,
+        {{"experiment", "routing"},
+         {"deployment", deployment.name},
+         {"seed", seed},
+         {"report_lag_s", lag},
+         {"p95_first_token_s",
+          {{"ours", P95(ours.first_token_s)},
+           {"round_robin", P95(naive.first_token_s)}}},
+         {"computed_share",
+          {{"ours", ours.computed_tokens / ours.prompt_tokens},
+           {"round_robin", naive.computed_tokens / naive.prompt_tokens}}},
+         {"no_room", ours.no_room}});
   }
   PrintBound(counts, "routing.decision_us_12_workers",
              DecisionNanoseconds(12) / 1000, "<=", 5, 0,
--- a/tools/corianderlink-experiment/split_fleet.h
+++ b/tools/corianderlink-experiment/split_fleet.h
@@ -102,8 +102,7 @@
             Pump();
           });
     }
-    while (!waiting_decode_.empty() &&
-           streams_ < decode_ * deployment_.batch) {
+    while (!waiting_decode_.empty() && streams_ < decode_ * deployment_.batch) {
       const Request request = waiting_decode_.front();
       waiting_decode_.pop_front();
       ++streams_;
