[Routing][Node] Look at few engines of a large model and poll a small row

Change: beyond 64 engines of a model, 4 candidates by prefix and 12 in turn, up to 3 turns; a row with only the revision is polled, the head read when newer.

--- a/include/corianderlink/Node/node.h
+++ b/include/corianderlink/Node/node.h
@@ -83,7 +83,9 @@
   void OnHeartbeat(const ProcessId& process, const wire::Heartbeat& heartbeat);
   void OnReleaseUpdate(const wire::ReleaseUpdate& update);
   void PollInstances();
-  void PollReleaseHead();
+  void PollRevision();
+  void OnRevision(Time asked, const std::vector<TableRow>& rows);
+  void MarkStoreRead(Time asked);
   void ReadReleaseHead();
   void OnReleaseHead(Time asked, const ReadResult& result);
   void OnAdmin(const Exchange& exchange);
@@ -107,6 +109,7 @@
   Metrics metrics_;
   HttpServer admin_;
   bool leaving_ = false;
+  bool revision_read_outstanding_ = false;
   bool head_read_outstanding_ = false;
   bool store_ever_read_ = false;
   Time last_store_read_{};
--- a/include/corianderlink/Release/note_acceptor.h
+++ b/include/corianderlink/Release/note_acceptor.h
@@ -19,6 +19,9 @@
 
 /// Key of the row that holds the whole desired state.
 extern const char kReleaseHeadKey[];
+/// Key of the row that holds only the present revision, in decimal.  Processes
+/// poll this one and read the head when it is newer.
+extern const char kReleaseRevisionKey[];
 /// Key of the immutable row of a note.
 std::string NoteRowKey(const NoteId& id);
 
--- a/include/corianderlink/Routing/engine_router.h
+++ b/include/corianderlink/Routing/engine_router.h
@@ -68,6 +68,13 @@
   Duration wrong_role = milliseconds(500);
   /// A report older than this says nothing about load.
   Duration stale_report = seconds(10);
+  /// Up to this many engines of a model all of them are looked at.
+  size_t max_scanned = 64;
+  /// Engines looked at beyond that: by the prompt's prefix, and in turn.
+  size_t affine_candidates = 4;
+  size_t turn_candidates = 12;
+  /// Turns that are tried before the request waits.
+  int max_turns = 3;
   Duration prefix_max_age = seconds(600);
   size_t prefix_max_pieces = 100000;
 };
@@ -131,6 +138,11 @@
   uint64_t InFlight(Time now, const EngineId& id, const Engine& engine) const;
   double PrefillBacklog(Time now, const EngineId& id,
                         const Engine& engine) const;
+  std::optional<RouteChoice> BestOf(Time now, const RouteQuery& query,
+                                    const std::vector<EngineId>& ids) const;
+  std::vector<EngineId> SampleCandidates(const RouteQuery& query,
+                                         const std::vector<EngineId>& ids,
+                                         uint64_t turn) const;
   std::optional<RouteChoice> Evaluate(Time now, const EngineId& id,
                                       const Engine& engine,
                                       const RouteQuery& query) const;
@@ -143,6 +155,8 @@
   std::set<Address> held_;
   std::map<std::string, std::map<EngineId, PeerShare>> peer_shares_;
   std::map<EngineId, PeerShare> peer_totals_;
+  // Spreads the candidates of large fleets over the engines.
+  mutable uint64_t turn_ = 0;
 };
 
 }  // namespace corianderlink
--- a/lib/Node/node.cc
+++ b/lib/Node/node.cc
@@ -55,9 +55,9 @@
   instance_timer_ =
       loop_.Every(settings_.timing.instance_poll, [this] { PollInstances(); });
   head_timer_ =
-      loop_.Every(settings_.timing.store_poll, [this] { PollReleaseHead(); });
+      loop_.Every(settings_.timing.store_poll, [this] { PollRevision(); });
   PollInstances();
-  PollReleaseHead();
+  PollRevision();
   return true;
 }
 
@@ -176,7 +176,37 @@
   });
 }
 
-void Node::PollReleaseHead() { ReadReleaseHead(); }
+// Reads the small row; the head, which grows with the fleet, only if needed.
+void Node::PollRevision() {
+  if (revision_read_outstanding_) return;
+  revision_read_outstanding_ = true;
+  const Time asked = BootClock::now();
+  table_.ReadPrefix(
+      kReleaseRevisionKey, [this, asked](const ReadResult& result) {
+        revision_read_outstanding_ = false;
+        if (result.rows) OnRevision(asked, *result.rows);
+      });
+}
+
+void Node::OnRevision(Time asked, const std::vector<TableRow>& rows) {
+  if (rows.empty()) {
+    // An empty answer after a state was seen is stale or wrong.
+    if (state().revision > 0) return;
+    release_.OnEmptyTable();
+    return MarkStoreRead(asked);
+  }
+  const Revision revision =
+      std::strtoull(rows.front().value.c_str(), nullptr, 10);
+  const bool behind = !release_.has_state() || revision > state().revision;
+  if (behind) return ReadReleaseHead();
+  // An older revision is a stale answer and proves nothing.
+  if (revision == state().revision) MarkStoreRead(asked);
+}
+
+void Node::MarkStoreRead(Time asked) {
+  store_ever_read_ = true;
+  last_store_read_ = std::max(last_store_read_, asked);
+}
 
 void Node::ReadReleaseHead() {
   if (head_read_outstanding_) return;
@@ -197,27 +227,21 @@
   for (const TableRow& row : *result.rows) {
     if (row.key == kReleaseHeadKey) head = &row;
   }
-  if (head == nullptr) {
-    // An empty answer after a state was seen is stale or wrong.
-    if (state().revision > 0) return;
-    release_.OnEmptyTable();
-  } else {
-    std::string reason;
-    const auto state = ParseDesiredState(head->value, reason);
-    if (!state) {
-      Log(LogLevel::kWarning, "release_head_refused", {{"reason", reason}});
-      return;
-    }
-    if (state->revision < this->state().revision) return;
-    if (release_.OnState(*state)) {
-      Log(LogLevel::kInfo, "release_in_force",
-          {{"revision", state->revision}, {"source", "table"}});
-      signal_release.emit();
-      SendHeartbeat();
-    }
+  if (head == nullptr) return;
+  std::string reason;
+  const auto state = ParseDesiredState(head->value, reason);
+  if (!state) {
+    Log(LogLevel::kWarning, "release_head_refused", {{"reason", reason}});
+    return;
   }
-  store_ever_read_ = true;
-  last_store_read_ = std::max(last_store_read_, asked);
+  if (state->revision < this->state().revision) return;
+  if (release_.OnState(*state)) {
+    Log(LogLevel::kInfo, "release_in_force",
+        {{"revision", state->revision}, {"source", "table"}});
+    signal_release.emit();
+    SendHeartbeat();
+  }
+  MarkStoreRead(asked);
 }
 
 FreshnessView Node::Freshness(Time now) const {
--- a/lib/Release/note_acceptor.cc
+++ b/lib/Release/note_acceptor.cc
@@ -6,6 +6,7 @@
 namespace corianderlink {
 
 const char kReleaseHeadKey[] = "release/head";
+const char kReleaseRevisionKey[] = "release/revision";
 
 std::string NoteRowKey(const NoteId& id) {
   return "release/notes/" + id.value();
@@ -111,6 +112,7 @@
   txn_.conditions = {{kReleaseHeadKey, head_version},
                      {NoteRowKey(note_.id), 0}};
   txn_.writes = {{kReleaseHeadKey, ToJson(*next_state_).dump()},
+                 {kReleaseRevisionKey, std::to_string(next_state_->revision)},
                  {NoteRowKey(note_.id), EncodeNoteRecord(record)}};
   step_ = Action::Kind::kCommit;
 }
--- a/lib/Routing/engine_router.cc
+++ b/lib/Routing/engine_router.cc
@@ -184,12 +184,10 @@
   return RouteChoice{id, address, predicted, uncached};
 }
 
-std::optional<RouteChoice> EngineRouter::Choose(Time now,
-                                                const RouteQuery& query) const {
-  const auto it = by_model_.find(query.model);
-  if (it == by_model_.end()) return std::nullopt;
+std::optional<RouteChoice> EngineRouter::BestOf(
+    Time now, const RouteQuery& query, const std::vector<EngineId>& ids) const {
   std::optional<RouteChoice> best;
-  for (const EngineId& id : it->second) {
+  for (const EngineId& id : ids) {
     const auto choice = Evaluate(now, id, engines_.at(id), query);
     if (!choice) continue;
     if (best && choice->predicted_first_token >= best->predicted_first_token) {
@@ -200,6 +198,43 @@
   return best;
 }
 
+// A few engines that always see prompts with this prefix, and a few in turn;
+// the best of few random choices comes close to the best of all (Mitzenmacher,
+// "The power of two choices in randomized load balancing", 2001).
+std::vector<EngineId> EngineRouter::SampleCandidates(
+    const RouteQuery& query, const std::vector<EngineId>& ids,
+    uint64_t turn) const {
+  // Odd multipliers spread the indices (Knuth, TAOCP 6.4).
+  constexpr uint64_t kSpread = 0x9e3779b97f4a7c15ULL;
+  std::vector<EngineId> candidates;
+  if (!query.pieces.empty()) {
+    for (uint64_t i = 0; i < limits_.affine_candidates; ++i) {
+      const uint64_t hash = (query.pieces.front() + i) * kSpread;
+      candidates.push_back(ids[(hash >> 16) % ids.size()]);
+    }
+  }
+  for (uint64_t i = 0; i < limits_.turn_candidates; ++i) {
+    const uint64_t hash = (turn * limits_.turn_candidates + i) * kSpread;
+    candidates.push_back(ids[(hash >> 16) % ids.size()]);
+  }
+  return candidates;
+}
+
+std::optional<RouteChoice> EngineRouter::Choose(Time now,
+                                                const RouteQuery& query) const {
+  const auto it = by_model_.find(query.model);
+  if (it == by_model_.end()) return std::nullopt;
+  if (it->second.size() <= limits_.max_scanned) {
+    return BestOf(now, query, it->second);
+  }
+  for (int i = 0; i < limits_.max_turns; ++i) {
+    const auto choice =
+        BestOf(now, query, SampleCandidates(query, it->second, ++turn_));
+    if (choice) return choice;
+  }
+  return std::nullopt;
+}
+
 void EngineRouter::OnDispatch(Time now, const RouteChoice& choice,
                               const RouteQuery& query) {
   const auto it = engines_.find(choice.engine);
