--- a/lib/Node/node.cc
+++ b/lib/Node/node.cc
@@ -181,11 +181,11 @@
   if (revision_read_outstanding_) return;
   revision_read_outstanding_ = true;
   const Time asked = BootClock::now();
-  table_.ReadPrefix(
-      kReleaseRevisionKey, [this, asked](const ReadResult& result) {
-        revision_read_outstanding_ = false;
-        if (result.rows) OnRevision(asked, *result.rows);
-      });
+  table_.ReadPrefix(kReleaseRevisionKey,
+                    [this, asked](const ReadResult& result) {
+                      revision_read_outstanding_ = false;
+                      if (result.rows) OnRevision(asked, *result.rows);
+                    });
 }
 
 void Node::OnRevision(Time asked, const std::vector<TableRow>& rows) {
--- /dev/null
+++ b/unittests/Membership/membership_test.cc
@@ -0,0 +1,119 @@
+// Tests of freshness, the directory and holds.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "corianderlink/Membership/entry_directory.h"
+#include "corianderlink/Membership/freshness_gate.h"
+#include "corianderlink/Membership/hold_book.h"
+
+namespace corianderlink {
+namespace {
+
+const Time kNow{seconds(1000)};
+
+wire::Heartbeat EntryHeartbeat(int i, bool leaving = false) {
+  const std::string number = std::to_string(i);
+  wire::Heartbeat heartbeat;
+  heartbeat.set_instance("i" + number);
+  heartbeat.set_kind("entry");
+  heartbeat.set_zone("z");
+  heartbeat.set_leaving(leaving);
+  heartbeat.set_entry_address("127.0.0.1:10" + number);
+  heartbeat.set_peer_address("127.0.0.1:20" + number);
+  return heartbeat;
+}
+
+// Of any two sides of a partition at most one both accepts and hides a note:
+// a side that serves without the store shares an instance with the accepter.
+RC_GTEST_PROP(FreshnessGateProperty, ServerWithoutStoreHearsTheAccepter, ()) {
+  const auto listed = *rc::gen::inRange<size_t>(1, 40);
+  const auto server = *rc::gen::inRange<size_t>(0, listed + 1);
+  const auto accepter = *rc::gen::inRange<size_t>(0, listed + 1);
+  const FreshnessGate gate(seconds(4));
+  FreshnessView at_server;
+  at_server.has_state = true;
+  at_server.listed_instances = listed;
+  at_server.heard_instances = server;
+  FreshnessView at_accepter = at_server;
+  at_accepter.heard_instances = accepter;
+  const bool both =
+      gate.MayServe(kNow, at_server) && gate.MayAccept(at_accepter);
+  RC_ASSERT(!both || server + accepter > listed);
+}
+
+TEST(FreshnessGateTest, CutOffProcessStopsWithinItsWindow) {
+  const FreshnessGate gate(seconds(4));
+  FreshnessView view;
+  view.has_state = true;
+  view.store_ever_read = true;
+  view.last_store_read = kNow;
+  view.listed_instances = 4;
+  view.heard_instances = 1;
+  EXPECT_TRUE(gate.MayServe(kNow + seconds(4), view));
+  EXPECT_FALSE(gate.MayServe(kNow + milliseconds(4001), view));
+  view.heard_instances = 3;
+  EXPECT_TRUE(gate.MayServe(kNow + seconds(60), view));
+  view.has_state = false;
+  EXPECT_FALSE(gate.MayServe(kNow, view));
+}
+
+TEST(EntryDirectoryTest, LeavingAndSilentEntriesAreNotNamed) {
+  PeerTable peers(seconds(1));
+  peers.OnHeartbeat(kNow, ProcessId("e1"), EntryHeartbeat(1));
+  peers.OnHeartbeat(kNow, ProcessId("e2"), EntryHeartbeat(2, true));
+  peers.OnHeartbeat(kNow - seconds(2), ProcessId("e3"), EntryHeartbeat(3));
+  const auto entries =
+      ListEntries(kNow, peers, {"127.0.0.1:100", "z", false, 0});
+  ASSERT_EQ(entries.size(), 2u);
+  EXPECT_EQ(entries[0].address, "127.0.0.1:100");
+  EXPECT_EQ(entries[1].address, "127.0.0.1:101");
+}
+
+TEST(PeerTableTest, RestartedProcessReplacesItsPredecessor) {
+  PeerTable peers(seconds(1));
+  peers.OnHeartbeat(kNow, ProcessId("old"), EntryHeartbeat(1));
+  peers.OnHeartbeat(kNow, ProcessId("new"), EntryHeartbeat(1));
+  EXPECT_FALSE(peers.IsLive(kNow, ProcessId("old")));
+  EXPECT_TRUE(peers.IsLive(kNow, ProcessId("new")));
+}
+
+wire::Heartbeat FleetHeartbeat(int fleet, uint64_t fencing, bool hold) {
+  wire::Heartbeat heartbeat;
+  heartbeat.set_instance("i" + std::to_string(fleet));
+  heartbeat.set_kind("fleet");
+  if (!hold) return heartbeat;
+  wire::Hold& out = *heartbeat.add_holds();
+  out.set_address("127.0.0.1:9");
+  out.set_sequence(4);
+  out.set_fencing(fencing);
+  return heartbeat;
+}
+
+TEST(HoldBookTest, DeposedAnnouncerDoesNotLiftItsSuccessorsHold) {
+  HoldBook book(kNow, seconds(3), seconds(30));
+  const ProcessId old_holder("old");
+  const ProcessId new_holder("new");
+  book.OnHeartbeat(kNow, old_holder, FleetHeartbeat(1, 1, true));
+  book.OnHeartbeat(kNow, new_holder, FleetHeartbeat(2, 2, true));
+  book.OnHeartbeat(kNow, old_holder, FleetHeartbeat(1, 1, false));
+  EXPECT_EQ(book.Current().size(), 1u);
+  // The successor lifts the hold of a dead predecessor with its own.
+  book.OnHeartbeat(kNow, old_holder, FleetHeartbeat(1, 1, true));
+  book.OnHeartbeat(kNow, new_holder, FleetHeartbeat(2, 2, false));
+  EXPECT_TRUE(book.Current().empty());
+}
+
+TEST(HoldBookTest, NewEntryWaitsForAllFleetProcesses) {
+  HoldBook book(kNow, seconds(3), seconds(30));
+  const std::set<std::string> listed = {"i1", "i2"};
+  EXPECT_FALSE(book.MaySend(kNow, listed));
+  book.OnHeartbeat(kNow, ProcessId("a"), FleetHeartbeat(1, 1, false));
+  EXPECT_FALSE(book.MaySend(kNow, listed));
+  book.OnHeartbeat(kNow, ProcessId("b"), FleetHeartbeat(2, 1, false));
+  EXPECT_TRUE(book.MaySend(kNow, listed));
+  EXPECT_TRUE(HoldBook(kNow, seconds(3), seconds(30))
+                  .MaySend(kNow + seconds(3), listed));
+}
+
+}  // namespace
+}  // namespace corianderlink
--- a/utils/measure.py
+++ b/utils/measure.py
@@ -5,8 +5,9 @@
 import statistics
 import subprocess
 import sys
+import time
 
-from local_fleet import BIN, LocalFleet, post, wait
+from local_fleet import BIN, LocalFleet, get, post, wait
 
 
 def cpu_seconds(process):
@@ -80,8 +81,55 @@
         fleet.stop_all()
 
 
+def metric(address, name):
+    _, body = get(address, "/metrics")
+    for line in body.splitlines():
+        if line.startswith("corianderlink_" + name + " "):
+            return float(line.split()[1])
+    return 0.0
+
+
+def measure_peers():
+    """Control cost of idle processes by number of peers, full mesh."""
+    window_s = 6
+    for instances in (2, 4, 6, 9):
+        fleet = LocalFleet(base=25000, instances=instances, engines=1,
+                           services=1)
+        try:
+            fleet.start_all()
+            wait(lambda: fleet.apply(0, fleet.first_note())[0] == 0, 20, "note")
+            wait(fleet.all_as_wanted, 60, "engine loaded")
+            for kind, admin in (("entry", fleet.entry_admin(0)),
+                                ("fleet", fleet.fleet_admin(0))):
+                process = fleet.processes[kind + "-0"]
+                cpu = cpu_seconds(process)
+                sent = metric(admin, "peer_bytes_sent_total")
+                received = metric(admin, "peer_bytes_received_total")
+                time.sleep(window_s)
+                print(json.dumps({
+                    "measure": "peers", "kind": kind,
+                    "peers": 2 * instances - 1,
+                    "core_share": (cpu_seconds(process) - cpu) / window_s,
+                    "sent_bytes_per_s": (metric(
+                        admin, "peer_bytes_sent_total") - sent) / window_s,
+                    "received_bytes_per_s": (metric(
+                        admin, "peer_bytes_received_total") -
+                        received) / window_s,
+                    "resident_mb": resident_mb(process)}), flush=True)
+        finally:
+            fleet.stop_all()
+
+
+def measure_capacity():
+    """Slopes of the real classes and messages, then of real processes."""
+    subprocess.check_call([os.path.join(BIN, "corianderlink-experiment"),
+                           "capacity"])
+    measure_peers()
+
+
 def main():
-    measures = {"entry": measure_entry}
+    measures = {"entry": measure_entry, "peers": measure_peers,
+                "capacity": measure_capacity}
     if len(sys.argv) != 2 or sys.argv[1] not in measures:
         print("usage: utils/measure %s" % "|".join(measures))
         return 2
