[Routing] Count reported load only beyond what entries account for

Cause: load was the greater of the known and the reported, and a late report brought back load that had ended since. Change: the own load at the time that the report was asked for, and peers' shares, are taken off the report; the rest is worked off at the engine's rate.

--- a/include/corianderlink/Routing/engine_router.h
+++ b/include/corianderlink/Routing/engine_router.h
@@ -1,8 +1,10 @@
 // Chooses the engine for a model request.
 //
-// Load of an engine = its last report + own dispatches since that report was
-// asked for + what peers say they have dispatched.  The best candidate is the
-// one with the earliest predicted first token, cached pieces included.
+// Load of an engine = what this entry has dispatched and not seen ended, plus
+// what peers say of themselves, plus what its last report shows beyond both at
+// the time that the report was asked for.  A late report thus does not bring
+// back load that has ended since.  The best candidate is the one with the
+// earliest predicted first token, cached pieces included.
 #ifndef CORIANDERLINK_ROUTING_ENGINE_ROUTER_H_
 #define CORIANDERLINK_ROUTING_ENGINE_ROUTER_H_
 
@@ -102,7 +104,7 @@
 
   void OnDispatch(Time now, const RouteChoice& choice, const RouteQuery& query);
   /// The engine sent the first token.
-  void OnFirstToken(const EngineId& engine, uint64_t uncached_tokens);
+  void OnFirstToken(Time now, const EngineId& engine, uint64_t uncached_tokens);
   /// A dispatched request ended; `failed` if the engine is to blame.
   void OnEnd(Time now, const EngineId& engine, uint64_t uncached_tokens,
              bool had_first_token, bool failed);
@@ -118,22 +120,30 @@
   bool Held(const Address& address) const { return held_.count(address) > 0; }
 
  private:
-  struct Dispatch {
-    Time at;
-    uint64_t tokens;
+  /// Own load on an engine from one moment on.
+  struct OwnLoad {
+    Time at{};
+    uint64_t requests = 0;
+    uint64_t prefill_tokens = 0;
   };
 
   struct Engine {
     EngineSpec spec;
     std::optional<EngineReport> report;
     Time report_asked{};
-    std::deque<Dispatch> since_report;
-    uint64_t own_requests = 0;
-    uint64_t own_prefill_tokens = 0;
+    OwnLoad own;
+    // Earlier values of `own`, back to the last report's time.
+    std::deque<OwnLoad> history;
+    // Reported load that neither this entry nor a peer accounts for.
+    uint64_t foreign_requests = 0;
+    double foreign_prefill_tokens = 0;
     PrefixIndex prefix;
   };
 
   void SumPeerShares();
+  PeerShare PeersOn(const EngineId& id) const;
+  static void RememberOwn(Time now, Engine& engine);
+  static OwnLoad OwnLoadAt(const Engine& engine, Time at);
   bool Carries(const Engine& engine, const RouteQuery& query) const;
   uint64_t InFlight(Time now, const EngineId& id, const Engine& engine) const;
   double PrefillBacklog(Time now, const EngineId& id,
--- a/lib/Routing/engine_router.cc
+++ b/lib/Routing/engine_router.cc
@@ -12,6 +12,8 @@
 // Rates of an engine that has not reported yet.
 constexpr double kDefaultPrefillTokensPerSecond = 10000;
 constexpr uint64_t kDefaultBatch = 8;
+// Changes of the own load that are remembered until the next report.
+constexpr size_t kMaxHistory = 4096;
 // Wait assumed for each request ahead of a full batch.
 constexpr milliseconds kWaitPerQueued{100};
 
@@ -38,6 +40,7 @@
                                   std::nullopt,
                                   Time{},
                                   {},
+                                  {},
                                   0,
                                   0,
                                   PrefixIndex(limits_.prefix_max_age,
@@ -77,10 +80,38 @@
   if (restarted) engine.prefix.Clear();
   engine.report = report;
   engine.report_asked = asked;
-  while (!engine.since_report.empty() &&
-         engine.since_report.front().at < asked) {
-    engine.since_report.pop_front();
+  const OwnLoad own = OwnLoadAt(engine, asked);
+  const PeerShare peers = PeersOn(id);
+  const uint64_t known = own.requests + peers.requests;
+  engine.foreign_requests =
+      report.in_flight > known ? report.in_flight - known : 0;
+  engine.foreign_prefill_tokens = std::max(
+      0.0, report.queued_prefill_tokens -
+               static_cast<double>(own.prefill_tokens + peers.prefill_tokens));
+  while (!engine.history.empty() && engine.history.front().at < asked) {
+    engine.history.pop_front();
+  }
+}
+
+PeerShare EngineRouter::PeersOn(const EngineId& id) const {
+  const auto it = peer_totals_.find(id);
+  return it == peer_totals_.end() ? PeerShare{} : it->second;
+}
+
+// Keeps the present value before it changes.
+void EngineRouter::RememberOwn(Time now, Engine& engine) {
+  OwnLoad before = engine.own;
+  before.at = now;
+  engine.history.push_back(before);
+  if (engine.history.size() > kMaxHistory) engine.history.pop_front();
+}
+
+// The value in force at `at` is the one that the first later change replaced.
+EngineRouter::OwnLoad EngineRouter::OwnLoadAt(const Engine& engine, Time at) {
+  for (const OwnLoad& load : engine.history) {
+    if (load.at >= at) return load;
   }
+  return engine.own;
 }
 
 void EngineRouter::OnCacheEvent(Time now, const EngineId& id,
@@ -112,31 +143,20 @@
 
 uint64_t EngineRouter::InFlight(Time now, const EngineId& id,
                                 const Engine& engine) const {
-  uint64_t known = engine.own_requests;
-  const auto it = peer_totals_.find(id);
-  if (it != peer_totals_.end()) known += it->second.requests;
+  const uint64_t known = engine.own.requests + PeersOn(id).requests;
   const bool fresh = now - engine.report_asked <= limits_.stale_report;
-  const uint64_t reported =
-      fresh && engine.report
-          ? engine.report->in_flight + engine.since_report.size()
-          : 0;
-  return std::max(known, reported);
+  return known + (fresh ? engine.foreign_requests : 0);
 }
 
 double EngineRouter::PrefillBacklog(Time now, const EngineId& id,
                                     const Engine& engine) const {
-  auto known = static_cast<double>(engine.own_prefill_tokens);
-  const auto it = peer_totals_.find(id);
-  if (it != peer_totals_.end()) {
-    known += static_cast<double>(it->second.prefill_tokens);
-  }
-  const bool fresh = now - engine.report_asked <= limits_.stale_report;
-  if (!fresh || !engine.report) return known;
-  double reported = engine.report->queued_prefill_tokens;
-  for (const Dispatch& dispatch : engine.since_report) {
-    reported += static_cast<double>(dispatch.tokens);
-  }
-  return std::max(known, reported);
+  const auto known = static_cast<double>(engine.own.prefill_tokens +
+                                         PeersOn(id).prefill_tokens);
+  if (!engine.report) return known;
+  // The engine has worked on it since.
+  const double worked = ToSeconds(now - engine.report_asked) *
+                        engine.report->prefill_tokens_per_s;
+  return known + std::max(0.0, engine.foreign_prefill_tokens - worked);
 }
 
 std::optional<RouteChoice> EngineRouter::Evaluate(
@@ -240,16 +260,18 @@
   const auto it = engines_.find(choice.engine);
   if (it == engines_.end()) return;
   Engine& engine = it->second;
-  ++engine.own_requests;
-  engine.own_prefill_tokens += choice.uncached_tokens;
-  engine.since_report.push_back({now, choice.uncached_tokens});
+  RememberOwn(now, engine);
+  ++engine.own.requests;
+  engine.own.prefill_tokens += choice.uncached_tokens;
   engine.prefix.OnDispatch(now, query.pieces);
 }
 
-void EngineRouter::OnFirstToken(const EngineId& id, uint64_t uncached_tokens) {
+void EngineRouter::OnFirstToken(Time now, const EngineId& id,
+                                uint64_t uncached_tokens) {
   const auto it = engines_.find(id);
   if (it == engines_.end()) return;
-  uint64_t& tokens = it->second.own_prefill_tokens;
+  RememberOwn(now, it->second);
+  uint64_t& tokens = it->second.own.prefill_tokens;
   tokens -= std::min(tokens, uncached_tokens);
 }
 
@@ -258,8 +280,9 @@
   const auto it = engines_.find(id);
   if (it == engines_.end()) return;
   Engine& engine = it->second;
-  if (engine.own_requests > 0) --engine.own_requests;
-  if (!had_first_token) OnFirstToken(id, uncached_tokens);
+  RememberOwn(now, engine);
+  if (engine.own.requests > 0) --engine.own.requests;
+  if (!had_first_token) OnFirstToken(now, id, uncached_tokens);
   const Address& address = engine.spec.address;
   if (!failed) return ejector_.OnSuccess(address);
   ejector_.OnFailure(now, address, engines_.size());
@@ -267,15 +290,15 @@
 
 uint64_t EngineRouter::OwnRequests(const EngineId& id) const {
   const auto it = engines_.find(id);
-  return it == engines_.end() ? 0 : it->second.own_requests;
+  return it == engines_.end() ? 0 : it->second.own.requests;
 }
 
 std::map<EngineId, PeerShare> EngineRouter::OwnShares() const {
   std::map<EngineId, PeerShare> shares;
   for (const auto& [id, engine] : engines_) {
-    if (engine.own_requests == 0) continue;
-    shares[id] = {static_cast<uint32_t>(engine.own_requests),
-                  engine.own_prefill_tokens};
+    if (engine.own.requests == 0) continue;
+    shares[id] = {static_cast<uint32_t>(engine.own.requests),
+                  engine.own.prefill_tokens};
   }
   return shares;
 }
--- a/lib/Serving/chat_task.cc
+++ b/lib/Serving/chat_task.cc
@@ -227,7 +227,7 @@
   Metrics& metrics = scheduler_.node().metrics();
   if (!attempt_.first_token) {
     attempt_.first_token = true;
-    scheduler_.router().OnFirstToken(attempt_.choice.engine,
+    scheduler_.router().OnFirstToken(now, attempt_.choice.engine,
                                      attempt_.choice.uncached_tokens);
     if (attempt_.kv_source.port != 0) CancelOnEngine(attempt_.kv_source);
     attempt_.kv_source = {};
