[Node][Fleet][Entry] Mend what a reading of the whole found

Causes: a diskless process that starts while the store is down was sent a note that it could not apply, and never the state (ReleaseFollowerTest); an open order of a withdrawn, dead engine kept all other engines from changing (EngineReconcilerTest); the id of a resume marker became part of a request line unchecked; an empty job id read all jobs; a caller could send a request on a connection that a stopping entry was about to close. Change: requests for state say that there is none; a withdrawn engine that is silent for 30 s is given up; ids are checked; a leaving entry answers with Connection: close.

--- a/include/corianderlink/Authority/engine_reconciler.h
+++ b/include/corianderlink/Authority/engine_reconciler.h
@@ -18,6 +18,10 @@
 struct EngineView {
   /// Nothing if the engine is not in force; then only open orders matter.
   std::optional<EngineConfig> wanted;
+  /// False once the engine was withdrawn.
+  bool in_force = true;
+  /// Since when this process watches the engine.
+  Time watched_since{};
   /// The order row as the lease holder read or wrote it last.
   std::optional<OrderRecord> order;
   /// The engine's latest report.
--- a/include/corianderlink/Fleet/engine_keeper.h
+++ b/include/corianderlink/Fleet/engine_keeper.h
@@ -23,6 +23,8 @@
   std::optional<EngineReport> report;
   Time report_asked{};
 
+  /// When the order row was read.
+  Time watched_since{};
   /// The order row as read or written last.
   std::optional<OrderRecord> order;
   RowVersion order_version = 0;
--- a/include/corianderlink/Http/http_exchange.h
+++ b/include/corianderlink/Http/http_exchange.h
@@ -39,6 +39,8 @@
   /// Value of a query parameter, or nothing.
   std::optional<std::string> Query(const std::string& name) const;
 
+  /// Tells the caller that the connection ends with the answer.
+  void CloseAfterReply();
   /// Sends a whole answer.
   void Reply(int status, const std::string& content_type,
              const std::string& body, const HttpHeaders& headers = {});
--- a/include/corianderlink/Node/release_follower.h
+++ b/include/corianderlink/Node/release_follower.h
@@ -20,8 +20,9 @@
   /// state.  Returns true if the state changed; `reason` says why not.
   bool OnUpdate(const wire::ReleaseUpdate& update, std::string& reason);
 
-  /// What a peer at `have_revision` needs next; nothing if it is up to date.
-  std::optional<wire::ReleaseUpdate> UpdateFor(Revision have_revision) const;
+  /// What a peer needs next; nothing if it is up to date.
+  std::optional<wire::ReleaseUpdate> UpdateFor(
+      const wire::ReleaseRequest& request) const;
   /// Remembers the note that led to a revision, for peers one behind.
   void RememberNote(Revision revision, const ReleaseNote& note);
 
--- a/lib/Authority/engine_reconciler.cc
+++ b/lib/Authority/engine_reconciler.cc
@@ -7,6 +7,9 @@
 namespace corianderlink {
 namespace {
 
+// A withdrawn engine that is silent this long is given up.
+constexpr seconds kGiveUpWithdrawn{30};
+
 EngineDecision Wait(std::string reason) {
   return {EngineDecision::Kind::kNone, {}, std::move(reason)};
 }
@@ -88,8 +91,16 @@
 }  // namespace
 
 EngineDecision DecideEngine(const EngineView& view, Time now) {
+  OrderRecord order = view.order.value_or(OrderRecord{});
+  // Nobody waits for a withdrawn engine that does not answer; its open order
+  // would keep all others from changing.
+  const Duration silent = now - std::max(view.report_asked, view.watched_since);
+  if (!view.in_force && IsOpen(order.phase) && silent > kGiveUpWithdrawn) {
+    order.phase = OrderPhase::kAbandoned;
+    order.fencing = view.fencing;
+    return Record(std::move(order), "withdrawn and silent; order abandoned");
+  }
   if (!view.report) return Wait("no report from the engine");
-  const OrderRecord order = view.order.value_or(OrderRecord{});
   if (order.phase == OrderPhase::kDraining) return DecideDraining(view, order);
   if (order.phase == OrderPhase::kSent) return DecideSent(view, order, now);
   if (!view.wanted) return Wait("not in force");
--- a/lib/Fleet/fleet_server.cc
+++ b/lib/Fleet/fleet_server.cc
@@ -195,6 +195,7 @@
   keeper.address = *address;
   keeper.order = record;
   keeper.order_version = row.version;
+  keeper.watched_since = BootClock::now();
 }
 
 void FleetServer::ReadOrder(const Address& engine) {
@@ -310,6 +311,8 @@
   if (keeper.busy) return;
   EngineView view;
   view.wanted = WantedConfig(keeper);
+  view.in_force = keeper.spec.has_value();
+  view.watched_since = keeper.watched_since;
   view.order = keeper.order;
   view.report = keeper.report;
   view.report_asked = keeper.report_asked;
--- a/lib/Http/http_exchange.cc
+++ b/lib/Http/http_exchange.cc
@@ -134,6 +134,12 @@
   self_.reset();
 }
 
+void HttpExchange::CloseAfterReply() {
+  if (request_ == nullptr) return;
+  evhttp_add_header(evhttp_request_get_output_headers(request_), "Connection",
+                    "close");
+}
+
 void HttpExchange::Reply(int status, const std::string& content_type,
                          const std::string& body, const HttpHeaders& headers) {
   if (request_ == nullptr || streaming_) return;
--- a/lib/Node/node.cc
+++ b/lib/Node/node.cc
@@ -112,8 +112,7 @@
       const auto& peers = peers_.peers();
       const auto it = peers.find(from);
       if (it == peers.end()) return;
-      auto update =
-          release_.UpdateFor(message.release_request().have_revision());
+      auto update = release_.UpdateFor(message.release_request());
       if (!update) return;
       wire::Envelope reply;
       *reply.mutable_release_update() = std::move(*update);
@@ -137,6 +136,7 @@
   if (behind) {
     wire::Envelope request;
     request.mutable_release_request()->set_have_revision(state().revision);
+    request.mutable_release_request()->set_needs_state(!release_.has_state());
     const auto address = Address::Parse(heartbeat.peer_address());
     if (address) bus_.Send(*address, request);
   }
--- a/lib/Node/release_follower.cc
+++ b/lib/Node/release_follower.cc
@@ -55,11 +55,14 @@
 }
 
 std::optional<wire::ReleaseUpdate> ReleaseFollower::UpdateFor(
-    Revision have_revision) const {
-  if (!has_state_ || have_revision >= state_.revision) return std::nullopt;
+    const wire::ReleaseRequest& request) const {
+  const Revision have_revision = request.have_revision();
+  const bool whole = request.needs_state();
+  if (!has_state_) return std::nullopt;
+  if (!whole && have_revision >= state_.revision) return std::nullopt;
   wire::ReleaseUpdate update;
   for (const RecentNote& note : recent_) {
-    if (note.revision != have_revision + 1) continue;
+    if (whole || note.revision != have_revision + 1) continue;
     update.set_revision(note.revision);
     update.set_note_json(note.json);
     return update;
--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -18,6 +18,7 @@
 constexpr milliseconds kStopPoll{100};
 constexpr milliseconds kCacheEventPoll{500};
 constexpr size_t kMaxKeyBytes = 256;
+constexpr size_t kJobIdChars = 32;
 
 HttpServerLimits LimitsOf(const NodeSettings& settings) {
   HttpServerLimits limits;
@@ -174,6 +175,9 @@
 void EntryServer::OnRequest(const Exchange& exchange) {
   const std::string& path = exchange->path();
   node_.metrics().Add("requests_total");
+  // A caller must not send its next request on a connection that this process
+  // is about to close.
+  if (node_.leaving()) exchange->CloseAfterReply();
   if (path == "/v1/entries") return OnEntries(exchange);
   if (path == "/health") return exchange->Reply(200, "text/plain", "ok\n");
   const auto account = Admit(exchange);
@@ -300,6 +304,13 @@
                  Outcome::NotRun("use POST to submit a job"));
   }
   const JobId id(exchange->path().substr(prefix.size()));
+  const bool valid =
+      id.value().size() == kJobIdChars &&
+      id.value().find_first_not_of("0123456789abcdef") == std::string::npos;
+  if (!valid) {
+    return Reply(exchange, 404, "Unknown job",
+                 Outcome::NotRun("a job's id has 32 hexadecimal digits"));
+  }
   const auto answer = [this, exchange](const JobLookup& lookup) {
     switch (lookup.kind) {
       case JobLookup::Kind::kFound:
@@ -338,10 +349,9 @@
   job.account = account.id;
   job.request = exchange->body();
   job.request_digest = Sha256Hex(account.id.value() + "\n" + exchange->body());
-  job.id = JobId(
-      key.empty()
-          ? node_.random().HexId()
-          : Sha256Hex(account.id.value() + "\njob\n" + key).substr(0, 32));
+  job.id = JobId(key.empty() ? node_.random().HexId()
+                             : Sha256Hex(account.id.value() + "\njob\n" + key)
+                                   .substr(0, kJobIdChars));
   jobs_.Submit(std::move(job), [this, exchange](const JobSubmission& result) {
     switch (result.kind) {
       case JobSubmission::Kind::kAccepted:
--- a/lib/Serving/resume_marker.cc
+++ b/lib/Serving/resume_marker.cc
@@ -32,6 +32,10 @@
   ResumeMarker marker;
   marker.engine = EngineId(text.substr(0, middle));
   marker.request = RequestId(text.substr(middle + 1, last - middle - 1));
+  // The id becomes part of a request line.
+  const bool plain = marker.request.value().find_first_not_of(
+                         "0123456789abcdef-") == std::string::npos;
+  if (!plain) return std::nullopt;
   const char* end = text.data() + text.size();
   const auto parsed =
       std::from_chars(text.data() + last + 1, end, marker.next_offset);
--- /dev/null
+++ b/unittests/Authority/engine_reconciler_test.cc
@@ -0,0 +1,70 @@
+// Tests of single decisions about an engine.
+#include "corianderlink/Authority/engine_reconciler.h"
+
+#include <gtest/gtest.h>
+
+namespace corianderlink {
+namespace {
+
+const Time kNow{seconds(1000)};
+
+EngineView OpenOrder(OrderPhase phase) {
+  EngineView view;
+  OrderRecord order;
+  order.sequence = 3;
+  order.phase = phase;
+  order.config.models.insert(ModelId("m"));
+  order.boot_id = "b";
+  view.order = order;
+  view.watched_since = kNow;
+  return view;
+}
+
+TEST(EngineReconcilerTest, WithdrawnSilentEngineDoesNotBlockTheOthers) {
+  EngineView view = OpenOrder(OrderPhase::kSent);
+  view.in_force = false;
+  EXPECT_EQ(DecideEngine(view, kNow + seconds(10)).kind,
+            EngineDecision::Kind::kNone);
+  const EngineDecision given_up = DecideEngine(view, kNow + seconds(31));
+  EXPECT_EQ(given_up.kind, EngineDecision::Kind::kRecord);
+  EXPECT_EQ(given_up.record.phase, OrderPhase::kAbandoned);
+  view.in_force = true;
+  EXPECT_EQ(DecideEngine(view, kNow + seconds(31)).kind,
+            EngineDecision::Kind::kNone);
+}
+
+TEST(EngineReconcilerTest, RestartedEngineGetsTheSameOrderAgain) {
+  EngineView view = OpenOrder(OrderPhase::kSent);
+  view.wanted = view.order->config;
+  view.report.emplace();
+  view.report->boot_id = "other";
+  const EngineDecision noticed = DecideEngine(view, kNow);
+  ASSERT_EQ(noticed.kind, EngineDecision::Kind::kRecord);
+  EXPECT_EQ(noticed.record.boot_id, "other");
+  EXPECT_EQ(noticed.record.sequence, 3u);
+  view.order = noticed.record;
+  view.all_entries_held = kNow;
+  view.report_asked = kNow + seconds(2);
+  EXPECT_EQ(DecideEngine(view, kNow + seconds(3)).kind,
+            EngineDecision::Kind::kSend);
+}
+
+TEST(EngineReconcilerTest, RequestsInProgressDelayAnInterruptingOrder) {
+  EngineView view = OpenOrder(OrderPhase::kDraining);
+  view.wanted = view.order->config;
+  view.report.emplace();
+  view.report->in_flight = 1;
+  view.all_entries_held = kNow;
+  view.report_asked = kNow + seconds(2);
+  EXPECT_EQ(DecideEngine(view, kNow + seconds(3)).reason,
+            "requests in progress");
+  view.report->in_flight = 0;
+  EXPECT_EQ(DecideEngine(view, kNow + seconds(3)).kind,
+            EngineDecision::Kind::kRecord);
+  view.report_asked = kNow;
+  EXPECT_EQ(DecideEngine(view, kNow + seconds(3)).kind,
+            EngineDecision::Kind::kNone);
+}
+
+}  // namespace
+}  // namespace corianderlink
--- a/unittests/Fleet/role_controller_test.cc
+++ b/unittests/Fleet/role_controller_test.cc
@@ -49,10 +49,19 @@
   RoleController controller(FewChanges());
   RoleView view{3, 9, false};
   Time now = kStart;
-  Drive(controller, view, 600, [](int) { return RoleDemand{2.5, 7.5}; }, now);
+  Drive(
+      controller, view, 600,
+      [](int) {
+        return RoleDemand{2.5, 7.5};
+      },
+      now);
   EXPECT_EQ(view.prefill, 3u);
   const int changes = Drive(
-      controller, view, 600, [](int) { return RoleDemand{7.5, 2.5}; }, now);
+      controller, view, 600,
+      [](int) {
+        return RoleDemand{7.5, 2.5};
+      },
+      now);
   EXPECT_GE(view.prefill, 7u);
   EXPECT_LE(changes, 6);
 }
@@ -74,8 +83,12 @@
   RoleController controller(FewChanges());
   RoleView view{1, 11, true};
   Time now = kStart;
-  EXPECT_EQ(Drive(controller, view, 600,
-                  [](int) { return RoleDemand{10, 1}; }, now),
+  EXPECT_EQ(Drive(
+                controller, view, 600,
+                [](int) {
+                  return RoleDemand{10, 1};
+                },
+                now),
             0);
 }
 
@@ -83,8 +96,12 @@
   RoleController controller(FewChanges());
   RoleView view{1, 1, false};
   Time now = kStart;
-  EXPECT_EQ(Drive(controller, view, 600,
-                  [](int) { return RoleDemand{10, 1}; }, now),
+  EXPECT_EQ(Drive(
+                controller, view, 600,
+                [](int) {
+                  return RoleDemand{10, 1};
+                },
+                now),
             0);
 }
 
--- a/unittests/Node/note_proof_test.cc
+++ b/unittests/Node/note_proof_test.cc
@@ -173,7 +173,9 @@
   // Digest: a peer that is ahead answers with what is missing.
   void Heartbeat(int i) {
     Process(i).Run(kHeartbeat, [this, i] {
-      const Revision have = Follower(i).state().revision;
+      wire::ReleaseRequest have;
+      have.set_have_revision(Follower(i).state().revision);
+      have.set_needs_state(!Follower(i).has_state());
       for (int to = 0; to < kProcesses && !naive; ++to) {
         if (to == i) continue;
         Send(i, to, [this, i, to, have] {
@@ -419,6 +421,30 @@
   return CheckAnswers(results, stored);
 }
 
+TEST(ReleaseFollowerTest, ProcessWithoutStateTakesTheWholeStateFromAPeer) {
+  ReleaseNote note;
+  note.id = NoteId("n");
+  note.added.models[ModelId("m")] = {"w"};
+  std::vector<JsonError> errors;
+  ReleaseFollower ahead;
+  ahead.OnState(*ApplyNote(DesiredState(), note, errors));
+  ahead.RememberNote(1, note);
+  ReleaseFollower fresh;
+  wire::ReleaseRequest request;
+  request.set_needs_state(true);
+  std::string reason;
+  // The note alone would not do: the process does not know what it is on top
+  // of.
+  EXPECT_TRUE(fresh.OnUpdate(ahead.UpdateFor(request).value(), reason))
+      << reason;
+  EXPECT_EQ(fresh.state(), ahead.state());
+  EXPECT_FALSE(ahead.UpdateFor([] {
+    wire::ReleaseRequest up_to_date;
+    up_to_date.set_have_revision(1);
+    return up_to_date;
+  }()));
+}
+
 TEST(NoteProof, AcceptedNotesAreInForceAndNeverRevert) {
   const auto gen = GenSchedule(4, kProcesses, 5000);
   const ProofTotals naive = RunSchedules(gen, RunSchedule<NaiveSubmission>);
--- a/unittests/Serving/answer_assembler_test.cc
+++ b/unittests/Serving/answer_assembler_test.cc
@@ -112,7 +112,8 @@
   EXPECT_TRUE(BelongsTo(request, account, "body"));
   EXPECT_FALSE(BelongsTo(request, account, "other"));
   EXPECT_FALSE(BelongsTo(request, AccountId("b"), "body"));
-  for (const char* text : {"", "~", "~~", "a~b", "a~b~c", "a~b~-1", "a~b~1x"}) {
+  for (const char* text : {"", "~", "~~", "a~b", "a~b~c", "a~b~-1", "a~b~1x",
+                           "a~b HTTP/1.1~1", "a~../x~1"}) {
     EXPECT_FALSE(DecodeResumeMarker(text)) << text;
   }
 }
