--- a/unittests/Http/http_client_test.cc
+++ b/unittests/Http/http_client_test.cc
@@ -124,8 +124,7 @@
 }
 
 TEST(HttpClientTest, SilentPeerMayHaveRunAtTheTimeout) {
-  std::atomic<bool> stop{false};
-  RawPeer peer([&](int fd) {
+  RawPeer peer([](int fd) {
     ReadRequest(fd);
     char end;
     const ssize_t n = read(fd, &end, 1);  // Until the client closes.
--- a/unittests/Process/local_fleet_test.cc
+++ b/unittests/Process/local_fleet_test.cc
@@ -17,8 +17,6 @@
 #include "corianderlink/Serving/sse_parser.h"
 #include "corianderlink/Wire/peer_bus.h"
 
-extern char** environ;
-
 namespace corianderlink {
 namespace {
 
