--- a/include/corianderlink/Fleet/fleet_server.h
+++ b/include/corianderlink/Fleet/fleet_server.h
@@ -37,6 +37,13 @@
     FencingNumber rows_fencing = 0;
   };
 
+  /// Engines whose role is chosen by the controller, and their demand.
+  struct RoleSnapshot {
+    RoleView view;
+    RoleDemand demand;
+    std::vector<const EngineKeeper*> engines;
+  };
+
   void Tick();
   void DriveLease(Shard& shard);
   void ChooseShards(Time now);
@@ -56,7 +63,9 @@
   void Record(EngineKeeper& keeper, const OrderRecord& record);
   void SendOrder(Time now, EngineKeeper& keeper, const OrderRecord& record);
   void OnOrderAnswer(const Address& engine, const HttpResponse& response);
+  RoleSnapshot TakeRoleSnapshot(Time now) const;
   void DecideRoles(Time now);
+  void RecordRole(const Address& engine, const std::string& role);
   void FillHeartbeat(wire::Heartbeat& heartbeat);
   void FillDump(Json& dump) const;
   bool OnAdmin(const Exchange& exchange);
--- a/include/corianderlink/Serving/entry_server.h
+++ b/include/corianderlink/Serving/entry_server.h
@@ -38,6 +38,16 @@
   void OnJobs(const Exchange& exchange, const CallerAccount& account);
   void SubmitJob(const Exchange& exchange, const CallerAccount& account);
   void OnService(const Exchange& exchange, const CallerAccount& account);
+  ChatTask::Options MakeOptions(const HttpExchange& exchange,
+                                const CallerAccount& account,
+                                ChatRequest request);
+  ChatCallbacks MakeCallbacks(const Exchange& exchange,
+                              const ChatTask::Options& options);
+  ServiceCall MakeCall(const HttpExchange& exchange,
+                       const CallerAccount& account, const ServiceId& service,
+                       const std::string& path);
+  void ReplyServiceResult(const Exchange& exchange, const RequestId& id,
+                          const ClaimResult& result);
   /// Checks what holds for every request; answers it if something is wrong.
   std::optional<CallerAccount> Admit(const Exchange& exchange);
   void Reply(const Exchange& exchange, int status, const std::string& title,
--- /dev/null
+++ b/include/corianderlink/Support/id_names.h
@@ -0,0 +1,20 @@
+// Sets of ids as arrays of names in JSON.
+#ifndef CORIANDERLINK_SUPPORT_ID_NAMES_H_
+#define CORIANDERLINK_SUPPORT_ID_NAMES_H_
+
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace corianderlink {
+
+/// The ids' texts, sorted.
+template <typename Id>
+nlohmann::json NamesOf(const std::set<Id>& ids) {
+  nlohmann::json names = nlohmann::json::array();
+  for (const Id& id : ids) names.push_back(id.value());
+  return names;
+}
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_SUPPORT_ID_NAMES_H_
--- a/lib/Authority/engine_report.cc
+++ b/lib/Authority/engine_report.cc
@@ -3,20 +3,11 @@
 
 #include <nlohmann/json.hpp>
 
-namespace corianderlink {
-namespace {
+#include "corianderlink/Support/id_names.h"
 
+namespace corianderlink {
 using Json = nlohmann::json;
 
-template <typename Id>
-Json NamesOf(const std::set<Id>& ids) {
-  Json names = Json::array();
-  for (const Id& id : ids) names.push_back(id.value());
-  return names;
-}
-
-}  // namespace
-
 Json ToJson(const EngineConfig& config) {
   return {{"role", config.role},
           {"models", NamesOf(config.models)},
--- a/lib/Fleet/fleet_server.cc
+++ b/lib/Fleet/fleet_server.cc
@@ -6,6 +6,7 @@
 
 #include "corianderlink/Http/problem.h"
 #include "corianderlink/Support/hash.h"
+#include "corianderlink/Support/id_names.h"
 #include "corianderlink/Support/log.h"
 
 namespace corianderlink {
@@ -19,6 +20,8 @@
 constexpr seconds kLongestBackoff{30};
 constexpr int kMaxDoublings = 8;
 constexpr seconds kLongestStop{10};
+// An engine without a report for this long counts as lost.
+constexpr seconds kLostEngine{3};
 constexpr char kOrdersPrefix[] = "orders/";
 constexpr char kFleetPrefix[] = "fleet/";
 constexpr char kTransitionKey[] = "fleet/transition";
@@ -45,6 +48,10 @@
   return limits;
 }
 
+bool IsPrefill(const EngineKeeper& keeper) {
+  return keeper.report && keeper.report->config.role == "prefill";
+}
+
 }  // namespace
 
 FleetServer::FleetServer(Node& node)
@@ -450,77 +457,82 @@
       {{"engine", engine.ToString()}, {"reason", keeper.last_reason}});
 }
 
-void FleetServer::DecideRoles(Time now) {
-  // The holder of the first shard decides for all.
-  LeaseHolder& lease = *shards_[0].lease;
-  if (!lease.Held(now) || roles_busy_ || !fleet_rows_read_) return;
+// Counts the engines whose role is chosen here, and the demand that entries
+// measured at admission, in units of one engine's work.
+FleetServer::RoleSnapshot FleetServer::TakeRoleSnapshot(Time now) const {
   double prompt_rate = 0;
   double output_rate = 0;
   for (const PeerState* peer : node_.peers().Live(now, "entry")) {
     prompt_rate += peer->heartbeat.prompt_tokens_per_s();
     output_rate += peer->heartbeat.output_tokens_per_s();
   }
-  RoleView view;
-  RoleDemand demand;
-  std::vector<const EngineKeeper*> autos;
+  RoleSnapshot snapshot;
+  snapshot.view.unsettled = !transition_.empty();
   for (const auto& [address, keeper] : keepers_) {
     const bool is_auto = keeper.spec && keeper.spec->role == EngineRole::kAuto;
     if (!is_auto) continue;
-    if (!keeper.report || keeper.report->away ||
-        now - keeper.report_asked > seconds(3)) {
-      view.unsettled = true;
+    const bool usable = keeper.report && !keeper.report->away &&
+                        now - keeper.report_asked <= kLostEngine;
+    if (!usable) {
+      snapshot.view.unsettled = true;
       continue;
     }
     const EngineReport& report = *keeper.report;
     const double decode_rate =
         static_cast<double>(report.max_batch) / (report.step_ms / 1000.0);
-    autos.push_back(&keeper);
-    demand.prefill_engines = prompt_rate / report.prefill_tokens_per_s;
-    demand.decode_engines = output_rate / decode_rate;
-    if (report.config.role == "prefill") {
-      ++view.prefill;
-    } else {
-      ++view.decode;
-    }
+    snapshot.engines.push_back(&keeper);
+    snapshot.demand = {prompt_rate / report.prefill_tokens_per_s,
+                       output_rate / decode_rate};
+    ++(IsPrefill(keeper) ? snapshot.view.prefill : snapshot.view.decode);
   }
-  if (autos.size() < 2) return;
-  if (!transition_.empty()) view.unsettled = true;
-  roles_.OnDemand(now, demand);
-  const auto change = roles_.Decide(now, view);
+  return snapshot;
+}
+
+void FleetServer::DecideRoles(Time now) {
+  // The holder of the first shard decides for all.
+  const bool decides =
+      shards_[0].lease->Held(now) && !roles_busy_ && fleet_rows_read_;
+  if (!decides) return;
+  const RoleSnapshot snapshot = TakeRoleSnapshot(now);
+  if (snapshot.engines.size() < 2) return;
+  roles_.OnDemand(now, snapshot.demand);
+  const auto change = roles_.Decide(now, snapshot.view);
   if (!change) return;
-  const std::string to =
-      *change == RoleChange::kToPrefill ? "prefill" : "decode";
+  const bool to_prefill = *change == RoleChange::kToPrefill;
   const EngineKeeper* chosen = nullptr;
-  for (const EngineKeeper* keeper : autos) {
-    const bool is_prefill = keeper->report->config.role == "prefill";
-    if (is_prefill == (to == "prefill")) continue;
+  for (const EngineKeeper* keeper : snapshot.engines) {
+    if (IsPrefill(*keeper) == to_prefill) continue;
     // The emptiest engine loses the least work.
     const bool better = chosen == nullptr ||
                         keeper->report->in_flight < chosen->report->in_flight;
     if (better) chosen = keeper;
   }
   if (chosen == nullptr) return;
+  roles_.OnChanged(now, *change);
+  RecordRole(chosen->address, to_prefill ? "prefill" : "decode");
+}
+
+void FleetServer::RecordRole(const Address& engine, const std::string& role) {
   Json roles = Json::object();
-  for (const auto& [address, role] : chosen_roles_) {
-    roles[address.ToString()] = role;
+  for (const auto& [address, chosen] : chosen_roles_) {
+    roles[address.ToString()] = chosen;
   }
-  roles[chosen->address.ToString()] = to;
+  roles[engine.ToString()] = role;
   TableTransaction txn;
   txn.conditions.push_back({kRolesKey, roles_version_});
   txn.writes.push_back({kRolesKey, roles.dump()});
   roles_busy_ = true;
-  roles_.OnChanged(now, *change);
-  const std::string engine = chosen->address.ToString();
-  lease.Enqueue(txn, [this, engine, to](const CommitResult& result) {
-    roles_busy_ = false;
-    node_.metrics().Add("role_changes_total");
-    Log(LogLevel::kInfo, "role_chosen",
-        {{"engine", engine},
-         {"role", to},
-         {"committed",
-          result.status == CommitStatus::kCommitted ? "yes" : "unclear"}});
-    ReadFleetRows();
-  });
+  shards_[0].lease->Enqueue(
+      txn, [this, engine, role](const CommitResult& result) {
+        roles_busy_ = false;
+        node_.metrics().Add("role_changes_total");
+        const bool committed = result.status == CommitStatus::kCommitted;
+        Log(LogLevel::kInfo, "role_chosen",
+            {{"engine", engine.ToString()},
+             {"role", role},
+             {"committed", committed ? "yes" : "unclear"}});
+        ReadFleetRows();
+      });
 }
 
 void FleetServer::FillHeartbeat(wire::Heartbeat& heartbeat) {
@@ -550,11 +562,7 @@
       engine["role"] = keeper.report->config.role;
       engine["away"] = keeper.report->away;
       engine["in_flight"] = keeper.report->in_flight;
-      Json models = Json::array();
-      for (const ModelId& model : keeper.report->config.models) {
-        models.push_back(model.value());
-      }
-      engine["models"] = models;
+      engine["models"] = NamesOf(keeper.report->config.models);
       const auto wanted = WantedConfig(keeper);
       engine["as_wanted"] = wanted && *wanted == keeper.report->config;
     }
--- a/lib/Release/items.cc
+++ b/lib/Release/items.cc
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "corianderlink/Support/id_names.h"
+
 namespace corianderlink {
 namespace {
 
@@ -17,13 +19,6 @@
   return ids;
 }
 
-template <typename Id>
-Json NamesOf(const std::set<Id>& ids) {
-  Json names = Json::array();
-  for (const Id& id : ids) names.push_back(id.value());
-  return names;
-}
-
 ModelSpec ParseModel(JsonReader& reader) {
   return {reader.RequiredString("weights")};
 }
--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -243,24 +243,41 @@
                  Outcome::NotRun("too many requests of this account"),
                  seconds(1) + FromSeconds(node_.random().Uniform()));
   }
-  const Time now = BootClock::now();
+  ChatTask::Options options =
+      MakeOptions(*exchange, account, std::move(*request));
+  ChatCallbacks callbacks = MakeCallbacks(exchange, options);
+  const auto task = scheduler_.Start(std::move(options), std::move(callbacks));
+  const std::weak_ptr<ChatTask> weak = task;
+  exchange->signal_caller_left.connect([weak] {
+    if (const auto running = weak.lock()) running->Cancel();
+  });
+}
+
+ChatTask::Options EntryServer::MakeOptions(const HttpExchange& exchange,
+                                           const CallerAccount& account,
+                                           ChatRequest request) {
   ChatTask::Options options;
   options.account = account.id;
   options.account_weight = account.spec.weight;
-  options.arrived = now;
-  options.deadline = now + request->deadline.value_or(DefaultDeadline(
-                               node_.settings().requests, request->cls));
+  options.arrived = BootClock::now();
+  options.deadline =
+      options.arrived + request.deadline.value_or(DefaultDeadline(
+                            node_.settings().requests, request.cls));
   options.id = MakeRequestId(node_.random().HexId().substr(0, 16), account.id,
-                             exchange->body());
-  const auto marker = DecodeResumeMarker(exchange->Header("Last-Event-ID"));
-  if (marker) {
-    options.start_offset = marker->next_offset;
-    if (BelongsTo(marker->request, account.id, exchange->body())) {
-      options.resume = marker;
-      options.id = marker->request;
-    }
-  }
-  options.request = std::move(*request);
+                             exchange.body());
+  options.request = std::move(request);
+  const auto marker = DecodeResumeMarker(exchange.Header("Last-Event-ID"));
+  if (!marker) return options;
+  options.start_offset = marker->next_offset;
+  // A marker of another account or body only says where to go on.
+  if (!BelongsTo(marker->request, account.id, exchange.body())) return options;
+  options.resume = marker;
+  options.id = marker->request;
+  return options;
+}
+
+ChatCallbacks EntryServer::MakeCallbacks(const Exchange& exchange,
+                                         const ChatTask::Options& options) {
   const auto reply = std::make_shared<ChatReply>(
       exchange, options.id, options.request,
       static_cast<size_t>(node_.settings().limits.max_stream_backlog_bytes));
@@ -274,25 +291,22 @@
       exchange->signal_caller_left.emit();
     });
   };
-  const std::string request_id = options.id.value();
+  const std::string id = options.id.value();
   const std::string cls = ToString(options.request.cls);
-  callbacks.on_end = [this, reply, request_id, cls, now](const ChatEnd& end) {
+  const Time arrived = options.arrived;
+  callbacks.on_end = [this, reply, id, cls, arrived](const ChatEnd& end) {
     reply->OnEnd(end);
     node_.metrics().Add("chats_total{class=\"" + cls + "\",status=\"" +
                         std::to_string(end.status) + "\"}");
     Log(LogLevel::kInfo, "chat_ended",
-        {{"request", request_id},
+        {{"request", id},
          {"class", cls},
          {"status", end.status},
          {"verdict", ToString(end.outcome.verdict)},
          {"reason", end.outcome.reason},
-         {"ms", ToMillis(BootClock::now() - now)}});
+         {"ms", ToMillis(BootClock::now() - arrived)}});
   };
-  const auto task = scheduler_.Start(std::move(options), std::move(callbacks));
-  const std::weak_ptr<ChatTask> weak = task;
-  exchange->signal_caller_left.connect([weak] {
-    if (const auto running = weak.lock()) running->Cancel();
-  });
+  return callbacks;
 }
 
 void EntryServer::OnJobs(const Exchange& exchange,
@@ -383,18 +397,9 @@
     return Reply(exchange, 404, "Unknown service",
                  Outcome::NotRun("no such service is in force"));
   }
-  ServiceCall call;
-  call.id = RequestId(node_.random().HexId());
-  call.account = account.id;
-  call.service = service;
-  call.method = exchange->method();
   const std::string path =
       slash == std::string::npos ? "/" : rest.substr(slash);
-  call.target =
-      path + (exchange->query().empty() ? "" : "?") + exchange->query();
-  call.content_type = exchange->Header("Content-Type");
-  call.body = exchange->body();
-  call.key = exchange->Header("Idempotency-Key");
+  ServiceCall call = MakeCall(*exchange, account, service, path);
   if (call.key.size() > kMaxKeyBytes) {
     return Reply(exchange, 400, "Invalid key",
                  Outcome::NotRun("Idempotency-Key is longer than 256 bytes"));
@@ -404,29 +409,10 @@
     call.idempotent = declared->idempotent;
     call.not_run_statuses = declared->not_run_statuses;
   }
-  call.deadline = BootClock::now() + node_.settings().requests.service_timeout;
-  const std::string request_id = call.id.value();
+  const RequestId id = call.id;
   const auto task = gateway_.Start(
-      std::move(call), [this, exchange, request_id](const ClaimResult& result) {
-        Log(LogLevel::kInfo, "service_call_ended",
-            {{"request", request_id},
-             {"status", result.answer.status},
-             {"reason", result.reason}});
-        switch (result.kind) {
-          case ClaimResult::Kind::kAnswer:
-            exchange->Reply(result.answer.status, result.answer.content_type,
-                            result.answer.body, {{"X-Request-Id", request_id}});
-            return;
-          case ClaimResult::Kind::kNotRun:
-            return Reply(exchange, 503, "Call not run",
-                         Outcome::NotRun(result.reason), seconds(1));
-          case ClaimResult::Kind::kMayHaveRun:
-            return Reply(exchange, 502, "Call may have run",
-                         Outcome::MayHaveRun(result.reason), seconds(1));
-          case ClaimResult::Kind::kKeyReused:
-            return Reply(exchange, 422, "Key reused",
-                         Outcome::NotRun(result.reason));
-        }
+      std::move(call), [this, exchange, id](const ClaimResult& result) {
+        ReplyServiceResult(exchange, id, result);
       });
   const std::weak_ptr<ServiceTask> weak = task;
   exchange->signal_caller_left.connect([weak] {
@@ -434,6 +420,46 @@
   });
 }
 
+ServiceCall EntryServer::MakeCall(const HttpExchange& exchange,
+                                  const CallerAccount& account,
+                                  const ServiceId& service,
+                                  const std::string& path) {
+  ServiceCall call;
+  call.id = RequestId(node_.random().HexId());
+  call.account = account.id;
+  call.service = service;
+  call.method = exchange.method();
+  call.target = path + (exchange.query().empty() ? "" : "?") + exchange.query();
+  call.content_type = exchange.Header("Content-Type");
+  call.body = exchange.body();
+  call.key = exchange.Header("Idempotency-Key");
+  call.deadline = BootClock::now() + node_.settings().requests.service_timeout;
+  return call;
+}
+
+void EntryServer::ReplyServiceResult(const Exchange& exchange,
+                                     const RequestId& id,
+                                     const ClaimResult& result) {
+  Log(LogLevel::kInfo, "service_call_ended",
+      {{"request", id.value()},
+       {"status", result.answer.status},
+       {"reason", result.reason}});
+  switch (result.kind) {
+    case ClaimResult::Kind::kAnswer:
+      exchange->Reply(result.answer.status, result.answer.content_type,
+                      result.answer.body, {{"X-Request-Id", id.value()}});
+      return;
+    case ClaimResult::Kind::kNotRun:
+      return Reply(exchange, 503, "Call not run",
+                   Outcome::NotRun(result.reason), seconds(1));
+    case ClaimResult::Kind::kMayHaveRun:
+      return Reply(exchange, 502, "Call may have run",
+                   Outcome::MayHaveRun(result.reason), seconds(1));
+    case ClaimResult::Kind::kKeyReused:
+      return Reply(exchange, 422, "Key reused", Outcome::NotRun(result.reason));
+  }
+}
+
 bool EntryServer::OnAdmin(const Exchange& exchange) {
   if (exchange->path() != "/v1/drain" || exchange->method() != "POST") {
     return false;
--- a/tools/corianderlink-experiment/admission.cc
+++ b/tools/corianderlink-experiment/admission.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <vector>
 
+#include "common/quantile.h"
 #include "corianderlink-experiment/event_queue.h"
 #include "corianderlink/Routing/admission_queue.h"
 
@@ -220,12 +221,7 @@
   AdmissionResult result_;
 };
 
-double P95(std::vector<double> values) {
-  if (values.empty()) return 0;
-  std::sort(values.begin(), values.end());
-  return values[static_cast<size_t>(0.95 *
-                                    static_cast<double>(values.size() - 1))];
-}
+double P95(const std::vector<double>& values) { return Quantile(values, 0.95); }
 
 double Jain(const std::map<std::string, double>& served) {
   double sum = 0;
--- a/tools/corianderlink-experiment/routing.cc
+++ b/tools/corianderlink-experiment/routing.cc
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "common/quantile.h"
 #include "corianderlink-experiment/event_queue.h"
 #include "corianderlink/Routing/engine_router.h"
 #include "corianderlink/Support/prompt_pieces.h"
@@ -218,12 +219,7 @@
   RoutingResult result_;
 };
 
-double P95(std::vector<double> values) {
-  if (values.empty()) return 0;
-  std::sort(values.begin(), values.end());
-  return values[static_cast<size_t>(0.95 *
-                                    static_cast<double>(values.size() - 1))];
-}
+double P95(const std::vector<double>& values) { return Quantile(values, 0.95); }
 
 }  // namespace
 
--- a/tools/corianderlink-load/load_stats.h
+++ b/tools/corianderlink-load/load_stats.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <vector>
 
+#include "common/quantile.h"
+
 namespace corianderlink {
 
 /// Counts and latencies of one class.
@@ -26,15 +28,6 @@
   std::vector<double> gap_ms;
 };
 
-inline double Quantile(std::vector<double> values, double q) {
-  if (values.empty()) return 0;
-  const auto index =
-      static_cast<size_t>(q * static_cast<double>(values.size() - 1) + 0.5);
-  std::nth_element(values.begin(), values.begin() + static_cast<int64_t>(index),
-                   values.end());
-  return values[index];
-}
-
 inline nlohmann::json ToJson(const ClassStats& stats, double seconds) {
   const uint64_t good = stats.served - std::min(stats.served, stats.late);
   return {{"sent", stats.sent},
