--- a/tools/corianderlink-experiment/capacity.cc
+++ b/tools/corianderlink-experiment/capacity.cc
@@ -65,8 +65,9 @@
   for (const Point& p : points) {
     sizes.push_back({p.size, value(p)});
     const double fitted = base + slope * p.size;
-    if (value(p) > 0)
+    if (value(p) > 0) {
       error = std::max(error, std::abs(fitted - value(p)) / value(p));
+    }
   }
   std::cout << nlohmann::json{{"item", item},           {"unit", unit},
                               {"per_item", slope},      {"base", base},
--- a/unittests/Authority/order_gate_test.cc
+++ b/unittests/Authority/order_gate_test.cc
@@ -114,8 +114,9 @@
   EXPECT_EQ(send(pair.near, filler.data(), filler.size(), MSG_DONTWAIT),
             static_cast<ssize_t>(filler.size()));
   std::optional<int> handle;
-  if (gated)
+  if (gated) {
     handle = gate.Arm(pair.near, BootClock::now() + kLease, seconds(5));
+  }
   const std::string order = "ORDER";
   EXPECT_EQ(
       send(pair.near, order.data(), order.size(), MSG_DONTWAIT | MSG_NOSIGNAL),
--- a/unittests/Serving/claim_proof_test.cc
+++ b/unittests/Serving/claim_proof_test.cc
@@ -285,8 +285,9 @@
 std::string CheckRecord(const World& world,
                         const std::vector<AttemptResult>& attempts) {
   const auto& effects = world.service.effects;
-  if (effects.size() > 1)
+  if (effects.size() > 1) {
     return "ran " + std::to_string(effects.size()) + " times";
+  }
   for (size_t i = 0; i < attempts.size(); ++i) {
     if (!attempts[i].ended) continue;
     const ClaimResult& result = attempts[i].result;
