--- a/lib/Serving/chat_reply.cc
+++ b/lib/Serving/chat_reply.cc
@@ -1,6 +1,7 @@
 // Writes the answer of a model request to its caller.
 #include "chat_reply.h"
 
+#include <ctime>
 #include <utility>
 
 #include "corianderlink/Http/problem.h"
@@ -42,6 +43,7 @@
   const Json body = {
       {"id", id_.value()},
       {"object", "chat.completion"},
+      {"created", std::time(nullptr)},
       {"model", model_},
       {"choices",
        {{{"index", 0},
--- a/tools/standin-engine/engine.cc
+++ b/tools/standin-engine/engine.cc
@@ -2,6 +2,7 @@
 #include "standin-engine/engine.h"
 
 #include <algorithm>
+#include <ctime>
 #include <utility>
 
 #include "corianderlink/Support/prompt_pieces.h"
@@ -156,6 +157,7 @@
 void StandinEngine::SendToken(Stream& stream, uint64_t index) {
   const Json data = {{"id", stream.request_id},
                      {"object", "chat.completion.chunk"},
+                     {"created", std::time(nullptr)},
                      {"model", stream.model},
                      {"choices",
                       {{{"index", 0},
@@ -169,6 +171,7 @@
 void StandinEngine::FinishStream(Stream& stream) {
   const Json data = {{"id", stream.request_id},
                      {"object", "chat.completion.chunk"},
+                     {"created", std::time(nullptr)},
                      {"model", stream.model},
                      {"choices",
                       {{{"index", 0},
--- a/unittests/Process/bad_input_test.cc
+++ b/unittests/Process/bad_input_test.cc
@@ -67,6 +67,11 @@
         Call(fleet_.entry(0), "POST", "/v1/chat/completions",
              LocalFleet::Chat("hello", 3, false));
     EXPECT_EQ(chat.status, 200) << chat.body;
+    const Json json = Json::parse(chat.body, nullptr, false);
+    // Members that public clients of the convention read.
+    for (const char* member : {"id", "object", "created", "model", "choices"}) {
+      EXPECT_TRUE(json.contains(member)) << member;
+    }
   }
 
   std::string Post(const std::string& target, const std::string& body) {
--- a/utils/demo.py
+++ b/utils/demo.py
@@ -175,7 +175,10 @@
             print("try: curl -N http://%s/v1/chat/completions -d '%s'" %
                   (fleet.entry(0), json.dumps(chat("Hello", stream=True))))
             print("logs: %s; interrupt to stop" % fleet.directory, flush=True)
-            signal.sigwait({signal.SIGINT, signal.SIGTERM})
+            # Blocked only now: the processes started before inherit no mask.
+            stop = {signal.SIGINT, signal.SIGTERM}
+            signal.pthread_sigmask(signal.SIG_BLOCK, stop)
+            signal.sigwait(stop)
             return 0
         show_urgent_stream(fleet)
         show_job(fleet)
