[Serving] Bound what a long stream keeps for its continuation

Cause: every delivered event was kept until the end, some 180 bytes a token, so that one caller with a million tokens held 180 MB of the entry. Change: beyond 128 KiB events are reduced to their text. The text goes to the next engine only if this entry delivered it from the start; the stand-in refuses a text that is not the answer so far, so that the process test of a killed engine checks it.

--- a/include/corianderlink/Serving/chat_task.h
+++ b/include/corianderlink/Serving/chat_task.h
@@ -123,6 +123,9 @@
   AnswerAssembler assembler_;
   Attempt attempt_;
   EventHandle idle_timer_;
+  // What was delivered, for a continuation on another engine: text, and behind
+  // it events that were not reduced to text yet.
+  std::string delivered_text_;
   std::string delivered_events_;
   std::string last_data_;
   AttemptHistory history_;
--- a/lib/Serving/chat_task.cc
+++ b/lib/Serving/chat_task.cc
@@ -20,6 +20,9 @@
 constexpr milliseconds kRequeueDelay{50};
 constexpr seconds kMaxAttemptTime{3600};
 constexpr seconds kCancelTimeout{2};
+// Delivered events are kept as they came up to this size, then as text, which
+// takes a small part of it.
+constexpr size_t kFoldBytes = 128 * 1024;
 constexpr char kDone[] = "[DONE]";
 
 // Statuses by which an engine's contract says that it did not start.
@@ -103,7 +106,8 @@
   const uint64_t offset = assembler_.next_offset();
   if (offset > 0) {
     body["continue_at"] = offset;
-    body["continue_text"] = DeliveredText();
+    // After a resume through this entry only the caller knows the beginning.
+    if (options_.start_offset == 0) body["continue_text"] = DeliveredText();
   }
   const bool moved = attempt_.kv_source.port != 0;
   if (moved) body["kv_source"] = attempt_.kv_source.ToString();
@@ -121,7 +125,7 @@
 // Concatenates the text of the delivered events.  Only needed when an attempt
 // is continued on another engine.
 std::string ChatTask::DeliveredText() const {
-  std::string text;
+  std::string text = delivered_text_;
   size_t at = 0;
   while (at < delivered_events_.size()) {
     const size_t end = delivered_events_.find('\n', at);
@@ -243,6 +247,10 @@
   last_token_ = now;
   delivered_events_ += data;
   delivered_events_ += '\n';
+  if (delivered_events_.size() > kFoldBytes) {
+    delivered_text_ = DeliveredText();
+    delivered_events_.clear();
+  }
   const ResumeMarker marker{attempt_.choice.engine, options_.id,
                             assembler_.next_offset()};
   callbacks_.on_event(EncodeResumeMarker(marker), data);
--- a/tools/standin-engine/engine.cc
+++ b/tools/standin-engine/engine.cc
@@ -116,6 +116,10 @@
   stream->max_tokens = body.value("max_tokens", uint64_t{16});
   const uint64_t offset = body.value("continue_at", uint64_t{0});
   stream->produced = offset;
+  const std::string so_far = stream->text.First(offset);
+  if (body.value("continue_text", so_far) != so_far) {
+    return ReplyError(*exchange, 400, "continue_text is not the answer so far");
+  }
   const auto pieces = PieceHashes(model, stream->prompt);
   const uint64_t cached = cache_.Hits(pieces) * kPieceTokens;
   stream->prefill_left = static_cast<double>(
