[Http] Restore a connection's timeout and priority after each request

Cause, found by reading: the timeouts that are lifted while a request is handled, and the low priority of a stream, stayed for the connection's further requests; an idle caller kept its connection for ever. Change: both are restored when the answer is complete; idle connections are closed after 60 s. Test: BadInputTest.ConnectionCarriesFurtherRequestsAfterAStream; the 60 s were not waited for.

--- a/include/corianderlink/Http/event_loop.h
+++ b/include/corianderlink/Http/event_loop.h
@@ -17,6 +17,8 @@
 /// Priority of sockets that stream an answer.  All other events go first, so
 /// that a burst of tokens does not delay new requests.
 constexpr int kStreamPriority = 3;
+/// Priority of everything else.
+constexpr int kDefaultPriority = 2;
 
 /// A pending timer, descriptor watch or signal handler; destroying it cancels.
 class EventHandle {
--- a/lib/Http/event_loop.cc
+++ b/lib/Http/event_loop.cc
@@ -33,8 +33,9 @@
   return tv;
 }
 
-// Events get the middle priority unless they are set lower.
+// Events get the middle one, kDefaultPriority, unless they are set lower.
 constexpr int kPriorities = 4;
+static_assert(kDefaultPriority == kPriorities / 2);
 // Streaming callbacks that run before other events are looked for.
 constexpr int kStreamCallbacksPerTurn = 16;
 
--- a/lib/Http/http_exchange.cc
+++ b/lib/Http/http_exchange.cc
@@ -14,6 +14,9 @@
 
 // Bytes that a caller may send ahead while its request is being answered.
 constexpr size_t kMaxReadAheadBytes = 16 * 1024;
+// An idle connection, or one that does not take the rest of its answer, is
+// closed after this time.
+constexpr int kIdleTimeoutSeconds = 60;
 
 const char* MethodName(evhttp_cmd_type type) {
   switch (type) {
@@ -129,6 +132,11 @@
   evhttp_connection* connection = evhttp_request_get_connection(request_);
   if (connection != nullptr) {
     evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    // The connection may carry another request: what WatchCaller and SendChunk
+    // changed for this one ends with it.
+    evhttp_connection_set_timeout(connection, kIdleTimeoutSeconds);
+    bufferevent_priority_set(evhttp_connection_get_bufferevent(connection),
+                             kDefaultPriority);
   }
   request_ = nullptr;
   self_.reset();
--- a/unittests/Process/bad_input_test.cc
+++ b/unittests/Process/bad_input_test.cc
@@ -146,6 +146,16 @@
   ExpectServes();
 }
 
+TEST_F(BadInputTest, ConnectionCarriesFurtherRequestsAfterAStream) {
+  RawCaller caller(fleet_.entry(0));
+  const std::string body = LocalFleet::Chat("first", 5, true);
+  for (int i = 0; i < 3; ++i) {
+    caller.Send("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: " +
+                std::to_string(body.size()) + "\r\n\r\n" + body);
+    EXPECT_NE(caller.ReadUntil("0\r\n\r\n").find("[DONE]"), std::string::npos);
+  }
+}
+
 TEST_F(BadInputTest, CallerThatLeavesFreesItsEngine) {
   const HttpResponse broken =
       Call(fleet_.entry(0), "POST", "/v1/chat/completions",
