--- /dev/null
+++ b/include/corianderlink/Gateway/gateway.h
@@ -0,0 +1,104 @@
+// The gateway process: serves clients, the directory and readiness checks.
+#ifndef CORIANDERLINK_GATEWAY_GATEWAY_H_
+#define CORIANDERLINK_GATEWAY_GATEWAY_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "corianderlink/Gateway/gateway_config.h"
+#include "corianderlink/Gateway/gateway_peers.h"
+#include "corianderlink/Gateway/gateway_settings.h"
+#include "corianderlink/Gateway/placer.h"
+#include "corianderlink/Gateway/record_codec.h"
+#include "corianderlink/Gateway/record_store.h"
+#include "corianderlink/Gateway/relay_codec.h"
+#include "corianderlink/Gateway/relay_task.h"
+#include "corianderlink/Gateway/retry_window.h"
+#include "corianderlink/Gateway/route_table.h"
+#include "corianderlink/Http/event_loop.h"
+#include "corianderlink/Http/http_server.h"
+#include "corianderlink/Http1/front_server.h"
+#include "corianderlink/Http1/upstream_pool.h"
+#include "corianderlink/Support/metrics.h"
+#include "corianderlink/Support/random.h"
+
+namespace corianderlink {
+
+/// How the platform names and formats things.
+struct GatewayCodecs {
+  RelayCodec relay;
+  RecordCodec records;
+  DirectoryCodec directory;
+  /// Path of readiness checks.
+  std::string ready_path;
+};
+
+class Gateway {
+ public:
+  Gateway(EventLoop& loop, GatewaySettings settings, GatewayCodecs codecs);
+
+  /// Binds all addresses.  False, with a reason, if one cannot be bound.
+  bool Start(std::string& reason);
+  /// Takes settings that may change while running.
+  void Reload(const GatewaySettings& settings);
+  /// Begins a planned stop: no request is cut.  The loop ends when it is over.
+  void BeginStop();
+
+  /// News from the store.
+  void OnConfigRecords(const std::vector<StoreRecord>& records);
+  void OnAllUpstreams(const std::vector<StoreRecord>& records);
+  void OnUpstreamChanges(const std::vector<StoreRecord>& records);
+  void OnGatewayRecords(const std::vector<StoreRecord>& records);
+  void OnUpstreamTableReachable(bool reachable);
+
+  /// Key and value of this process's record in the table of gateways.
+  StoreRecord OwnRecord() const;
+  /// True if requests can be served.
+  bool ready() const;
+
+ private:
+  void OnRequest(const std::shared_ptr<InboundExchange>& exchange);
+  const WeightedService* PickService(const RouteSpec& route);
+  bool TakeRetry(Time now, const ServiceId& service);
+  Duration UsualWait(const RouteSpec& route, Duration wait);
+  void OnDirectory(const std::shared_ptr<HttpExchange>& exchange);
+  void OnAdmin(const std::shared_ptr<HttpExchange>& exchange);
+  GatewayStatus Status(Time now) const;
+  std::optional<UpstreamRecord> DecodeUpstream(const StoreRecord& record);
+  void Apply(std::shared_ptr<const GatewayConfig> config);
+  void Housekeeping();
+  void ContinueStop();
+  std::string Dump(Time now) const;
+
+  EventLoop& loop_;
+  GatewaySettings settings_;
+  const GatewayCodecs codecs_;
+  RandomSource random_;
+  const ProcessId self_;
+  Metrics metrics_;
+  UpstreamPool pool_;
+  Placer placer_;
+  GatewayPeers peers_;
+  FrontServer front_;
+  HttpServer ready_server_;
+  HttpServer directory_server_;
+  HttpServer admin_server_;
+  RelayContext relay_context_;
+  std::shared_ptr<const GatewayConfig> config_;
+  RouteTable routes_;
+  std::map<ServiceId, RetryWindow> retries_;
+  std::map<RouteId, Duration> longest_wait_;
+  // Reasons already logged for records that cannot be read, by key.
+  std::map<std::string, std::string> malformed_;
+  bool upstreams_loaded_ = false;
+  bool leaving_ = false;
+  Time leaving_since_{};
+  EventHandle housekeeping_;
+  EventHandle stop_timer_;
+};
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/include/corianderlink/Gateway/placer.h
@@ -0,0 +1,122 @@
+// Chooses the upstream for a request, or refuses it at once.
+//
+// Answers the load of a flood on a fixed fleet: each request goes where its
+// first token is predicted soonest.  One that cannot meet its objective waits
+// behind those that can, and one that would miss its deadline is refused with
+// the time after which there will be room.
+#ifndef CORIANDERLINK_GATEWAY_PLACER_H_
+#define CORIANDERLINK_GATEWAY_PLACER_H_
+
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "corianderlink/Gateway/gateway_config.h"
+#include "corianderlink/Gateway/prefix_cache_model.h"
+#include "corianderlink/Gateway/prompt.h"
+#include "corianderlink/Gateway/speed_model.h"
+#include "corianderlink/Gateway/upstream_directory.h"
+#include "corianderlink/Gateway/upstream_load.h"
+#include "corianderlink/Routing/ejector.h"
+
+namespace corianderlink {
+
+/// A model request as the placer sees it.
+struct PlacementQuery {
+  ServiceId service;
+  const EngineTraits* engine = nullptr;
+  const Prompt* prompt = nullptr;
+  /// Time left to the first token for a full success; may be negative.
+  double objective_left_ms = 0;
+  /// Time left to the end of the answer.
+  double deadline_left_ms = 0;
+  /// Upstreams that already failed or refused this request.
+  const std::set<UpstreamId>* excluded = nullptr;
+};
+
+/// Where a request goes.
+struct Placement {
+  UpstreamRecord upstream;
+  WorkTier tier = WorkTier::kTimely;
+  /// The upstream only computes the prompt; another one generates.
+  bool prefill_only = false;
+  double cost_ms = 0;
+  /// Until the prompt is computed, waiting included.
+  double predicted_ms = 0;
+};
+
+/// Either a placement or a refusal.
+struct PlacementResult {
+  std::optional<Placement> placement;
+  std::string reason;
+  /// When there should be room, if refused.
+  Duration retry_after{};
+};
+
+struct PlacerLimits {
+  /// Share of the time to the objective that a prediction may take.
+  double objective_share = 0.6;
+  /// The same for the deadline of requests that miss their objective.
+  double deadline_share = 0.5;
+  /// An upstream that computed nothing for this long is avoided.
+  Duration stall = milliseconds(400);
+};
+
+class Placer {
+ public:
+  Placer(PlacerLimits limits, EjectorLimits ejector, Duration peer_timeout,
+         ZoneId own_zone);
+
+  /// An upstream of a plain service, or a refusal.
+  PlacementResult PlacePlain(Time now, const ServiceId& service,
+                             const std::set<UpstreamId>& excluded) const;
+  /// The upstream that computes a prompt, or a refusal.
+  PlacementResult PlacePrompt(Time now, const PlacementQuery& query) const;
+  /// The upstream that generates from a prompt computed at `source`.
+  PlacementResult PlaceGeneration(Time now, const PlacementQuery& query,
+                                  const UpstreamRecord& source) const;
+
+  DispatchId OnDispatch(Time now, const Placement& placement,
+                        const PlacementQuery* query);
+  /// The prompt was computed `observed_ms` after the dispatch.
+  void OnComputed(Time now, const Placement& placement, DispatchId id,
+                  double observed_ms);
+  void OnEnd(Time now, const Placement& placement, DispatchId id);
+  void OnFailure(Time now, const UpstreamRecord& upstream);
+  void OnSuccess(const UpstreamRecord& upstream);
+  /// Drops what is known of upstreams that are gone.
+  void Prune();
+
+  UpstreamDirectory& directory() { return directory_; }
+  const UpstreamDirectory& directory() const { return directory_; }
+  UpstreamLoad& load() { return load_; }
+  std::map<UpstreamId, LoadShare> OwnShares(Time now) const {
+    return load_.OwnShares(now);
+  }
+  const SpeedModel& speed() const { return speed_; }
+
+ private:
+  bool Avoided(Time now, const UpstreamRecord& upstream,
+               const std::set<UpstreamId>* excluded) const;
+  Placement Predict(Time now, const UpstreamRecord& upstream,
+                    const PlacementQuery& query, WorkTier tier) const;
+  double Penalty(Time now, const UpstreamRecord& upstream,
+                 const PlacementQuery& query) const;
+  uint32_t CachedTokens(const UpstreamRecord& upstream,
+                        const Prompt& prompt) const;
+  std::optional<Placement> Best(Time now, const PlacementQuery& query,
+                                WorkTier tier) const;
+
+  const PlacerLimits limits_;
+  const ZoneId own_zone_;
+  UpstreamDirectory directory_;
+  UpstreamLoad load_;
+  SpeedModel speed_;
+  Ejector ejector_;
+  std::unordered_map<UpstreamId, PrefixCacheModel> caches_;
+};
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_GATEWAY_PLACER_H_
--- /dev/null
+++ b/lib/Gateway/gateway.cc
@@ -0,0 +1,391 @@
+// The gateway process.
+#include "corianderlink/Gateway/gateway.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "corianderlink/Support/json_reader.h"
+#include "corianderlink/Support/log.h"
+
+namespace corianderlink {
+namespace {
+
+// Descriptors kept for files, listeners, peers and upstreams.
+constexpr int kReservedDescriptors = 1000;
+constexpr Duration kHousekeepingInterval = milliseconds(200);
+// How long callers may keep an answer of the directory.
+constexpr Duration kDirectoryTtl = seconds(1);
+// Some callers keep an answer this many times as long.
+constexpr int kDirectoryTtlFactor = 3;
+constexpr Duration kStopPoll = milliseconds(100);
+// Left of the grace time when the process ends at the latest.
+constexpr Duration kStopMargin = milliseconds(700);
+// Told to callers while no configuration is known.
+constexpr Duration kNotReadyRetryAfter = milliseconds(300);
+constexpr size_t kMaxMalformedRemembered = 1000;
+
+PlacerLimits DefaultPlacerLimits() { return {}; }
+
+EjectorLimits GatewayEjectorLimits() {
+  EjectorLimits limits;
+  limits.longest = seconds(4);
+  return limits;
+}
+
+size_t MaxClientConnections(int descriptors) {
+  return static_cast<size_t>(
+      std::max(descriptors - kReservedDescriptors, descriptors / 2));
+}
+
+}  // namespace
+
+Gateway::Gateway(EventLoop& loop, GatewaySettings settings,
+                 GatewayCodecs codecs)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      codecs_(std::move(codecs)),
+      self_(settings_.instance + "." + random_.HexId().substr(0, 12)),
+      pool_(loop),
+      placer_(DefaultPlacerLimits(), GatewayEjectorLimits(),
+              GatewayPeers::kPeerTimeout, settings_.zone),
+      peers_(loop, settings_.store.ToString(), self_, settings_.peer,
+             [this](Time now) { return Status(now); }),
+      front_(loop, MaxClientConnections(settings_.max_descriptors),
+             [this](const std::shared_ptr<InboundExchange>& exchange) {
+               OnRequest(exchange);
+             }),
+      ready_server_(loop, {}, [this](const auto& exchange) {
+        const int status =
+            exchange->path() == codecs_.ready_path && ready() ? 200 : 503;
+        exchange->Reply(status, "text/plain", status == 200 ? "ok\n" : "");
+      }),
+      directory_server_(
+          loop, {}, [this](const auto& exchange) { OnDirectory(exchange); }),
+      admin_server_(loop, {},
+                    [this](const auto& exchange) { OnAdmin(exchange); }),
+      relay_context_{
+          loop_,
+          pool_,
+          placer_,
+          codecs_.relay,
+          metrics_,
+          random_,
+          [this](Time now, const ServiceId& service) {
+            return TakeRetry(now, service);
+          },
+          [this](Time, const RouteSpec& route, Duration wait) {
+            return UsualWait(route, wait);
+          }} {
+  front_.on_malformed = [this](const std::string& reason) {
+    metrics_.Add("gateway_malformed_requests_total");
+    Log(LogLevel::kWarning, "request_malformed", {{"reason", reason}});
+  };
+  peers_.on_heartbeat = [this](Time now, const GatewayPeer& peer) {
+    placer_.load().SetPeer(now, peer.process, peer.status.shares);
+  };
+}
+
+bool Gateway::Start(std::string& reason) {
+  const auto bind = [&reason](bool bound, const Address& address) {
+    if (!bound && reason.empty()) reason = "cannot bind " + address.ToString();
+    return bound;
+  };
+  bool bound = bind(front_.Listen(settings_.front), settings_.front);
+  bound &= bind(ready_server_.Listen(settings_.ready), settings_.ready);
+  bound &=
+      bind(directory_server_.Listen(settings_.directory), settings_.directory);
+  bound &= bind(peers_.Listen(settings_.peer), settings_.peer);
+  bound &= bind(admin_server_.Listen(settings_.admin), settings_.admin);
+  if (!bound) return false;
+  peers_.Start();
+  housekeeping_ =
+      loop_.Every(kHousekeepingInterval, [this] { Housekeeping(); });
+  return true;
+}
+
+bool Gateway::ready() const {
+  return config_ != nullptr && upstreams_loaded_ && !leaving_;
+}
+
+void Gateway::Reload(const GatewaySettings& settings) {
+  const bool retries_changed = settings.retries != settings_.retries;
+  settings_.retries = settings.retries;
+  settings_.stop_grace = settings.stop_grace;
+  settings_.directory_ttl_max = settings.directory_ttl_max;
+  if (retries_changed) retries_.clear();
+  Log(LogLevel::kInfo, "settings_reloaded",
+      {{"retries_changed", retries_changed ? "yes" : "no"}});
+}
+
+GatewayStatus Gateway::Status(Time now) const {
+  GatewayStatus status;
+  status.instance = settings_.instance;
+  status.zone = settings_.zone;
+  status.front = settings_.front;
+  status.peer = settings_.peer;
+  status.ready = ready();
+  status.leaving = leaving_;
+  status.config_version = config_ ? config_->version : 0;
+  status.shares = placer_.OwnShares(now);
+  return status;
+}
+
+StoreRecord Gateway::OwnRecord() const {
+  return {settings_.peer.ToString(), settings_.instance, 0};
+}
+
+void Gateway::OnGatewayRecords(const std::vector<StoreRecord>& records) {
+  for (const StoreRecord& record : records) {
+    if (!record.value) continue;
+    const std::optional<Address> address = Address::Parse(record.key);
+    if (address) peers_.Learn(*address);
+  }
+}
+
+void Gateway::OnConfigRecords(const std::vector<StoreRecord>& records) {
+  for (const StoreRecord& record : records) {
+    if (record.key != codecs_.records.config_key || !record.value) continue;
+    std::string reason;
+    const auto config = codecs_.records.decode_config(*record.value, reason);
+    if (!config) {
+      Log(LogLevel::kError, "config_malformed",
+          {{"store_version", record.version}, {"reason", reason}});
+      continue;
+    }
+    if (config_ && config->version <= config_->version) continue;
+    Apply(std::make_shared<const GatewayConfig>(*config));
+  }
+}
+
+void Gateway::Apply(std::shared_ptr<const GatewayConfig> config) {
+  Log(LogLevel::kInfo, "config_applied",
+      {{"version", config->version},
+       {"before", config_ ? config_->version : 0},
+       {"routes", static_cast<uint64_t>(config->routes.size())}});
+  config_ = std::move(config);
+  routes_ = RouteTable(config_);
+  front_.SetLimits(config_->limits);
+  metrics_.Set("gateway_config_version",
+               static_cast<double>(config_->version));
+}
+
+std::optional<UpstreamRecord> Gateway::DecodeUpstream(
+    const StoreRecord& record) {
+  std::string reason;
+  auto upstream =
+      codecs_.records.decode_upstream(record.key, *record.value, reason);
+  if (upstream) {
+    malformed_.erase(record.key);
+    return upstream;
+  }
+  metrics_.Add("gateway_malformed_records_total");
+  if (malformed_.size() > kMaxMalformedRemembered) malformed_.clear();
+  std::string& logged = malformed_[record.key];
+  if (logged != reason) {
+    Log(LogLevel::kWarning, "upstream_record_malformed",
+        {{"key", record.key}, {"reason", reason}});
+    logged = reason;
+  }
+  return std::nullopt;
+}
+
+void Gateway::OnAllUpstreams(const std::vector<StoreRecord>& records) {
+  std::vector<UpstreamRecord> upstreams;
+  for (const StoreRecord& record : records) {
+    if (!record.value) continue;
+    auto upstream = DecodeUpstream(record);
+    if (upstream) upstreams.push_back(*upstream);
+  }
+  upstreams_loaded_ = true;
+  Log(LogLevel::kInfo, "upstreams_read",
+      {{"count", static_cast<uint64_t>(upstreams.size())}});
+  placer_.directory().ReplaceAll(BootClock::now(), upstreams);
+}
+
+void Gateway::OnUpstreamChanges(const std::vector<StoreRecord>& records) {
+  const Time now = BootClock::now();
+  for (const StoreRecord& record : records) {
+    if (!record.value) {
+      Log(LogLevel::kInfo, "upstream_gone",
+          {{"upstream", record.key}, {"store_version", record.version}});
+      placer_.directory().Remove(now, UpstreamId(record.key));
+      continue;
+    }
+    const auto upstream = DecodeUpstream(record);
+    if (!upstream) continue;
+    const UpstreamRecord* known = placer_.directory().Find(upstream->id);
+    if (known == nullptr || !(*known == *upstream)) {
+      Log(LogLevel::kInfo, "upstream_changed",
+          {{"upstream", record.key},
+           {"address", upstream->address.ToString()},
+           {"draining", upstream->draining ? "yes" : "no"},
+           {"store_version", record.version}});
+    }
+    placer_.directory().Put(*upstream);
+  }
+}
+
+void Gateway::OnUpstreamTableReachable(bool reachable) {
+  if (reachable) {
+    placer_.directory().OnStoreBack(BootClock::now());
+  } else {
+    placer_.directory().OnStoreLost();
+  }
+}
+
+const WeightedService* Gateway::PickService(const RouteSpec& route) {
+  double total = 0;
+  for (const WeightedService& service : route.services) total += service.weight;
+  double at = random_.Uniform() * total;
+  for (const WeightedService& service : route.services) {
+    at -= service.weight;
+    if (at < 0) return &service;
+  }
+  return route.services.empty() ? nullptr : &route.services.back();
+}
+
+void Gateway::OnRequest(const std::shared_ptr<InboundExchange>& exchange) {
+  ClientRequest request = codecs_.relay.decode_request(exchange->head());
+  const auto refuse = [&](int status, const char* reason) {
+    std::optional<Duration> retry_after;
+    if (status == 503) retry_after = kNotReadyRetryAfter;
+    Log(LogLevel::kInfo, "request_done",
+        {{"request", request.id.value()},
+         {"result", "refused"},
+         {"status", status},
+         {"reason", reason},
+         {"host", request.host},
+         {"config", config_ ? config_->version : 0}});
+    exchange->Answer(status,
+                     codecs_.relay.encode_refusal(request.id, retry_after), "");
+  };
+  if (!config_ || !upstreams_loaded_) {
+    refuse(503, "no configuration yet");
+    return;
+  }
+  const RouteSpec* route =
+      routes_.Match(request.host, exchange->head().Path());
+  if (route == nullptr) {
+    refuse(404, "no such route");
+    return;
+  }
+  const WeightedService* target = PickService(*route);
+  const auto service = target == nullptr
+                           ? config_->services.end()
+                           : config_->services.find(target->service);
+  if (service == config_->services.end()) {
+    refuse(503, "route without a service");
+    return;
+  }
+  retries_.try_emplace(service->first, settings_.retries)
+      .first->second.OnRequest(BootClock::now());
+  std::make_shared<RelayTask>(relay_context_, exchange, *route,
+                              service->second, std::move(request),
+                              config_->version)
+      ->Start();
+}
+
+bool Gateway::TakeRetry(Time now, const ServiceId& service) {
+  return retries_.try_emplace(service, settings_.retries)
+      .first->second.TryRetry(now, peers_.Count(now));
+}
+
+Duration Gateway::UsualWait(const RouteSpec& route, Duration wait) {
+  Duration& longest = longest_wait_[route.id];
+  longest = std::max(longest, wait);
+  return longest;
+}
+
+void Gateway::OnDirectory(const std::shared_ptr<HttpExchange>& exchange) {
+  if (exchange->path() != codecs_.directory.path) {
+    exchange->Reply(404, "text/plain", "");
+    return;
+  }
+  const Time now = BootClock::now();
+  std::vector<Address> addresses;
+  if (ready()) addresses.push_back(settings_.front);
+  for (const GatewayPeer* peer : peers_.Live(now)) {
+    if (peer->status.ready && !peer->status.leaving) {
+      addresses.push_back(peer->status.front);
+    }
+  }
+  if (addresses.empty()) {
+    exchange->Reply(503, "text/plain", "");
+    return;
+  }
+  const Duration ttl = std::min(kDirectoryTtl, settings_.directory_ttl_max);
+  exchange->Reply(200, "application/json",
+                  codecs_.directory.encode_answer(addresses, ttl));
+}
+
+void Gateway::OnAdmin(const std::shared_ptr<HttpExchange>& exchange) {
+  if (exchange->path() == "/metrics") {
+    exchange->Reply(200, "text/plain; version=0.0.4", metrics_.Exposition());
+  } else if (exchange->path() == "/dump") {
+    exchange->Reply(200, "application/json", Dump(BootClock::now()));
+  } else {
+    exchange->Reply(404, "text/plain", "");
+  }
+}
+
+std::string Gateway::Dump(Time now) const {
+  Json dump{{"process", self_.value()},
+            {"ready", ready()},
+            {"leaving", leaving_},
+            {"config_version", config_ ? config_->version : 0},
+            {"client_connections", front_.connections()}};
+  for (const auto& [id, upstream] : placer_.directory().records()) {
+    dump["upstreams"][id.value()] = {
+        {"service", upstream.service.value()},
+        {"address", upstream.address.ToString()},
+        {"draining", upstream.draining},
+        {"speed_factor", placer_.speed().Factor(upstream)},
+        {"connections", pool_.Connections(upstream.address)}};
+  }
+  for (const GatewayPeer* peer : peers_.Live(now)) {
+    dump["peers"][peer->process] = {
+        {"ready", peer->status.ready},
+        {"leaving", peer->status.leaving},
+        {"age_ms", ToMillis(now - peer->heard)}};
+  }
+  return dump.dump(2);
+}
+
+void Gateway::Housekeeping() {
+  const Time now = BootClock::now();
+  placer_.directory().Expire(now);
+  placer_.Prune();
+  metrics_.Set("gateway_client_connections",
+               static_cast<double>(front_.connections()));
+  metrics_.Set("gateway_upstream_connects",
+               static_cast<double>(pool_.connects()));
+  metrics_.Set("gateway_peers", static_cast<double>(peers_.Live(now).size()));
+}
+
+void Gateway::BeginStop() {
+  if (leaving_) return;
+  leaving_ = true;
+  leaving_since_ = BootClock::now();
+  Log(LogLevel::kInfo, "stopping",
+      {{"client_connections", static_cast<uint64_t>(front_.connections())}});
+  peers_.SendHeartbeat();
+  front_.CloseAfterAnswers();
+  ContinueStop();
+}
+
+void Gateway::ContinueStop() {
+  const Duration since = BootClock::now() - leaving_since_;
+  const Duration latest = settings_.stop_grace - kStopMargin;
+  const Duration kept_answers = kDirectoryTtlFactor * kDirectoryTtl;
+  if (since >= std::min(kept_answers, latest / 2)) {
+    front_.StopListening();
+    front_.CloseIdleConnections();
+    if (front_.connections() == 0 || since >= latest) {
+      loop_.Stop();
+      return;
+    }
+  }
+  stop_timer_ = loop_.After(kStopPoll, [this] { ContinueStop(); });
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Gateway/gateway_peers.cc
@@ -0,0 +1,147 @@
+// Heartbeats between gateways.
+#include "corianderlink/Gateway/gateway_peers.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "corianderlink/Support/log.h"
+#include "peer.pb.h"
+
+namespace corianderlink {
+namespace {
+
+constexpr char kGatewayKind[] = "gateway";
+constexpr Duration kShortestInterval = milliseconds(50);
+// Interval for each peer: bounds the heartbeats sent and received a second.
+constexpr Duration kIntervalPerPeer = milliseconds(12);
+// Addresses that stay silent are no longer sent to.
+constexpr Duration kForgetAfter = seconds(20);
+
+wire::Heartbeat Encode(const GatewayStatus& status) {
+  wire::Heartbeat heartbeat;
+  heartbeat.set_instance(status.instance);
+  heartbeat.set_kind(kGatewayKind);
+  heartbeat.set_zone(status.zone.value());
+  heartbeat.set_revision(status.config_version);
+  heartbeat.set_leaving(status.leaving);
+  heartbeat.set_ready(status.ready);
+  heartbeat.set_in_flight(status.in_progress);
+  heartbeat.set_entry_address(status.front.ToString());
+  heartbeat.set_peer_address(status.peer.ToString());
+  for (const auto& [id, load] : status.shares) {
+    wire::EngineShare* share = heartbeat.add_shares();
+    share->set_engine(id.value());
+    share->set_requests(load.requests);
+    for (const double ms : load.backlog_ms) {
+      share->add_backlog_ms(static_cast<float>(ms));
+    }
+  }
+  return heartbeat;
+}
+
+GatewayStatus Decode(const wire::Heartbeat& heartbeat) {
+  GatewayStatus status;
+  status.instance = heartbeat.instance();
+  status.zone = ZoneId(heartbeat.zone());
+  status.config_version = heartbeat.revision();
+  status.leaving = heartbeat.leaving();
+  status.ready = heartbeat.ready();
+  status.in_progress = heartbeat.in_flight();
+  status.front = Address::Parse(heartbeat.entry_address()).value_or(Address{});
+  status.peer = Address::Parse(heartbeat.peer_address()).value_or(Address{});
+  for (const wire::EngineShare& share : heartbeat.shares()) {
+    LoadShare& load = status.shares[UpstreamId(share.engine())];
+    load.requests = share.requests();
+    const int tiers =
+        std::min<int>(share.backlog_ms_size(), static_cast<int>(kWorkTiers));
+    for (int i = 0; i < tiers; ++i) {
+      load.backlog_ms[static_cast<size_t>(i)] = share.backlog_ms(i);
+    }
+  }
+  return status;
+}
+
+}  // namespace
+
+GatewayPeers::GatewayPeers(EventLoop& loop, std::string deployment,
+                           ProcessId self, Address own_address,
+                           StatusSource status)
+    : loop_(loop),
+      bus_(loop, std::move(deployment), self, std::nullopt),
+      self_(std::move(self)),
+      own_address_(std::move(own_address)),
+      status_(std::move(status)) {
+  bus_.signal_message.connect(
+      [this](const wire::Envelope& message) { OnMessage(message); });
+}
+
+void GatewayPeers::Start() { Tick(); }
+
+void GatewayPeers::Tick() {
+  SendHeartbeat();
+  const Time now = BootClock::now();
+  Expire(now);
+  timer_ = loop_.After(Interval(now), [this] { Tick(); });
+}
+
+Duration GatewayPeers::Interval(Time now) const {
+  const auto live = static_cast<int64_t>(Live(now).size());
+  return std::max(kShortestInterval, live * kIntervalPerPeer);
+}
+
+void GatewayPeers::SendHeartbeat() {
+  const Time now = BootClock::now();
+  wire::Envelope message;
+  *message.mutable_heartbeat() = Encode(status_(now));
+  for (const auto& [address, heard] : receivers_) bus_.Send(address, message);
+}
+
+void GatewayPeers::Learn(const Address& address) {
+  if (address == own_address_ || address.port == 0) return;
+  receivers_.try_emplace(address, BootClock::now());
+}
+
+void GatewayPeers::OnMessage(const wire::Envelope& message) {
+  if (message.process() == self_.value()) return;
+  if (!message.has_heartbeat()) return;
+  if (message.heartbeat().kind() != kGatewayKind) return;
+  const Time now = BootClock::now();
+  GatewayPeer& peer = peers_[message.process()];
+  if (peer.process.empty()) {
+    Log(LogLevel::kInfo, "peer_found",
+        {{"peer", message.heartbeat().instance()},
+         {"process", message.process()}});
+  }
+  peer.process = message.process();
+  peer.heard = now;
+  peer.status = Decode(message.heartbeat());
+  Learn(peer.status.peer);
+  receivers_[peer.status.peer] = now;
+  if (on_heartbeat) on_heartbeat(now, peer);
+}
+
+void GatewayPeers::Expire(Time now) {
+  std::erase_if(peers_, [&](const auto& entry) {
+    if (now - entry.second.heard <= kForgetAfter) return false;
+    Log(LogLevel::kInfo, "peer_lost",
+        {{"peer", entry.second.status.instance},
+         {"process", entry.first},
+         {"silent_s", ToSeconds(now - entry.second.heard)}});
+    return true;
+  });
+  std::erase_if(receivers_, [&](const auto& entry) {
+    if (now - entry.second <= kForgetAfter) return false;
+    bus_.Forget(entry.first);
+    return true;
+  });
+}
+
+std::vector<const GatewayPeer*> GatewayPeers::Live(Time now) const {
+  std::vector<const GatewayPeer*> live;
+  for (const auto& [process, peer] : peers_) {
+    if (now - peer.heard <= kPeerTimeout) live.push_back(&peer);
+  }
+  return live;
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Gateway/placer.cc
@@ -0,0 +1,236 @@
+// Placement of requests on upstreams.
+#include "corianderlink/Gateway/placer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace corianderlink {
+namespace {
+
+// A record that vanished around an outage of the store is kept this long.
+constexpr Duration kRestoreTime = milliseconds(2200);
+// Prompts of up to this many uncached tokens go ahead of others.
+constexpr uint32_t kExpressTokens = 1024;
+// A plain upstream holds at most this many times its slots.
+constexpr uint32_t kPlainQueueFactor = 3;
+// Predicted delay of an upstream in another zone.
+constexpr double kOtherZoneMs = 2;
+// Predicted delay for each request in progress on a decode engine.
+constexpr double kPerRequestMs = 0.3;
+// Waiting work of other tiers delays the tokens of a running request.
+constexpr double kInterferenceShare = 0.2;
+// Handing a computed prompt to another engine, besides its transfer.
+constexpr double kHandoverMs = 8;
+// Preference for a prefill engine, which computes faster for all.
+constexpr double kWholeOnDecodeMs = 10;
+// Late requests on one engine, as a share of its slots.
+constexpr double kLateShare = 1.0;
+constexpr double kShortestRetryAfterMs = 100;
+constexpr double kPlainRetryAfterMs = 200;
+// Time scale on which a prefix cache is shared with the other gateways.
+constexpr double kCacheShare = 0.5;
+
+}  // namespace
+
+Placer::Placer(PlacerLimits limits, EjectorLimits ejector,
+               Duration peer_timeout, ZoneId own_zone)
+    : limits_(limits),
+      own_zone_(std::move(own_zone)),
+      directory_(kRestoreTime),
+      load_(peer_timeout),
+      ejector_(ejector) {}
+
+bool Placer::Avoided(Time now, const UpstreamRecord& upstream,
+                     const std::set<UpstreamId>* excluded) const {
+  if (excluded != nullptr && excluded->count(upstream.id) > 0) return true;
+  return ejector_.Ejected(now, upstream.address);
+}
+
+PlacementResult Placer::PlacePlain(Time now, const ServiceId& service,
+                                   const std::set<UpstreamId>& excluded) const {
+  const UpstreamRecord* best = nullptr;
+  double best_load = 0;
+  for (const UpstreamRecord* upstream : directory_.Usable(service)) {
+    if (Avoided(now, *upstream, &excluded)) continue;
+    const uint32_t requests = load_.Requests(now, upstream->id);
+    const auto slots = static_cast<uint32_t>(std::max(upstream->slots, 1));
+    if (requests >= slots * kPlainQueueFactor) continue;
+    if (load_.Stalled(now, upstream->id, limits_.stall)) continue;
+    const double away = upstream->zone == own_zone_ ? 0 : 0.1;
+    const double load = requests / static_cast<double>(slots) + away;
+    if (best != nullptr && load >= best_load) continue;
+    best = upstream;
+    best_load = load;
+  }
+  PlacementResult result;
+  if (best == nullptr) {
+    result.reason = "no upstream has room";
+    result.retry_after =
+        FromSeconds(kPlainRetryAfterMs / 1000);
+    return result;
+  }
+  result.placement = Placement{*best, WorkTier::kTimely, false, 0, 0};
+  return result;
+}
+
+uint32_t Placer::CachedTokens(const UpstreamRecord& upstream,
+                              const Prompt& prompt) const {
+  const auto cache = caches_.find(upstream.id);
+  return cache == caches_.end() ? 0 : cache->second.CachedTokens(prompt);
+}
+
+Placement Placer::Predict(Time now, const UpstreamRecord& upstream,
+                          const PlacementQuery& query, WorkTier tier) const {
+  const uint32_t cached = CachedTokens(upstream, *query.prompt);
+  const double factor = speed_.Factor(upstream);
+  Placement placement;
+  placement.upstream = upstream;
+  placement.tier = tier;
+  placement.prefill_only = upstream.role == UpstreamRole::kPrefill;
+  placement.cost_ms = speed_.ComputeMs(upstream, *query.prompt, cached);
+  placement.predicted_ms =
+      load_.BacklogMs(now, upstream.id, tier) + placement.cost_ms;
+  if (upstream.zone != own_zone_) placement.predicted_ms += kOtherZoneMs;
+  if (tier == WorkTier::kExpress) {
+    // The chunk that is being computed is not interrupted.
+    const double others = load_.BacklogMs(now, upstream.id, WorkTier::kTimely);
+    placement.predicted_ms += std::min(others, kHandoverMs * factor);
+  }
+  return placement;
+}
+
+double Placer::Penalty(Time now, const UpstreamRecord& upstream,
+                       const PlacementQuery& query) const {
+  if (upstream.role == UpstreamRole::kPrefill) {
+    const double bytes =
+        query.prompt->tokens * query.engine->cache_bytes_per_token;
+    const double transfer_ms =
+        query.engine->link_bytes_per_ms > 0
+            ? bytes / query.engine->link_bytes_per_ms
+            : 0;
+    return kHandoverMs + 2 * transfer_ms;
+  }
+  return kWholeOnDecodeMs +
+         kPerRequestMs * load_.Requests(now, upstream.id) +
+         kInterferenceShare *
+             load_.BacklogMs(now, upstream.id, WorkTier::kTimely);
+}
+
+std::optional<Placement> Placer::Best(Time now, const PlacementQuery& query,
+                                      WorkTier tier) const {
+  std::optional<Placement> best;
+  double best_score = 0;
+  for (const UpstreamRecord* upstream : directory_.Usable(query.service)) {
+    if (Avoided(now, *upstream, query.excluded)) continue;
+    if (load_.Stalled(now, upstream->id, limits_.stall)) continue;
+    if (tier == WorkTier::kExpress && upstream->role == UpstreamRole::kPrefill) {
+      continue;
+    }
+    if (tier == WorkTier::kLate &&
+        load_.Requests(now, upstream->id) > upstream->slots * kLateShare) {
+      continue;
+    }
+    const Placement placement = Predict(now, *upstream, query, tier);
+    const double score =
+        placement.predicted_ms + Penalty(now, *upstream, query);
+    if (best && score >= best_score) continue;
+    best = placement;
+    best_score = score;
+  }
+  if (best) best->predicted_ms = best_score;
+  return best;
+}
+
+PlacementResult Placer::PlacePrompt(Time now,
+                                    const PlacementQuery& query) const {
+  PlacementResult result;
+  const bool express = query.prompt->tokens <= kExpressTokens;
+  const WorkTier first = express ? WorkTier::kExpress : WorkTier::kTimely;
+  const std::optional<Placement> timely = Best(now, query, first);
+  const double bound_ms = query.objective_left_ms * limits_.objective_share;
+  if (timely && timely->predicted_ms <= bound_ms) {
+    result.placement = timely;
+    return result;
+  }
+  const std::optional<Placement> late = Best(now, query, WorkTier::kLate);
+  const double late_bound_ms = query.deadline_left_ms * limits_.deadline_share;
+  if (late && late->predicted_ms <= late_bound_ms) {
+    result.placement = late;
+    return result;
+  }
+  result.reason = timely || late ? "predicted after the deadline"
+                                 : "no upstream available";
+  const double excess_ms =
+      late ? late->predicted_ms - late_bound_ms : kPlainRetryAfterMs;
+  result.retry_after =
+      FromSeconds(std::max(excess_ms, kShortestRetryAfterMs) / 1000);
+  return result;
+}
+
+PlacementResult Placer::PlaceGeneration(Time now, const PlacementQuery& query,
+                                        const UpstreamRecord& source) const {
+  PlacementResult result;
+  const UpstreamRecord* best = nullptr;
+  double best_score = 0;
+  for (const UpstreamRecord* upstream : directory_.Usable(query.service)) {
+    if (upstream->role != UpstreamRole::kDecode) continue;
+    if (Avoided(now, *upstream, query.excluded)) continue;
+    if (load_.Stalled(now, upstream->id, limits_.stall)) continue;
+    const double away = upstream->zone == source.zone ? 0 : kOtherZoneMs;
+    const double score =
+        away + kPerRequestMs * load_.Requests(now, upstream->id) +
+        kInterferenceShare *
+            load_.BacklogMs(now, upstream->id, WorkTier::kTimely);
+    if (best != nullptr && score >= best_score) continue;
+    best = upstream;
+    best_score = score;
+  }
+  if (best == nullptr) {
+    result.reason = "no decode engine available";
+    return result;
+  }
+  result.placement = Placement{*best, WorkTier::kExpress, false, 0, best_score};
+  return result;
+}
+
+DispatchId Placer::OnDispatch(Time now, const Placement& placement,
+                              const PlacementQuery* query) {
+  if (query != nullptr && placement.cost_ms > 0) {
+    const auto capacity = static_cast<uint64_t>(
+        static_cast<double>(query->engine->cache_tokens) * kCacheShare);
+    caches_.try_emplace(placement.upstream.id, capacity)
+        .first->second.Use(*query->prompt);
+  }
+  return load_.OnDispatch(now, placement.upstream.id, placement.tier,
+                          placement.cost_ms);
+}
+
+void Placer::OnComputed(Time now, const Placement& placement, DispatchId id,
+                        double observed_ms) {
+  load_.OnComputed(now, placement.upstream.id, id);
+  if (placement.tier == WorkTier::kLate) return;
+  speed_.Observe(placement.upstream, placement.predicted_ms, observed_ms);
+}
+
+void Placer::OnEnd(Time now, const Placement& placement, DispatchId id) {
+  load_.OnEnd(now, placement.upstream.id, id);
+}
+
+void Placer::OnFailure(Time now, const UpstreamRecord& upstream) {
+  ejector_.OnFailure(now, upstream.address,
+                     directory_.Usable(upstream.service).size());
+}
+
+void Placer::OnSuccess(const UpstreamRecord& upstream) {
+  ejector_.OnSuccess(upstream.address);
+}
+
+void Placer::Prune() {
+  const auto gone = [this](const UpstreamId& id) {
+    return directory_.Find(id) == nullptr;
+  };
+  std::erase_if(caches_, [&](const auto& entry) { return gone(entry.first); });
+  load_.ForgetIf(gone);
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Gateway/prefix_cache_model.cc
@@ -0,0 +1,41 @@
+// Model of an engine's prefix cache.
+#include "corianderlink/Gateway/prefix_cache_model.h"
+
+namespace corianderlink {
+
+uint32_t PrefixCacheModel::CachedTokens(const Prompt& prompt) const {
+  uint32_t cached = 0;
+  for (const PromptPart& part : prompt.parts) {
+    const auto it = index_.find(part.id);
+    if (it == index_.end() || it->second->tokens < part.tokens) break;
+    cached += part.tokens;
+  }
+  return cached;
+}
+
+void PrefixCacheModel::Use(const Prompt& prompt) {
+  // The first parts are shared most, so they are touched last.
+  for (auto part = prompt.parts.rbegin(); part != prompt.parts.rend(); ++part) {
+    const auto it = index_.find(part->id);
+    if (it != index_.end()) {
+      used_tokens_ -= it->second->tokens;
+      order_.erase(it->second);
+    }
+    order_.push_front(*part);
+    index_[part->id] = order_.begin();
+    used_tokens_ += part->tokens;
+  }
+  while (used_tokens_ > capacity_tokens_ && !order_.empty()) {
+    used_tokens_ -= order_.back().tokens;
+    index_.erase(order_.back().id);
+    order_.pop_back();
+  }
+}
+
+void PrefixCacheModel::Clear() {
+  order_.clear();
+  index_.clear();
+  used_tokens_ = 0;
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Gateway/relay_task.cc
@@ -0,0 +1,490 @@
+// Relays one request.
+#include "corianderlink/Gateway/relay_task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "corianderlink/Support/log.h"
+
+namespace corianderlink {
+namespace {
+
+// Upstreams that one request is sent to, refusals included.
+constexpr int kMaxSends = 4;
+// Bytes of an answer that are held back, so that an attempt whose answer is cut
+// can be repeated.
+constexpr size_t kMaxBufferedBytes = 256 * 1024;
+// Answer bytes that wait for a slow client before the upstream is paused.
+constexpr size_t kMaxPendingBytes = 1024 * 1024;
+// A kept connection that idled longer may have been dropped by the upstream
+// unnoticed; it does not carry requests that must not run twice.
+constexpr Duration kMaxIdleNonIdempotent = seconds(5);
+constexpr Duration kMaxIdle = seconds(30);
+constexpr Duration kConnectTimeout = milliseconds(250);
+// With less time left a further attempt is pointless.
+constexpr double kShortestAttemptMs = 20;
+constexpr Duration kShortestStall = milliseconds(400);
+// Priorities at an engine, by work tier; 0 goes first.
+constexpr int kTierPriority[kWorkTiers] = {2, 4, 7};
+
+}  // namespace
+
+RelayTask::RelayTask(RelayContext& context,
+                     std::shared_ptr<InboundExchange> exchange, RouteSpec route,
+                     ServicePoolSpec service, ClientRequest request,
+                     uint64_t config_version)
+    : context_(context),
+      exchange_(std::move(exchange)),
+      route_(std::move(route)),
+      service_(std::move(service)),
+      request_(std::move(request)),
+      config_version_(config_version) {}
+
+void RelayTask::Start() {
+  const Time now = BootClock::now();
+  const auto self = shared_from_this();
+  const Duration wait = request_.time_left.value_or(route_.timeout);
+  deadline_ = exchange_->received() + std::min(wait, route_.timeout);
+  // A client that was refused before has waited for part of its time already.
+  const Duration usual = context_.usual_wait(now, route_, wait);
+  objective_at_ = exchange_->received() + route_.objective - (usual - wait);
+  exchange_->on_client_left = [self] { self->OnClientLeft(); };
+  deadline_timer_ = context_.loop.After(
+      std::max(Duration::zero(), deadline_ - now), [self] { self->OnDeadline(); });
+  ChooseAndSend();
+}
+
+double RelayTask::DeadlineLeftMs(Time now) const {
+  return ToMillis(deadline_ - now);
+}
+
+PlacementQuery RelayTask::Query(Time now) const {
+  PlacementQuery query;
+  query.service = service_.id;
+  query.engine = &*service_.engine;
+  query.prompt = &*request_.prompt;
+  query.objective_left_ms = ToMillis(objective_at_ - now);
+  query.deadline_left_ms = DeadlineLeftMs(now);
+  query.excluded = &excluded_;
+  return query;
+}
+
+void RelayTask::ChooseAndSend() {
+  const Time now = BootClock::now();
+  const PlacementResult result =
+      is_model_request()
+          ? context_.placer.PlacePrompt(now, Query(now))
+          : context_.placer.PlacePlain(now, service_.id, excluded_);
+  if (!result.placement) {
+    if (runs_ > 0) {
+      GiveUp(Outcome::MayHaveRun(result.reason));
+      return;
+    }
+    Refuse(result.reason, result.retry_after);
+    return;
+  }
+  SendTo(*result.placement);
+}
+
+void RelayTask::SendTo(const Placement& placement) {
+  const Time now = BootClock::now();
+  placement_ = placement;
+  sent_at_ = now;
+  computed_ = false;
+  reply_.reset();
+  buffered_.clear();
+  events_.Clear();
+  ++sends_;
+  if (!placement.prefill_only) ++runs_;
+  if (is_model_request()) {
+    const PlacementQuery query = Query(now);
+    dispatch_ = context_.placer.OnDispatch(now, placement, &query);
+  } else {
+    dispatch_ = context_.placer.OnDispatch(now, placement, nullptr);
+  }
+  Log(LogLevel::kInfo, "request_sent",
+      {{"request", request_.id.value()},
+       {"route", route_.id.value()},
+       {"upstream", placement.upstream.id.value()},
+       {"stage", placement.prefill_only ? "prefill" : "run"},
+       {"tier", static_cast<int>(placement.tier)},
+       {"predicted_ms", placement.predicted_ms},
+       {"cost_ms", placement.cost_ms},
+       {"left_ms", DeadlineLeftMs(now)},
+       {"config", config_version_},
+       {"send", sends_}});
+  call_ = context_.pool.Start(BuildRequest(now, placement), BuildHandlers());
+  ArmStallTimer();
+}
+
+UpstreamRequest RelayTask::BuildRequest(Time now,
+                                        const Placement& placement) const {
+  UpstreamDirections directions;
+  directions.expected = placement.upstream.id;
+  if (request_.time_left) {
+    directions.time_left = std::chrono::duration_cast<Duration>(
+        std::max(Duration::zero(), deadline_ - now));
+  }
+  if (is_model_request()) {
+    directions.priority = kTierPriority[static_cast<size_t>(placement.tier)];
+  }
+  directions.prefill_only = placement.prefill_only;
+  if (!placement.prefill_only) directions.prompt_from = handle_;
+  directions.resume_after = last_event_;
+  UpstreamRequest request;
+  request.address = placement.upstream.address;
+  request.method = exchange_->head().method;
+  request.target = exchange_->head().target;
+  request.fields =
+      context_.codec.encode_request(exchange_->head(), directions);
+  request.body = exchange_->body();
+  request.max_idle = route_.idempotent() ? kMaxIdle : kMaxIdleNonIdempotent;
+  request.connect_timeout = kConnectTimeout;
+  request.answers = [codec = &context_.codec,
+                     id = request_.id](const ResponseHead& head) {
+    const UpstreamReply reply = codec->decode_reply(head);
+    return reply.request.empty() || reply.request == id;
+  };
+  return request;
+}
+
+UpstreamHandlers RelayTask::BuildHandlers() {
+  const auto self = shared_from_this();
+  UpstreamHandlers handlers;
+  handlers.on_head = [self](const ResponseHead& head) {
+    self->OnReplyHead(head);
+  };
+  handlers.on_body = [self](std::string data) {
+    self->OnReplyBody(std::move(data));
+  };
+  handlers.on_end = [self] { self->OnReplyEnd(); };
+  handlers.on_fail = [self](const Outcome& outcome) {
+    self->OnReplyFailed(outcome);
+  };
+  return handlers;
+}
+
+void RelayTask::OnReplyHead(const ResponseHead& head) {
+  reply_ = head;
+  reply_info_ = context_.codec.decode_reply(head);
+  const bool is_event_stream = is_stream() && head.status == 200 &&
+                               reply_info_.is_signed &&
+                               reply_info_.request == request_.id;
+  forwarding_ = is_event_stream && !placement_->prefill_only;
+}
+
+void RelayTask::OnReplyBody(std::string data) {
+  if (finished_) return;
+  if (forwarding_) {
+    events_.Feed(data);
+    ForwardEvents();
+    return;
+  }
+  buffered_ += data;
+  const bool passes = !placement_->prefill_only && reply_info_.is_signed &&
+                      !reply_info_.not_run && !is_stream();
+  if (!passes || buffered_.size() <= kMaxBufferedBytes) return;
+  if (!exchange_->started()) {
+    exchange_->StartAnswer(reply_->status, EndToEndFields(reply_->fields),
+                           reply_->content_length);
+  }
+  exchange_->SendBody(std::exchange(buffered_, {}));
+}
+
+void RelayTask::ForwardEvents() {
+  while (std::optional<RawEvent> event = events_.Next()) {
+    NoteComputed();
+    if (event->id && last_event_ && *event->id <= *last_event_) continue;
+    if (event->id) last_event_ = event->id;
+    if (!exchange_->started()) {
+      // The prompt was fetched: its handle is used up.
+      handle_.reset();
+      exchange_->StartAnswer(reply_->status, EndToEndFields(reply_->fields),
+                             std::nullopt);
+    }
+    exchange_->SendBody(event->bytes);
+    if (exchange_->PendingBytes() > kMaxPendingBytes && call_) {
+      call_->PauseReading();
+      exchange_->on_drained = [call = call_] { call->ResumeReading(); };
+    }
+  }
+  ArmStallTimer();
+}
+
+void RelayTask::NoteComputed() {
+  if (computed_) return;
+  computed_ = true;
+  const Time now = BootClock::now();
+  context_.placer.OnComputed(now, *placement_, dispatch_,
+                             ToMillis(now - sent_at_));
+}
+
+void RelayTask::OnReplyEnd() {
+  if (finished_) return;
+  call_.reset();
+  const Time now = BootClock::now();
+  if (reply_info_.not_run) {
+    handle_.reset();
+    AttemptFailed(Outcome::NotRun("upstream refused: status " +
+                                  std::to_string(reply_->status)),
+                  false);
+    return;
+  }
+  if (placement_->prefill_only) {
+    OnPrefillDone();
+    return;
+  }
+  const bool trusted =
+      reply_info_.is_signed && reply_info_.request == request_.id;
+  if (!trusted) {
+    AttemptFailed(Outcome::MayHaveRun("response without a valid signature"),
+                  true);
+    return;
+  }
+  if (forwarding_) {
+    EndStream();
+    return;
+  }
+  const bool failed = reply_->status >= 500;
+  if (failed && !exchange_->started() && MayRetry(now, Verdict::kMayHaveRun)) {
+    const std::string reason =
+        "upstream answered " + std::to_string(reply_->status);
+    context_.metrics.Add("gateway_retries_total");
+    excluded_.insert(placement_->upstream.id);
+    EndDispatch();
+    Log(LogLevel::kInfo, "request_retried",
+        {{"request", request_.id.value()}, {"reason", reason}});
+    ChooseAndSend();
+    return;
+  }
+  AnswerBuffered();
+}
+
+void RelayTask::AnswerBuffered() {
+  NoteComputed();
+  EndDispatch();
+  context_.placer.OnSuccess(placement_->upstream);
+  if (exchange_->started()) {
+    exchange_->SendBody(buffered_);
+    exchange_->FinishAnswer();
+  } else {
+    exchange_->Answer(reply_->status, EndToEndFields(reply_->fields),
+                      buffered_);
+  }
+  Finish("answered", reply_->status, "");
+}
+
+void RelayTask::EndStream() {
+  if (!events_.rest().empty()) {
+    AttemptFailed(Outcome::MayHaveRun("stream ended within an event"), true);
+    return;
+  }
+  EndDispatch();
+  context_.placer.OnSuccess(placement_->upstream);
+  if (!exchange_->started()) {
+    exchange_->StartAnswer(reply_->status, EndToEndFields(reply_->fields),
+                           std::nullopt);
+  }
+  exchange_->FinishAnswer();
+  Finish("answered", reply_->status, "");
+}
+
+void RelayTask::OnReplyFailed(const Outcome& outcome) {
+  if (finished_) return;
+  call_.reset();
+  AttemptFailed(outcome, true);
+}
+
+void RelayTask::OnPrefillDone() {
+  std::optional<std::string> id;
+  if (reply_->status == 200) id = context_.codec.decode_handle(buffered_);
+  if (!id) {
+    AttemptFailed(Outcome::NotRun("prompt not computed: status " +
+                                  std::to_string(reply_->status)),
+                  true);
+    return;
+  }
+  NoteComputed();
+  EndDispatch();
+  context_.placer.OnSuccess(placement_->upstream);
+  handle_ = PromptHandle{placement_->upstream, *id};
+  SendGeneration();
+}
+
+void RelayTask::SendGeneration() {
+  const Time now = BootClock::now();
+  const PlacementResult result =
+      context_.placer.PlaceGeneration(now, Query(now), handle_->source);
+  if (!result.placement) {
+    Refuse(result.reason, std::nullopt);
+    return;
+  }
+  --sends_;
+  SendTo(*result.placement);
+}
+
+void RelayTask::AttemptFailed(const Outcome& outcome, bool upstream_failed) {
+  const Time now = BootClock::now();
+  const Placement failed = *placement_;
+  EndDispatch();
+  if (upstream_failed) context_.placer.OnFailure(now, failed.upstream);
+  excluded_.insert(failed.upstream.id);
+  const bool not_run =
+      failed.prefill_only || outcome.verdict == Verdict::kNotRun;
+  if (not_run && !failed.prefill_only) --runs_;
+  const Verdict verdict = not_run ? Verdict::kNotRun : Verdict::kMayHaveRun;
+  const bool retry = MayRetry(now, verdict);
+  Log(LogLevel::kInfo, "attempt_failed",
+      {{"request", request_.id.value()},
+       {"upstream", failed.upstream.id.value()},
+       {"verdict", ToString(verdict)},
+       {"reason", outcome.reason},
+       {"elapsed_ms", ToMillis(now - sent_at_)},
+       {"retry", retry ? "yes" : "no"}});
+  if (!retry) {
+    GiveUp({verdict, outcome.reason});
+    return;
+  }
+  context_.metrics.Add("gateway_retries_total");
+  // A computed prompt whose transfer has not begun is still there.
+  if (handle_ && not_run && !failed.prefill_only) {
+    SendGeneration();
+    return;
+  }
+  handle_.reset();
+  ChooseAndSend();
+}
+
+bool RelayTask::MayRetry(Time now, Verdict verdict) {
+  if (sends_ >= kMaxSends) return false;
+  if (DeadlineLeftMs(now) < kShortestAttemptMs) return false;
+  if (verdict != Verdict::kNotRun) {
+    if (!route_.idempotent() || runs_ >= route_.attempts) return false;
+  }
+  return context_.take_retry(now, service_.id);
+}
+
+void RelayTask::GiveUp(const Outcome& outcome) {
+  if (exchange_->started()) {
+    exchange_->Abort();
+    Finish("cut", 0, outcome.reason);
+    return;
+  }
+  if (outcome.verdict == Verdict::kNotRun && runs_ == 0) {
+    Refuse(outcome.reason, std::nullopt);
+    return;
+  }
+  exchange_->Answer(502, context_.codec.encode_refusal(request_.id, {}), "");
+  Finish("failed", 502, outcome.reason);
+}
+
+void RelayTask::Refuse(const std::string& reason,
+                       std::optional<Duration> retry_after) {
+  FreeHandle();
+  // Spread, so that refused clients do not return together.
+  const Duration base = retry_after.value_or(milliseconds(200));
+  const Duration spread = FromSeconds(ToSeconds(base) *
+                                      (1 + context_.random.Uniform()));
+  exchange_->Answer(503, context_.codec.encode_refusal(request_.id, spread),
+                    "");
+  context_.metrics.Add("gateway_refusals_total");
+  Finish("refused", 503, reason);
+}
+
+void RelayTask::OnDeadline() {
+  if (finished_) return;
+  if (call_) call_->Cancel();
+  call_.reset();
+  const Time now = BootClock::now();
+  if (placement_ && dispatch_ != 0) {
+    context_.placer.OnFailure(now, placement_->upstream);
+  }
+  EndDispatch();
+  FreeHandle();
+  if (exchange_->started()) {
+    exchange_->Abort();
+    Finish("cut", 0, "time ran out");
+    return;
+  }
+  if (runs_ == 0) {
+    Refuse("time ran out", std::nullopt);
+    return;
+  }
+  exchange_->Answer(504, context_.codec.encode_refusal(request_.id, {}), "");
+  Finish("failed", 504, "time ran out");
+}
+
+void RelayTask::ArmStallTimer() {
+  if (!route_.idempotent() || finished_) return;
+  Duration limit = kShortestStall;
+  if (exchange_->started()) {
+    limit = std::max(limit, 3 * route_.event_gap.value_or(limit));
+  } else {
+    limit = std::max(limit, 2 * route_.objective) +
+            FromSeconds(2 * placement_->predicted_ms / 1000);
+  }
+  stall_timer_ = context_.loop.After(
+      limit, [self = shared_from_this()] { self->OnStall(); });
+}
+
+void RelayTask::OnStall() {
+  if (finished_ || !call_) return;
+  // A slow client has paused the upstream.
+  if (exchange_->PendingBytes() > 0) return;
+  if (sends_ >= kMaxSends || runs_ >= route_.attempts) return;
+  call_->Cancel();
+  call_.reset();
+  handle_.reset();
+  AttemptFailed(Outcome::MayHaveRun("upstream stalled"), true);
+}
+
+void RelayTask::OnClientLeft() {
+  if (finished_) return;
+  if (call_) call_->Cancel();
+  call_.reset();
+  EndDispatch();
+  FreeHandle();
+  Finish("client_left", 0, "client closed the connection");
+}
+
+void RelayTask::EndDispatch() {
+  if (dispatch_ == 0) return;
+  context_.placer.OnEnd(BootClock::now(), *placement_, dispatch_);
+  dispatch_ = 0;
+}
+
+void RelayTask::FreeHandle() {
+  if (!handle_) return;
+  const auto [method, target] = context_.codec.encode_free_handle(handle_->id);
+  UpstreamRequest request;
+  request.address = handle_->source.address;
+  request.method = method;
+  request.target = target;
+  handle_.reset();
+  context_.pool.Start(std::move(request), {});
+}
+
+void RelayTask::Finish(const char* result, int status,
+                       const std::string& reason) {
+  finished_ = true;
+  deadline_timer_.Reset();
+  stall_timer_.Reset();
+  exchange_->on_client_left = nullptr;
+  exchange_->on_drained = nullptr;
+  const Time now = BootClock::now();
+  const double elapsed_ms = ToMillis(now - exchange_->received());
+  Log(LogLevel::kInfo, "request_done",
+      {{"request", request_.id.value()},
+       {"route", route_.id.value()},
+       {"result", result},
+       {"status", status},
+       {"reason", reason},
+       {"sends", sends_},
+       {"runs", runs_},
+       {"elapsed_ms", elapsed_ms}});
+  context_.metrics.Add("gateway_requests_total{result=\"" +
+                       std::string(result) + "\"}");
+  context_.metrics.Record("gateway_request_seconds", elapsed_ms / 1000);
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Gateway/retry_window.cc
@@ -0,0 +1,43 @@
+// Retry budget over a sliding window.
+#include "corianderlink/Gateway/retry_window.h"
+
+#include <algorithm>
+
+namespace corianderlink {
+namespace {
+
+// The rest covers differences between the gateways' clocks and shares.
+constexpr double kUsedShare = 0.7;
+
+}  // namespace
+
+void RetryWindow::Expire(Time now) {
+  const Time start = now - limits_.window;
+  while (!requests_.empty() && requests_.front() < start) {
+    requests_.pop_front();
+  }
+  while (!retries_.empty() && retries_.front() < start) retries_.pop_front();
+}
+
+void RetryWindow::OnRequest(Time now) {
+  Expire(now);
+  requests_.push_back(now);
+}
+
+bool RetryWindow::TryRetry(Time now, size_t gateways) {
+  Expire(now);
+  const double allowed =
+      kUsedShare *
+      (limits_.ratio * static_cast<double>(requests_.size()) +
+       limits_.slack / static_cast<double>(std::max<size_t>(gateways, 1)));
+  if (static_cast<double>(retries_.size() + 1) > allowed) return false;
+  retries_.push_back(now);
+  return true;
+}
+
+size_t RetryWindow::retries(Time now) {
+  Expire(now);
+  return retries_.size();
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Http1/byte_stream.cc
@@ -0,0 +1,137 @@
+// TCP connections on libevent's bufferevents.
+#include "corianderlink/Http1/byte_stream.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cstring>
+
+#include "corianderlink/Http/event_loop.h"
+
+namespace corianderlink {
+namespace {
+
+// A peer that acknowledges nothing for this long is given up.
+constexpr unsigned kUserTimeoutMs = 2000;
+constexpr int kKeepAliveIdleSeconds = 2;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+
+void SetOption(int fd, int level, int option, int value) {
+  setsockopt(fd, level, option, &value, sizeof(value));
+}
+
+}  // namespace
+
+ByteStream::ByteStream(EventLoop& loop, int fd, ByteStreamListener& listener)
+    : listener_(listener) {
+  Init(loop, fd);
+  SetSocketOptions();
+}
+
+ByteStream::ByteStream(EventLoop& loop, const Address& to,
+                       ByteStreamListener& listener)
+    : listener_(listener) {
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  Init(loop, fd);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(to.port);
+  inet_pton(AF_INET, to.ip.c_str(), &address.sin_addr);
+  SetSocketOptions();
+  // A failure to start is reported through the event callback.
+  bufferevent_socket_connect(bev_, reinterpret_cast<sockaddr*>(&address),
+                             sizeof(address));
+}
+
+void ByteStream::Init(EventLoop& loop, int fd) {
+  bev_ = bufferevent_socket_new(
+      loop.base(), fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  bufferevent_setcb(
+      bev_,
+      [](bufferevent*, void* self) {
+        static_cast<ByteStream*>(self)->listener_.OnReadable();
+      },
+      [](bufferevent*, void* self) {
+        static_cast<ByteStream*>(self)->listener_.OnDrained();
+      },
+      [](bufferevent*, short what, void* arg) {  // NOLINT: libevent's type.
+        auto* self = static_cast<ByteStream*>(arg);
+        if ((what & BEV_EVENT_CONNECTED) != 0) {
+          self->listener_.OnConnected();
+        } else if ((what & BEV_EVENT_EOF) != 0) {
+          self->listener_.OnPeerClosed();
+        } else if ((what & BEV_EVENT_ERROR) != 0) {
+          self->listener_.OnError(
+              evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+        }
+      },
+      this);
+  sent_callback_ = evbuffer_add_cb(
+      bufferevent_get_output(bev_),
+      [](evbuffer*, const evbuffer_cb_info* info, void* self) {
+        if (info->n_deleted > 0) {
+          static_cast<ByteStream*>(self)->bytes_sent_ = true;
+        }
+      },
+      this);
+  bufferevent_enable(bev_, EV_READ | EV_WRITE);
+}
+
+void ByteStream::SetSocketOptions() {
+  const int fd = bufferevent_getfd(bev_);
+  if (fd < 0) return;
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+}
+
+ByteStream::~ByteStream() {
+  bufferevent_setcb(bev_, nullptr, nullptr, nullptr, nullptr);
+  evbuffer_remove_cb_entry(bufferevent_get_output(bev_), sent_callback_);
+  bufferevent_free(bev_);
+}
+
+std::string_view ByteStream::Input() {
+  evbuffer* input = bufferevent_get_input(bev_);
+  const size_t size = evbuffer_get_length(input);
+  if (size == 0) return {};
+  const auto* data = evbuffer_pullup(input, static_cast<ev_ssize_t>(size));
+  return {reinterpret_cast<const char*>(data), size};
+}
+
+void ByteStream::Consume(size_t bytes) {
+  evbuffer_drain(bufferevent_get_input(bev_), bytes);
+}
+
+void ByteStream::Write(std::string_view data) {
+  bufferevent_write(bev_, data.data(), data.size());
+}
+
+size_t ByteStream::PendingBytes() const {
+  return evbuffer_get_length(bufferevent_get_output(bev_));
+}
+
+void ByteStream::SetReadLimit(size_t bytes) {
+  bufferevent_setwatermark(bev_, EV_READ, 0, bytes);
+}
+
+void ByteStream::PauseReading() { bufferevent_disable(bev_, EV_READ); }
+
+void ByteStream::ResumeReading() { bufferevent_enable(bev_, EV_READ); }
+
+void ByteStream::ResetOnClose() {
+  const linger reset{1, 0};
+  setsockopt(bufferevent_getfd(bev_), SOL_SOCKET, SO_LINGER, &reset,
+             sizeof(reset));
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Http1/front_server.cc
@@ -0,0 +1,83 @@
+// The listener for clients.
+#include "corianderlink/Http1/front_server.h"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <utility>
+#include <vector>
+
+namespace corianderlink {
+namespace {
+
+constexpr int kListenBacklog = 1024;
+
+}  // namespace
+
+FrontServer::FrontServer(EventLoop& loop, size_t max_connections,
+                         Handler handler)
+    : loop_(loop),
+      max_connections_(max_connections),
+      context_{loop_,
+               limits_,
+               closing_,
+               std::move(handler),
+               [this](InboundConnection* connection) { OnClosed(connection); },
+               [this](const std::string& reason) {
+                 if (on_malformed) on_malformed(reason);
+               }} {}
+
+FrontServer::~FrontServer() { StopListening(); }
+
+bool FrontServer::Listen(const Address& address) {
+  sockaddr_in bind_to{};
+  bind_to.sin_family = AF_INET;
+  bind_to.sin_port = htons(address.port);
+  if (inet_pton(AF_INET, address.ip.c_str(), &bind_to.sin_addr) != 1) {
+    return false;
+  }
+  listener_ = evconnlistener_new_bind(
+      loop_.base(),
+      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* self) {
+        static_cast<FrontServer*>(self)->OnAccept(fd);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+      kListenBacklog, reinterpret_cast<sockaddr*>(&bind_to), sizeof(bind_to));
+  return listener_ != nullptr;
+}
+
+void FrontServer::StopListening() {
+  if (listener_ != nullptr) evconnlistener_free(listener_);
+  listener_ = nullptr;
+}
+
+void FrontServer::OnAccept(int fd) {
+  if (connections_.size() >= max_connections_) {
+    close(fd);
+    return;
+  }
+  auto connection = std::make_unique<InboundConnection>(context_, fd);
+  InboundConnection* key = connection.get();
+  connections_.emplace(key, std::move(connection));
+}
+
+void FrontServer::OnClosed(InboundConnection* connection) {
+  const auto it = connections_.find(connection);
+  if (it == connections_.end()) return;
+  // Destroyed from the loop: the connection may be on the call stack.
+  std::shared_ptr<InboundConnection> owned = std::move(it->second);
+  connections_.erase(it);
+  loop_.Post([owned] {});
+}
+
+void FrontServer::CloseIdleConnections() {
+  std::vector<InboundConnection*> idle;
+  for (const auto& [key, connection] : connections_) {
+    if (connection->idle()) idle.push_back(key);
+  }
+  for (InboundConnection* connection : idle) connection->Close();
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Http1/inbound_connection.cc
@@ -0,0 +1,250 @@
+// Client connections.
+#include "corianderlink/Http1/inbound_connection.h"
+
+#include <utility>
+
+namespace corianderlink {
+namespace {
+
+// Bytes that a client may send ahead while its request is being answered.
+constexpr size_t kMaxReadAheadBytes = 64 * 1024;
+
+const char* ReasonPhrase(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 202:
+      return "Accepted";
+    case 204:
+      return "No Content";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 429:
+      return "Too Many Requests";
+    case 500:
+      return "Internal Server Error";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return status < 400 ? "OK" : "Error";
+  }
+}
+
+}  // namespace
+
+InboundConnection::InboundConnection(const InboundContext& context, int fd)
+    : context_(context), stream_(context.loop, fd, *this) {
+  ArmTimer(context_.limits.idle_timeout);
+}
+
+InboundConnection::~InboundConnection() {
+  if (exchange_) exchange_->Detach();
+}
+
+bool InboundConnection::idle() const {
+  return exchange_ == nullptr && !request_started_;
+}
+
+void InboundConnection::ArmTimer(Duration delay) {
+  timer_ = context_.loop.After(delay, [this] { OnTimer(); });
+}
+
+void InboundConnection::OnTimer() {
+  if (exchange_) return;
+  if (request_started_) {
+    Refuse(408, "request not received in time");
+    return;
+  }
+  Close();
+}
+
+void InboundConnection::Close() {
+  if (closing_) return;
+  closing_ = true;
+  timer_.Reset();
+  const std::shared_ptr<InboundExchange> exchange = std::move(exchange_);
+  exchange_ = nullptr;
+  if (exchange) {
+    exchange->Detach();
+    if (exchange->on_client_left) exchange->on_client_left();
+  }
+  context_.on_closed(this);
+}
+
+void InboundConnection::OnReadable() {
+  if (closing_) return;
+  if (exchange_) return;  // Read ahead; parsed after the answer.
+  ParseInput();
+}
+
+void InboundConnection::ParseInput() {
+  const std::string_view input = stream_.Input();
+  if (input.empty()) return;
+  if (!request_started_) {
+    request_started_ = BootClock::now();
+    parser_ = std::make_unique<RequestParser>(
+        ParserLimits{context_.limits.max_header_bytes,
+                     context_.limits.max_body_bytes});
+    ArmTimer(context_.limits.header_timeout);
+  }
+  const ParseState before = parser_->state();
+  stream_.Consume(parser_->Feed(input));
+  switch (parser_->state()) {
+    case ParseState::kFailed:
+      Refuse(parser_->too_large() ? 413 : 400, parser_->reason());
+      return;
+    case ParseState::kDone:
+      Dispatch();
+      return;
+    case ParseState::kBody:
+      if (before == ParseState::kHead) {
+        const std::string* expect =
+            FindField(parser_->head().fields, "Expect");
+        if (expect != nullptr) stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
+      }
+      ArmTimer(context_.limits.idle_timeout);
+      return;
+    case ParseState::kHead:
+      return;
+  }
+}
+
+void InboundConnection::Dispatch() {
+  timer_.Reset();
+  close_after_answer_ = !parser_->head().keep_alive;
+  exchange_ = std::make_shared<InboundExchange>(
+      this, parser_->head(), std::move(parser_->body()), *request_started_);
+  parser_.reset();
+  stream_.SetReadLimit(kMaxReadAheadBytes);
+  context_.on_request(exchange_);
+}
+
+void InboundConnection::Refuse(int status, const std::string& reason) {
+  context_.on_malformed(reason);
+  close_after_answer_ = true;
+  timer_.Reset();
+  WriteHead(status, {}, 0);
+  OnAnswerComplete();
+}
+
+void InboundConnection::WriteHead(int status, const HeaderFields& fields,
+                                  std::optional<uint64_t> content_length) {
+  if (context_.closing) close_after_answer_ = true;
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " " +
+                     ReasonPhrase(status) + "\r\n";
+  AppendFields(fields, head);
+  if (content_length) {
+    head += "Content-Length: " + std::to_string(*content_length) + "\r\n";
+  } else {
+    head += "Transfer-Encoding: chunked\r\n";
+  }
+  if (close_after_answer_) head += "Connection: close\r\n";
+  head += "\r\n";
+  stream_.Write(head);
+}
+
+void InboundConnection::OnAnswerComplete() {
+  exchange_ = nullptr;
+  request_started_.reset();
+  parser_.reset();
+  if (close_after_answer_) {
+    if (stream_.PendingBytes() == 0) Close();
+    return;
+  }
+  ArmTimer(context_.limits.idle_timeout);
+  // Parsed from the loop, as the caller may still be using the exchange.
+  if (!stream_.Input().empty()) {
+    timer_ = context_.loop.After(Duration::zero(), [this] {
+      ArmTimer(context_.limits.idle_timeout);
+      OnReadable();
+    });
+  }
+}
+
+void InboundConnection::OnDrained() {
+  if (closing_) return;
+  if (exchange_) {
+    const std::shared_ptr<InboundExchange> exchange = exchange_;
+    if (exchange->on_drained) exchange->on_drained();
+    return;
+  }
+  if (close_after_answer_) Close();
+}
+
+void InboundConnection::OnPeerClosed() { Close(); }
+
+void InboundConnection::OnError(const std::string&) { Close(); }
+
+InboundExchange::InboundExchange(InboundConnection* connection,
+                                 RequestHead head, std::string body,
+                                 Time received)
+    : connection_(connection),
+      head_(std::move(head)),
+      body_(std::move(body)),
+      received_(received) {}
+
+void InboundExchange::Detach() { connection_ = nullptr; }
+
+void InboundExchange::StartAnswer(int status, const HeaderFields& fields,
+                                  std::optional<uint64_t> content_length) {
+  if (!open() || started_) return;
+  started_ = true;
+  chunked_ = !content_length;
+  connection_->WriteHead(status, fields, content_length);
+}
+
+void InboundExchange::SendBody(std::string_view data) {
+  if (!open() || !started_ || data.empty()) return;
+  if (!chunked_) {
+    connection_->stream_.Write(data);
+    return;
+  }
+  char size[20];
+  const int length = std::snprintf(size, sizeof(size), "%zx\r\n", data.size());
+  std::string chunk(size, static_cast<size_t>(length));
+  chunk += data;
+  chunk += "\r\n";
+  connection_->stream_.Write(chunk);
+}
+
+void InboundExchange::FinishAnswer() {
+  if (!open() || !started_) return;
+  if (chunked_) connection_->stream_.Write("0\r\n\r\n");
+  InboundConnection* connection = connection_;
+  connection_ = nullptr;
+  connection->OnAnswerComplete();
+}
+
+void InboundExchange::Answer(int status, const HeaderFields& fields,
+                             std::string_view body) {
+  if (!open() || started_) return;
+  StartAnswer(status, fields, body.size());
+  SendBody(body);
+  FinishAnswer();
+}
+
+void InboundExchange::Abort() {
+  if (!open()) return;
+  InboundConnection* connection = connection_;
+  on_client_left = nullptr;
+  connection->stream_.ResetOnClose();
+  connection->Close();
+}
+
+size_t InboundExchange::PendingBytes() const {
+  return open() ? connection_->stream_.PendingBytes() : 0;
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Http1/message_parser.cc
@@ -0,0 +1,150 @@
+// HTTP/1.1 parsers on boost::beast::http::basic_parser.
+#include "corianderlink/Http1/message_parser.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace corianderlink {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
+// Collects the start line, the fields and the body of one message.
+template <bool kIsRequest>
+class Collector : public http::basic_parser<kIsRequest> {
+ public:
+  using Base = http::basic_parser<kIsRequest>;
+
+  explicit Collector(const ParserLimits& limits) {
+    this->eager(true);
+    this->header_limit(limits.max_header_bytes);
+    this->body_limit(limits.max_body_bytes);
+  }
+
+  size_t Feed(std::string_view data) {
+    size_t used = 0;
+    while (used < data.size() && !this->is_done() && !failed_) {
+      error_code ec;
+      const size_t n = this->put(
+          boost::asio::const_buffer(data.data() + used, data.size() - used),
+          ec);
+      used += n;
+      if (ec == http::error::need_more) break;
+      if (ec) Fail(ec);
+      if (n == 0) break;
+    }
+    return used;
+  }
+
+  void FeedEnd() {
+    if (this->is_done() || failed_) return;
+    error_code ec;
+    this->put_eof(ec);
+    if (ec) Fail(ec);
+  }
+
+  ParseState state() const {
+    if (failed_) return ParseState::kFailed;
+    if (this->is_done()) return ParseState::kDone;
+    return this->is_header_done() ? ParseState::kBody : ParseState::kHead;
+  }
+
+  RequestHead request;
+  ResponseHead response;
+  std::string body;
+  std::string reason;
+  bool too_large = false;
+
+ private:
+  void Fail(const error_code& ec) {
+    failed_ = true;
+    reason = ec.message();
+    too_large =
+        ec == http::error::body_limit || ec == http::error::header_limit;
+  }
+
+  void on_request_impl(http::verb, string_view method, string_view target, int,
+                       error_code&) override {
+    request.method = std::string(method);
+    request.target = std::string(target);
+  }
+  void on_response_impl(int status, string_view, int, error_code&) override {
+    response.status = status;
+  }
+  void on_field_impl(http::field, string_view name, string_view value,
+                     error_code&) override {
+    HeaderFields& fields = kIsRequest ? request.fields : response.fields;
+    fields.push_back({std::string(name), std::string(value)});
+  }
+  void on_header_impl(error_code&) override {
+    request.keep_alive = this->keep_alive();
+    response.keep_alive = this->keep_alive();
+    if (!this->chunked() && this->content_length()) {
+      response.content_length = *this->content_length();
+    }
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>&,
+                         error_code&) override {}
+  std::size_t on_body_impl(string_view data, error_code&) override {
+    body.append(data.data(), data.size());
+    return data.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, string_view data,
+                                 error_code&) override {
+    body.append(data.data(), data.size());
+    return data.size();
+  }
+  void on_finish_impl(error_code&) override {}
+
+  bool failed_ = false;
+};
+
+}  // namespace
+
+struct RequestParser::Impl {
+  explicit Impl(const ParserLimits& limits) : collector(limits) {}
+  Collector<true> collector;
+};
+
+RequestParser::RequestParser(ParserLimits limits)
+    : impl_(std::make_unique<Impl>(limits)) {}
+RequestParser::~RequestParser() = default;
+size_t RequestParser::Feed(std::string_view data) {
+  return impl_->collector.Feed(data);
+}
+ParseState RequestParser::state() const { return impl_->collector.state(); }
+const std::string& RequestParser::reason() const {
+  return impl_->collector.reason;
+}
+bool RequestParser::too_large() const { return impl_->collector.too_large; }
+const RequestHead& RequestParser::head() const {
+  return impl_->collector.request;
+}
+std::string& RequestParser::body() { return impl_->collector.body; }
+
+struct ResponseParser::Impl {
+  explicit Impl(const ParserLimits& limits) : collector(limits) {}
+  Collector<false> collector;
+};
+
+ResponseParser::ResponseParser(ParserLimits limits)
+    : impl_(std::make_unique<Impl>(limits)) {}
+ResponseParser::~ResponseParser() = default;
+size_t ResponseParser::Feed(std::string_view data) {
+  return impl_->collector.Feed(data);
+}
+void ResponseParser::FeedEnd() { impl_->collector.FeedEnd(); }
+ParseState ResponseParser::state() const { return impl_->collector.state(); }
+const std::string& ResponseParser::reason() const {
+  return impl_->collector.reason;
+}
+const ResponseHead& ResponseParser::head() const {
+  return impl_->collector.response;
+}
+std::string& ResponseParser::body() { return impl_->collector.body; }
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Http1/upstream_connection.cc
@@ -0,0 +1,217 @@
+// Connections to upstreams.
+#include "upstream_connection.h"
+
+#include <charconv>
+#include <utility>
+
+#include "corianderlink/Http1/upstream_pool.h"
+
+namespace corianderlink {
+namespace {
+
+constexpr ParserLimits kResponseLimits{64 * 1024, 64 * 1024 * 1024};
+// An upstream closes an idle connection this long before its announced time
+// has run out here, so that no request crosses the closing.
+constexpr Duration kKeepAliveMargin = milliseconds(500);
+
+bool AllowsBody(const std::string& method) {
+  return method != "GET" && method != "HEAD" && method != "DELETE";
+}
+
+}  // namespace
+
+UpstreamConnection::UpstreamConnection(UpstreamPool& pool, EventLoop& loop,
+                                       Address address)
+    : pool_(&pool),
+      loop_(loop),
+      address_(std::move(address)),
+      stream_(std::make_unique<ByteStream>(loop, address_, *this)) {}
+
+UpstreamConnection::~UpstreamConnection() = default;
+
+void UpstreamConnection::Send(UpstreamRequest request,
+                              UpstreamHandlers handlers) {
+  self_ = shared_from_this();
+  handlers_ = std::move(handlers);
+  answers_ = std::move(request.answers);
+  busy_ = true;
+  request_bytes_sent_ = false;
+  head_delivered_ = false;
+  skipping_ = false;
+  parser_ = std::make_unique<ResponseParser>(kResponseLimits);
+  std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
+  AppendFields(request.fields, head);
+  if (!request.body.empty() || AllowsBody(request.method)) {
+    head += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  head += "\r\n";
+  stream_->Write(head + request.body);
+  if (connected_) {
+    request_bytes_sent_ = true;
+    return;
+  }
+  connect_timer_ = loop_.After(request.connect_timeout, [this] {
+    Fail("connection not established in time");
+  });
+}
+
+void UpstreamConnection::OnConnected() {
+  connected_ = true;
+  connect_timer_.Reset();
+  if (busy_) request_bytes_sent_ = true;
+}
+
+void UpstreamConnection::OnReadable() {
+  if (closed_) return;
+  const auto keep_alive = shared_from_this();
+  if (!busy_) {
+    // Bytes on an idle connection belong to no request.
+    Close();
+    return;
+  }
+  while (busy_ && !closed_) {
+    const std::string_view input = stream_->Input();
+    if (input.empty()) return;
+    const size_t used = parser_->Feed(input);
+    stream_->Consume(used);
+    const ParseState state = parser_->state();
+    if (state == ParseState::kFailed) {
+      Fail("malformed response: " + parser_->reason());
+      return;
+    }
+    if (state == ParseState::kHead) return;
+    if (!head_delivered_) DeliverHead();
+    if (closed_ || !busy_) return;
+    if (!skipping_ && !parser_->body().empty() && handlers_.on_body) {
+      handlers_.on_body(std::exchange(parser_->body(), {}));
+    }
+    if (closed_ || !busy_) return;
+    if (state == ParseState::kDone) FinishResponse();
+    if (used == 0) return;
+  }
+}
+
+void UpstreamConnection::DeliverHead() {
+  const ResponseHead& head = parser_->head();
+  head_delivered_ = true;
+  skipping_ =
+      head.status < 200 || (answers_ && !answers_(head));
+  if (!skipping_ && handlers_.on_head) handlers_.on_head(head);
+}
+
+void UpstreamConnection::FinishResponse() {
+  const bool keep = parser_->head().keep_alive;
+  if (!skipping_) {
+    CompleteCall();
+    return;
+  }
+  if (!keep && parser_->head().status >= 200) {
+    Fail("upstream closed after a response to another request");
+    return;
+  }
+  parser_ = std::make_unique<ResponseParser>(kResponseLimits);
+  head_delivered_ = false;
+  skipping_ = false;
+}
+
+void UpstreamConnection::CompleteCall() {
+  const ResponseHead& head = parser_->head();
+  // An upstream may answer before it has read a long request: the rest is
+  // still due then.
+  const bool reusable = head.keep_alive && stream_->PendingBytes() == 0 &&
+                        stream_->Input().empty();
+  NoteKeepAlive(head);
+  busy_ = false;
+  const UpstreamHandlers handlers = std::exchange(handlers_, {});
+  answers_ = nullptr;
+  if (reusable) {
+    idle_since_ = BootClock::now();
+    stream_->ResumeReading();
+    pool_->Keep(shared_from_this());
+  } else {
+    Close();
+  }
+  if (handlers.on_end) handlers.on_end();
+}
+
+void UpstreamConnection::NoteKeepAlive(const ResponseHead& head) {
+  const std::string* value = FindField(head.fields, "Keep-Alive");
+  if (value == nullptr) return;
+  const size_t at = value->find("timeout=");
+  if (at == std::string::npos) return;
+  int timeout_s = 0;
+  const char* begin = value->data() + at + sizeof("timeout=") - 1;
+  std::from_chars(begin, value->data() + value->size(), timeout_s);
+  usable_until_ = BootClock::now() + seconds(timeout_s) - kKeepAliveMargin;
+}
+
+void UpstreamConnection::OnPeerClosed() {
+  const auto keep_alive = shared_from_this();
+  if (closed_) return;
+  if (!busy_) {
+    Close();
+    return;
+  }
+  OnReadable();
+  if (closed_ || !busy_) return;
+  const bool had_head = head_delivered_;
+  parser_->FeedEnd();
+  const bool complete =
+      had_head && !skipping_ && parser_->state() == ParseState::kDone;
+  if (complete) {
+    busy_ = false;
+    const UpstreamHandlers handlers = std::exchange(handlers_, {});
+    Close();
+    if (handlers.on_end) handlers.on_end();
+    return;
+  }
+  Fail("upstream closed the connection");
+}
+
+void UpstreamConnection::OnError(const std::string& reason) {
+  if (closed_) return;
+  const auto keep_alive = shared_from_this();
+  if (busy_ && connected_) OnReadable();
+  if (closed_) return;
+  if (!busy_) {
+    Close();
+    return;
+  }
+  Fail(connected_ ? "connection failed: " + reason
+                  : "connection refused: " + reason);
+}
+
+void UpstreamConnection::Fail(const std::string& reason) {
+  const auto keep_alive = shared_from_this();
+  busy_ = false;
+  const UpstreamHandlers handlers = std::exchange(handlers_, {});
+  answers_ = nullptr;
+  const bool sent = request_bytes_sent_;
+  Close();
+  if (!handlers.on_fail) return;
+  handlers.on_fail(sent ? Outcome::MayHaveRun(reason)
+                        : Outcome::NotRun(reason));
+}
+
+void UpstreamConnection::Cancel() {
+  if (closed_ || !busy_) return;
+  const auto keep_alive = shared_from_this();
+  busy_ = false;
+  handlers_ = {};
+  answers_ = nullptr;
+  stream_->ResetOnClose();
+  Close();
+}
+
+void UpstreamConnection::Close() {
+  if (closed_) return;
+  closed_ = true;
+  connect_timer_.Reset();
+  const auto keep_alive = shared_from_this();
+  pool_->Remove(this);
+  // Freed from the loop: the stream or the parser may be on the call stack.
+  loop_.Post([keep_alive] { keep_alive->stream_.reset(); });
+  self_.reset();
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Http1/upstream_connection.h
@@ -0,0 +1,75 @@
+// One connection to an upstream, used for one request at a time.
+#ifndef CORIANDERLINK_LIB_HTTP1_UPSTREAM_CONNECTION_H_
+#define CORIANDERLINK_LIB_HTTP1_UPSTREAM_CONNECTION_H_
+
+#include <memory>
+#include <string>
+
+#include "corianderlink/Http/event_loop.h"
+#include "corianderlink/Http1/byte_stream.h"
+#include "corianderlink/Http1/message_parser.h"
+#include "corianderlink/Http1/upstream_call.h"
+
+namespace corianderlink {
+
+class UpstreamPool;
+
+class UpstreamConnection
+    : public UpstreamCall,
+      public ByteStreamListener,
+      public std::enable_shared_from_this<UpstreamConnection> {
+ public:
+  UpstreamConnection(UpstreamPool& pool, EventLoop& loop, Address address);
+  ~UpstreamConnection() override;
+
+  /// Sends a request.  The connection must be new or idle.
+  void Send(UpstreamRequest request, UpstreamHandlers handlers);
+
+  void Cancel() override;
+  void PauseReading() override { stream_->PauseReading(); }
+  void ResumeReading() override { stream_->ResumeReading(); }
+  bool bytes_sent() const override { return request_bytes_sent_; }
+
+  const Address& address() const { return address_; }
+  /// When the connection became idle.
+  Time idle_since() const { return idle_since_; }
+  /// False if the upstream announced to close it before `now`.
+  bool usable(Time now) const { return now < usable_until_; }
+  void Close();
+
+ private:
+  void OnConnected() override;
+  void OnReadable() override;
+  void OnPeerClosed() override;
+  void OnError(const std::string& reason) override;
+
+  void Fail(const std::string& reason);
+  void DeliverHead();
+  void FinishResponse();
+  void CompleteCall();
+  void NoteKeepAlive(const ResponseHead& head);
+
+  UpstreamPool* pool_;
+  EventLoop& loop_;
+  const Address address_;
+  std::unique_ptr<ByteStream> stream_;
+  std::unique_ptr<ResponseParser> parser_;
+  std::function<bool(const ResponseHead&)> answers_;
+  UpstreamHandlers handlers_;
+  EventHandle connect_timer_;
+  // Keeps the connection alive until it is closed.
+  std::shared_ptr<UpstreamConnection> self_;
+  Time idle_since_{};
+  Time usable_until_ = Time::max();
+  bool connected_ = false;
+  bool busy_ = false;
+  bool closed_ = false;
+  bool request_bytes_sent_ = false;
+  bool head_delivered_ = false;
+  // The present response belongs to no request.
+  bool skipping_ = false;
+};
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_LIB_HTTP1_UPSTREAM_CONNECTION_H_
--- /dev/null
+++ b/lib/Http1/upstream_pool.cc
@@ -0,0 +1,82 @@
+// The pool of connections to upstreams.
+#include "corianderlink/Http1/upstream_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "upstream_connection.h"
+
+namespace corianderlink {
+
+UpstreamPool::UpstreamPool(EventLoop& loop) : loop_(loop) {}
+
+UpstreamPool::~UpstreamPool() = default;
+
+std::shared_ptr<UpstreamCall> UpstreamPool::Start(UpstreamRequest request,
+                                                  UpstreamHandlers handlers) {
+  auto connection =
+      TakeIdle(BootClock::now(), request.address, request.max_idle);
+  if (!connection) {
+    connection =
+        std::make_shared<UpstreamConnection>(*this, loop_, request.address);
+    ++open_[request.address];
+    ++connects_;
+  }
+  connection->Send(std::move(request), std::move(handlers));
+  return connection;
+}
+
+std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdle(
+    Time now, const Address& address, Duration max_idle) {
+  while (true) {
+    const auto it = idle_.find(address);
+    if (it == idle_.end() || it->second.empty()) return nullptr;
+    const std::shared_ptr<UpstreamConnection> last = it->second.back();
+    if (!last->usable(now)) {
+      last->Close();
+      continue;
+    }
+    if (now - last->idle_since() > max_idle) return nullptr;
+    it->second.pop_back();
+    return last;
+  }
+}
+
+void UpstreamPool::Keep(std::shared_ptr<UpstreamConnection> connection) {
+  idle_[connection->address()].push_back(std::move(connection));
+}
+
+void UpstreamPool::Remove(UpstreamConnection* connection) {
+  const auto open = open_.find(connection->address());
+  if (open != open_.end() && --open->second == 0) open_.erase(open);
+  const auto it = idle_.find(connection->address());
+  if (it == idle_.end()) return;
+  auto& idle = it->second;
+  idle.erase(std::remove_if(idle.begin(), idle.end(),
+                            [connection](const auto& kept) {
+                              return kept.get() == connection;
+                            }),
+             idle.end());
+  if (idle.empty()) idle_.erase(it);
+}
+
+size_t UpstreamPool::Connections(const Address& address) const {
+  const auto it = open_.find(address);
+  return it == open_.end() ? 0 : it->second;
+}
+
+size_t UpstreamPool::IdleConnections(const Address& address) const {
+  const auto it = idle_.find(address);
+  return it == idle_.end() ? 0 : it->second.size();
+}
+
+void UpstreamPool::Forget(const Address& address) {
+  while (true) {
+    const auto it = idle_.find(address);
+    if (it == idle_.end() || it->second.empty()) return;
+    const std::shared_ptr<UpstreamConnection> connection = it->second.back();
+    connection->Close();
+  }
+}
+
+}  // namespace corianderlink
