[Http1] Keep a callback alive while it runs; do not close before an answer is sent

A client that left ran on_client_left, which cleared itself and with it the last reference to its task. Found while testing: a new socket reports itself writable before anything is written, which was taken for the end of a refusal, so that the connection closed without it. Ruled out: memory limit (24 MB at the peak), stack depth. Change: callbacks are moved out before the call; OnDrained needs an empty buffer.

--- a/lib/Http1/byte_stream.cc
+++ b/lib/Http1/byte_stream.cc
@@ -57,8 +57,11 @@
       [](bufferevent*, void* self) {
         static_cast<ByteStream*>(self)->listener_.OnReadable();
       },
-      [](bufferevent*, void* self) {
-        static_cast<ByteStream*>(self)->listener_.OnDrained();
+      [](bufferevent*, void* arg) {
+        auto* self = static_cast<ByteStream*>(arg);
+        // A new socket reports that it is writable before anything is written;
+        // by the time of this call there may be bytes to send.
+        if (self->PendingBytes() == 0) self->listener_.OnDrained();
       },
       [](bufferevent*, short what, void* arg) {  // NOLINT: libevent's type.
         auto* self = static_cast<ByteStream*>(arg);
--- a/lib/Http1/inbound_connection.cc
+++ b/lib/Http1/inbound_connection.cc
@@ -78,7 +78,9 @@
   exchange_ = nullptr;
   if (exchange) {
     exchange->Detach();
-    if (exchange->on_client_left) exchange->on_client_left();
+    // Moved out: the callee may replace its own callback.
+    const auto on_client_left = std::exchange(exchange->on_client_left, nullptr);
+    if (on_client_left) on_client_left();
   }
   context_.on_closed(this);
 }
@@ -177,7 +179,8 @@
   if (closing_) return;
   if (exchange_) {
     const std::shared_ptr<InboundExchange> exchange = exchange_;
-    if (exchange->on_drained) exchange->on_drained();
+    const auto on_drained = exchange->on_drained;
+    if (on_drained) on_drained();
     return;
   }
   if (close_after_answer_) Close();
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -82,9 +82,7 @@
     if (state == ParseState::kHead) return;
     if (!head_delivered_) DeliverHead();
     if (closed_ || !busy_) return;
-    if (!skipping_ && !parser_->body().empty() && handlers_.on_body) {
-      handlers_.on_body(std::exchange(parser_->body(), {}));
-    }
+    if (!skipping_ && !parser_->body().empty()) DeliverBody();
     if (closed_ || !busy_) return;
     if (state == ParseState::kDone) FinishResponse();
     if (used == 0) return;
@@ -96,7 +94,15 @@
   head_delivered_ = true;
   skipping_ =
       head.status < 200 || (answers_ && !answers_(head));
-  if (!skipping_ && handlers_.on_head) handlers_.on_head(head);
+  // Copied: the callee may cancel the call, which drops the handlers.
+  const auto on_head = handlers_.on_head;
+  if (!skipping_ && on_head) on_head(head);
+}
+
+void UpstreamConnection::DeliverBody() {
+  const auto on_body = handlers_.on_body;
+  std::string body = std::exchange(parser_->body(), {});
+  if (on_body) on_body(std::move(body));
 }
 
 void UpstreamConnection::FinishResponse() {
@@ -193,6 +199,14 @@
                         : Outcome::NotRun(reason));
 }
 
+void UpstreamConnection::PauseReading() {
+  if (!closed_) stream_->PauseReading();
+}
+
+void UpstreamConnection::ResumeReading() {
+  if (!closed_) stream_->ResumeReading();
+}
+
 void UpstreamConnection::Cancel() {
   if (closed_ || !busy_) return;
   const auto keep_alive = shared_from_this();
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -26,8 +26,8 @@
   void Send(UpstreamRequest request, UpstreamHandlers handlers);
 
   void Cancel() override;
-  void PauseReading() override { stream_->PauseReading(); }
-  void ResumeReading() override { stream_->ResumeReading(); }
+  void PauseReading() override;
+  void ResumeReading() override;
   bool bytes_sent() const override { return request_bytes_sent_; }
 
   const Address& address() const { return address_; }
@@ -45,6 +45,7 @@
 
   void Fail(const std::string& reason);
   void DeliverHead();
+  void DeliverBody();
   void FinishResponse();
   void CompleteCall();
   void NoteKeepAlive(const ResponseHead& head);
--- /dev/null
+++ b/unittests/Common/raw_peer.h
@@ -0,0 +1,55 @@
+// A TCP peer for tests that speaks whatever a test makes it speak.
+#ifndef CORIANDERLINK_UNITTESTS_COMMON_RAW_PEER_H_
+#define CORIANDERLINK_UNITTESTS_COMMON_RAW_PEER_H_
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <functional>
+#include <thread>
+
+#include "corianderlink/Support/address.h"
+
+namespace corianderlink {
+
+/// A peer that handles each connection with `serve` on a thread of its own.
+class RawPeer {
+ public:
+  explicit RawPeer(std::function<void(int fd)> serve) {
+    listener_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    bind(listener_, reinterpret_cast<sockaddr*>(&address), size);
+    listen(listener_, 8);
+    getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+    this->address = {"127.0.0.1", ntohs(address.sin_port)};
+    thread_ = std::thread([this, serve = std::move(serve)] {
+      int fd = -1;
+      while ((fd = accept(listener_, nullptr, nullptr)) >= 0) {
+        ++connections;
+        serve(fd);
+        close(fd);
+      }
+    });
+  }
+  ~RawPeer() {
+    shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    close(listener_);
+  }
+
+  Address address;
+  std::atomic<int> connections{0};
+
+ private:
+  int listener_;
+  std::thread thread_;
+};
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_UNITTESTS_COMMON_RAW_PEER_H_
--- /dev/null
+++ b/unittests/Http1/inbound_connection_test.cc
@@ -0,0 +1,188 @@
+// Tests of client connections over socket pairs.
+#include "corianderlink/Http1/inbound_connection.h"
+
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+namespace corianderlink {
+namespace {
+
+using Exchange = std::shared_ptr<InboundExchange>;
+
+class InboundConnectionTest : public ::testing::Test {
+ protected:
+  InboundConnectionTest() {
+    socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, fds_);
+    connection_ = std::make_unique<InboundConnection>(context_, fds_[0]);
+  }
+  ~InboundConnectionTest() override { HangUp(); }
+
+  void Send(const std::string& text) {
+    ASSERT_EQ(write(fds_[1], text.data(), text.size()),
+              static_cast<ssize_t>(text.size()));
+  }
+  void HangUp() {
+    if (fds_[1] >= 0) close(fds_[1]);
+    fds_[1] = -1;
+  }
+  void RunFor(Duration time) {
+    const EventHandle stop = loop_.After(time, [this] { loop_.Stop(); });
+    loop_.Run();
+  }
+  /// Runs the loop and returns what the client received.
+  std::string Receive() {
+    RunFor(milliseconds(30));
+    std::string text;
+    char buffer[4096];
+    ssize_t n = 0;
+    while ((n = read(fds_[1], buffer, sizeof(buffer))) > 0) {
+      text.append(buffer, static_cast<size_t>(n));
+    }
+    return text;
+  }
+
+  EventLoop loop_;
+  InboundLimits limits_{1024, 4096, milliseconds(60), milliseconds(500)};
+  bool closing_ = false;
+  bool closed_ = false;
+  std::vector<Exchange> requests_;
+  std::vector<std::string> malformed_;
+  std::function<void(Exchange)> on_request_ = [this](Exchange exchange) {
+    requests_.push_back(std::move(exchange));
+  };
+  InboundContext context_{
+      loop_,
+      limits_,
+      closing_,
+      [this](Exchange exchange) { on_request_(std::move(exchange)); },
+      [this](InboundConnection*) {
+        closed_ = true;
+        std::shared_ptr<InboundConnection> owned = std::move(connection_);
+        loop_.Post([owned] {});
+      },
+      [this](const std::string& reason) { malformed_.push_back(reason); }};
+  int fds_[2] = {-1, -1};
+  std::unique_ptr<InboundConnection> connection_;
+};
+
+TEST_F(InboundConnectionTest, CallbackMayDropItselfWhenClientLeaves) {
+  auto alive = std::make_shared<int>(7);
+  const std::weak_ptr<int> watch = alive;
+  bool alive_at_end = false;
+  on_request_ = [&](const Exchange& exchange) {
+    exchange->on_client_left = [&, exchange, keep = std::move(alive)] {
+      exchange->on_client_left = nullptr;
+      alive_at_end = !watch.expired();
+    };
+  };
+  Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunFor(milliseconds(10));
+  HangUp();
+  RunFor(milliseconds(30));
+  EXPECT_TRUE(alive_at_end);
+  EXPECT_TRUE(watch.expired());
+}
+
+TEST_F(InboundConnectionTest, PipelinedRequestsAreAnsweredInOrder) {
+  Send(
+      "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
+      "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi");
+  RunFor(milliseconds(20));
+  ASSERT_EQ(requests_.size(), 1U);
+  requests_[0]->Answer(200, {}, "one");
+  RunFor(milliseconds(20));
+  ASSERT_EQ(requests_.size(), 2U);
+  EXPECT_EQ(requests_[1]->body(), "hi");
+  requests_[1]->Answer(200, {}, "two");
+  const std::string got = Receive();
+  EXPECT_LT(got.find("one"), got.find("two"));
+  EXPECT_NE(got.find("two"), std::string::npos);
+}
+
+TEST_F(InboundConnectionTest, RequestWithTwoFramingsIsRefused) {
+  Send(
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\n"
+      "Host: a\r\n\r\n");
+  const std::string got = Receive();
+  EXPECT_EQ(got.find("HTTP/1.1 400"), 0U);
+  EXPECT_TRUE(requests_.empty());
+  EXPECT_TRUE(closed_);
+}
+
+TEST_F(InboundConnectionTest, SecondContentLengthIsRefused) {
+  Send(
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+      "Content-Length: 30\r\n\r\nhi");
+  EXPECT_EQ(Receive().find("HTTP/1.1 400"), 0U);
+  EXPECT_TRUE(requests_.empty());
+}
+
+TEST_F(InboundConnectionTest, TornHeadTimesOut) {
+  Send("GET / HTTP/1.1\r\nHos");
+  RunFor(milliseconds(120));
+  EXPECT_EQ(Receive().find("HTTP/1.1 408"), 0U);
+  EXPECT_TRUE(closed_);
+}
+
+TEST_F(InboundConnectionTest, OversizedBodyIsRefused) {
+  Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n");
+  EXPECT_EQ(Receive().find("HTTP/1.1 413"), 0U);
+}
+
+TEST_F(InboundConnectionTest, OversizedHeadIsRefused) {
+  Send("GET / HTTP/1.1\r\nA: " + std::string(2000, 'x') + "\r\n\r\n");
+  EXPECT_EQ(Receive().find("HTTP/1.1 413"), 0U);
+}
+
+TEST_F(InboundConnectionTest, ChunkedBodyArrivesWhole) {
+  Send(
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n");
+  RunFor(milliseconds(10));
+  EXPECT_TRUE(requests_.empty());
+  Send("2\r\nde\r\n0\r\n\r\n");
+  RunFor(milliseconds(10));
+  ASSERT_EQ(requests_.size(), 1U);
+  EXPECT_EQ(requests_[0]->body(), "abcde");
+}
+
+TEST_F(InboundConnectionTest, AbortedAnswerHasNoEnd) {
+  Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunFor(milliseconds(10));
+  ASSERT_EQ(requests_.size(), 1U);
+  requests_[0]->StartAnswer(200, {}, std::nullopt);
+  requests_[0]->SendBody("part");
+  RunFor(milliseconds(10));
+  requests_[0]->Abort();
+  const std::string got = Receive();
+  EXPECT_NE(got.find("4\r\npart\r\n"), std::string::npos);
+  EXPECT_EQ(got.find("0\r\n\r\n"), std::string::npos);
+  EXPECT_TRUE(closed_);
+}
+
+TEST_F(InboundConnectionTest, IdleConnectionIsClosedAfterItsTimeout) {
+  RunFor(milliseconds(300));
+  EXPECT_FALSE(closed_);
+  RunFor(milliseconds(300));
+  EXPECT_TRUE(closed_);
+}
+
+TEST_F(InboundConnectionTest, AnswersCloseTheConnectionWhileStopping) {
+  Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunFor(milliseconds(10));
+  ASSERT_EQ(requests_.size(), 1U);
+  closing_ = true;
+  requests_[0]->Answer(200, {}, "bye");
+  const std::string got = Receive();
+  EXPECT_NE(got.find("Connection: close"), std::string::npos);
+  EXPECT_NE(got.find("bye"), std::string::npos);
+  EXPECT_TRUE(closed_);
+}
+
+}  // namespace
+}  // namespace corianderlink
--- /dev/null
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -0,0 +1,207 @@
+// Tests of verdicts and of kept connections against raw peers.
+#include "corianderlink/Http1/upstream_pool.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "Common/raw_peer.h"
+
+namespace corianderlink {
+namespace {
+
+/// Reads up to the end of one request head with an optional "end" marker.
+bool ReadUntil(int fd, const std::string& end) {
+  std::string text;
+  char byte = 0;
+  while (text.find(end) == std::string::npos) {
+    if (read(fd, &byte, 1) <= 0) return false;
+    text += byte;
+  }
+  return true;
+}
+
+void Write(int fd, const std::string& text) {
+  const ssize_t n = write(fd, text.data(), text.size());
+  (void)n;
+}
+
+std::string Answer(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nId: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+struct Result {
+  bool ended = false;
+  std::string body;
+  std::optional<Outcome> failure;
+};
+
+class UpstreamPoolTest : public ::testing::Test {
+ protected:
+  Result Call(const Address& to, const std::string& id,
+              const std::string& body = "") {
+    Result result;
+    UpstreamRequest request;
+    request.address = to;
+    request.method = "POST";
+    request.fields = {{"Id", id}};
+    request.body = body;
+    request.answers = [id](const ResponseHead& head) {
+      const std::string* got = FindField(head.fields, "Id");
+      return got != nullptr && *got == id;
+    };
+    UpstreamHandlers handlers;
+    handlers.on_body = [&](const std::string& data) { result.body += data; };
+    handlers.on_end = [&] {
+      result.ended = true;
+      loop_.Stop();
+    };
+    handlers.on_fail = [&](const Outcome& outcome) {
+      result.failure = outcome;
+      loop_.Stop();
+    };
+    const EventHandle limit = loop_.After(seconds(2), [&] { loop_.Stop(); });
+    call_ = pool_.Start(request, handlers);
+    loop_.Run();
+    return result;
+  }
+  void RunFor(Duration time) {
+    const EventHandle stop = loop_.After(time, [this] { loop_.Stop(); });
+    loop_.Run();
+  }
+
+  EventLoop loop_;
+  UpstreamPool pool_{loop_};
+  std::shared_ptr<UpstreamCall> call_;
+};
+
+TEST_F(UpstreamPoolTest, KeepsAConnectionForLaterRequests) {
+  RawPeer peer([](int fd) {
+    while (ReadUntil(fd, "\r\n\r\n")) Write(fd, Answer("1", "x"));
+  });
+  EXPECT_TRUE(Call(peer.address, "1").ended);
+  EXPECT_TRUE(Call(peer.address, "1").ended);
+  EXPECT_EQ(pool_.connects(), 1U);
+  pool_.Forget(peer.address);
+  RunFor(milliseconds(10));
+}
+
+TEST_F(UpstreamPoolTest, SkipsALateResponseToAnotherRequest) {
+  RawPeer peer([](int fd) {
+    if (!ReadUntil(fd, "\r\n\r\n")) return;
+    Write(fd, Answer("old", "wrong") + Answer("new", "right"));
+    ReadUntil(fd, "never");
+  });
+  const Result result = Call(peer.address, "new");
+  EXPECT_TRUE(result.ended);
+  EXPECT_EQ(result.body, "right");
+  pool_.Forget(peer.address);
+  RunFor(milliseconds(10));
+}
+
+TEST_F(UpstreamPoolTest, DropsAConnectionWithUnaskedBytes) {
+  RawPeer peer([](int fd) {
+    if (!ReadUntil(fd, "\r\n\r\n")) return;
+    Write(fd, Answer("1", "x"));
+    usleep(20000);
+    Write(fd, Answer("2", "unasked"));
+    ReadUntil(fd, "never");
+  });
+  EXPECT_TRUE(Call(peer.address, "1").ended);
+  RunFor(milliseconds(60));
+  EXPECT_EQ(pool_.Connections(peer.address), 0U);
+}
+
+TEST_F(UpstreamPoolTest, RefusedConnectionHasNotRun) {
+  Address closed;
+  {
+    const RawPeer peer([](int) {});
+    closed = peer.address;
+  }
+  const Result result = Call(closed, "1");
+  ASSERT_TRUE(result.failure);
+  EXPECT_EQ(result.failure->verdict, Verdict::kNotRun);
+}
+
+TEST_F(UpstreamPoolTest, CloseAfterReadingMayHaveRun) {
+  RawPeer peer([](int fd) { ReadUntil(fd, "\r\n\r\n"); });
+  const Result result = Call(peer.address, "1");
+  ASSERT_TRUE(result.failure);
+  EXPECT_EQ(result.failure->verdict, Verdict::kMayHaveRun);
+}
+
+TEST_F(UpstreamPoolTest, BodyWithoutLengthEndsWithAnOrderlyClose) {
+  RawPeer peer([](int fd) {
+    ReadUntil(fd, "\r\n\r\n");
+    Write(fd, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole");
+  });
+  const Result result = Call(peer.address, "1");
+  EXPECT_TRUE(result.ended);
+  EXPECT_EQ(result.body, "whole");
+}
+
+TEST_F(UpstreamPoolTest, BodyWithoutLengthIsNotCompleteAfterAReset) {
+  RawPeer peer([](int fd) {
+    ReadUntil(fd, "\r\n\r\n");
+    Write(fd, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart");
+    usleep(20000);
+    const linger reset{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+  });
+  const Result result = Call(peer.address, "1");
+  EXPECT_FALSE(result.ended);
+  ASSERT_TRUE(result.failure);
+  EXPECT_EQ(result.failure->verdict, Verdict::kMayHaveRun);
+}
+
+TEST_F(UpstreamPoolTest, CutBodyIsAFailure) {
+  RawPeer peer([](int fd) {
+    ReadUntil(fd, "\r\n\r\n");
+    Write(fd, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf");
+  });
+  const Result result = Call(peer.address, "1");
+  EXPECT_FALSE(result.ended);
+  EXPECT_TRUE(result.failure);
+}
+
+TEST_F(UpstreamPoolTest, GarbageIsAFailure) {
+  RawPeer peer([](int fd) {
+    ReadUntil(fd, "\r\n\r\n");
+    Write(fd, "\x01\x02 what is this\r\n\r\n");
+  });
+  const Result result = Call(peer.address, "1");
+  ASSERT_TRUE(result.failure);
+  EXPECT_EQ(result.failure->verdict, Verdict::kMayHaveRun);
+}
+
+TEST_F(UpstreamPoolTest, EarlyAnswerDoesNotLeaveAConnectionForReuse) {
+  RawPeer peer([](int fd) {
+    ReadUntil(fd, "\r\n\r\n");
+    Write(fd, Answer("1", "early"));
+    ReadUntil(fd, "never");
+  });
+  // More than the sockets buffer, so that part of it is still due.
+  const Result result =
+      Call(peer.address, "1", std::string(8 * 1024 * 1024, 'b'));
+  EXPECT_TRUE(result.ended);
+  EXPECT_EQ(pool_.IdleConnections(peer.address), 0U);
+  RunFor(milliseconds(10));
+}
+
+TEST_F(UpstreamPoolTest, InterimResponseIsSkipped) {
+  RawPeer peer([](int fd) {
+    ReadUntil(fd, "\r\n\r\n");
+    Write(fd, "HTTP/1.1 102 Processing\r\n\r\n" + Answer("1", "final"));
+    ReadUntil(fd, "never");
+  });
+  const Result result = Call(peer.address, "1");
+  EXPECT_TRUE(result.ended);
+  EXPECT_EQ(result.body, "final");
+  pool_.Forget(peer.address);
+  RunFor(milliseconds(10));
+}
+
+}  // namespace
+}  // namespace corianderlink
