[Gateway] Tell peers of prompts sent, so that all know each engine's cache

Cause: 30 of 100 prompt tokens read were shared parts read again; each gateway knew only its own dispatches and chose homes of its own for shared parts. Heartbeats every 25 ms at the shortest.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -65,7 +65,7 @@
   Duration UsualWait(const RouteSpec& route, Duration wait);
   void OnDirectory(const std::shared_ptr<HttpExchange>& exchange);
   void OnAdmin(const std::shared_ptr<HttpExchange>& exchange);
-  GatewayStatus Status(Time now) const;
+  GatewayStatus Status(Time now);
   std::optional<UpstreamRecord> DecodeUpstream(const StoreRecord& record);
   void Apply(std::shared_ptr<const GatewayConfig> config);
   void Housekeeping();
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "corianderlink/Gateway/prompt.h"
 #include "corianderlink/Gateway/upstream_load.h"
 #include "corianderlink/Http/event_loop.h"
 #include "corianderlink/Support/address.h"
@@ -26,6 +27,8 @@
   uint64_t config_version = 0;
   uint32_t in_progress = 0;
   std::map<UpstreamId, LoadShare> shares;
+  /// Prompts sent to engines since the last heartbeat.
+  std::vector<PromptUse> uses;
 };
 
 /// A peer as last heard of.
--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -7,10 +7,12 @@
 #ifndef CORIANDERLINK_GATEWAY_PLACER_H_
 #define CORIANDERLINK_GATEWAY_PLACER_H_
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/prefix_cache_model.h"
@@ -85,6 +87,10 @@
   void OnEnd(Time now, const Placement& placement, DispatchId id);
   void OnFailure(Time now, const UpstreamRecord& upstream);
   void OnSuccess(const UpstreamRecord& upstream);
+  /// A peer sent a prompt to an engine.
+  void OnPeerUse(const PromptUse& use);
+  /// Prompts sent by this gateway since the last call.
+  std::vector<PromptUse> TakeRecentUses();
   /// Drops what is known of upstreams that are gone.
   void Prune();
 
@@ -103,6 +109,8 @@
                     const PlacementQuery& query, WorkTier tier) const;
   double Penalty(Time now, const UpstreamRecord& upstream,
                  const PlacementQuery& query) const;
+  void UseCache(const UpstreamId& upstream,
+                const std::vector<PromptPart>& parts);
   uint32_t CachedTokens(const UpstreamRecord& upstream,
                         const Prompt& prompt) const;
   std::optional<Placement> Best(Time now, const PlacementQuery& query,
@@ -115,6 +123,9 @@
   SpeedModel speed_;
   Ejector ejector_;
   std::unordered_map<UpstreamId, PrefixCacheModel> caches_;
+  // Memory of each service's engines, tokens.
+  std::map<ServiceId, uint64_t> cache_tokens_;
+  std::vector<PromptUse> recent_uses_;
 };
 
 }  // namespace corianderlink
--- a/include/corianderlink/Gateway/prefix_cache_model.h
+++ b/include/corianderlink/Gateway/prefix_cache_model.h
@@ -21,7 +21,7 @@
   /// Leading tokens of the prompt that are believed to be cached.
   uint32_t CachedTokens(const Prompt& prompt) const;
   /// The engine computes this prompt.
-  void Use(const Prompt& prompt);
+  void Use(const std::vector<PromptPart>& parts);
   void Clear();
 
  private:
--- a/include/corianderlink/Gateway/prompt.h
+++ b/include/corianderlink/Gateway/prompt.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <vector>
 
+#include "corianderlink/Gateway/upstream_record.h"
+
 namespace corianderlink {
 
 /// A part of a prompt.  Requests share parts; an engine reuses a cached part
@@ -20,6 +22,12 @@
   uint32_t max_output_tokens = 0;
 };
 
+/// A prompt that an engine computes, after which it holds the parts.
+struct PromptUse {
+  UpstreamId upstream;
+  std::vector<PromptPart> parts;
+};
+
 }  // namespace corianderlink
 
 #endif  // CORIANDERLINK_GATEWAY_PROMPT_H_
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -82,6 +82,7 @@
   };
   peers_.on_heartbeat = [this](Time now, const GatewayPeer& peer) {
     placer_.load().SetPeer(now, peer.process, peer.status.shares);
+    for (const PromptUse& use : peer.status.uses) placer_.OnPeerUse(use);
   };
 }
 
@@ -117,7 +118,7 @@
       {{"retries_changed", retries_changed ? "yes" : "no"}});
 }
 
-GatewayStatus Gateway::Status(Time now) const {
+GatewayStatus Gateway::Status(Time now) {
   GatewayStatus status;
   status.instance = settings_.instance;
   status.zone = settings_.zone;
@@ -127,6 +128,7 @@
   status.leaving = leaving_;
   status.config_version = config_ ? config_->version : 0;
   status.shares = placer_.OwnShares(now);
+  status.uses = placer_.TakeRecentUses();
   return status;
 }
 
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr char kGatewayKind[] = "gateway";
-constexpr Duration kShortestInterval = milliseconds(50);
+constexpr Duration kShortestInterval = milliseconds(25);
 // Interval for each peer: bounds the heartbeats sent and received a second.
 constexpr Duration kIntervalPerPeer = milliseconds(12);
 // Addresses that stay silent are no longer sent to.
@@ -36,6 +36,14 @@
       share->add_backlog_ms(static_cast<float>(ms));
     }
   }
+  for (const PromptUse& use : status.uses) {
+    wire::PromptUse* out = heartbeat.add_uses();
+    out->set_engine(use.upstream.value());
+    for (const PromptPart& part : use.parts) {
+      out->add_part_ids(part.id);
+      out->add_part_tokens(part.tokens);
+    }
+  }
   return heartbeat;
 }
 
@@ -58,6 +66,15 @@
       load.backlog_ms[static_cast<size_t>(i)] = share.backlog_ms(i);
     }
   }
+  for (const wire::PromptUse& in : heartbeat.uses()) {
+    PromptUse use;
+    use.upstream = UpstreamId(in.engine());
+    const int parts = std::min(in.part_ids_size(), in.part_tokens_size());
+    for (int i = 0; i < parts; ++i) {
+      use.parts.push_back({in.part_ids(i), in.part_tokens(i)});
+    }
+    status.uses.push_back(std::move(use));
+  }
   return status;
 }
 
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace corianderlink {
 namespace {
@@ -27,8 +28,11 @@
 constexpr double kLateShare = 1.0;
 constexpr double kShortestRetryAfterMs = 100;
 constexpr double kPlainRetryAfterMs = 200;
-// Time scale on which a prefix cache is shared with the other gateways.
-constexpr double kCacheShare = 0.5;
+// Share of an engine's memory that holds parts; the rest is in use by running
+// requests.
+constexpr double kCacheShare = 0.85;
+// Prompts kept for the peers between two heartbeats.
+constexpr size_t kMaxRecentUses = 512;
 
 }  // namespace
 
@@ -196,15 +200,35 @@
 DispatchId Placer::OnDispatch(Time now, const Placement& placement,
                               const PlacementQuery* query) {
   if (query != nullptr && placement.cost_ms > 0) {
-    const auto capacity = static_cast<uint64_t>(
-        static_cast<double>(query->engine->cache_tokens) * kCacheShare);
-    caches_.try_emplace(placement.upstream.id, capacity)
-        .first->second.Use(*query->prompt);
+    cache_tokens_[query->service] = query->engine->cache_tokens;
+    UseCache(placement.upstream.id, query->prompt->parts);
+    if (recent_uses_.size() < kMaxRecentUses) {
+      recent_uses_.push_back({placement.upstream.id, query->prompt->parts});
+    }
   }
   return load_.OnDispatch(now, placement.upstream.id, placement.tier,
                           placement.cost_ms);
 }
 
+void Placer::UseCache(const UpstreamId& upstream,
+                      const std::vector<PromptPart>& parts) {
+  const UpstreamRecord* record = directory_.Find(upstream);
+  if (record == nullptr) return;
+  const auto tokens = cache_tokens_.find(record->service);
+  if (tokens == cache_tokens_.end()) return;
+  const auto capacity = static_cast<uint64_t>(
+      static_cast<double>(tokens->second) * kCacheShare);
+  caches_.try_emplace(upstream, capacity).first->second.Use(parts);
+}
+
+void Placer::OnPeerUse(const PromptUse& use) {
+  UseCache(use.upstream, use.parts);
+}
+
+std::vector<PromptUse> Placer::TakeRecentUses() {
+  return std::exchange(recent_uses_, {});
+}
+
 void Placer::OnComputed(Time now, const Placement& placement, DispatchId id,
                         double observed_ms) {
   load_.OnComputed(now, placement.upstream.id, id);
--- a/lib/Gateway/prefix_cache_model.cc
+++ b/lib/Gateway/prefix_cache_model.cc
@@ -13,9 +13,9 @@
   return cached;
 }
 
-void PrefixCacheModel::Use(const Prompt& prompt) {
+void PrefixCacheModel::Use(const std::vector<PromptPart>& parts) {
   // The first parts are shared most, so they are touched last.
-  for (auto part = prompt.parts.rbegin(); part != prompt.parts.rend(); ++part) {
+  for (auto part = parts.rbegin(); part != parts.rend(); ++part) {
     const auto it = index_.find(part->id);
     if (it != index_.end()) {
       used_tokens_ -= it->second->tokens;
