[Gateway] Give late requests only to engines with little waiting work

Cause: in floods a third of the prompts computed were of requests that missed their objective; an engine computes admitted prompts side by side whatever their priority, so these delayed the ones still in time. Ruled out: queue length at the engines (no sheds).

--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -24,6 +24,8 @@
 constexpr double kHandoverMs = 8;
 // Preference for a prefill engine, which computes faster for all.
 constexpr double kWholeOnDecodeMs = 10;
+// An engine with less waiting work has room for late requests.
+constexpr double kIdleBacklogMs = 20;
 // Late requests on one engine, as a share of its slots.
 constexpr double kLateShare = 1.0;
 constexpr double kShortestRetryAfterMs = 100;
@@ -158,7 +160,8 @@
   }
   const std::optional<Placement> late = Best(now, query, WorkTier::kLate);
   const double late_bound_ms = query.deadline_left_ms * limits_.deadline_share;
-  if (late && late->predicted_ms <= late_bound_ms) {
+  const bool idle = late && load_.BacklogMs(now, late->upstream.id, WorkTier::kLate) < kIdleBacklogMs;
+  if (idle && late->predicted_ms <= late_bound_ms) {
     result.placement = late;
     return result;
   }
