[Gateway] Change roles by the mix; gather streams; find returning clients by the usual wait

RolePlanner and RoleDuty change roles under a lease with fencing. - A stream takes seconds (an event holds 51 tokens), and a prompt computed beside it delays each token: pauses over 150 ms for a fifth of the streams. Streams are gathered on engines that compute few prompts. - A few patient clients have longer deadlines; against the longest wait all others looked as if they had been refused before, and went to the late tier. UsualWait takes the most frequent one.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -4,19 +4,23 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/gateway_peers.h"
 #include "corianderlink/Gateway/gateway_settings.h"
+#include "corianderlink/Gateway/order_codec.h"
 #include "corianderlink/Gateway/placer.h"
 #include "corianderlink/Gateway/record_codec.h"
 #include "corianderlink/Gateway/record_store.h"
 #include "corianderlink/Gateway/relay_codec.h"
 #include "corianderlink/Gateway/relay_task.h"
 #include "corianderlink/Gateway/retry_window.h"
+#include "corianderlink/Gateway/role_duty.h"
 #include "corianderlink/Gateway/route_table.h"
+#include "corianderlink/Gateway/usual_wait.h"
 #include "corianderlink/Http/event_loop.h"
 #include "corianderlink/Http/http_server.h"
 #include "corianderlink/Http1/front_server.h"
@@ -31,6 +35,7 @@
   RelayCodec relay;
   RecordCodec records;
   DirectoryCodec directory;
+  OrderCodec orders;
   /// Path of readiness checks.
   std::string ready_path;
 };
@@ -53,16 +58,33 @@
   void OnGatewayRecords(const std::vector<StoreRecord>& records);
   void OnUpstreamTableReachable(bool reachable);
 
+  /// Starts the duty of changing roles, on the store's transactions.
+  template <typename Store>
+  void StartRoleDuty(Store& store) {
+    StartRoleDuty(
+        [&store](const TableTransaction& txn, CommitCallback done) {
+          store.Commit(txn, std::move(done));
+        },
+        [&store](const std::string& prefix, ReadCallback done) {
+          store.ReadPrefix(prefix, std::move(done));
+        });
+  }
+
   /// Key and value of this process's record in the table of gateways.
   StoreRecord OwnRecord() const;
   /// True if requests can be served.
   bool ready() const;
 
  private:
+  void StartRoleDuty(
+      std::function<void(const TableTransaction&, CommitCallback)> commit,
+      std::function<void(const std::string&, ReadCallback)> read);
+  bool IsDutyCandidate(Time now) const;
+  std::vector<RoleChange> PlanRoles(Time now);
   void OnRequest(const std::shared_ptr<InboundExchange>& exchange);
   const WeightedService* PickService(const RouteSpec& route);
   bool TakeRetry(Time now, const ServiceId& service);
-  Duration UsualWait(const RouteSpec& route, Duration wait);
+  Duration NoteWait(const RouteSpec& route, Duration wait);
   void OnDirectory(const std::shared_ptr<HttpExchange>& exchange);
   void OnAdmin(const std::shared_ptr<HttpExchange>& exchange);
   GatewayStatus Status(Time now);
@@ -89,9 +111,12 @@
   std::shared_ptr<const GatewayConfig> config_;
   RouteTable routes_;
   std::map<ServiceId, RetryWindow> retries_;
-  std::map<RouteId, Duration> longest_wait_;
+  std::map<RouteId, UsualWait> usual_waits_;
   // Reasons already logged for records that cannot be read, by key.
   std::map<std::string, std::string> malformed_;
+  std::map<ServiceId, RolePlanner> planners_;
+  std::unique_ptr<RoleDuty> role_duty_;
+  std::set<UpstreamId> held_;
   bool upstreams_loaded_ = false;
   bool leaving_ = false;
   Time leaving_since_{};
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -4,10 +4,12 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "corianderlink/Gateway/prompt.h"
+#include "corianderlink/Gateway/role_planner.h"
 #include "corianderlink/Gateway/upstream_load.h"
 #include "corianderlink/Http/event_loop.h"
 #include "corianderlink/Support/address.h"
@@ -29,6 +31,10 @@
   std::map<UpstreamId, LoadShare> shares;
   /// Prompts sent to engines since the last heartbeat.
   std::vector<PromptUse> uses;
+  /// Demand on the engines of each service.
+  std::map<ServiceId, MixDemand> demands;
+  /// Engines that no gateway should send new work to.
+  std::set<UpstreamId> held;
 };
 
 /// A peer as last heard of.
--- a/include/corianderlink/Gateway/gateway_settings.h
+++ b/include/corianderlink/Gateway/gateway_settings.h
@@ -36,6 +36,8 @@
   Duration stop_grace = seconds(8);
   /// Retry budget of all gateways together, for each service.
   RetryLimits retries;
+  /// Validity of a lease on a duty.
+  Duration lease = seconds(3);
   /// Longest time that callers may keep an answer of the directory.
   Duration directory_ttl_max = seconds(5);
 };
--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -14,9 +14,11 @@
 #include <unordered_map>
 #include <vector>
 
+#include "corianderlink/Gateway/demand_meter.h"
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/prefix_cache_model.h"
 #include "corianderlink/Gateway/prompt.h"
+#include "corianderlink/Gateway/role_planner.h"
 #include "corianderlink/Gateway/speed_model.h"
 #include "corianderlink/Gateway/upstream_directory.h"
 #include "corianderlink/Gateway/upstream_load.h"
@@ -85,12 +87,23 @@
   void OnComputed(Time now, const Placement& placement, DispatchId id,
                   double observed_ms);
   void OnEnd(Time now, const Placement& placement, DispatchId id);
+  /// An answer was generated, which took `ms` after its prompt was computed.
+  void OnGenerated(Time now, const ServiceId& service, double ms);
   void OnFailure(Time now, const UpstreamRecord& upstream);
   void OnSuccess(const UpstreamRecord& upstream);
   /// A peer sent a prompt to an engine.
   void OnPeerUse(const PromptUse& use);
   /// Prompts sent by this gateway since the last call.
   std::vector<PromptUse> TakeRecentUses();
+  /// Engines that get no new work; replaces the source's earlier set.
+  void SetHeld(Time now, const std::string& source,
+               const std::set<UpstreamId>& held);
+  /// Demand of this gateway on the engines of each service.
+  std::map<ServiceId, MixDemand> Demands(Time now) const;
+  /// The engines of a service as the role planner sees them; nothing if one
+  /// of them is in trouble.
+  std::vector<PlannedEngine> PlannedEngines(Time now,
+                                            const ServiceId& service) const;
   /// Drops what is known of upstreams that are gone.
   void Prune();
 
@@ -103,6 +116,21 @@
   const SpeedModel& speed() const { return speed_; }
 
  private:
+  struct DemandRates {
+    DecayingRate prefill_ms{kDemandTime};
+    DecayingRate handover_ms{kDemandTime};
+    DecayingRate generating_ms{kDemandTime};
+  };
+  struct HeldSet {
+    Time heard{};
+    std::set<UpstreamId> engines;
+  };
+
+  static constexpr Duration kDemandTime = seconds(3);
+
+  bool Held(Time now, const UpstreamId& id) const;
+  void CountDemand(Time now, const Placement& placement,
+                   const PlacementQuery& query);
   bool Avoided(Time now, const UpstreamRecord& upstream,
                const std::set<UpstreamId>* excluded) const;
   Placement Predict(Time now, const UpstreamRecord& upstream,
@@ -126,6 +154,9 @@
   // Memory of each service's engines, tokens.
   std::map<ServiceId, uint64_t> cache_tokens_;
   std::vector<PromptUse> recent_uses_;
+  std::map<ServiceId, DemandRates> demands_;
+  std::map<std::string, HeldSet> held_;
+  const Duration peer_timeout_;
 };
 
 }  // namespace corianderlink
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -31,7 +31,8 @@
   RandomSource& random;
   /// Takes one retry out of a service's budget, if there is one.
   std::function<bool(Time, const ServiceId&)> take_retry;
-  /// Longest time that clients of a route were seen to wait for an answer.
+  /// Takes a client's wait and returns the usual one of the route, or this one
+  /// if it is longer.
   std::function<Duration(Time, const RouteSpec&, Duration)> usual_wait;
 };
 
@@ -104,6 +105,7 @@
   DispatchId dispatch_ = 0;
   Time sent_at_{};
   bool computed_ = false;
+  Time computed_at_{};
   bool forwarding_ = false;
   std::optional<ResponseHead> reply_;
   UpstreamReply reply_info_;
--- a/include/corianderlink/Gateway/upstream_load.h
+++ b/include/corianderlink/Gateway/upstream_load.h
@@ -26,6 +26,8 @@
 struct LoadShare {
   /// Requests dispatched and not ended.
   uint32_t requests = 0;
+  /// Those of them with small prompts, which mostly generate.
+  uint32_t express = 0;
   /// Estimated time of computing that has not been done, by tier, milliseconds.
   std::array<double, kWorkTiers> backlog_ms{};
 
@@ -55,6 +57,8 @@
   double BacklogMs(Time now, const UpstreamId& upstream, WorkTier tier) const;
   /// Requests in progress, of all gateways.
   uint32_t Requests(Time now, const UpstreamId& upstream) const;
+  /// Requests of the express tier in progress, of all gateways.
+  uint32_t Express(Time now, const UpstreamId& upstream) const;
   uint32_t OwnRequests(const UpstreamId& upstream) const;
   /// Own requests that wait for computing longer than `limit`, while nothing
   /// was computed since: the upstream seems to hang.
@@ -87,6 +91,9 @@
   };
 
   static LoadShare ShareOf(Time now, const Own& own);
+  /// Sum of `value` over the shares of all gateways on an upstream.
+  template <typename Value>
+  auto Sum(Time now, const UpstreamId& upstream, Value value) const;
 
   const Duration peer_timeout_;
   std::unordered_map<UpstreamId, Own> own_;
--- /dev/null
+++ b/lib/Gateway/demand_meter.cc
@@ -0,0 +1,20 @@
+// Rates with exponential decay.
+#include "corianderlink/Gateway/demand_meter.h"
+
+#include <cmath>
+
+namespace corianderlink {
+
+void DecayingRate::Add(Time now, double amount) {
+  sum_ = sum_ * std::exp(-ToSeconds(now - at_) / ToSeconds(time_constant_)) +
+         amount;
+  at_ = now;
+}
+
+double DecayingRate::PerSecond(Time now) const {
+  const double decay =
+      std::exp(-ToSeconds(now - at_) / ToSeconds(time_constant_));
+  return sum_ * decay / ToSeconds(time_constant_);
+}
+
+}  // namespace corianderlink
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -74,7 +74,7 @@
             return TakeRetry(now, service);
           },
           [this](Time, const RouteSpec& route, Duration wait) {
-            return UsualWait(route, wait);
+            return NoteWait(route, wait);
           }} {
   front_.on_malformed = [this](const std::string& reason) {
     metrics_.Add("gateway_malformed_requests_total");
@@ -83,6 +83,7 @@
   peers_.on_heartbeat = [this](Time now, const GatewayPeer& peer) {
     placer_.load().SetPeer(now, peer.process, peer.status.shares);
     for (const PromptUse& use : peer.status.uses) placer_.OnPeerUse(use);
+    placer_.SetHeld(now, peer.process, peer.status.held);
   };
 }
 
@@ -129,6 +130,8 @@
   status.config_version = config_ ? config_->version : 0;
   status.shares = placer_.OwnShares(now);
   status.uses = placer_.TakeRecentUses();
+  status.demands = placer_.Demands(now);
+  status.held = held_;
   return status;
 }
 
@@ -235,6 +238,62 @@
   }
 }
 
+void Gateway::StartRoleDuty(
+    std::function<void(const TableTransaction&, CommitCallback)> commit,
+    std::function<void(const std::string&, ReadCallback)> read) {
+  RoleDutyPorts ports;
+  ports.candidate = [this](Time now) { return IsDutyCandidate(now); };
+  ports.plan = [this](Time now) { return PlanRoles(now); };
+  ports.on_ordered = [this](Time now, const RoleChange& change) {
+    const UpstreamRecord* engine = placer_.directory().Find(change.engine);
+    if (engine == nullptr) return;
+    planners_.try_emplace(engine->service, RolePlannerLimits{})
+        .first->second.OnOrdered(now, change);
+    metrics_.Add("gateway_role_orders_total");
+  };
+  ports.find = [this](const UpstreamId& id) {
+    return placer_.directory().Find(id);
+  };
+  ports.set_held = [this](const std::set<UpstreamId>& held) {
+    held_ = held;
+    placer_.SetHeld(BootClock::now(), self_.value(), held);
+    peers_.SendHeartbeat();
+  };
+  ports.commit = std::move(commit);
+  ports.read = std::move(read);
+  role_duty_ = std::make_unique<RoleDuty>(loop_, pool_, random_,
+                                          codecs_.orders, self_,
+                                          settings_.lease, std::move(ports));
+  role_duty_->Start();
+}
+
+bool Gateway::IsDutyCandidate(Time now) const {
+  if (!ready()) return false;
+  for (const GatewayPeer* peer : peers_.Live(now)) {
+    if (peer->status.ready && peer->process < self_.value()) return false;
+  }
+  return true;
+}
+
+std::vector<RoleChange> Gateway::PlanRoles(Time now) {
+  std::map<ServiceId, MixDemand> demands = placer_.Demands(now);
+  for (const GatewayPeer* peer : peers_.Live(now)) {
+    for (const auto& [service, demand] : peer->status.demands) {
+      MixDemand& sum = demands[service];
+      sum.prefill_ms_per_s += demand.prefill_ms_per_s;
+      sum.handover_ms_per_s += demand.handover_ms_per_s;
+      sum.generating += demand.generating;
+    }
+  }
+  for (const auto& [service, demand] : demands) {
+    const auto engines = placer_.PlannedEngines(now, service);
+    auto changes = planners_.try_emplace(service, RolePlannerLimits{})
+                      .first->second.Plan(now, demand, engines);
+    if (!changes.empty()) return changes;
+  }
+  return {};
+}
+
 const WeightedService* Gateway::PickService(const RouteSpec& route) {
   double total = 0;
   for (const WeightedService& service : route.services) total += service.weight;
@@ -292,10 +351,10 @@
       .first->second.TryRetry(now, peers_.Count(now));
 }
 
-Duration Gateway::UsualWait(const RouteSpec& route, Duration wait) {
-  Duration& longest = longest_wait_[route.id];
-  longest = std::max(longest, wait);
-  return longest;
+Duration Gateway::NoteWait(const RouteSpec& route, Duration wait) {
+  UsualWait& usual = usual_waits_[route.id];
+  usual.Add(wait);
+  return std::max(usual.Value(), wait);
 }
 
 void Gateway::OnDirectory(const std::shared_ptr<HttpExchange>& exchange) {
@@ -355,6 +414,7 @@
 
 void Gateway::Housekeeping() {
   const Time now = BootClock::now();
+  placer_.SetHeld(now, self_.value(), held_);
   placer_.directory().Expire(now);
   placer_.Prune();
   metrics_.Set("gateway_client_connections",
@@ -370,6 +430,7 @@
   leaving_since_ = BootClock::now();
   Log(LogLevel::kInfo, "stopping",
       {{"client_connections", static_cast<uint64_t>(front_.connections())}});
+  if (role_duty_) role_duty_->Stop();
   peers_.SendHeartbeat();
   front_.CloseAfterAnswers();
   ContinueStop();
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -32,6 +32,7 @@
     wire::EngineShare* share = heartbeat.add_shares();
     share->set_engine(id.value());
     share->set_requests(load.requests);
+    share->set_express_requests(load.express);
     for (const double ms : load.backlog_ms) {
       share->add_backlog_ms(static_cast<float>(ms));
     }
@@ -44,6 +45,16 @@
       out->add_part_tokens(part.tokens);
     }
   }
+  for (const auto& [service, demand] : status.demands) {
+    wire::EngineDemand* out = heartbeat.add_demands();
+    out->set_service(service.value());
+    out->set_prefill_ms_per_s(demand.prefill_ms_per_s);
+    out->set_handover_ms_per_s(demand.handover_ms_per_s);
+    out->set_generating(demand.generating);
+  }
+  for (const UpstreamId& id : status.held) {
+    heartbeat.add_held_engines(id.value());
+  }
   return heartbeat;
 }
 
@@ -60,6 +71,7 @@
   for (const wire::EngineShare& share : heartbeat.shares()) {
     LoadShare& load = status.shares[UpstreamId(share.engine())];
     load.requests = share.requests();
+    load.express = share.express_requests();
     const int tiers =
         std::min<int>(share.backlog_ms_size(), static_cast<int>(kWorkTiers));
     for (int i = 0; i < tiers; ++i) {
@@ -75,6 +87,15 @@
     }
     status.uses.push_back(std::move(use));
   }
+  for (const wire::EngineDemand& in : heartbeat.demands()) {
+    MixDemand& demand = status.demands[ServiceId(in.service())];
+    demand.prefill_ms_per_s = in.prefill_ms_per_s();
+    demand.handover_ms_per_s = in.handover_ms_per_s();
+    demand.generating = in.generating();
+  }
+  for (const std::string& id : heartbeat.held_engines()) {
+    status.held.insert(UpstreamId(id));
+  }
   return status;
 }
 
--- a/lib/Gateway/gateway_settings.cc
+++ b/lib/Gateway/gateway_settings.cc
@@ -68,10 +68,10 @@
   settings.max_descriptors = static_cast<int>(
       reader.Integer("max_descriptors", 64, 10000000,
                      settings.max_descriptors));
-  settings.stop_grace =
-      Seconds(reader, "stop_grace_s", settings.stop_grace);
+  settings.stop_grace = Seconds(reader, "stop_grace_s", settings.stop_grace);
   settings.directory_ttl_max =
       Seconds(reader, "directory_ttl_max_s", settings.directory_ttl_max);
+  settings.lease = Seconds(reader, "lease_s", settings.lease);
   ReadRetries(reader, settings, found);
   reader.RejectUnknown();
   for (const JsonError& error : found) errors.push_back(error.ToString());
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -8,6 +8,7 @@
 namespace corianderlink {
 namespace {
 
+constexpr double kMsPerSecond = 1000;
 // A record that vanished around an outage of the store is kept this long.
 constexpr Duration kRestoreTime = milliseconds(2200);
 // Prompts of up to this many uncached tokens go ahead of others.
@@ -20,6 +21,12 @@
 constexpr double kPerRequestMs = 0.3;
 // Waiting work of other tiers delays the tokens of a running request.
 constexpr double kInterferenceShare = 0.2;
+constexpr double kExpressInterference = 2;
+// Preference for a decode engine that already has streams, for each of them.
+constexpr double kGatherMs = 1;
+// Cost of computing a prompt beside streams, for each of them.
+constexpr double kBesideStreamsMs = 25;
+constexpr double kMostStreamsCounted = 4;
 // Handing a computed prompt to another engine, besides its transfer.
 constexpr double kHandoverMs = 8;
 // Preference for a prefill engine, which computes faster for all.
@@ -36,6 +43,14 @@
 // Prompts kept for the peers between two heartbeats.
 constexpr size_t kMaxRecentUses = 512;
 
+// Time to move a prompt's memory within a zone.
+double TransferMs(const PlacementQuery& query) {
+  if (query.engine->link_bytes_per_ms <= 0) return 0;
+  const double bytes =
+      query.prompt->tokens * query.engine->cache_bytes_per_token;
+  return bytes / query.engine->link_bytes_per_ms;
+}
+
 }  // namespace
 
 Placer::Placer(PlacerLimits limits, EjectorLimits ejector,
@@ -44,12 +59,71 @@
       own_zone_(std::move(own_zone)),
       directory_(kRestoreTime),
       load_(peer_timeout),
-      ejector_(ejector) {}
+      ejector_(ejector),
+      peer_timeout_(peer_timeout) {}
 
 bool Placer::Avoided(Time now, const UpstreamRecord& upstream,
                      const std::set<UpstreamId>* excluded) const {
   if (excluded != nullptr && excluded->count(upstream.id) > 0) return true;
-  return ejector_.Ejected(now, upstream.address);
+  return ejector_.Ejected(now, upstream.address) || Held(now, upstream.id);
+}
+
+bool Placer::Held(Time now, const UpstreamId& id) const {
+  for (const auto& [source, held] : held_) {
+    if (now - held.heard > peer_timeout_) continue;
+    if (held.engines.count(id) > 0) return true;
+  }
+  return false;
+}
+
+void Placer::SetHeld(Time now, const std::string& source,
+                     const std::set<UpstreamId>& held) {
+  if (held.empty()) {
+    held_.erase(source);
+  } else {
+    held_[source] = {now, held};
+  }
+}
+
+void Placer::CountDemand(Time now, const Placement& placement,
+                         const PlacementQuery& query) {
+  UpstreamRecord prefill;
+  prefill.role = UpstreamRole::kPrefill;
+  const uint32_t cached =
+      CachedTokens(placement.upstream, *query.prompt);
+  DemandRates& rates = demands_[query.service];
+  rates.prefill_ms.Add(now, speed_.ComputeMs(prefill, *query.prompt, cached));
+  rates.handover_ms.Add(now, TransferMs(query));
+}
+
+void Placer::OnGenerated(Time now, const ServiceId& service, double ms) {
+  demands_[service].generating_ms.Add(now, ms);
+}
+
+std::map<ServiceId, MixDemand> Placer::Demands(Time now) const {
+  std::map<ServiceId, MixDemand> demands;
+  for (const auto& [service, rates] : demands_) {
+    MixDemand& demand = demands[service];
+    demand.prefill_ms_per_s = rates.prefill_ms.PerSecond(now);
+    demand.handover_ms_per_s = rates.handover_ms.PerSecond(now);
+    demand.generating = rates.generating_ms.PerSecond(now) / kMsPerSecond;
+  }
+  return demands;
+}
+
+std::vector<PlannedEngine> Placer::PlannedEngines(
+    Time now, const ServiceId& service) const {
+  std::vector<PlannedEngine> engines;
+  for (const auto& [id, record] : directory_.records()) {
+    if (record.service != service) continue;
+    const bool troubled = record.draining ||
+                          ejector_.Ejected(now, record.address) ||
+                          load_.Stalled(now, id, limits_.stall);
+    if (troubled) return {};
+    engines.push_back({id, record.role, record.zone, record.slots,
+                       load_.Requests(now, id)});
+  }
+  return engines;
 }
 
 PlacementResult Placer::PlacePlain(Time now, const ServiceId& service,
@@ -108,18 +182,20 @@
 double Placer::Penalty(Time now, const UpstreamRecord& upstream,
                        const PlacementQuery& query) const {
   if (upstream.role == UpstreamRole::kPrefill) {
-    const double bytes =
-        query.prompt->tokens * query.engine->cache_bytes_per_token;
-    const double transfer_ms =
-        query.engine->link_bytes_per_ms > 0
-            ? bytes / query.engine->link_bytes_per_ms
-            : 0;
-    return kHandoverMs + 2 * transfer_ms;
+    return kHandoverMs + 2 * TransferMs(query);
+  }
+  const uint32_t express = load_.Express(now, upstream.id);
+  const double backlog_ms =
+      load_.BacklogMs(now, upstream.id, WorkTier::kLate);
+  if (query.prompt->tokens <= kExpressTokens) {
+    // Prompts computed beside a stream delay each of its tokens, so streams
+    // are gathered where few prompts are computed.
+    return kExpressInterference * backlog_ms -
+           kGatherMs * std::min<double>(express, upstream.slots / 2.0);
   }
   return kWholeOnDecodeMs +
-         kPerRequestMs * load_.Requests(now, upstream.id) +
-         kInterferenceShare *
-             load_.BacklogMs(now, upstream.id, WorkTier::kTimely);
+         kBesideStreamsMs * std::min<double>(express, kMostStreamsCounted) +
+         kPerRequestMs * load_.Requests(now, upstream.id);
 }
 
 std::optional<Placement> Placer::Best(Time now, const PlacementQuery& query,
@@ -196,7 +272,7 @@
     result.reason = "no decode engine available";
     return result;
   }
-  result.placement = Placement{*best, WorkTier::kExpress, false, 0, best_score};
+  result.placement = Placement{*best, WorkTier::kTimely, false, 0, best_score};
   return result;
 }
 
@@ -204,6 +280,7 @@
                               const PlacementQuery* query) {
   if (query != nullptr && placement.cost_ms > 0) {
     cache_tokens_[query->service] = query->engine->cache_tokens;
+    CountDemand(now, placement, *query);
     UseCache(placement.upstream.id, query->prompt->parts);
     if (recent_uses_.size() < kMaxRecentUses) {
       recent_uses_.push_back({placement.upstream.id, query->prompt->parts});
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -215,6 +215,7 @@
   if (computed_) return;
   computed_ = true;
   const Time now = BootClock::now();
+  computed_at_ = now;
   context_.placer.OnComputed(now, *placement_, dispatch_,
                              ToMillis(now - sent_at_));
 }
@@ -279,6 +280,11 @@
     AttemptFailed(Outcome::MayHaveRun("stream ended within an event"), true);
     return;
   }
+  const Time now = BootClock::now();
+  if (is_model_request() && computed_) {
+    context_.placer.OnGenerated(now, service_.id,
+                                ToMillis(now - computed_at_));
+  }
   EndDispatch();
   context_.placer.OnSuccess(placement_->upstream);
   if (!exchange_->started()) {
--- /dev/null
+++ b/lib/Gateway/role_planner.cc
@@ -0,0 +1,141 @@
+// The split of engines between the two roles.
+#include "corianderlink/Gateway/role_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+#include "corianderlink/Support/log.h"
+
+namespace corianderlink {
+namespace {
+
+constexpr double kMsPerSecond = 1000;
+// Links and slots beyond this share of use delay what waits for them.
+constexpr double kUsableLinkShare = 0.5;
+constexpr double kUsableSlotShare = 0.5;
+// With fewer engines each role needs those that it has.
+constexpr size_t kFewestEngines = 4;
+
+// The engine of role `from` that is missed least: one of the zone that has
+// most of them, with the fewest requests.
+const PlannedEngine* LeastMissed(const std::vector<PlannedEngine>& engines,
+                                 UpstreamRole from) {
+  std::map<ZoneId, int> in_zone;
+  for (const PlannedEngine& engine : engines) {
+    if (engine.role == from) ++in_zone[engine.zone];
+  }
+  const PlannedEngine* best = nullptr;
+  for (const PlannedEngine& engine : engines) {
+    if (engine.role != from) continue;
+    if (best == nullptr) {
+      best = &engine;
+      continue;
+    }
+    const int here = in_zone[engine.zone];
+    const int there = in_zone[best->zone];
+    if (here > there || (here == there && engine.requests < best->requests)) {
+      best = &engine;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+double RolePlanner::Load(const MixDemand& demand, double prefill,
+                         double decode, double slots) const {
+  const double prefill_load = demand.prefill_ms_per_s / kMsPerSecond / prefill;
+  const double link_load =
+      demand.handover_ms_per_s / kMsPerSecond / kUsableLinkShare;
+  const double slot_load = demand.generating / (slots * kUsableSlotShare);
+  return std::max(prefill_load, (link_load + slot_load) / decode);
+}
+
+void RolePlanner::NoteMembership(Time now,
+                                 const std::vector<PlannedEngine>& engines) {
+  std::vector<UpstreamId> members;
+  for (const PlannedEngine& engine : engines) members.push_back(engine.id);
+  std::sort(members.begin(), members.end());
+  if (members == members_) return;
+  members_ = std::move(members);
+  members_since_ = now;
+}
+
+std::vector<RoleChange> RolePlanner::Plan(
+    Time now, const MixDemand& demand,
+    const std::vector<PlannedEngine>& engines) {
+  NoteMembership(now, engines);
+  if (demand.prefill_ms_per_s <= 0) return {};
+  if (!first_demand_) first_demand_ = now;
+  const size_t count = engines.size();
+  if (count < kFewestEngines) return {};
+  if (now - *first_demand_ < limits_.warm_up) return {};
+  if (now - members_since_ < limits_.settle) return {};
+
+  double slots = 0;
+  double decode = 0;
+  for (const PlannedEngine& engine : engines) {
+    slots += engine.slots;
+    if (engine.role == UpstreamRole::kDecode) ++decode;
+  }
+  const auto total = static_cast<double>(count);
+  slots /= total;
+  const double prefill = total - decode;
+  const double fewest_decode =
+      std::max(1.0, std::ceil(total * limits_.min_decode_share));
+  const double present =
+      prefill < 1 || decode < 1 ? 1e9 : Load(demand, prefill, decode, slots);
+  if (present < limits_.min_load) return {};
+
+  double best_decode = decode;
+  double best_load = present;
+  for (double d = fewest_decode; d <= total - 1; ++d) {
+    const double load = Load(demand, total - d, d, slots);
+    if (load >= best_load) continue;
+    best_load = load;
+    best_decode = d;
+  }
+  Log(LogLevel::kDebug, "roles_weighed",
+      {{"prefill_ms_per_s", demand.prefill_ms_per_s},
+       {"handover_ms_per_s", demand.handover_ms_per_s},
+       {"generating", demand.generating},
+       {"decode", decode},
+       {"best_decode", best_decode},
+       {"load", present},
+       {"best_load", best_load}});
+  if (best_load > present * (1 - limits_.min_gain)) return {};
+  const UpstreamRole to = best_decode < decode ? UpstreamRole::kPrefill
+                                               : UpstreamRole::kDecode;
+  const bool reversal = last_direction_ && *last_direction_ != to;
+  if (reversal && now - last_change_ < limits_.reversal_dwell) return {};
+  const double at_once = present < limits_.calm_load
+                             ? std::floor(total * limits_.max_share_at_once)
+                             : 1;
+  const double wanted = std::abs(best_decode - decode);
+  return Choose(engines, to, std::max(1.0, std::min(wanted, at_once)));
+}
+
+std::vector<RoleChange> RolePlanner::Choose(
+    std::vector<PlannedEngine> engines, UpstreamRole to, double count) {
+  const UpstreamRole from = to == UpstreamRole::kPrefill
+                                ? UpstreamRole::kDecode
+                                : UpstreamRole::kPrefill;
+  std::vector<RoleChange> changes;
+  while (static_cast<double>(changes.size()) < count) {
+    const PlannedEngine* engine = LeastMissed(engines, from);
+    if (engine == nullptr) break;
+    changes.push_back({engine->id, to});
+    std::erase_if(engines, [id = engine->id](const PlannedEngine& other) {
+      return other.id == id;
+    });
+  }
+  return changes;
+}
+
+void RolePlanner::OnOrdered(Time now, const RoleChange& change) {
+  last_direction_ = change.role;
+  last_change_ = now;
+}
+
+}  // namespace corianderlink
--- a/lib/Gateway/upstream_load.cc
+++ b/lib/Gateway/upstream_load.cc
@@ -46,6 +46,7 @@
   share.requests = static_cast<uint32_t>(own.dispatches.size());
   bool first = true;
   for (const Dispatch& dispatch : own.dispatches) {
+    if (dispatch.tier == WorkTier::kExpress) ++share.express;
     if (dispatch.computed) continue;
     double left_ms = dispatch.cost_ms;
     if (first) {
@@ -59,32 +60,37 @@
   return share;
 }
 
-double UpstreamLoad::BacklogMs(Time now, const UpstreamId& upstream,
-                               WorkTier tier) const {
-  const auto sum_to_tier = [tier](const LoadShare& share) {
-    double sum = 0;
-    for (size_t i = 0; i <= Index(tier); ++i) sum += share.backlog_ms[i];
-    return sum;
-  };
-  double backlog = 0;
+template <typename Value>
+auto UpstreamLoad::Sum(Time now, const UpstreamId& upstream,
+                       Value value) const {
+  decltype(value(LoadShare{})) sum{};
   const auto own = own_.find(upstream);
-  if (own != own_.end()) backlog += sum_to_tier(ShareOf(now, own->second));
+  if (own != own_.end()) sum += value(ShareOf(now, own->second));
   for (const auto& [name, peer] : peers_) {
     if (now - peer.heard > peer_timeout_) continue;
     const auto share = peer.shares.find(upstream);
-    if (share != peer.shares.end()) backlog += sum_to_tier(share->second);
+    if (share != peer.shares.end()) sum += value(share->second);
   }
-  return backlog;
+  return sum;
+}
+
+double UpstreamLoad::BacklogMs(Time now, const UpstreamId& upstream,
+                               WorkTier tier) const {
+  return Sum(now, upstream, [tier](const LoadShare& share) {
+    double sum = 0;
+    for (size_t i = 0; i <= Index(tier); ++i) sum += share.backlog_ms[i];
+    return sum;
+  });
 }
 
 uint32_t UpstreamLoad::Requests(Time now, const UpstreamId& upstream) const {
-  uint32_t requests = OwnRequests(upstream);
-  for (const auto& [name, peer] : peers_) {
-    if (now - peer.heard > peer_timeout_) continue;
-    const auto share = peer.shares.find(upstream);
-    if (share != peer.shares.end()) requests += share->second.requests;
-  }
-  return requests;
+  return Sum(now, upstream,
+             [](const LoadShare& share) { return share.requests; });
+}
+
+uint32_t UpstreamLoad::Express(Time now, const UpstreamId& upstream) const {
+  return Sum(now, upstream,
+             [](const LoadShare& share) { return share.express; });
 }
 
 uint32_t UpstreamLoad::OwnRequests(const UpstreamId& upstream) const {
