[Gateway] Resume a started stream on any upstream, and do not cut one for nothing

Change: a stalled attempt is cancelled only if another upstream and the budget are there; a started stream takes any upstream, and waits for one.

--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -35,6 +35,8 @@
   double objective_left_ms = 0;
   /// Time left to the end of the answer.
   double deadline_left_ms = 0;
+  /// Part of the answer was delivered: any upstream is better than none.
+  bool resumed = false;
   /// Upstreams that already failed or refused this request.
   const std::set<UpstreamId>* excluded = nullptr;
 };
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -55,7 +55,9 @@
   double DeadlineLeftMs(Time now) const;
   PlacementQuery Query(Time now) const;
 
+  PlacementResult Choose(Time now) const;
   void ChooseAndSend();
+  void AwaitResumption();
   void SendTo(const Placement& placement);
   void SendGeneration();
   UpstreamRequest BuildRequest(Time now, const Placement& placement) const;
@@ -73,6 +75,10 @@
 
   /// The present attempt is over without an answer for the client.
   void AttemptFailed(const Outcome& outcome, bool upstream_failed);
+  void EndAttempt(Time now, const Outcome& outcome, bool upstream_failed,
+                  const char* retry);
+  void RetryElsewhere(Time now, const Outcome& outcome, bool upstream_failed);
+  bool RetryAllowed(Time now, Verdict verdict) const;
   bool MayRetry(Time now, Verdict verdict);
   void GiveUp(const Outcome& outcome);
   void Refuse(const std::string& reason, std::optional<Duration> retry_after);
@@ -116,6 +122,7 @@
   std::optional<uint64_t> last_event_;
   EventHandle deadline_timer_;
   EventHandle stall_timer_;
+  EventHandle resume_timer_;
 };
 
 }  // namespace corianderlink
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -230,7 +230,7 @@
   const WorkTier first = express ? WorkTier::kExpress : WorkTier::kTimely;
   const std::optional<Placement> timely = Best(now, query, first);
   const double bound_ms = query.objective_left_ms * limits_.objective_share;
-  if (timely && timely->predicted_ms <= bound_ms) {
+  if (timely && (query.resumed || timely->predicted_ms <= bound_ms)) {
     result.placement = timely;
     return result;
   }
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -23,7 +23,11 @@
 constexpr Duration kConnectTimeout = milliseconds(250);
 // With less time left a further attempt is pointless.
 constexpr double kShortestAttemptMs = 20;
+// Without news for this long, an idempotent request is sent elsewhere.
 constexpr Duration kShortestStall = milliseconds(400);
+constexpr Duration kStreamStall = milliseconds(1000);
+// Between searches for an upstream that goes on with a stream.
+constexpr Duration kResumeInterval = milliseconds(50);
 // Priorities at an engine, by work tier; 0 goes first.
 constexpr int kTierPriority[kWorkTiers] = {2, 4, 7};
 
@@ -65,17 +69,25 @@
   query.prompt = &*request_.prompt;
   query.objective_left_ms = ToMillis(objective_at_ - now);
   query.deadline_left_ms = DeadlineLeftMs(now);
+  query.resumed = exchange_->started();
   query.excluded = &excluded_;
   return query;
 }
 
+PlacementResult RelayTask::Choose(Time now) const {
+  return is_model_request()
+             ? context_.placer.PlacePrompt(now, Query(now))
+             : context_.placer.PlacePlain(now, service_.id, excluded_);
+}
+
 void RelayTask::ChooseAndSend() {
   const Time now = BootClock::now();
-  const PlacementResult result =
-      is_model_request()
-          ? context_.placer.PlacePrompt(now, Query(now))
-          : context_.placer.PlacePlain(now, service_.id, excluded_);
+  const PlacementResult result = Choose(now);
   if (!result.placement) {
+    if (exchange_->started()) {
+      AwaitResumption();
+      return;
+    }
     if (runs_ > 0) {
       GiveUp(Outcome::MayHaveRun(result.reason));
       return;
@@ -86,6 +98,16 @@
   SendTo(*result.placement);
 }
 
+void RelayTask::AwaitResumption() {
+  // Part of the answer was delivered, so any upstream will do, also one that
+  // failed this request before.
+  excluded_.clear();
+  resume_timer_ = context_.loop.After(
+      kResumeInterval, [self = shared_from_this()] {
+        if (!self->finished_) self->ChooseAndSend();
+      });
+}
+
 void RelayTask::SendTo(const Placement& placement) {
   const Time now = BootClock::now();
   placement_ = placement;
@@ -248,14 +270,10 @@
   }
   const bool failed = reply_->status >= 500;
   if (failed && !exchange_->started() && MayRetry(now, Verdict::kMayHaveRun)) {
-    const std::string reason =
-        "upstream answered " + std::to_string(reply_->status);
-    context_.metrics.Add("gateway_retries_total");
-    excluded_.insert(placement_->upstream.id);
-    EndDispatch();
-    Log(LogLevel::kInfo, "request_retried",
-        {{"request", request_.id.value()}, {"reason", reason}});
-    ChooseAndSend();
+    RetryElsewhere(now,
+                   Outcome::MayHaveRun("upstream answered " +
+                                       std::to_string(reply_->status)),
+                   false);
     return;
   }
   AnswerBuffered();
@@ -331,29 +349,40 @@
 
 void RelayTask::AttemptFailed(const Outcome& outcome, bool upstream_failed) {
   const Time now = BootClock::now();
-  const Placement failed = *placement_;
-  EndDispatch();
-  if (upstream_failed) context_.placer.OnFailure(now, failed.upstream);
-  excluded_.insert(failed.upstream.id);
   const bool not_run =
-      failed.prefill_only || outcome.verdict == Verdict::kNotRun;
-  if (not_run && !failed.prefill_only) --runs_;
-  const Verdict verdict = not_run ? Verdict::kNotRun : Verdict::kMayHaveRun;
-  const bool retry = MayRetry(now, verdict);
+      placement_->prefill_only || outcome.verdict == Verdict::kNotRun;
+  if (not_run && !placement_->prefill_only) --runs_;
+  const Outcome verdict{not_run ? Verdict::kNotRun : Verdict::kMayHaveRun,
+                        outcome.reason};
+  if (MayRetry(now, verdict.verdict)) {
+    RetryElsewhere(now, verdict, upstream_failed);
+    return;
+  }
+  EndAttempt(now, verdict, upstream_failed, "no");
+  GiveUp(verdict);
+}
+
+void RelayTask::EndAttempt(Time now, const Outcome& outcome,
+                           bool upstream_failed, const char* retry) {
+  EndDispatch();
+  if (upstream_failed) context_.placer.OnFailure(now, placement_->upstream);
+  excluded_.insert(placement_->upstream.id);
   Log(LogLevel::kInfo, "attempt_failed",
       {{"request", request_.id.value()},
-       {"upstream", failed.upstream.id.value()},
-       {"verdict", ToString(verdict)},
+       {"upstream", placement_->upstream.id.value()},
+       {"verdict", ToString(outcome.verdict)},
        {"reason", outcome.reason},
        {"elapsed_ms", ToMillis(now - sent_at_)},
-       {"retry", retry ? "yes" : "no"}});
-  if (!retry) {
-    GiveUp({verdict, outcome.reason});
-    return;
-  }
+       {"retry", retry}});
+}
+
+void RelayTask::RetryElsewhere(Time now, const Outcome& outcome,
+                               bool upstream_failed) {
+  const bool was_prefill = placement_->prefill_only;
+  EndAttempt(now, outcome, upstream_failed, "yes");
   context_.metrics.Add("gateway_retries_total");
   // A computed prompt whose transfer has not begun is still there.
-  if (handle_ && not_run && !failed.prefill_only) {
+  if (handle_ && outcome.verdict == Verdict::kNotRun && !was_prefill) {
     SendGeneration();
     return;
   }
@@ -361,13 +390,17 @@
   ChooseAndSend();
 }
 
-bool RelayTask::MayRetry(Time now, Verdict verdict) {
+bool RelayTask::RetryAllowed(Time now, Verdict verdict) const {
   if (sends_ >= kMaxSends) return false;
   if (DeadlineLeftMs(now) < kShortestAttemptMs) return false;
   if (verdict != Verdict::kNotRun) {
     if (!route_.idempotent() || runs_ >= route_.attempts) return false;
   }
-  return context_.take_retry(now, service_.id);
+  return true;
+}
+
+bool RelayTask::MayRetry(Time now, Verdict verdict) {
+  return RetryAllowed(now, verdict) && context_.take_retry(now, service_.id);
 }
 
 void RelayTask::GiveUp(const Outcome& outcome) {
@@ -422,12 +455,12 @@
 
 void RelayTask::ArmStallTimer() {
   if (!route_.idempotent() || finished_) return;
-  Duration limit = kShortestStall;
+  Duration limit = is_stream() ? kStreamStall : kShortestStall;
   if (exchange_->started()) {
-    limit = std::max(limit, 3 * route_.event_gap.value_or(limit));
+    limit = std::max(limit, 4 * route_.event_gap.value_or(limit));
   } else {
     limit = std::max(limit, 2 * route_.objective) +
-            FromSeconds(2 * placement_->predicted_ms / 1000);
+            FromSeconds(2 * std::max(0.0, placement_->predicted_ms) / 1000);
   }
   stall_timer_ = context_.loop.After(
       limit, [self = shared_from_this()] { self->OnStall(); });
@@ -437,11 +470,17 @@
   if (finished_ || !call_) return;
   // A slow client has paused the upstream.
   if (exchange_->PendingBytes() > 0) return;
-  if (sends_ >= kMaxSends || runs_ >= route_.attempts) return;
+  const Time now = BootClock::now();
+  const bool has_other = Choose(now).placement.has_value();
+  if (!has_other || !MayRetry(now, Verdict::kMayHaveRun)) {
+    // Waiting on is better than giving up.
+    ArmStallTimer();
+    return;
+  }
   call_->Cancel();
   call_.reset();
   handle_.reset();
-  AttemptFailed(Outcome::MayHaveRun("upstream stalled"), true);
+  RetryElsewhere(now, Outcome::MayHaveRun("upstream stalled"), true);
 }
 
 void RelayTask::OnClientLeft() {
@@ -475,6 +514,7 @@
   finished_ = true;
   deadline_timer_.Reset();
   stall_timer_.Reset();
+  resume_timer_.Reset();
   exchange_->on_client_left = nullptr;
   exchange_->on_drained = nullptr;
   const Time now = BootClock::now();
