[Gateway][Support] Log to standard output without blocking; start from peers; watch the settings file

Cause: a gateway that starts while the store is away had nothing to serve with; logs went to standard error and could block on a slow reader; a settings file that changes without a signal was not noticed. Change: LineWriter (bounded rate, drops counted), RecordsRequest between gateways, also for one whose configuration is behind, SettingsWatcher.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -88,8 +88,12 @@
   void OnDirectory(const std::shared_ptr<HttpExchange>& exchange);
   void OnAdmin(const std::shared_ptr<HttpExchange>& exchange);
   GatewayStatus Status(Time now);
+  PeerRecords KnownRecords(bool needs_upstreams) const;
+  void OnPeerRecords(const PeerRecords& records);
   std::optional<UpstreamRecord> DecodeUpstream(const StoreRecord& record);
   void Apply(std::shared_ptr<const GatewayConfig> config);
+  /// Asks a peer for what it knows and this gateway does not.
+  void CatchUpWithPeers(Time now);
   void Housekeeping();
   void ContinueStop();
   std::string Dump(Time now) const;
@@ -117,6 +121,9 @@
   std::map<ServiceId, RolePlanner> planners_;
   std::unique_ptr<RoleDuty> role_duty_;
   std::set<UpstreamId> held_;
+  // Records as read, for gateways that start while the store is away.
+  std::optional<StoreRecord> config_record_;
+  std::map<std::string, StoreRecord> upstream_records_;
   bool upstreams_loaded_ = false;
   bool leaving_ = false;
   Time leaving_since_{};
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -4,11 +4,13 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "corianderlink/Gateway/prompt.h"
+#include "corianderlink/Gateway/record_store.h"
 #include "corianderlink/Gateway/role_planner.h"
 #include "corianderlink/Gateway/upstream_load.h"
 #include "corianderlink/Http/event_loop.h"
@@ -37,6 +39,12 @@
   std::set<UpstreamId> held;
 };
 
+/// Records of the store as a gateway read them.
+struct PeerRecords {
+  std::optional<StoreRecord> config;
+  std::vector<StoreRecord> upstreams;
+};
+
 /// A peer as last heard of.
 struct GatewayPeer {
   std::string process;
@@ -66,6 +74,13 @@
   size_t Count(Time now) const { return Live(now).size() + 1; }
   const PeerBusCounters& counters() const { return bus_.counters(); }
 
+  /// Asks a live peer for records that the store does not give.
+  void AskForRecords(uint64_t have_config_version, bool needs_upstreams);
+
+  /// Fills in the answer to a peer that asks for records.
+  std::function<PeerRecords(bool needs_upstreams)> on_records_request;
+  /// A peer answered.
+  std::function<void(const PeerRecords&)> on_records;
   /// Called for each heartbeat of a peer.
   std::function<void(Time, const GatewayPeer&)> on_heartbeat;
 
@@ -74,6 +89,9 @@
 
  private:
   void OnMessage(const wire::Envelope& message);
+  void OnHeartbeat(const wire::Envelope& message);
+  void OnRecordsRequest(const wire::Envelope& message);
+  void OnRecordsAnswer(const wire::Envelope& message);
   void Tick();
   Duration Interval(Time now) const;
   void Expire(Time now);
--- a/include/corianderlink/Support/log.h
+++ b/include/corianderlink/Support/log.h
@@ -1,4 +1,5 @@
-// One line of key=value pairs per event, written by Boost.Log to stderr.
+// One line of key=value pairs per event, written by Boost.Log to standard
+// output.  Lines beyond the limits of LineWriter are dropped and counted.
 #ifndef CORIANDERLINK_SUPPORT_LOG_H_
 #define CORIANDERLINK_SUPPORT_LOG_H_
 
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -81,6 +81,12 @@
     metrics_.Add("gateway_malformed_requests_total");
     Log(LogLevel::kWarning, "request_malformed", {{"reason", reason}});
   };
+  peers_.on_records_request = [this](bool needs_upstreams) {
+    return KnownRecords(needs_upstreams);
+  };
+  peers_.on_records = [this](const PeerRecords& records) {
+    OnPeerRecords(records);
+  };
   peers_.on_heartbeat = [this](Time now, const GatewayPeer& peer) {
     placer_.load().SetPeer(now, peer.process, peer.status.shares);
     for (const PromptUse& use : peer.status.uses) placer_.OnPeerUse(use);
@@ -159,10 +165,29 @@
       continue;
     }
     if (config_ && config->version <= config_->version) continue;
+    config_record_ = record;
     Apply(std::make_shared<const GatewayConfig>(*config));
   }
 }
 
+PeerRecords Gateway::KnownRecords(bool needs_upstreams) const {
+  PeerRecords records;
+  records.config = config_record_;
+  if (!needs_upstreams) return records;
+  for (const auto& [key, record] : upstream_records_) {
+    records.upstreams.push_back(record);
+  }
+  return records;
+}
+
+void Gateway::OnPeerRecords(const PeerRecords& records) {
+  if (records.config) OnConfigRecords({*records.config});
+  if (upstreams_loaded_ || records.upstreams.empty()) return;
+  Log(LogLevel::kInfo, "upstreams_from_peer",
+      {{"count", static_cast<uint64_t>(records.upstreams.size())}});
+  OnAllUpstreams(records.upstreams);
+}
+
 void Gateway::Apply(std::shared_ptr<const GatewayConfig> config) {
   Log(LogLevel::kInfo, "config_applied",
       {{"version", config->version},
@@ -196,8 +221,10 @@
 
 void Gateway::OnAllUpstreams(const std::vector<StoreRecord>& records) {
   std::vector<UpstreamRecord> upstreams;
+  upstream_records_.clear();
   for (const StoreRecord& record : records) {
     if (!record.value) continue;
+    upstream_records_[record.key] = record;
     auto upstream = DecodeUpstream(record);
     if (upstream) upstreams.push_back(*upstream);
   }
@@ -210,6 +237,11 @@
 void Gateway::OnUpstreamChanges(const std::vector<StoreRecord>& records) {
   const Time now = BootClock::now();
   for (const StoreRecord& record : records) {
+    if (record.value) {
+      upstream_records_[record.key] = record;
+    } else {
+      upstream_records_.erase(record.key);
+    }
     if (!record.value) {
       Log(LogLevel::kInfo, "upstream_gone",
           {{"upstream", record.key}, {"store_version", record.version}});
@@ -409,9 +441,19 @@
   return dump.dump(2);
 }
 
+void Gateway::CatchUpWithPeers(Time now) {
+  const uint64_t own = config_ ? config_->version : 0;
+  bool behind = !upstreams_loaded_;
+  for (const GatewayPeer* peer : peers_.Live(now)) {
+    behind = behind || peer->status.config_version > own;
+  }
+  if (behind) peers_.AskForRecords(own, !upstreams_loaded_);
+}
+
 void Gateway::Housekeeping() {
   const Time now = BootClock::now();
   placer_.SetHeld(now, self_.value(), held_);
+  if (!leaving_) CatchUpWithPeers(now);
   placer_.directory().Expire(now);
   placer_.Prune();
   metrics_.Set("gateway_client_connections",
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -17,6 +17,16 @@
 // Addresses that stay silent are no longer sent to.
 constexpr Duration kForgetAfter = seconds(20);
 
+void EncodeRecord(const StoreRecord& record, wire::Record& out) {
+  out.set_key(record.key);
+  out.set_value(record.value.value_or(""));
+  out.set_version(record.version);
+}
+
+StoreRecord DecodeRecord(const wire::Record& in) {
+  return {in.key(), in.value(), in.version()};
+}
+
 wire::Heartbeat Encode(const GatewayStatus& status) {
   wire::Heartbeat heartbeat;
   heartbeat.set_instance(status.instance);
@@ -141,7 +151,50 @@
 
 void GatewayPeers::OnMessage(const wire::Envelope& message) {
   if (message.process() == self_.value()) return;
-  if (!message.has_heartbeat()) return;
+  if (message.has_heartbeat()) OnHeartbeat(message);
+  if (message.has_records_request()) OnRecordsRequest(message);
+  if (message.has_records_answer()) OnRecordsAnswer(message);
+}
+
+void GatewayPeers::AskForRecords(uint64_t have_config_version,
+                                 bool needs_upstreams) {
+  for (const GatewayPeer* peer : Live(BootClock::now())) {
+    if (!peer->status.ready) continue;
+    wire::Envelope message;
+    wire::RecordsRequest* request = message.mutable_records_request();
+    request->set_have_config_version(have_config_version);
+    request->set_needs_upstreams(needs_upstreams);
+    request->set_peer_address(own_address_.ToString());
+    bus_.Send(peer->status.peer, message);
+    return;
+  }
+}
+
+void GatewayPeers::OnRecordsRequest(const wire::Envelope& message) {
+  const wire::RecordsRequest& request = message.records_request();
+  const auto address = Address::Parse(request.peer_address());
+  if (!address || !on_records_request) return;
+  const PeerRecords records = on_records_request(request.needs_upstreams());
+  wire::Envelope reply;
+  wire::RecordsAnswer* answer = reply.mutable_records_answer();
+  if (records.config) EncodeRecord(*records.config, *answer->mutable_config());
+  for (const StoreRecord& record : records.upstreams) {
+    EncodeRecord(record, *answer->add_upstreams());
+  }
+  bus_.Send(*address, reply);
+}
+
+void GatewayPeers::OnRecordsAnswer(const wire::Envelope& message) {
+  const wire::RecordsAnswer& answer = message.records_answer();
+  PeerRecords records;
+  if (answer.has_config()) records.config = DecodeRecord(answer.config());
+  for (const wire::Record& record : answer.upstreams()) {
+    records.upstreams.push_back(DecodeRecord(record));
+  }
+  if (on_records) on_records(records);
+}
+
+void GatewayPeers::OnHeartbeat(const wire::Envelope& message) {
   if (message.heartbeat().kind() != kGatewayKind) return;
   const Time now = BootClock::now();
   GatewayPeer& peer = peers_[message.process()];
--- a/lib/Node/node.cc
+++ b/lib/Node/node.cc
@@ -123,6 +123,9 @@
     case wire::Envelope::kClaimAnswer:
       signal_claim.emit(message);
       return;
+    case wire::Envelope::kRecordsRequest:
+    case wire::Envelope::kRecordsAnswer:
+      break;  // Between gateways.
     case wire::Envelope::BODY_NOT_SET:
       return;
   }
--- a/lib/Support/log.cc
+++ b/lib/Support/log.cc
@@ -1,15 +1,19 @@
-// Log lines through Boost.Log.
+// Log lines through Boost.Log, written without ever blocking.
 #include "corianderlink/Support/log.h"
 
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
-#include <iostream>
+#include <boost/make_shared.hpp>
+#include <boost/smart_ptr/shared_ptr.hpp>
+
+#include "corianderlink/Support/line_writer.h"
 
 namespace corianderlink {
 namespace {
@@ -26,6 +30,15 @@
   return logger;
 }
 
+// Hands formatted lines to the line writer of standard output.
+class LineSink : public blog::sinks::basic_formatted_sink_backend<
+                     char, blog::sinks::synchronized_feeding> {
+ public:
+  void consume(const blog::record_view&, const std::string& line) {  // NOLINT
+    StandardOutput().Write(BootClock::now(), line);
+  }
+};
+
 const char* LevelName(LogLevel level) {
   switch (level) {
     case LogLevel::kDebug:
@@ -73,15 +86,14 @@
 void InitLog(const std::string& process, LogLevel lowest) {
   ProcessName() = process;
   blog::add_common_attributes();
-  blog::add_console_log(
-      std::cerr,
-      blog::keywords::format =
-          (blog::expressions::stream
-           << "time="
-           << blog::expressions::format_date_time<boost::posix_time::ptime>(
-                  "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-           << " " << blog::expressions::smessage),
-      blog::keywords::auto_flush = true);
+  auto sink = boost::make_shared<blog::sinks::synchronous_sink<LineSink>>();
+  sink->set_formatter(
+      blog::expressions::stream
+      << "time="
+      << blog::expressions::format_date_time<boost::posix_time::ptime>(
+             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+      << " " << blog::expressions::smessage);
+  blog::core::get()->add_sink(sink);
   blog::core::get()->set_filter(blog::expressions::attr<LogLevel>("Severity") >=
                                 lowest);
 }
--- a/tools/corianderlink-gateway/main.cc
+++ b/tools/corianderlink-gateway/main.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "corianderlink/Gateway/gateway.h"
+#include "corianderlink/Gateway/settings_watcher.h"
 #include "corianderlink/Gateway/store_link.h"
 #include "corianderlink/Http/http_client.h"
 #include "corianderlink/Support/log.h"
@@ -54,10 +55,12 @@
       loop.OnSignal(SIGTERM, [&gateway] { gateway.BeginStop(); });
   const EventHandle interrupt =
       loop.OnSignal(SIGINT, [&gateway] { gateway.BeginStop(); });
-  const EventHandle reload = loop.OnSignal(SIGHUP, [&gateway, &file] {
-    const auto changed = Load(file);
-    if (changed) gateway.Reload(*changed);
-  });
+  corianderlink::SettingsWatcher watcher(
+      loop, file,
+      [&gateway](const GatewaySettings& changed) { gateway.Reload(changed); });
+  watcher.Start();
+  const EventHandle reload =
+      loop.OnSignal(SIGHUP, [&watcher] { watcher.Check(); });
   Log(LogLevel::kInfo, "started",
       {{"instance", settings->instance}, {"version", kVersion}});
   loop.Run();
--- /dev/null
+++ b/unittests/Gateway/gateway_settings_test.cc
@@ -0,0 +1,86 @@
+// Settings: checked whole, reloaded when the file changes.
+#include "corianderlink/Gateway/gateway_settings.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <fstream>
+
+#include "corianderlink/Gateway/settings_watcher.h"
+
+namespace corianderlink {
+namespace {
+
+constexpr char kGood[] = R"({
+  // A comment.
+  "instance": "g1", "availability_zone": "z",
+  "listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2",
+             "directory": "127.0.0.1:3", "peer": "127.0.0.1:4",
+             "admin": "127.0.0.1:5"},
+  "store": "127.0.0.1:6", "max_descriptors": 6150, "stop_grace_s": 8,
+  "directory_ttl_max_s": 5, "lease_s": 3000e-3,
+  "retries": {"ratio": 0.2, "slack": 58, "window_s": 10}
+})";
+
+TEST(GatewaySettingsTest, ReadsAll) {
+  std::vector<std::string> errors;
+  const auto settings = ParseGatewaySettings(kGood, errors);
+  ASSERT_TRUE(settings) << errors[0];
+  EXPECT_EQ(settings->front.port, 1);
+  EXPECT_EQ(settings->lease, Duration(seconds(3)));
+  EXPECT_DOUBLE_EQ(settings->retries.slack, 58);
+}
+
+TEST(GatewaySettingsTest, NamesEveryErrorByItsPath) {
+  std::vector<std::string> errors;
+  EXPECT_FALSE(ParseGatewaySettings(
+      R"({"instance": 3, "listen": {"front": "x"}, "surprise": 1})", errors));
+  std::string all;
+  for (const std::string& error : errors) all += error + "\n";
+  for (const char* path : {"/instance", "/listen/front", "/listen/ready",
+                           "/store", "/surprise", "/availability_zone"}) {
+    EXPECT_NE(all.find(path), std::string::npos) << path << " in\n" << all;
+  }
+}
+
+TEST(GatewaySettingsTest, UnreadableTextIsAnError) {
+  std::vector<std::string> errors;
+  EXPECT_FALSE(ParseGatewaySettings("{", errors));
+  EXPECT_EQ(errors.size(), 1U);
+}
+
+class SettingsWatcherTest : public ::testing::Test {
+ protected:
+  ~SettingsWatcherTest() override { unlink(path_.c_str()); }
+  void Write(const std::string& text) const { std::ofstream(path_) << text; }
+
+  const std::string path_ =
+      "/tmp/corianderlink-settings-" + std::to_string(getpid());
+  EventLoop loop_;
+  int changes_ = 0;
+  double slack_ = 0;
+  SettingsWatcher watcher_{loop_, path_, [this](const GatewaySettings& s) {
+                             ++changes_;
+                             slack_ = s.retries.slack;
+                           }};
+};
+
+TEST_F(SettingsWatcherTest, TakesAChangeOnceAndRefusesABadOne) {
+  Write(kGood);
+  watcher_.Start();
+  watcher_.Check();
+  EXPECT_EQ(changes_, 0);
+  std::string changed = kGood;
+  changed.replace(changed.find("58"), 2, "99");
+  Write(changed);
+  watcher_.Check();
+  watcher_.Check();
+  EXPECT_EQ(changes_, 1);
+  EXPECT_DOUBLE_EQ(slack_, 99);
+  Write("{ broken");
+  watcher_.Check();
+  EXPECT_EQ(changes_, 1);
+}
+
+}  // namespace
+}  // namespace corianderlink
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -355,6 +355,32 @@
   EXPECT_EQ(result->body, Event(1));
 }
 
+// A gateway that starts while the store is away learns from its peer.
+TEST_F(GatewayTest, StartsFromAPeerWithoutTheStore) {
+  FakeUpstream& shop = world_.AddUpstream("s1", "shop");
+  shop.answer = AnswerOk;
+  GatewaySettings settings = world_.Settings();
+  settings.instance = "g2";
+  settings.store = world_.store;
+  settings.front = FreeAddress();
+  settings.ready = FreeAddress();
+  settings.directory = FreeAddress();
+  settings.peer = FreeAddress();
+  Gateway second(world_.loop, settings, platform::MakeCodecs());
+  std::string reason;
+  ASSERT_TRUE(second.Start(reason)) << reason;
+  EXPECT_FALSE(second.ready());
+  second.OnGatewayRecords({world_.gateway().OwnRecord()});
+  for (int i = 0; i < 200 && !second.ready(); ++i) {
+    world_.RunFor(milliseconds(10));
+  }
+  EXPECT_TRUE(second.ready());
+  world_.front = settings.front;
+  const auto result = world_.Send("GET", "/safe/1");
+  world_.Await(result);
+  EXPECT_EQ(result->status, 200);
+}
+
 TEST_F(GatewayTest, PlannedStopFinishesWhatWasBegun) {
   FakeUpstream& shop = world_.AddUpstream("s1", "shop");
   EventHandle later;
--- a/unittests/Gateway/gateway_world.h
+++ b/unittests/Gateway/gateway_world.h
@@ -172,16 +172,6 @@
     }
   }
 
-  Gateway& gateway() { return gateway_; }
-
-  EventLoop loop;
-  Address front = FreeAddress();
-  Address ready = FreeAddress();
-  Address directory = FreeAddress();
-  bool started = false;
-  std::shared_ptr<UpstreamCall> call;
-
- private:
   GatewaySettings Settings() {
     GatewaySettings settings;
     settings.instance = "g1";
@@ -191,13 +181,24 @@
     settings.directory = directory;
     settings.peer = FreeAddress();
     settings.admin = FreeAddress();
-    settings.store = FreeAddress();
+    settings.store = store;
     settings.max_descriptors = 4000;
     settings.stop_grace = seconds(2);
     settings.retries = {0.2, 50, seconds(10)};
     return settings;
   }
 
+  Gateway& gateway() { return gateway_; }
+
+  EventLoop loop;
+  Address front = FreeAddress();
+  Address ready = FreeAddress();
+  Address directory = FreeAddress();
+  Address store = FreeAddress();
+  bool started = false;
+  std::shared_ptr<UpstreamCall> call;
+
+ private:
   Gateway gateway_;
   UpstreamPool client_{loop};
   std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
