--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -58,6 +58,8 @@
 struct PlacementResult {
   std::optional<Placement> placement;
   std::string reason;
+  /// Soonest prediction, if any upstream came into question.
+  double best_predicted_ms = 0;
   /// When there should be room, if refused.
   Duration retry_after{};
 };
@@ -114,6 +116,7 @@
   UpstreamDirectory& directory() { return directory_; }
   const UpstreamDirectory& directory() const { return directory_; }
   UpstreamLoad& load() { return load_; }
+  const UpstreamLoad& load() const { return load_; }
   std::map<UpstreamId, LoadShare> OwnShares(Time now) const {
     return load_.OwnShares(now);
   }
--- a/include/corianderlink/Gateway/upstream_load.h
+++ b/include/corianderlink/Gateway/upstream_load.h
@@ -63,6 +63,8 @@
   /// Own requests that wait for computing longer than `limit`, while nothing
   /// was computed since: the upstream seems to hang.
   bool Stalled(Time now, const UpstreamId& upstream, Duration limit) const;
+  /// Age of the oldest share of a peer that counts.
+  Duration PeerAge(Time now) const;
   /// Own shares on all upstreams that have any.
   std::map<UpstreamId, LoadShare> OwnShares(Time now) const;
   /// Forgets upstreams without own requests for which `gone` holds.
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -94,6 +94,14 @@
       GiveUp(Outcome::MayHaveRun(result.reason));
       return;
     }
+    Log(LogLevel::kInfo, "no_placement",
+        {{"request", request_.id.value()},
+         {"reason", result.reason},
+         {"predicted_ms", result.best_predicted_ms},
+         {"objective_left_ms", ToMillis(objective_at_ - now)},
+         {"left_ms", DeadlineLeftMs(now)},
+         {"peers_age_ms", ToMillis(context_.placer.load().PeerAge(now))},
+         {"config", config_version_}});
     Refuse(result.reason, result.retry_after);
     return;
   }
@@ -134,7 +142,9 @@
        {"tier", static_cast<int>(placement.tier)},
        {"predicted_ms", placement.predicted_ms},
        {"cost_ms", placement.cost_ms},
+       {"objective_left_ms", ToMillis(objective_at_ - now)},
        {"left_ms", DeadlineLeftMs(now)},
+       {"peers_age_ms", ToMillis(context_.placer.load().PeerAge(now))},
        {"config", config_version_},
        {"send", sends_}});
   call_ = context_.pool.Start(BuildRequest(now, placement), BuildHandlers());
--- a/lib/Gateway/upstream_load.cc
+++ b/lib/Gateway/upstream_load.cc
@@ -110,6 +110,15 @@
   return false;
 }
 
+Duration UpstreamLoad::PeerAge(Time now) const {
+  Duration oldest = Duration::zero();
+  for (const auto& [name, peer] : peers_) {
+    const Duration age = now - peer.heard;
+    if (age <= peer_timeout_) oldest = std::max(oldest, age);
+  }
+  return oldest;
+}
+
 std::map<UpstreamId, LoadShare> UpstreamLoad::OwnShares(Time now) const {
   std::map<UpstreamId, LoadShare> shares;
   for (const auto& [id, own] : own_) {
