--- a/unittests/Gateway/load_models_test.cc
+++ b/unittests/Gateway/load_models_test.cc
@@ -205,7 +205,7 @@
   size_t at = 0;
   while (at < stream.size()) {
     const size_t n = *rc::gen::inRange<size_t>(1, 9);
-    splitter.Feed(std::string_view(stream).substr(at, n));
+    splitter.Feed(std::string_view{stream}.substr(at, n));
     at += n;
     while (auto event = splitter.Next()) {
       joined += event->bytes;
