--- /dev/null
+++ b/unittests/Gateway/table_follower_test.cc
@@ -0,0 +1,122 @@
+// Following a table through lost history, outages and stale answers.
+#include "corianderlink/Gateway/table_follower.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace corianderlink {
+namespace {
+
+using Status = StoreReadResult::Status;
+
+/// Answers with what a test queued; then never again.
+class ScriptedStore {
+ public:
+  explicit ScriptedStore(EventLoop& loop) : loop_(loop) {}
+
+  void ReadAll(const std::string&, StoreReadCallback callback) {
+    ++reads;
+    AnswerFrom(all, std::move(callback));
+  }
+  void Watch(const std::string&, uint64_t after, Duration,
+             StoreReadCallback callback) {
+    watched_after.push_back(after);
+    AnswerFrom(changes, std::move(callback));
+  }
+  void Put(const std::string&, const std::string&, const std::string&,
+           StoreWriteCallback) {}
+
+  std::deque<StoreReadResult> all;
+  std::deque<StoreReadResult> changes;
+  std::vector<uint64_t> watched_after;
+  int reads = 0;
+
+ private:
+  void AnswerFrom(std::deque<StoreReadResult>& answers,
+                  StoreReadCallback callback) {
+    if (answers.empty()) return;
+    const StoreReadResult answer = answers.front();
+    answers.pop_front();
+    loop_.Post([callback = std::move(callback), answer] { callback(answer); });
+  }
+
+  EventLoop& loop_;
+};
+
+StoreReadResult Result(Status status, uint64_t version,
+                       std::vector<std::string> keys = {}) {
+  StoreReadResult result;
+  result.status = status;
+  result.version = version;
+  for (const std::string& key : keys) {
+    result.records.push_back({key, "v", version});
+  }
+  return result;
+}
+
+class TableFollowerTest : public ::testing::Test {
+ protected:
+  void Run() {
+    follower_.Start();
+    const EventHandle stop =
+        loop_.After(milliseconds(400), [this] { loop_.Stop(); });
+    loop_.Run();
+  }
+
+  EventLoop loop_;
+  ScriptedStore store_{loop_};
+  std::vector<size_t> wholes_;
+  std::vector<std::string> changed_;
+  std::vector<bool> reachable_;
+  TableFollower<ScriptedStore> follower_{
+      loop_,
+      store_,
+      "t",
+      {[this](const auto& all) { wholes_.push_back(all.size()); },
+       [this](const auto& some) {
+         for (const StoreRecord& record : some) changed_.push_back(record.key);
+       },
+       [this](bool reachable, const std::string&) {
+         reachable_.push_back(reachable);
+       }}};
+};
+
+TEST_F(TableFollowerTest, ReadsAllThenFollowsTheChanges) {
+  store_.all = {Result(Status::kOk, 5, {"a", "b"})};
+  store_.changes = {Result(Status::kOk, 7, {"a"}), Result(Status::kOk, 9)};
+  Run();
+  EXPECT_EQ(wholes_, std::vector<size_t>{2});
+  EXPECT_EQ(changed_, std::vector<std::string>{"a"});
+  EXPECT_EQ(store_.watched_after, (std::vector<uint64_t>{5, 7, 9}));
+}
+
+TEST_F(TableFollowerTest, LostHistoryIsFollowedByAWholeRead) {
+  store_.all = {Result(Status::kOk, 5), Result(Status::kOk, 20, {"a"})};
+  store_.changes = {Result(Status::kHistoryLost, 0)};
+  Run();
+  EXPECT_EQ(wholes_, (std::vector<size_t>{0, 1}));
+  EXPECT_TRUE(reachable_.empty());
+}
+
+TEST_F(TableFollowerTest, OutageIsToldOnceEachWay) {
+  store_.all = {Result(Status::kOk, 5), Result(Status::kFailed, 0),
+                Result(Status::kOk, 6)};
+  store_.changes = {Result(Status::kFailed, 0)};
+  Run();
+  EXPECT_EQ(reachable_, (std::vector<bool>{false, true}));
+  EXPECT_EQ(store_.watched_after.back(), 6U);
+}
+
+TEST_F(TableFollowerTest, StaleAnswersAreNotTaken) {
+  store_.all = {Result(Status::kOk, 5, {"a"}), Result(Status::kOk, 3, {}),
+                Result(Status::kOk, 8, {"a", "b"})};
+  store_.changes = {Result(Status::kOk, 4, {"old"}),
+                    Result(Status::kHistoryLost, 0)};
+  Run();
+  EXPECT_TRUE(changed_.empty());
+  EXPECT_EQ(wholes_, (std::vector<size_t>{1, 2}));
+}
+
+}  // namespace
+}  // namespace corianderlink
--- /dev/null
+++ b/unittests/PlatformAdapter/codecs_test.cc
@@ -0,0 +1,154 @@
+// The platform's formats, well formed and not.
+#include "platform/codecs.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace corianderlink::platform {
+namespace {
+
+RequestHead Head(HeaderFields fields) {
+  RequestHead head;
+  head.method = "POST";
+  head.target = "/x/1";
+  head.fields = std::move(fields);
+  return head;
+}
+
+std::string Field(const HeaderFields& fields, const char* name) {
+  const std::string* value = FindField(fields, name);
+  return value == nullptr ? "" : *value;
+}
+
+TEST(RelayCodecTest, ReadsAModelRequest) {
+  const ClientRequest request = MakeRelayCodec().decode_request(
+      Head({{"Request-Id", "9c41"},
+            {"Host", "h"},
+            {"Token-Count", "1460,80"},
+            {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+            {"Deadline-Ms", "2000"}}));
+  EXPECT_EQ(request.id, RequestId("9c41"));
+  EXPECT_EQ(request.time_left, Duration(seconds(2)));
+  ASSERT_TRUE(request.prompt);
+  EXPECT_EQ(request.prompt->tokens, 1460U);
+  EXPECT_EQ(request.prompt->max_output_tokens, 80U);
+  ASSERT_EQ(request.prompt->parts.size(), 3U);
+  EXPECT_EQ(request.prompt->parts[1].id, 0x91bd3f06U);
+  EXPECT_EQ(request.prompt->parts[1].tokens, 410U);
+}
+
+RC_GTEST_PROP(RelayCodecTest, AnyFieldValuesAreReadWithoutHarm,
+              (const std::string& count, const std::string& parts,
+               const std::string& deadline)) {
+  const ClientRequest request =
+      MakeRelayCodec().decode_request(Head({{"Token-Count", count},
+                                            {"Prompt-Prefix", parts},
+                                            {"Deadline-Ms", deadline}}));
+  RC_ASSERT(request.id.empty());
+}
+
+TEST(RelayCodecTest, DropsWhatOnlyTheGatewaySets) {
+  UpstreamDirections directions;
+  directions.expected = UpstreamId("i-1");
+  directions.time_left = milliseconds(700);
+  directions.resume_after = 12;
+  const HeaderFields fields =
+      MakeRelayCodec().encode_request(Head({{"kv-from", "x"},
+                                            {"STAGE", "prefill"},
+                                            {"Expect-Instance", "other"},
+                                            {"Deadline-Ms", "9999"},
+                                            {"Last-Event-Id", "3"},
+                                            {"Connection", "X-Hop"},
+                                            {"X-Hop", "1"},
+                                            {"X-End", "2"}}),
+                                      directions);
+  EXPECT_EQ(Field(fields, "Kv-From"), "");
+  EXPECT_EQ(Field(fields, "Stage"), "");
+  EXPECT_EQ(Field(fields, "Expect-Instance"), "i-1");
+  EXPECT_EQ(Field(fields, "Deadline-Ms"), "700");
+  EXPECT_EQ(Field(fields, "Last-Event-Id"), "12");
+  EXPECT_EQ(Field(fields, "X-Hop"), "");
+  EXPECT_EQ(Field(fields, "X-End"), "2");
+}
+
+TEST(RelayCodecTest, ClientsLastEventIsPassedOn) {
+  const HeaderFields fields = MakeRelayCodec().encode_request(
+      Head({{"Last-Event-Id", "3"}}), UpstreamDirections{});
+  EXPECT_EQ(Field(fields, "Last-Event-Id"), "3");
+}
+
+TEST(RelayCodecTest, OnlyTheUpstreamsOwnWordsMeanNotRun) {
+  const RelayCodec codec = MakeRelayCodec();
+  ResponseHead head;
+  head.status = 503;
+  EXPECT_FALSE(codec.decode_reply(head).not_run);
+  head.fields = {{"Not-Run", "1"}};
+  EXPECT_TRUE(codec.decode_reply(head).not_run);
+  head.fields.clear();
+  head.status = 421;
+  EXPECT_TRUE(codec.decode_reply(head).not_run);
+}
+
+TEST(ConfigCodecTest, ReadsRoutesWithOneAndWithSeveralServices) {
+  std::string reason;
+  const auto config = DecodeConfig(
+      R"({"version":7,"routes":[
+        {"name":"r1","host":"h","prefix":"/a/","kind":"stream",
+         "timeout_ms":15000,"slo_ms":120,"priority":1,"service":"s",
+         "attempts":2,"sticky":true,"resumable":true,"gap_aim_ms":150},
+        {"name":"r2","host":"h","prefix":"/b/","kind":"unsafe",
+         "timeout_ms":2000,"slo_ms":150,"priority":0,"attempts":1,
+         "backends":[{"service":"s","weight":90},{"service":"t","weight":10}]}],
+        "services":[{"name":"s","max_conns":250,"engine":{"slots":32,
+          "kv_capacity":232000,"kv_token_bytes":327680,"link_mbps":8800000.0}},
+          {"name":"t","max_conns":110}],
+        "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
+          "header_timeout_ms":3000,"idle_timeout_ms":15000}})",
+      reason);
+  ASSERT_TRUE(config) << reason;
+  EXPECT_EQ(config->version, 7U);
+  ASSERT_EQ(config->routes.size(), 2U);
+  EXPECT_TRUE(config->routes[0].idempotent());
+  EXPECT_EQ(config->routes[0].objective, Duration(milliseconds(120)));
+  EXPECT_FALSE(config->routes[1].idempotent());
+  EXPECT_EQ(config->routes[1].services.size(), 2U);
+  EXPECT_EQ(config->services.at(ServiceId("s")).engine->slots, 32);
+  EXPECT_FALSE(config->services.at(ServiceId("t")).engine);
+  EXPECT_EQ(config->limits.idle_timeout, Duration(seconds(15)));
+}
+
+TEST(ConfigCodecTest, SaysWhatIsWrong) {
+  for (const char* text :
+       {"", "7", "{}", R"({"version":1})",
+        R"({"version":"x","routes":[],"services":[]})",
+        R"({"version":1,"routes":[3],"services":[]})",
+        R"({"version":1,"routes":[{"name":1}],"services":[]})"}) {
+    std::string reason;
+    EXPECT_FALSE(DecodeConfig(text, reason)) << text;
+    EXPECT_FALSE(reason.empty()) << text;
+  }
+}
+
+RC_GTEST_PROP(UpstreamCodecTest, AnyBytesAreReadWithoutHarm,
+              (const std::string& bytes)) {
+  std::string reason;
+  RC_ASSERT(!DecodeUpstream("k", bytes, reason));
+}
+
+TEST(UpstreamCodecTest, ReadsAnEngine) {
+  std::string reason;
+  const auto record = DecodeUpstream(
+      "i-7f",
+      R"({"service":"s","addr":"10.128.0.9:8080","zone":"z","version":"v1",
+          "slots":32,"state":"draining","cold_left_ms":0,"phase":"decode",
+          "seq":4,"born":1700000000000})",
+      reason);
+  ASSERT_TRUE(record) << reason;
+  EXPECT_EQ(record->id, UpstreamId("i-7f"));
+  EXPECT_EQ(record->role, UpstreamRole::kDecode);
+  EXPECT_TRUE(record->draining);
+  EXPECT_EQ(record->started_ms, 1700000000000);
+}
+
+}  // namespace
+}  // namespace corianderlink::platform
