[Gateway] Tell returning clients by a clear difference; small prompts are never late

Change: UsualWait takes the upper quartile of the latest waits and a margin; small prompts stay in the express tier; the time of computing and that of the first token are predicted apart, the first alone teaches the speed; a prediction may take 0.75 of the objective.

--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -51,6 +51,8 @@
   bool prefill_only = false;
   double cost_ms = 0;
   /// Until the prompt is computed, waiting included.
+  double computed_ms = 0;
+  /// Until the first token, handing the prompt over included.
   double predicted_ms = 0;
 };
 
@@ -66,7 +68,7 @@
 
 struct PlacerLimits {
   /// Share of the time to the objective that a prediction may take.
-  double objective_share = 0.6;
+  double objective_share = 0.75;
   /// The same for the deadline of requests that miss their objective.
   double deadline_share = 0.5;
   /// An upstream that computed nothing for this long is avoided.
@@ -142,8 +144,9 @@
                const std::set<UpstreamId>* excluded) const;
   Placement Predict(Time now, const UpstreamRecord& upstream,
                     const PlacementQuery& query, WorkTier tier) const;
-  double Penalty(Time now, const UpstreamRecord& upstream,
-                 const PlacementQuery& query) const;
+  /// What speaks against an upstream besides the predicted time.
+  double Reluctance(Time now, const UpstreamRecord& upstream,
+                    const PlacementQuery& query) const;
   void UseCache(const UpstreamId& upstream,
                 const std::vector<PromptPart>& parts);
   uint32_t CachedTokens(const UpstreamRecord& upstream,
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -31,9 +31,9 @@
   RandomSource& random;
   /// Takes one retry out of a service's budget, if there is one.
   std::function<bool(Time, const ServiceId&)> take_retry;
-  /// Takes a client's wait and returns the usual one of the route, or this one
-  /// if it is longer.
-  std::function<Duration(Time, const RouteSpec&, Duration)> usual_wait;
+  /// Takes the time that a client waits from now on, and returns how long it
+  /// has waited before.
+  std::function<Duration(const RouteSpec&, Duration)> waited_before;
 };
 
 /// Lives from the arrival of a request to the end of its answer.  A request
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -74,7 +74,7 @@
                      [this](Time now, const ServiceId& service) {
                        return TakeRetry(now, service);
                      },
-                     [this](Time, const RouteSpec& route, Duration wait) {
+                     [this](const RouteSpec& route, Duration wait) {
                        return NoteWait(route, wait);
                      }} {
   front_.on_malformed = [this](const std::string& reason) {
@@ -384,7 +384,7 @@
 Duration Gateway::NoteWait(const RouteSpec& route, Duration wait) {
   UsualWait& usual = usual_waits_[route.id];
   usual.Add(wait);
-  return std::max(usual.Value(), wait);
+  return usual.Elapsed(wait);
 }
 
 void Gateway::OnDirectory(const std::shared_ptr<HttpExchange>& exchange) {
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -27,6 +27,11 @@
 // Cost of computing a prompt beside streams, for each of them.
 constexpr double kBesideStreamsMs = 25;
 constexpr double kMostStreamsCounted = 4;
+// A piece of a prompt that an engine computes at once.
+constexpr double kChunkMs = 8;
+// Weight of the work that a choice makes for the fleet against the time that
+// it takes for the request.
+constexpr double kWorkWeight = 0.0;
 // Handing a computed prompt to another engine, besides its transfer.
 constexpr double kHandoverMs = 8;
 // Preference for a prefill engine, which computes faster for all.
@@ -147,7 +152,7 @@
     result.retry_after = FromSeconds(kPlainRetryAfterMs / 1000);
     return result;
   }
-  result.placement = Placement{*best, WorkTier::kTimely, false, 0, 0};
+  result.placement = Placement{*best, WorkTier::kTimely, false, 0, 0, 0};
   return result;
 }
 
@@ -166,22 +171,24 @@
   placement.tier = tier;
   placement.prefill_only = upstream.role == UpstreamRole::kPrefill;
   placement.cost_ms = speed_.ComputeMs(upstream, *query.prompt, cached);
-  placement.predicted_ms =
+  placement.computed_ms =
       load_.BacklogMs(now, upstream.id, tier) + placement.cost_ms;
-  if (upstream.zone != own_zone_) placement.predicted_ms += kOtherZoneMs;
+  if (upstream.zone != own_zone_) placement.computed_ms += kOtherZoneMs;
   if (tier == WorkTier::kExpress) {
     // The chunk that is being computed is not interrupted.
     const double others = load_.BacklogMs(now, upstream.id, WorkTier::kTimely);
-    placement.predicted_ms += std::min(others, kHandoverMs * factor);
+    placement.computed_ms += std::min(others, kChunkMs * factor);
+  }
+  placement.predicted_ms = placement.computed_ms;
+  if (placement.prefill_only) {
+    placement.predicted_ms += kHandoverMs + 2 * TransferMs(query);
   }
   return placement;
 }
 
-double Placer::Penalty(Time now, const UpstreamRecord& upstream,
-                       const PlacementQuery& query) const {
-  if (upstream.role == UpstreamRole::kPrefill) {
-    return kHandoverMs + 2 * TransferMs(query);
-  }
+double Placer::Reluctance(Time now, const UpstreamRecord& upstream,
+                          const PlacementQuery& query) const {
+  if (upstream.role == UpstreamRole::kPrefill) return 0;
   const uint32_t express = load_.Express(now, upstream.id);
   const double backlog_ms = load_.BacklogMs(now, upstream.id, WorkTier::kLate);
   if (query.prompt->tokens <= kExpressTokens) {
@@ -209,13 +216,13 @@
       continue;
     }
     const Placement placement = Predict(now, *upstream, query, tier);
-    const double score =
-        placement.predicted_ms + Penalty(now, *upstream, query);
+    const double score = placement.predicted_ms +
+                         kWorkWeight * placement.cost_ms +
+                         Reluctance(now, *upstream, query);
     if (best && score >= best_score) continue;
     best = placement;
     best_score = score;
   }
-  if (best) best->predicted_ms = best_score;
   return best;
 }
 
@@ -226,12 +233,14 @@
   const WorkTier first = express ? WorkTier::kExpress : WorkTier::kTimely;
   const std::optional<Placement> timely = Best(now, query, first);
   const double bound_ms = query.objective_left_ms * limits_.objective_share;
-  if (timely && (query.resumed || timely->predicted_ms <= bound_ms)) {
+  const double late_bound_ms = query.deadline_left_ms * limits_.deadline_share;
+  // A small prompt costs the others little, also when it is late.
+  const double first_bound_ms = express ? late_bound_ms : bound_ms;
+  if (timely && (query.resumed || timely->predicted_ms <= first_bound_ms)) {
     result.placement = timely;
     return result;
   }
   const std::optional<Placement> late = Best(now, query, WorkTier::kLate);
-  const double late_bound_ms = query.deadline_left_ms * limits_.deadline_share;
   const bool idle = late && load_.BacklogMs(now, late->upstream.id,
                                             WorkTier::kLate) < kIdleBacklogMs;
   if (idle && late->predicted_ms <= late_bound_ms) {
@@ -269,7 +278,8 @@
     result.reason = "no decode engine available";
     return result;
   }
-  result.placement = Placement{*best, WorkTier::kTimely, false, 0, best_score};
+  result.placement =
+      Placement{*best, WorkTier::kTimely, false, 0, 0, best_score};
   return result;
 }
 
@@ -310,7 +320,7 @@
                         double observed_ms) {
   load_.OnComputed(now, placement.upstream.id, id);
   if (placement.tier == WorkTier::kLate) return;
-  speed_.Observe(placement.upstream, placement.predicted_ms, observed_ms);
+  speed_.Observe(placement.upstream, placement.computed_ms, observed_ms);
 }
 
 void Placer::OnEnd(Time now, const Placement& placement, DispatchId id) {
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -50,8 +50,8 @@
   const Duration wait = request_.time_left.value_or(route_.timeout);
   deadline_ = exchange_->received() + std::min(wait, route_.timeout);
   // A client that was refused before has waited for part of its time already.
-  const Duration usual = context_.usual_wait(now, route_, wait);
-  objective_at_ = exchange_->received() + route_.objective - (usual - wait);
+  const Duration waited = context_.waited_before(route_, wait);
+  objective_at_ = exchange_->received() + route_.objective - waited;
   exchange_->on_client_left = [self] { self->OnClientLeft(); };
   deadline_timer_ =
       context_.loop.After(std::max(Duration::zero(), deadline_ - now),
--- a/lib/Gateway/usual_wait.cc
+++ b/lib/Gateway/usual_wait.cc
@@ -1,39 +1,34 @@
-// The most frequent wait of a route's clients.
+// The usual wait of a route's clients.
 #include "corianderlink/Gateway/usual_wait.h"
 
 #include <algorithm>
 
 namespace corianderlink {
+namespace {
 
-void UsualWait::Add(Duration wait) {
-  for (Counter& counter : counters_) {
-    if (counter.count == 0 || counter.wait != wait) continue;
-    if (counter.count < kMaxCount) {
-      ++counter.count;
-    } else {
-      FadeOthers(counter);
-    }
-    return;
-  }
-  for (Counter& counter : counters_) {
-    if (counter.count > 0) continue;
-    counter = {wait, 1};
-    return;
-  }
-  for (Counter& counter : counters_) --counter.count;
-}
+// First attempts wait for at least this share of the usual time.
+constexpr double kFirstAttemptShare = 0.82;
 
-void UsualWait::FadeOthers(const Counter& kept) {
-  for (Counter& counter : counters_) {
-    if (&counter != &kept && counter.count > 0) --counter.count;
-  }
-}
+}  // namespace
+
+void UsualWait::Add(Duration wait) { latest_[added_++ % kKept] = wait; }
 
 Duration UsualWait::Value() const {
-  const auto most = std::max_element(
-      counters_.begin(), counters_.end(),
-      [](const Counter& a, const Counter& b) { return a.count < b.count; });
-  return most->count == 0 ? Duration::zero() : most->wait;
+  const size_t count = std::min(added_, kKept);
+  if (count == 0) return Duration::zero();
+  std::array<Duration, kKept> sorted = latest_;
+  const auto end = sorted.begin() + static_cast<std::ptrdiff_t>(count);
+  const auto quartile =
+      sorted.begin() + static_cast<std::ptrdiff_t>(count * 3 / 4);
+  std::nth_element(sorted.begin(), quartile, end);
+  return *quartile;
+}
+
+Duration UsualWait::Elapsed(Duration wait) const {
+  const Duration usual = Value();
+  const bool first_attempt =
+      ToSeconds(wait) >= kFirstAttemptShare * ToSeconds(usual);
+  return first_attempt ? Duration::zero() : usual - wait;
 }
 
 }  // namespace corianderlink
