--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -9,6 +9,9 @@
 namespace corianderlink {
 namespace {
 
+// Bounds of the time until a refused client returns, as a share of its wait.
+constexpr double kLeastRetryShare = 0.15;
+constexpr double kMostRetryShare = 0.32;
 // Upstreams that one request is sent to, refusals included.
 constexpr int kMaxSends = 4;
 // Bytes of an answer that are held back, so that an attempt whose answer is cut
@@ -432,10 +435,13 @@
 void RelayTask::Refuse(const std::string& reason,
                        std::optional<Duration> retry_after) {
   FreeHandle();
-  // Spread, so that refused clients do not return together.
-  const Duration base = retry_after.value_or(milliseconds(200));
-  const Duration spread =
-      FromSeconds(ToSeconds(base) * (1 + context_.random.Uniform()));
+  // A client that returns has missed its objective, so it is asked to stay
+  // away for a good part of its time, spread over the clients.
+  const Duration wait = deadline_ - exchange_->received();
+  const double share = kLeastRetryShare + (kMostRetryShare - kLeastRetryShare) *
+                                              context_.random.Uniform();
+  const Duration spread = std::max(retry_after.value_or(Duration::zero()),
+                                   FromSeconds(ToSeconds(wait) * share));
   exchange_->Answer(503, context_.codec.encode_refusal(request_.id, spread),
                     "");
   context_.metrics.Add("gateway_refusals_total");
