[Gateway][Routing] Leave unreachable and replaced engines at once

Ruled out: the placement's predictions (they were right for the engines left). Change: Ejector::OnUnreachable, Placer::OnReplaced, sends that never arrived do not count as retries, a computed prompt goes to an engine in doubt if there is no other, a third of the engines stay decode engines, slots of these count to 0.8.

--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -98,6 +98,11 @@
   /// An answer was generated, which took `ms` after its prompt was computed.
   void OnGenerated(Time now, const ServiceId& service, double ms);
   void OnFailure(Time now, const UpstreamRecord& upstream);
+  /// No connection could be made to the upstream.
+  void OnUnreachable(Time now, const UpstreamRecord& upstream);
+  /// Another upstream has the address by now: this one is gone, though the
+  /// list does not say so yet.
+  void OnReplaced(const UpstreamId& id) { replaced_.insert(id); }
   void OnSuccess(const UpstreamRecord& upstream);
   /// A peer sent a prompt to an engine.
   void OnPeerUse(const PromptUse& use);
@@ -137,6 +142,9 @@
 
   static constexpr Duration kDemandTime = seconds(3);
 
+  const UpstreamRecord* BestGenerator(Time now, const PlacementQuery& query,
+                                      const UpstreamRecord& source,
+                                      bool also_troubled) const;
   bool Held(Time now, const UpstreamId& id) const;
   void CountDemand(Time now, const Placement& placement,
                    const PlacementQuery& query);
@@ -166,6 +174,7 @@
   std::vector<PromptUse> recent_uses_;
   std::map<ServiceId, DemandRates> demands_;
   std::map<std::string, HeldSet> held_;
+  std::set<UpstreamId> replaced_;
   const Duration peer_timeout_;
 };
 
--- a/include/corianderlink/Gateway/relay_codec.h
+++ b/include/corianderlink/Gateway/relay_codec.h
@@ -52,6 +52,8 @@
   RequestId request;
   /// The upstream promises that the request did not run.
   bool not_run = false;
+  /// Another upstream has the address by now.
+  bool replaced = false;
   /// The response bears the upstream's signature.
   bool is_signed = false;
 };
@@ -61,7 +63,9 @@
   /// Fields of the request to the upstream.
   std::function<HeaderFields(const RequestHead&, const UpstreamDirections&)>
       encode_request;
-  std::function<UpstreamReply(const ResponseHead&)> decode_reply;
+  /// Takes the head of a response and the upstream that was meant.
+  std::function<UpstreamReply(const ResponseHead&, const UpstreamId&)>
+      decode_reply;
   /// Handle in the answer to a request that only computes the prompt.
   std::function<std::optional<std::string>(const std::string& body)>
       decode_handle;
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -113,6 +113,8 @@
   DispatchId dispatch_ = 0;
   Time sent_at_{};
   bool computed_ = false;
+  // False once it is known that no byte reached the upstream.
+  bool arrived_ = true;
   Time computed_at_{};
   bool forwarding_ = false;
   std::optional<ResponseHead> reply_;
--- a/include/corianderlink/Gateway/role_planner.h
+++ b/include/corianderlink/Gateway/role_planner.h
@@ -43,8 +43,9 @@
 struct RolePlannerLimits {
   /// No change before the demand was observed for this long.
   Duration warm_up = seconds(2);
-  /// Decode engines are at least this share of all.
-  double min_decode_share = 0.25;
+  /// Decode engines are at least this share of all, so that some are left
+  /// after a loss.
+  double min_decode_share = 0.34;
   /// A change must lower the load of the busier role by this share.
   double min_gain = 0.12;
   /// Load of the busier role below which no change is worth it.
--- a/include/corianderlink/Routing/ejector.h
+++ b/include/corianderlink/Routing/ejector.h
@@ -29,6 +29,9 @@
   void OnSuccess(const Address& upstream);
   /// `fleet_size` is the number of upstreams to choose from.
   void OnFailure(Time now, const Address& upstream, size_t fleet_size);
+  /// Nothing listens at the upstream's address: it is out at once, whatever the
+  /// share of ejected ones.
+  void OnUnreachable(Time now, const Address& upstream);
   bool Ejected(Time now, const Address& upstream) const;
   /// 1 in normal use; grows from 0.1 to 1 over the ramp after a return.
   double Share(Time now, const Address& upstream) const;
@@ -43,6 +46,7 @@
   };
 
   size_t EjectedCount(Time now) const;
+  void Eject(Time now, State& state);
 
   const EjectorLimits limits_;
   std::map<Address, State> states_;
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -70,6 +70,7 @@
 bool Placer::Avoided(Time now, const UpstreamRecord& upstream,
                      const std::set<UpstreamId>* excluded) const {
   if (excluded != nullptr && excluded->count(upstream.id) > 0) return true;
+  if (replaced_.count(upstream.id) > 0) return true;
   return ejector_.Ejected(now, upstream.address) || Held(now, upstream.id);
 }
 
@@ -256,15 +257,18 @@
   return result;
 }
 
-PlacementResult Placer::PlaceGeneration(Time now, const PlacementQuery& query,
-                                        const UpstreamRecord& source) const {
-  PlacementResult result;
+const UpstreamRecord* Placer::BestGenerator(Time now,
+                                            const PlacementQuery& query,
+                                            const UpstreamRecord& source,
+                                            bool also_troubled) const {
   const UpstreamRecord* best = nullptr;
   double best_score = 0;
   for (const UpstreamRecord* upstream : directory_.Usable(query.service)) {
     if (upstream->role != UpstreamRole::kDecode) continue;
-    if (Avoided(now, *upstream, query.excluded)) continue;
-    if (load_.Stalled(now, upstream->id, limits_.stall)) continue;
+    if (query.excluded->count(upstream->id) > 0) continue;
+    const bool troubled = Avoided(now, *upstream, nullptr) ||
+                          load_.Stalled(now, upstream->id, limits_.stall);
+    if (troubled && !also_troubled) continue;
     const double away = upstream->zone == source.zone ? 0 : kOtherZoneMs;
     const double score =
         away + kPerRequestMs * load_.Requests(now, upstream->id) +
@@ -274,12 +278,20 @@
     best = upstream;
     best_score = score;
   }
+  return best;
+}
+
+PlacementResult Placer::PlaceGeneration(Time now, const PlacementQuery& query,
+                                        const UpstreamRecord& source) const {
+  PlacementResult result;
+  // The prompt is computed already, so an engine in doubt is better than none.
+  const UpstreamRecord* best = BestGenerator(now, query, source, false);
+  if (best == nullptr) best = BestGenerator(now, query, source, true);
   if (best == nullptr) {
     result.reason = "no decode engine available";
     return result;
   }
-  result.placement =
-      Placement{*best, WorkTier::kTimely, false, 0, 0, best_score};
+  result.placement = Placement{*best, WorkTier::kTimely, false, 0, 0, 0};
   return result;
 }
 
@@ -332,6 +344,10 @@
                      directory_.Usable(upstream.service).size());
 }
 
+void Placer::OnUnreachable(Time now, const UpstreamRecord& upstream) {
+  ejector_.OnUnreachable(now, upstream.address);
+}
+
 void Placer::OnSuccess(const UpstreamRecord& upstream) {
   ejector_.OnSuccess(upstream.address);
 }
@@ -341,6 +357,7 @@
     return directory_.Find(id) == nullptr;
   };
   std::erase_if(caches_, [&](const auto& entry) { return gone(entry.first); });
+  std::erase_if(replaced_, gone);
   load_.ForgetIf(gone);
 }
 
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -126,6 +126,7 @@
   placement_ = placement;
   sent_at_ = now;
   computed_ = false;
+  arrived_ = true;
   reply_.reset();
   buffered_.clear();
   events_.Clear();
@@ -176,9 +177,10 @@
   request.body = exchange_->body();
   request.max_idle = route_.idempotent() ? kMaxIdle : kMaxIdleNonIdempotent;
   request.connect_timeout = kConnectTimeout;
-  request.answers = [codec = &context_.codec,
-                     id = request_.id](const ResponseHead& head) {
-    const UpstreamReply reply = codec->decode_reply(head);
+  request.answers = [codec = &context_.codec, id = request_.id,
+                     upstream =
+                         placement.upstream.id](const ResponseHead& head) {
+    const UpstreamReply reply = codec->decode_reply(head, upstream);
     return reply.request.empty() || reply.request == id;
   };
   return request;
@@ -202,7 +204,7 @@
 
 void RelayTask::OnReplyHead(const ResponseHead& head) {
   reply_ = head;
-  reply_info_ = context_.codec.decode_reply(head);
+  reply_info_ = context_.codec.decode_reply(head, placement_->upstream.id);
   const bool is_event_stream = is_stream() && head.status == 200 &&
                                reply_info_.is_signed &&
                                reply_info_.request == request_.id;
@@ -261,9 +263,12 @@
   call_.reset();
   const Time now = BootClock::now();
   if (reply_info_.not_run) {
+    if (reply_info_.replaced) {
+      context_.placer.OnReplaced(placement_->upstream.id);
+    }
     // A prompt that one engine cannot fetch is not sought elsewhere again.
-    whole_only_ = handle_.has_value();
-    handle_.reset();
+    whole_only_ = handle_.has_value() && !reply_info_.replaced;
+    if (whole_only_) handle_.reset();
     AttemptFailed(Outcome::NotRun("upstream refused: status " +
                                   std::to_string(reply_->status)),
                   false);
@@ -330,6 +335,7 @@
 
 void RelayTask::OnReplyFailed(const Outcome& outcome) {
   if (finished_) return;
+  arrived_ = outcome.verdict != Verdict::kNotRun;
   call_.reset();
   AttemptFailed(outcome, true);
 }
@@ -380,7 +386,11 @@
 void RelayTask::EndAttempt(Time now, const Outcome& outcome,
                            bool upstream_failed, const char* retry) {
   EndDispatch();
-  if (upstream_failed) context_.placer.OnFailure(now, placement_->upstream);
+  if (!arrived_) {
+    context_.placer.OnUnreachable(now, placement_->upstream);
+  } else if (upstream_failed) {
+    context_.placer.OnFailure(now, placement_->upstream);
+  }
   excluded_.insert(placement_->upstream.id);
   Log(LogLevel::kInfo, "attempt_failed",
       {{"request", request_.id.value()},
@@ -415,7 +425,10 @@
 }
 
 bool RelayTask::MayRetry(Time now, Verdict verdict) {
-  return RetryAllowed(now, verdict) && context_.take_retry(now, service_.id);
+  if (!RetryAllowed(now, verdict)) return false;
+  // A send that never arrived makes the next one the first arrival.
+  if (!arrived_) return true;
+  return context_.take_retry(now, service_.id);
 }
 
 void RelayTask::GiveUp(const Outcome& outcome) {
--- a/lib/Gateway/role_planner.cc
+++ b/lib/Gateway/role_planner.cc
@@ -11,7 +11,7 @@
 constexpr double kMsPerSecond = 1000;
 // Links and slots beyond this share of use delay what waits for them.
 constexpr double kUsableLinkShare = 0.5;
-constexpr double kUsableSlotShare = 0.5;
+constexpr double kUsableSlotShare = 0.8;
 // With fewer engines each role needs those that it has.
 constexpr size_t kFewestEngines = 4;
 
--- a/lib/Routing/ejector.cc
+++ b/lib/Routing/ejector.cc
@@ -33,6 +33,15 @@
       static_cast<size_t>(static_cast<double>(fleet_size) * limits_.max_share));
   const bool last_one = fleet_size <= 1;
   if (last_one || EjectedCount(now) >= allowed) return;
+  Eject(now, state);
+}
+
+void Ejector::OnUnreachable(Time now, const Address& upstream) {
+  State& state = states_[upstream];
+  if (state.until <= now) Eject(now, state);
+}
+
+void Ejector::Eject(Time now, State& state) {
   const int doublings = std::min(state.ejections, kMaxDoublings);
   state.until =
       now + std::min(limits_.longest, limits_.base * (1 << doublings));
--- a/unittests/Gateway/placer_test.cc
+++ b/unittests/Gateway/placer_test.cc
@@ -224,6 +224,43 @@
   EXPECT_LT(failures, 50);
 }
 
+TEST_F(PlacerTest, UnreachableUpstreamIsOutAtOnce) {
+  AddEngines(0, 2);
+  const Prompt prompt = LongPrompt(1, 2);
+  const auto first = placer_->PlacePrompt(kStart, Query(prompt));
+  ASSERT_TRUE(first.placement);
+  placer_->OnUnreachable(kStart, first.placement->upstream);
+  const auto second = placer_->PlacePrompt(kStart, Query(prompt));
+  ASSERT_TRUE(second.placement);
+  EXPECT_NE(second.placement->upstream.id, first.placement->upstream.id);
+  placer_->OnUnreachable(kStart, second.placement->upstream);
+  EXPECT_FALSE(placer_->PlacePrompt(kStart, Query(prompt)).placement);
+  EXPECT_TRUE(placer_->PlacePrompt(kStart + milliseconds(1100), Query(prompt))
+                  .placement);
+}
+
+TEST_F(PlacerTest, ReplacedUpstreamIsOutUntilTheListForgetsIt) {
+  AddEngines(0, 1);
+  const Prompt prompt = LongPrompt(1, 2);
+  placer_->OnReplaced(UpstreamId("d0"));
+  EXPECT_FALSE(
+      placer_->PlacePrompt(kStart + seconds(9), Query(prompt)).placement);
+  placer_->directory().Remove(kStart, UpstreamId("d0"));
+  placer_->Prune();
+  AddEngines(0, 1);
+  EXPECT_TRUE(placer_->PlacePrompt(kStart, Query(prompt)).placement);
+}
+
+// After a loss of engines a computed prompt is not thrown away.
+TEST_F(PlacerTest, ComputedPromptGoesToAnEngineInDoubtIfThereIsNoOther) {
+  AddEngines(1, 1);
+  const Prompt prompt = LongPrompt(1, 2);
+  const UpstreamRecord source = *placer_->directory().Find(UpstreamId("p0"));
+  placer_->OnUnreachable(kStart, *placer_->directory().Find(UpstreamId("d0")));
+  EXPECT_TRUE(
+      placer_->PlaceGeneration(kStart, Query(prompt), source).placement);
+}
+
 TEST_F(PlacerTest, FullPlainServiceRefuses) {
   placer_->directory().Put(Record("s0", kShop, UpstreamRole::kPlain, 2));
   int taken = 0;
--- a/unittests/PlatformAdapter/codecs_test.cc
+++ b/unittests/PlatformAdapter/codecs_test.cc
@@ -81,12 +81,16 @@
   const RelayCodec codec = MakeRelayCodec();
   ResponseHead head;
   head.status = 503;
-  EXPECT_FALSE(codec.decode_reply(head).not_run);
+  EXPECT_FALSE(codec.decode_reply(head, UpstreamId("i-1")).not_run);
   head.fields = {{"Not-Run", "1"}};
-  EXPECT_TRUE(codec.decode_reply(head).not_run);
+  EXPECT_TRUE(codec.decode_reply(head, UpstreamId("i-1")).not_run);
   head.fields.clear();
   head.status = 421;
-  EXPECT_TRUE(codec.decode_reply(head).not_run);
+  EXPECT_TRUE(codec.decode_reply(head, UpstreamId("i-1")).not_run);
+  EXPECT_FALSE(codec.decode_reply(head, UpstreamId("i-1")).replaced);
+  head.fields = {{"Instance-Id", "i-2"}};
+  EXPECT_TRUE(codec.decode_reply(head, UpstreamId("i-1")).replaced);
+  EXPECT_FALSE(codec.decode_reply(head, UpstreamId("i-2")).replaced);
 }
 
 TEST(ConfigCodecTest, ReadsRoutesWithOneAndWithSeveralServices) {
