[Gateway] Hear of newer upstreams from peers; watch the store for longer

Cause: a feed that falls silent without a reset keeps its gateway behind until the watch's time is over, and short watches are dear on large fleets. Change: heartbeats carry the version up to which the upstreams are known; one that stays behind for 0.3 s asks a peer. Watches last 25 s.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -53,8 +53,11 @@
 
   /// News from the store.
   void OnConfigRecords(const std::vector<StoreRecord>& records);
-  void OnAllUpstreams(const std::vector<StoreRecord>& records);
-  void OnUpstreamChanges(const std::vector<StoreRecord>& records);
+  /// The whole list, complete up to `version` of the store.
+  void OnAllUpstreams(const std::vector<StoreRecord>& records,
+                      uint64_t version);
+  void OnUpstreamChanges(const std::vector<StoreRecord>& records,
+                         uint64_t version);
   void OnGatewayRecords(const std::vector<StoreRecord>& records);
   void OnUpstreamTableReachable(bool reachable);
 
@@ -124,6 +127,9 @@
   // Records as read, for gateways that start while the store is away.
   std::optional<StoreRecord> config_record_;
   std::map<std::string, StoreRecord> upstream_records_;
+  uint64_t upstreams_version_ = 0;
+  // Since when a peer has known newer upstreams.
+  std::optional<Time> behind_since_;
   bool upstreams_loaded_ = false;
   bool leaving_ = false;
   Time leaving_since_{};
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -29,6 +29,8 @@
   bool ready = false;
   bool leaving = false;
   uint64_t config_version = 0;
+  /// Version of the store up to which the upstreams are known.
+  uint64_t upstreams_version = 0;
   uint32_t in_progress = 0;
   std::map<UpstreamId, LoadShare> shares;
   /// Prompts sent to engines since the last heartbeat.
@@ -43,6 +45,7 @@
 struct PeerRecords {
   std::optional<StoreRecord> config;
   std::vector<StoreRecord> upstreams;
+  uint64_t upstreams_version = 0;
 };
 
 /// A peer as last heard of.
--- a/include/corianderlink/Gateway/store_link.h
+++ b/include/corianderlink/Gateway/store_link.h
@@ -22,19 +22,26 @@
         gateway_(gateway),
         codec_(codec),
         config_(loop, store, codec.config_table,
-                {[this](const auto& all) { gateway_.OnConfigRecords(all); },
-                 [this](const auto& some) { gateway_.OnConfigRecords(some); },
+                {[this](const auto& all, uint64_t) {
+                   gateway_.OnConfigRecords(all);
+                 },
+                 [this](const auto& some, uint64_t) {
+                   gateway_.OnConfigRecords(some);
+                 },
                  [this](bool reachable, const std::string& reason) {
                    LogReachable(codec_.config_table, reachable, reason);
                  }}),
-        upstreams_(
-            loop, store, codec.upstream_table,
-            {[this](const auto& all) { gateway_.OnAllUpstreams(all); },
-             [this](const auto& some) { gateway_.OnUpstreamChanges(some); },
-             [this](bool reachable, const std::string& reason) {
-               LogReachable(codec_.upstream_table, reachable, reason);
-               gateway_.OnUpstreamTableReachable(reachable);
-             }}) {}
+        upstreams_(loop, store, codec.upstream_table,
+                   {[this](const auto& all, uint64_t version) {
+                      gateway_.OnAllUpstreams(all, version);
+                    },
+                    [this](const auto& some, uint64_t version) {
+                      gateway_.OnUpstreamChanges(some, version);
+                    },
+                    [this](bool reachable, const std::string& reason) {
+                      LogReachable(codec_.upstream_table, reachable, reason);
+                      gateway_.OnUpstreamTableReachable(reachable);
+                    }}) {}
 
   void Start() {
     config_.Start();
@@ -45,7 +52,7 @@
  private:
   static constexpr Duration kRetry = milliseconds(500);
   // Heals a partition between gateways that never heard of each other.
-  static constexpr Duration kReadAgain = seconds(15);
+  static constexpr Duration kReadAgain = seconds(60);
 
   static void LogReachable(const std::string& table, bool reachable,
                            const std::string& reason) {
--- a/include/corianderlink/Gateway/table_follower.h
+++ b/include/corianderlink/Gateway/table_follower.h
@@ -17,9 +17,10 @@
 /// Receives what a TableFollower learns.
 struct TableFollowerHandlers {
   /// The whole table.
-  std::function<void(const std::vector<StoreRecord>&)> on_all;
+  std::function<void(const std::vector<StoreRecord>&, uint64_t version)> on_all;
   /// Records that changed.
-  std::function<void(const std::vector<StoreRecord>&)> on_changes;
+  std::function<void(const std::vector<StoreRecord>&, uint64_t version)>
+      on_changes;
   /// The store stopped answering, or answers again.
   std::function<void(bool reachable, const std::string& reason)> on_reachable;
 };
@@ -42,7 +43,7 @@
 
  private:
   // A watch answers after this time even if nothing changed.
-  static constexpr Duration kWatchTime = seconds(10);
+  static constexpr Duration kWatchTime = seconds(25);
   static constexpr Duration kFirstRetry = milliseconds(100);
   static constexpr Duration kLongestRetry = milliseconds(1000);
 
@@ -59,7 +60,7 @@
       OnAnswered();
       loaded_ = true;
       version_ = result.version;
-      handlers_.on_all(result.records);
+      handlers_.on_all(result.records, result.version);
       Watch();
     });
   }
@@ -83,7 +84,9 @@
     // A delayed answer may lie behind what is known already.
     if (result.version > version_) {
       version_ = result.version;
-      if (!result.records.empty()) handlers_.on_changes(result.records);
+      if (!result.records.empty()) {
+        handlers_.on_changes(result.records, result.version);
+      }
     }
     Watch();
   }
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -17,6 +17,8 @@
 constexpr Duration kDirectoryTtl = seconds(1);
 // Some callers keep an answer this many times as long.
 constexpr int kDirectoryTtlFactor = 3;
+// A gateway that is behind a peer for this long asks the peer.
+constexpr Duration kCatchUpAfter = milliseconds(300);
 constexpr Duration kStopPoll = milliseconds(100);
 // Left of the grace time when the process ends at the latest.
 constexpr Duration kStopMargin = milliseconds(700);
@@ -135,6 +137,7 @@
   status.ready = ready();
   status.leaving = leaving_;
   status.config_version = config_ ? config_->version : 0;
+  status.upstreams_version = upstreams_version_;
   status.shares = placer_.OwnShares(now);
   status.uses = placer_.TakeRecentUses();
   status.demands = placer_.Demands(now);
@@ -173,6 +176,7 @@
 PeerRecords Gateway::KnownRecords(bool needs_upstreams) const {
   PeerRecords records;
   records.config = config_record_;
+  records.upstreams_version = upstreams_version_;
   if (!needs_upstreams) return records;
   for (const auto& [key, record] : upstream_records_) {
     records.upstreams.push_back(record);
@@ -182,10 +186,14 @@
 
 void Gateway::OnPeerRecords(const PeerRecords& records) {
   if (records.config) OnConfigRecords({*records.config});
-  if (upstreams_loaded_ || records.upstreams.empty()) return;
+  const bool newer =
+      !upstreams_loaded_ || records.upstreams_version > upstreams_version_;
+  if (!newer || records.upstreams.empty()) return;
   Log(LogLevel::kInfo, "upstreams_from_peer",
-      {{"count", static_cast<uint64_t>(records.upstreams.size())}});
-  OnAllUpstreams(records.upstreams);
+      {{"count", static_cast<uint64_t>(records.upstreams.size())},
+       {"version", records.upstreams_version},
+       {"before", upstreams_version_}});
+  OnAllUpstreams(records.upstreams, records.upstreams_version);
 }
 
 void Gateway::Apply(std::shared_ptr<const GatewayConfig> config) {
@@ -219,7 +227,9 @@
   return std::nullopt;
 }
 
-void Gateway::OnAllUpstreams(const std::vector<StoreRecord>& records) {
+void Gateway::OnAllUpstreams(const std::vector<StoreRecord>& records,
+                             uint64_t version) {
+  upstreams_version_ = version;
   std::vector<UpstreamRecord> upstreams;
   upstream_records_.clear();
   for (const StoreRecord& record : records) {
@@ -234,7 +244,9 @@
   placer_.directory().ReplaceAll(BootClock::now(), upstreams);
 }
 
-void Gateway::OnUpstreamChanges(const std::vector<StoreRecord>& records) {
+void Gateway::OnUpstreamChanges(const std::vector<StoreRecord>& records,
+                                uint64_t version) {
+  upstreams_version_ = version;
   const Time now = BootClock::now();
   for (const StoreRecord& record : records) {
     if (record.value) {
@@ -443,11 +455,21 @@
 
 void Gateway::CatchUpWithPeers(Time now) {
   const uint64_t own = config_ ? config_->version : 0;
-  bool behind = !upstreams_loaded_;
+  bool config_behind = false;
+  bool upstreams_behind = false;
   for (const GatewayPeer* peer : peers_.Live(now)) {
-    behind = behind || peer->status.config_version > own;
+    config_behind = config_behind || peer->status.config_version > own;
+    upstreams_behind =
+        upstreams_behind || peer->status.upstreams_version > upstreams_version_;
   }
-  if (behind) peers_.AskForRecords(own, !upstreams_loaded_);
+  if (!config_behind && !upstreams_behind && upstreams_loaded_) {
+    behind_since_.reset();
+    return;
+  }
+  // The store's own answer is usually just on its way.
+  if (!behind_since_) behind_since_ = now;
+  if (upstreams_loaded_ && now - *behind_since_ < kCatchUpAfter) return;
+  peers_.AskForRecords(own, upstreams_behind || !upstreams_loaded_);
 }
 
 void Gateway::Housekeeping() {
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -33,6 +33,7 @@
   heartbeat.set_kind(kGatewayKind);
   heartbeat.set_zone(status.zone.value());
   heartbeat.set_revision(status.config_version);
+  heartbeat.set_upstreams_version(status.upstreams_version);
   heartbeat.set_leaving(status.leaving);
   heartbeat.set_ready(status.ready);
   heartbeat.set_in_flight(status.in_progress);
@@ -73,6 +74,7 @@
   status.instance = heartbeat.instance();
   status.zone = ZoneId(heartbeat.zone());
   status.config_version = heartbeat.revision();
+  status.upstreams_version = heartbeat.upstreams_version();
   status.leaving = heartbeat.leaving();
   status.ready = heartbeat.ready();
   status.in_progress = heartbeat.in_flight();
@@ -178,6 +180,7 @@
   wire::Envelope reply;
   wire::RecordsAnswer* answer = reply.mutable_records_answer();
   if (records.config) EncodeRecord(*records.config, *answer->mutable_config());
+  answer->set_upstreams_version(records.upstreams_version);
   for (const StoreRecord& record : records.upstreams) {
     EncodeRecord(record, *answer->add_upstreams());
   }
@@ -188,6 +191,7 @@
   const wire::RecordsAnswer& answer = message.records_answer();
   PeerRecords records;
   if (answer.has_config()) records.config = DecodeRecord(answer.config());
+  records.upstreams_version = answer.upstreams_version();
   for (const wire::Record& record : answer.upstreams()) {
     records.upstreams.push_back(DecodeRecord(record));
   }
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -84,23 +84,25 @@
 }
 
 TEST_F(GatewayTest, MalformedRecordsNameNoUpstream) {
-  world_.gateway().OnAllUpstreams({
-      {"a", "not json", 1},
-      {"b", R"({"service":"shop"})", 1},
-      {"c",
-       R"({"service":"shop","addr":"x","zone":"z","slots":1,)"
-       R"("state":"ready"})",
-       1},
-      {"d",
-       R"({"service":"shop","addr":"127.0.0.1:1","zone":"z",)"
-       R"("slots":"many","state":"ready"})",
-       1},
-      {"e",
-       R"({"service":"shop","addr":"127.0.0.1:1","zone":"z",)"
-       R"("slots":1,"state":"dreaming"})",
-       1},
-      {"f", R"([1,2,3])", 1},
-  });
+  world_.gateway().OnAllUpstreams(
+      {
+          {"a", "not json", 1},
+          {"b", R"({"service":"shop"})", 1},
+          {"c",
+           R"({"service":"shop","addr":"x","zone":"z","slots":1,)"
+           R"("state":"ready"})",
+           1},
+          {"d",
+           R"({"service":"shop","addr":"127.0.0.1:1","zone":"z",)"
+           R"("slots":"many","state":"ready"})",
+           1},
+          {"e",
+           R"({"service":"shop","addr":"127.0.0.1:1","zone":"z",)"
+           R"("slots":1,"state":"dreaming"})",
+           1},
+          {"f", R"([1,2,3])", 1},
+      },
+      1);
   const auto result = world_.Send("GET", "/safe/1");
   world_.Await(result);
   EXPECT_EQ(result->status, 503);
@@ -375,6 +377,37 @@
     world_.RunFor(milliseconds(10));
   }
   EXPECT_TRUE(second.ready());
+  // The peer hears of a draining upstream that the store does not tell of here.
+  world_.gateway().OnUpstreamChanges(
+      {{"s1",
+        R"({"service":"shop","addr":")" + shop.address.ToString() +
+            R"(","zone":"z","slots":4,"state":"draining"})",
+        100}},
+      100);
+  world_.RunFor(milliseconds(900));
+  world_.front = settings.front;
+  const auto refused = world_.Send("GET", "/safe/1");
+  world_.Await(refused);
+  EXPECT_EQ(refused->status, 503);
+}
+
+TEST_F(GatewayTest, ServesAfterAStartFromAPeer) {
+  FakeUpstream& shop = world_.AddUpstream("s1", "shop");
+  shop.answer = AnswerOk;
+  GatewaySettings settings = world_.Settings();
+  settings.instance = "g2";
+  settings.store = world_.store;
+  settings.front = FreeAddress();
+  settings.ready = FreeAddress();
+  settings.directory = FreeAddress();
+  settings.peer = FreeAddress();
+  Gateway second(world_.loop, settings, platform::MakeCodecs());
+  std::string reason;
+  ASSERT_TRUE(second.Start(reason)) << reason;
+  second.OnGatewayRecords({world_.gateway().OwnRecord()});
+  for (int i = 0; i < 200 && !second.ready(); ++i) {
+    world_.RunFor(milliseconds(10));
+  }
   world_.front = settings.front;
   const auto result = world_.Send("GET", "/safe/1");
   world_.Await(result);
--- a/unittests/Gateway/gateway_world.h
+++ b/unittests/Gateway/gateway_world.h
@@ -126,9 +126,9 @@
         upstreams_.back()->address.ToString() +
         R"(","zone":"z","slots":4,"state":"ready")" +
         (phase.empty() ? "" : R"(,"phase":")" + phase + "\"") + "}";
-    gateway_.OnAllUpstreams(records_);
+    gateway_.OnAllUpstreams(records_, ++store_version_);
     records_.push_back({id, record, 1});
-    gateway_.OnAllUpstreams(records_);
+    gateway_.OnAllUpstreams(records_, ++store_version_);
     return *upstreams_.back();
   }
 
@@ -203,6 +203,7 @@
   UpstreamPool client_{loop};
   std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
   std::vector<StoreRecord> records_;
+  uint64_t store_version_ = 0;
 };
 
 }  // namespace corianderlink
--- a/unittests/Gateway/table_follower_test.cc
+++ b/unittests/Gateway/table_follower_test.cc
@@ -73,8 +73,8 @@
       loop_,
       store_,
       "t",
-      {[this](const auto& all) { wholes_.push_back(all.size()); },
-       [this](const auto& some) {
+      {[this](const auto& all, uint64_t) { wholes_.push_back(all.size()); },
+       [this](const auto& some, uint64_t) {
          for (const StoreRecord& record : some) changed_.push_back(record.key);
        },
        [this](bool reachable, const std::string&) {
