--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "corianderlink/Gateway/gateway_settings.h"
 #include "corianderlink/Gateway/order_codec.h"
 #include "corianderlink/Gateway/placer.h"
+#include "corianderlink/Gateway/record_book.h"
 #include "corianderlink/Gateway/record_codec.h"
 #include "corianderlink/Gateway/record_store.h"
 #include "corianderlink/Gateway/relay_codec.h"
@@ -91,10 +92,9 @@
   void OnDirectory(const std::shared_ptr<HttpExchange>& exchange);
   void OnAdmin(const std::shared_ptr<HttpExchange>& exchange);
   GatewayStatus Status(Time now);
-  PeerRecords KnownRecords(bool needs_upstreams) const;
   void OnPeerRecords(const PeerRecords& records);
-  std::optional<UpstreamRecord> DecodeUpstream(const StoreRecord& record);
-  void Apply(std::shared_ptr<const GatewayConfig> config);
+  /// Puts a configuration in force; null changes nothing.
+  void Apply(const std::shared_ptr<const GatewayConfig>& config);
   /// Asks a peer for what it knows and this gateway does not.
   void CatchUpWithPeers(Time now);
   void Housekeeping();
@@ -109,28 +109,21 @@
   Metrics metrics_;
   UpstreamPool pool_;
   Placer placer_;
+  RecordBook book_;
   GatewayPeers peers_;
   FrontServer front_;
   HttpServer ready_server_;
   HttpServer directory_server_;
   HttpServer admin_server_;
   RelayContext relay_context_;
-  std::shared_ptr<const GatewayConfig> config_;
   RouteTable routes_;
   std::map<ServiceId, RetryWindow> retries_;
   std::map<RouteId, UsualWait> usual_waits_;
-  // Reasons already logged for records that cannot be read, by key.
-  std::map<std::string, std::string> malformed_;
   std::map<ServiceId, RolePlanner> planners_;
   std::unique_ptr<RoleDuty> role_duty_;
   std::set<UpstreamId> held_;
-  // Records as read, for gateways that start while the store is away.
-  std::optional<StoreRecord> config_record_;
-  std::map<std::string, StoreRecord> upstream_records_;
-  uint64_t upstreams_version_ = 0;
-  // Since when a peer has known newer upstreams.
+  // Since when a peer has known newer records.
   std::optional<Time> behind_since_;
-  bool upstreams_loaded_ = false;
   bool leaving_ = false;
   Time leaving_since_{};
   EventHandle housekeeping_;
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -24,7 +24,6 @@
 constexpr Duration kStopMargin = milliseconds(700);
 // Told to callers while no configuration is known.
 constexpr Duration kNotReadyRetryAfter = milliseconds(300);
-constexpr size_t kMaxMalformedRemembered = 1000;
 
 PlacerLimits DefaultPlacerLimits() { return {}; }
 
@@ -50,6 +49,7 @@
       pool_(loop),
       placer_(DefaultPlacerLimits(), GatewayEjectorLimits(),
               GatewayPeers::kPeerTimeout, settings_.zone),
+      book_(codecs_.records, placer_.directory(), metrics_),
       peers_(loop, settings_.store.ToString(), self_, settings_.peer,
              [this](Time now) { return Status(now); }),
       front_(loop, MaxClientConnections(settings_.max_descriptors),
@@ -84,7 +84,7 @@
     Log(LogLevel::kWarning, "request_malformed", {{"reason", reason}});
   };
   peers_.on_records_request = [this](bool needs_upstreams) {
-    return KnownRecords(needs_upstreams);
+    return book_.ForPeer(needs_upstreams);
   };
   peers_.on_records = [this](const PeerRecords& records) {
     OnPeerRecords(records);
@@ -115,7 +115,7 @@
 }
 
 bool Gateway::ready() const {
-  return config_ != nullptr && upstreams_loaded_ && !leaving_;
+  return book_.config() != nullptr && book_.upstreams_loaded() && !leaving_;
 }
 
 void Gateway::Reload(const GatewaySettings& settings) {
@@ -136,8 +136,8 @@
   status.peer = settings_.peer;
   status.ready = ready();
   status.leaving = leaving_;
-  status.config_version = config_ ? config_->version : 0;
-  status.upstreams_version = upstreams_version_;
+  status.config_version = book_.config_version();
+  status.upstreams_version = book_.upstreams_version();
   status.shares = placer_.OwnShares(now);
   status.uses = placer_.TakeRecentUses();
   status.demands = placer_.Demands(now);
@@ -158,120 +158,31 @@
 }
 
 void Gateway::OnConfigRecords(const std::vector<StoreRecord>& records) {
-  for (const StoreRecord& record : records) {
-    if (record.key != codecs_.records.config_key || !record.value) continue;
-    std::string reason;
-    const auto config = codecs_.records.decode_config(*record.value, reason);
-    if (!config) {
-      Log(LogLevel::kError, "config_malformed",
-          {{"store_version", record.version}, {"reason", reason}});
-      continue;
-    }
-    if (config_ && config->version <= config_->version) continue;
-    config_record_ = record;
-    Apply(std::make_shared<const GatewayConfig>(*config));
-  }
-}
-
-PeerRecords Gateway::KnownRecords(bool needs_upstreams) const {
-  PeerRecords records;
-  records.config = config_record_;
-  records.upstreams_version = upstreams_version_;
-  if (!needs_upstreams) return records;
-  for (const auto& [key, record] : upstream_records_) {
-    records.upstreams.push_back(record);
-  }
-  return records;
+  Apply(book_.TakeConfig(records));
 }
 
 void Gateway::OnPeerRecords(const PeerRecords& records) {
-  if (records.config) OnConfigRecords({*records.config});
-  const bool newer =
-      !upstreams_loaded_ || records.upstreams_version > upstreams_version_;
-  if (!newer || records.upstreams.empty()) return;
-  Log(LogLevel::kInfo, "upstreams_from_peer",
-      {{"count", static_cast<uint64_t>(records.upstreams.size())},
-       {"version", records.upstreams_version},
-       {"before", upstreams_version_}});
-  OnAllUpstreams(records.upstreams, records.upstreams_version);
+  Apply(book_.TakePeerRecords(BootClock::now(), records));
 }
 
-void Gateway::Apply(std::shared_ptr<const GatewayConfig> config) {
+void Gateway::Apply(const std::shared_ptr<const GatewayConfig>& config) {
+  if (config == nullptr) return;
   Log(LogLevel::kInfo, "config_applied",
       {{"version", config->version},
-       {"before", config_ ? config_->version : 0},
        {"routes", static_cast<uint64_t>(config->routes.size())}});
-  config_ = std::move(config);
-  routes_ = RouteTable(config_);
-  front_.SetLimits(config_->limits);
-  metrics_.Set("gateway_config_version", static_cast<double>(config_->version));
-}
-
-std::optional<UpstreamRecord> Gateway::DecodeUpstream(
-    const StoreRecord& record) {
-  std::string reason;
-  auto upstream =
-      codecs_.records.decode_upstream(record.key, *record.value, reason);
-  if (upstream) {
-    malformed_.erase(record.key);
-    return upstream;
-  }
-  metrics_.Add("gateway_malformed_records_total");
-  if (malformed_.size() > kMaxMalformedRemembered) malformed_.clear();
-  std::string& logged = malformed_[record.key];
-  if (logged != reason) {
-    Log(LogLevel::kWarning, "upstream_record_malformed",
-        {{"key", record.key}, {"reason", reason}});
-    logged = reason;
-  }
-  return std::nullopt;
+  routes_ = RouteTable(config);
+  front_.SetLimits(config->limits);
+  metrics_.Set("gateway_config_version", static_cast<double>(config->version));
 }
 
 void Gateway::OnAllUpstreams(const std::vector<StoreRecord>& records,
                              uint64_t version) {
-  upstreams_version_ = version;
-  std::vector<UpstreamRecord> upstreams;
-  upstream_records_.clear();
-  for (const StoreRecord& record : records) {
-    if (!record.value) continue;
-    upstream_records_[record.key] = record;
-    auto upstream = DecodeUpstream(record);
-    if (upstream) upstreams.push_back(*upstream);
-  }
-  upstreams_loaded_ = true;
-  Log(LogLevel::kInfo, "upstreams_read",
-      {{"count", static_cast<uint64_t>(upstreams.size())}});
-  placer_.directory().ReplaceAll(BootClock::now(), upstreams);
+  book_.TakeAllUpstreams(BootClock::now(), records, version);
 }
 
 void Gateway::OnUpstreamChanges(const std::vector<StoreRecord>& records,
                                 uint64_t version) {
-  upstreams_version_ = version;
-  const Time now = BootClock::now();
-  for (const StoreRecord& record : records) {
-    if (record.value) {
-      upstream_records_[record.key] = record;
-    } else {
-      upstream_records_.erase(record.key);
-    }
-    if (!record.value) {
-      Log(LogLevel::kInfo, "upstream_gone",
-          {{"upstream", record.key}, {"store_version", record.version}});
-      placer_.directory().Remove(now, UpstreamId(record.key));
-      continue;
-    }
-    const auto upstream = DecodeUpstream(record);
-    if (!upstream) continue;
-    const UpstreamRecord* known = placer_.directory().Find(upstream->id);
-    if (known == nullptr || !(*known == *upstream)) {
-      Log(LogLevel::kInfo, "upstream_changed",
-          {{"upstream", record.key},
-           {"address", upstream->address.ToString()},
-           {"draining", upstream->draining ? "yes" : "no"},
-           {"store_version", record.version}});
-    }
-    placer_.directory().Put(*upstream);
-  }
+  book_.TakeUpstreamChanges(BootClock::now(), records, version);
 }
 
 void Gateway::OnUpstreamTableReachable(bool reachable) {
@@ -360,11 +271,12 @@
          {"status", status},
          {"reason", reason},
          {"host", request.host},
-         {"config", config_ ? config_->version : 0}});
+         {"config", book_.config_version()}});
     exchange->Answer(status,
                      codecs_.relay.encode_refusal(request.id, retry_after), "");
   };
-  if (!config_ || !upstreams_loaded_) {
+  const std::shared_ptr<const GatewayConfig> config = book_.config();
+  if (!config || !book_.upstreams_loaded()) {
     refuse(503, "no configuration yet");
     return;
   }
@@ -375,16 +287,16 @@
   }
   const WeightedService* target = PickService(*route);
   const auto service = target == nullptr
-                           ? config_->services.end()
-                           : config_->services.find(target->service);
-  if (service == config_->services.end()) {
+                           ? config->services.end()
+                           : config->services.find(target->service);
+  if (service == config->services.end()) {
     refuse(503, "route without a service");
     return;
   }
   retries_.try_emplace(service->first, settings_.retries)
       .first->second.OnRequest(BootClock::now());
   std::make_shared<RelayTask>(relay_context_, exchange, *route, service->second,
-                              std::move(request), config_->version)
+                              std::move(request), config->version)
       ->Start();
 }
 
@@ -435,7 +347,7 @@
   Json dump{{"process", self_.value()},
             {"ready", ready()},
             {"leaving", leaving_},
-            {"config_version", config_ ? config_->version : 0},
+            {"config_version", book_.config_version()},
             {"client_connections", front_.connections()}};
   for (const auto& [id, upstream] : placer_.directory().records()) {
     dump["upstreams"][id.value()] = {
@@ -454,22 +366,21 @@
 }
 
 void Gateway::CatchUpWithPeers(Time now) {
-  const uint64_t own = config_ ? config_->version : 0;
   bool config_behind = false;
-  bool upstreams_behind = false;
+  bool upstreams_behind = !book_.upstreams_loaded();
   for (const GatewayPeer* peer : peers_.Live(now)) {
-    config_behind = config_behind || peer->status.config_version > own;
-    upstreams_behind =
-        upstreams_behind || peer->status.upstreams_version > upstreams_version_;
+    config_behind = config_behind || book_.BehindConfig(peer->status);
+    upstreams_behind = upstreams_behind || book_.BehindUpstreams(peer->status);
   }
-  if (!config_behind && !upstreams_behind && upstreams_loaded_) {
+  if (!config_behind && !upstreams_behind) {
     behind_since_.reset();
     return;
   }
   // The store's own answer is usually just on its way.
   if (!behind_since_) behind_since_ = now;
-  if (upstreams_loaded_ && now - *behind_since_ < kCatchUpAfter) return;
-  peers_.AskForRecords(own, upstreams_behind || !upstreams_loaded_);
+  const bool started = book_.upstreams_loaded() && book_.config() != nullptr;
+  if (started && now - *behind_since_ < kCatchUpAfter) return;
+  peers_.AskForRecords(book_.config_version(), upstreams_behind);
 }
 
 void Gateway::Housekeeping() {
--- /dev/null
+++ b/lib/Gateway/record_book.cc
@@ -0,0 +1,133 @@
+// The store's records as this gateway last read them.
+#include "corianderlink/Gateway/record_book.h"
+
+#include "corianderlink/Support/log.h"
+
+namespace corianderlink {
+namespace {
+
+constexpr size_t kMaxMalformedRemembered = 1000;
+
+}  // namespace
+
+std::shared_ptr<const GatewayConfig> RecordBook::TakeConfig(
+    const std::vector<StoreRecord>& records) {
+  std::shared_ptr<const GatewayConfig> newer;
+  for (const StoreRecord& record : records) {
+    if (record.key != codec_.config_key || !record.value) continue;
+    std::string reason;
+    const auto config = codec_.decode_config(*record.value, reason);
+    if (!config) {
+      Log(LogLevel::kError, "config_malformed",
+          {{"store_version", record.version}, {"reason", reason}});
+      continue;
+    }
+    if (config_ && config->version <= config_->version) continue;
+    config_record_ = record;
+    config_ = std::make_shared<const GatewayConfig>(*config);
+    newer = config_;
+  }
+  return newer;
+}
+
+std::optional<UpstreamRecord> RecordBook::Decode(const StoreRecord& record) {
+  std::string reason;
+  auto upstream = codec_.decode_upstream(record.key, *record.value, reason);
+  if (upstream) {
+    malformed_.erase(record.key);
+    return upstream;
+  }
+  metrics_.Add("gateway_malformed_records_total");
+  if (malformed_.size() > kMaxMalformedRemembered) malformed_.clear();
+  std::string& logged = malformed_[record.key];
+  if (logged != reason) {
+    Log(LogLevel::kWarning, "upstream_record_malformed",
+        {{"key", record.key}, {"reason", reason}});
+    logged = reason;
+  }
+  return std::nullopt;
+}
+
+void RecordBook::TakeAllUpstreams(Time now,
+                                  const std::vector<StoreRecord>& records,
+                                  uint64_t version) {
+  std::vector<UpstreamRecord> upstreams;
+  upstream_records_.clear();
+  for (const StoreRecord& record : records) {
+    if (!record.value) continue;
+    upstream_records_[record.key] = record;
+    const auto upstream = Decode(record);
+    if (upstream) upstreams.push_back(*upstream);
+  }
+  upstreams_loaded_ = true;
+  upstreams_version_ = version;
+  Log(LogLevel::kInfo, "upstreams_read",
+      {{"count", static_cast<uint64_t>(upstreams.size())},
+       {"store_version", version}});
+  directory_.ReplaceAll(now, upstreams);
+}
+
+void RecordBook::TakeUpstreamChanges(Time now,
+                                     const std::vector<StoreRecord>& records,
+                                     uint64_t version) {
+  upstreams_version_ = version;
+  for (const StoreRecord& record : records) TakeChange(now, record);
+}
+
+void RecordBook::TakeChange(Time now, const StoreRecord& record) {
+  if (!record.value) {
+    Log(LogLevel::kInfo, "upstream_gone",
+        {{"upstream", record.key}, {"store_version", record.version}});
+    upstream_records_.erase(record.key);
+    directory_.Remove(now, UpstreamId(record.key));
+    return;
+  }
+  upstream_records_[record.key] = record;
+  const auto upstream = Decode(record);
+  if (!upstream) return;
+  const UpstreamRecord* known = directory_.Find(upstream->id);
+  if (known == nullptr || !(*known == *upstream)) {
+    Log(LogLevel::kInfo, "upstream_changed",
+        {{"upstream", record.key},
+         {"address", upstream->address.ToString()},
+         {"draining", upstream->draining ? "yes" : "no"},
+         {"store_version", record.version}});
+  }
+  directory_.Put(*upstream);
+}
+
+PeerRecords RecordBook::ForPeer(bool with_upstreams) const {
+  PeerRecords records;
+  records.config = config_record_;
+  records.upstreams_version = upstreams_version_;
+  if (!with_upstreams) return records;
+  for (const auto& [key, record] : upstream_records_) {
+    records.upstreams.push_back(record);
+  }
+  return records;
+}
+
+std::shared_ptr<const GatewayConfig> RecordBook::TakePeerRecords(
+    Time now, const PeerRecords& records) {
+  std::shared_ptr<const GatewayConfig> newer;
+  if (records.config) newer = TakeConfig({*records.config});
+  const bool newer_upstreams =
+      !upstreams_loaded_ || records.upstreams_version > upstreams_version_;
+  if (newer_upstreams && !records.upstreams.empty()) {
+    Log(LogLevel::kInfo, "upstreams_from_peer",
+        {{"version", records.upstreams_version},
+         {"before", upstreams_version_}});
+    TakeAllUpstreams(now, records.upstreams, records.upstreams_version);
+  }
+  return newer;
+}
+
+bool RecordBook::BehindConfig(const GatewayStatus& status) const {
+  return status.config_version > config_version();
+}
+
+bool RecordBook::BehindUpstreams(const GatewayStatus& status) const {
+  return !upstreams_loaded_ || status.upstreams_version > upstreams_version_;
+}
+
+}  // namespace corianderlink
