--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -39,6 +39,8 @@
   bool resumed = false;
   /// One engine has to compute the prompt and generate.
   bool whole_only = false;
+  /// Differs between requests; spreads choices that look alike.
+  uint64_t seed = 0;
   /// Upstreams that already failed or refused this request.
   const std::set<UpstreamId>* excluded = nullptr;
 };
@@ -113,8 +115,8 @@
                const std::set<UpstreamId>& held);
   /// Demand of this gateway on the engines of each service.
   std::map<ServiceId, MixDemand> Demands(Time now) const;
-  /// The engines of a service as the role planner sees them; nothing if one
-  /// of them is in trouble.
+  /// The engines of a service as the role planner sees them; nothing if too
+  /// many of them are in trouble.
   std::vector<PlannedEngine> PlannedEngines(Time now,
                                             const ServiceId& service) const;
   /// Drops what is known of upstreams that are gone.
@@ -145,6 +147,9 @@
   const UpstreamRecord* BestGenerator(Time now, const PlacementQuery& query,
                                       const UpstreamRecord& source,
                                       bool also_troubled) const;
+  /// Random delay for what peers may have sent since they were heard.
+  double Unseen(Time now, const UpstreamRecord& upstream,
+                const PlacementQuery& query) const;
   bool Held(Time now, const UpstreamId& id) const;
   void CountDemand(Time now, const Placement& placement,
                    const PlacementQuery& query);
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -96,6 +96,8 @@
   const ServicePoolSpec service_;
   const ClientRequest request_;
   const uint64_t config_version_;
+  // Spreads choices that look alike.
+  const uint64_t seed_;
   Time deadline_{};
   Time objective_at_{};
 
--- a/include/corianderlink/Support/random.h
+++ b/include/corianderlink/Support/random.h
@@ -17,6 +17,8 @@
 
   /// 128 random bits as 32 hexadecimal digits.
   std::string HexId();
+  /// 64 random bits.
+  uint64_t Bits() { return engine_(); }
   /// Uniform in [0, 1).
   double Uniform();
 
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -13,7 +13,7 @@
 constexpr char kGatewayKind[] = "gateway";
 constexpr Duration kShortestInterval = milliseconds(25);
 // Interval for each peer: bounds the heartbeats sent and received a second.
-constexpr Duration kIntervalPerPeer = milliseconds(12);
+constexpr Duration kIntervalPerPeer = milliseconds(3);
 // Addresses that stay silent are no longer sent to.
 constexpr Duration kForgetAfter = seconds(20);
 
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -29,15 +29,17 @@
 constexpr double kMostStreamsCounted = 4;
 // A piece of a prompt that an engine computes at once.
 constexpr double kChunkMs = 8;
-// Weight of the work that a choice makes for the fleet against the time that
-// it takes for the request.
-constexpr double kWorkWeight = 0.0;
+// Work that peers may have sent to an engine for each time since they were
+// heard.
+constexpr double kUnseenShare = 0.3;
 // Handing a computed prompt to another engine, besides its transfer.
 constexpr double kHandoverMs = 8;
 // Preference for a prefill engine, which computes faster for all.
 constexpr double kWholeOnDecodeMs = 10;
 // An engine with less waiting work has room for late requests.
 constexpr double kIdleBacklogMs = 20;
+// Share of the engines that may be in trouble while roles are changed.
+constexpr double kToleratedTrouble = 0.05;
 // Late requests on one engine, as a share of its slots.
 constexpr double kLateShare = 1.0;
 constexpr double kShortestRetryAfterMs = 100;
@@ -48,6 +50,15 @@
 // Prompts kept for the peers between two heartbeats.
 constexpr size_t kMaxRecentUses = 512;
 
+// Finalizer of SplitMix64: spreads the bits of `x`.
+uint64_t MixHash(uint64_t x) {
+  x ^= x >> 30;
+  x *= 0xbf58476d1ce4e5b9ULL;
+  x ^= x >> 27;
+  x *= 0x94d049bb133111ebULL;
+  return x ^ x >> 31;
+}
+
 // Time to move a prompt's memory within a zone.
 double TransferMs(const PlacementQuery& query) {
   if (query.engine->link_bytes_per_ms <= 0) return 0;
@@ -119,15 +130,21 @@
 std::vector<PlannedEngine> Placer::PlannedEngines(
     Time now, const ServiceId& service) const {
   std::vector<PlannedEngine> engines;
+  double in_trouble = 0;
   for (const auto& [id, record] : directory_.records()) {
     if (record.service != service) continue;
     const bool troubled = record.draining ||
                           ejector_.Ejected(now, record.address) ||
                           load_.Stalled(now, id, limits_.stall);
-    if (troubled) return {};
+    if (troubled) {
+      ++in_trouble;
+      continue;
+    }
     engines.push_back(
         {id, record.role, record.zone, record.slots, load_.Requests(now, id)});
   }
+  const double total = static_cast<double>(engines.size()) + in_trouble;
+  if (in_trouble > total * kToleratedTrouble) return {};
   return engines;
 }
 
@@ -203,6 +220,15 @@
          kPerRequestMs * load_.Requests(now, upstream.id);
 }
 
+double Placer::Unseen(Time now, const UpstreamRecord& upstream,
+                      const PlacementQuery& query) const {
+  const uint64_t hash =
+      MixHash(query.seed ^ std::hash<std::string>()(upstream.id.value()));
+  const double uniform =
+      static_cast<double>(hash >> 11) / static_cast<double>(1ULL << 53);
+  return uniform * kUnseenShare * ToMillis(load_.PeerAge(now));
+}
+
 std::optional<Placement> Placer::Best(Time now, const PlacementQuery& query,
                                       WorkTier tier) const {
   std::optional<Placement> best;
@@ -218,8 +244,8 @@
     }
     const Placement placement = Predict(now, *upstream, query, tier);
     const double score = placement.predicted_ms +
-                         kWorkWeight * placement.cost_ms +
-                         Reluctance(now, *upstream, query);
+                         Reluctance(now, *upstream, query) +
+                         Unseen(now, *upstream, query);
     if (best && score >= best_score) continue;
     best = placement;
     best_score = score;
@@ -273,7 +299,8 @@
     const double score =
         away + kPerRequestMs * load_.Requests(now, upstream->id) +
         kInterferenceShare *
-            load_.BacklogMs(now, upstream->id, WorkTier::kTimely);
+            load_.BacklogMs(now, upstream->id, WorkTier::kTimely) +
+        Unseen(now, *upstream, query);
     if (best != nullptr && score >= best_score) continue;
     best = upstream;
     best_score = score;
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -45,7 +45,8 @@
       route_(std::move(route)),
       service_(std::move(service)),
       request_(std::move(request)),
-      config_version_(config_version) {}
+      config_version_(config_version),
+      seed_(context.random.Bits()) {}
 
 void RelayTask::Start() {
   const Time now = BootClock::now();
@@ -75,6 +76,7 @@
   query.deadline_left_ms = DeadlineLeftMs(now);
   query.resumed = exchange_->started();
   query.whole_only = whole_only_;
+  query.seed = seed_;
   query.excluded = &excluded_;
   return query;
 }
