[Gateway] Send no more than a gateway's share of the engines while the peers' news are old

Change: AdmissionShare bounds each gateway where the median age of its peers' news is 30 ms and more.

--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "corianderlink/Gateway/admission_share.h"
 #include "corianderlink/Gateway/demand_meter.h"
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/prefix_cache_model.h"
@@ -86,7 +87,7 @@
   PlacementResult PlacePlain(Time now, const ServiceId& service,
                              const std::set<UpstreamId>& excluded) const;
   /// The upstream that computes a prompt, or a refusal.
-  PlacementResult PlacePrompt(Time now, const PlacementQuery& query) const;
+  PlacementResult PlacePrompt(Time now, const PlacementQuery& query);
   /// The upstream that generates from a prompt computed at `source`.
   PlacementResult PlaceGeneration(Time now, const PlacementQuery& query,
                                   const UpstreamRecord& source) const;
@@ -110,6 +111,8 @@
   void OnPeerUse(const PromptUse& use);
   /// Prompts sent by this gateway since the last call.
   std::vector<PromptUse> TakeRecentUses();
+  /// Gateways that share the engines, this one included.
+  void SetGateways(size_t gateways) { gateways_ = gateways; }
   /// Engines that get no new work; replaces the source's earlier set.
   void SetHeld(Time now, const std::string& source,
                const std::set<UpstreamId>& held);
@@ -180,6 +183,8 @@
   std::map<ServiceId, DemandRates> demands_;
   std::map<std::string, HeldSet> held_;
   std::set<UpstreamId> replaced_;
+  std::map<ServiceId, AdmissionShare> shares_;
+  size_t gateways_ = 1;
   const Duration peer_timeout_;
 };
 
--- a/include/corianderlink/Gateway/upstream_load.h
+++ b/include/corianderlink/Gateway/upstream_load.h
@@ -63,7 +63,7 @@
   /// Own requests that wait for computing longer than `limit`, while nothing
   /// was computed since: the upstream seems to hang.
   bool Stalled(Time now, const UpstreamId& upstream, Duration limit) const;
-  /// Age of the oldest share of a peer that counts.
+  /// Median age of the peers' shares that count.
   Duration PeerAge(Time now) const;
   /// Own shares on all upstreams that have any.
   std::map<UpstreamId, LoadShare> OwnShares(Time now) const;
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -386,6 +386,7 @@
 void Gateway::Housekeeping() {
   const Time now = BootClock::now();
   placer_.SetHeld(now, self_.value(), held_);
+  placer_.SetGateways(peers_.Count(now));
   if (!leaving_) CatchUpWithPeers(now);
   placer_.directory().Expire(now);
   placer_.Prune();
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -38,6 +38,8 @@
 constexpr double kWholeOnDecodeMs = 10;
 // An engine with less waiting work has room for late requests.
 constexpr double kIdleBacklogMs = 20;
+// Younger news of the peers show a flood before it fills the engines.
+constexpr Duration kFreshNews = milliseconds(30);
 // Share of the engines that may be in trouble while roles are changed.
 constexpr double kToleratedTrouble = 0.05;
 // Late requests on one engine, as a share of its slots.
@@ -253,9 +255,10 @@
   return best;
 }
 
-PlacementResult Placer::PlacePrompt(Time now,
-                                    const PlacementQuery& query) const {
+PlacementResult Placer::PlacePrompt(Time now, const PlacementQuery& query) {
   PlacementResult result;
+  AdmissionShare& share = shares_[query.service];
+  share.Earn(now, directory_.Usable(query.service).size(), gateways_);
   const bool express = query.prompt->tokens <= kExpressTokens;
   const WorkTier first = express ? WorkTier::kExpress : WorkTier::kTimely;
   const std::optional<Placement> timely = Best(now, query, first);
@@ -263,14 +266,19 @@
   const double late_bound_ms = query.deadline_left_ms * limits_.deadline_share;
   // A small prompt costs the others little, also when it is late.
   const double first_bound_ms = express ? late_bound_ms : bound_ms;
-  if (timely && (query.resumed || timely->predicted_ms <= first_bound_ms)) {
+  // With fresh news of the peers the backlog itself says what fits.
+  const bool fresh = load_.PeerAge(now) < kFreshNews;
+  const bool allowed = express || query.resumed || fresh || share.Allows();
+  const bool in_time =
+      query.resumed || (timely && timely->predicted_ms <= first_bound_ms);
+  if (timely && allowed && in_time) {
     result.placement = timely;
     return result;
   }
   const std::optional<Placement> late = Best(now, query, WorkTier::kLate);
   const bool idle = late && load_.BacklogMs(now, late->upstream.id,
                                             WorkTier::kLate) < kIdleBacklogMs;
-  if (idle && late->predicted_ms <= late_bound_ms) {
+  if (idle && allowed && late->predicted_ms <= late_bound_ms) {
     result.placement = late;
     return result;
   }
@@ -327,6 +335,9 @@
   if (query != nullptr && placement.cost_ms > 0) {
     cache_tokens_[query->service] = query->engine->cache_tokens;
     CountDemand(now, placement, *query);
+    if (placement.tier != WorkTier::kExpress) {
+      shares_[query->service].Spend(placement.cost_ms);
+    }
     UseCache(placement.upstream.id, query->prompt->parts);
     if (recent_uses_.size() < kMaxRecentUses) {
       recent_uses_.push_back({placement.upstream.id, query->prompt->parts});
--- a/lib/Gateway/upstream_load.cc
+++ b/lib/Gateway/upstream_load.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace corianderlink {
 namespace {
@@ -111,12 +112,16 @@
 }
 
 Duration UpstreamLoad::PeerAge(Time now) const {
-  Duration oldest = Duration::zero();
+  std::vector<Duration> ages;
   for (const auto& [name, peer] : peers_) {
     const Duration age = now - peer.heard;
-    if (age <= peer_timeout_) oldest = std::max(oldest, age);
+    if (age <= peer_timeout_) ages.push_back(age);
   }
-  return oldest;
+  if (ages.empty()) return Duration::zero();
+  const auto median =
+      ages.begin() + static_cast<std::ptrdiff_t>(ages.size() / 2);
+  std::nth_element(ages.begin(), median, ages.end());
+  return *median;
 }
 
 std::map<UpstreamId, LoadShare> UpstreamLoad::OwnShares(Time now) const {
--- a/unittests/Gateway/load_models_test.cc
+++ b/unittests/Gateway/load_models_test.cc
@@ -52,6 +52,16 @@
   EXPECT_EQ(load.Requests(kStart + seconds(2), kA), 0U);
 }
 
+TEST(UpstreamLoadTest, OneSilentPeerDoesNotAgeTheOthersNews) {
+  UpstreamLoad load(seconds(2));
+  EXPECT_EQ(load.PeerAge(kStart), Duration::zero());
+  load.SetPeer(kStart, "silent", {});
+  const Time later = kStart + milliseconds(900);
+  load.SetPeer(later - milliseconds(5), "a", {});
+  load.SetPeer(later - milliseconds(9), "b", {});
+  EXPECT_EQ(load.PeerAge(later), Duration(milliseconds(9)));
+}
+
 TEST(UpstreamLoadTest, UpstreamWithoutNewsIsStalled) {
   UpstreamLoad load(seconds(1));
   load.OnDispatch(kStart, kA, WorkTier::kTimely, 20);
