[Gateway] Let a started stream wait for a decode engine

Cause, found reading the diff: when no decode engine could take over the prompt of a resumed stream, the task refused a request whose answer had begun, which did nothing, and the client was left without an end. Change: the stream waits for an engine, as for any other resumption.

--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -363,9 +363,15 @@
   const PlacementResult result =
       context_.placer.PlaceGeneration(now, Query(now), handle_->source);
   if (!result.placement) {
-    Refuse(result.reason, std::nullopt);
+    if (exchange_->started()) {
+      FreeHandle();
+      AwaitResumption();
+      return;
+    }
+    GiveUp(Outcome::NotRun(result.reason));
     return;
   }
+  // Both stages are one send.
   --sends_;
   SendTo(*result.placement);
 }
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -340,6 +340,28 @@
   EXPECT_EQ(freed_, "/kv-handle/h7");
 }
 
+// The client of a started stream was left without an end when no decode engine
+// was there to take the prompt over.
+TEST_F(TwoStageTest, StartedStreamWaitsForADecodeEngine) {
+  EventHandle later;
+  decode_.answer = [&](const Exchange& exchange) {
+    if (decode_.requests.size() > 1) {
+      SendEvents(exchange, 3);
+      exchange->FinishAnswer();
+      return;
+    }
+    SendEvents(exchange, 1);
+    later =
+        world_.loop.After(milliseconds(30), [exchange] { exchange->Abort(); });
+  };
+  const auto result = world_.Send(
+      "POST", "/long/1",
+      {{"Token-Count", "6000,10"}, {"Prompt-Prefix", "a1:2000,b2:4000"}}, "b");
+  world_.Await(result);
+  EXPECT_TRUE(result->complete);
+  EXPECT_EQ(result->body, Event(1) + Event(2) + Event(3));
+}
+
 TEST_F(TwoStageTest, LostHandleIsFollowedByAWholeRun) {
   decode_.answer = [&](const Exchange& exchange) {
     if (!FakeUpstream::Field(exchange, "Kv-From").empty()) {
--- a/unittests/Gateway/gateway_world.h
+++ b/unittests/Gateway/gateway_world.h
@@ -110,6 +110,9 @@
               R"(,"attempts":3,"resumable":true,"gap_aim_ms":50)") +
         "," +
         route("model", "stream", "model", R"(,"attempts":1,"sticky":true)") +
+        "," +
+        route("long", "stream", "model",
+              R"(,"attempts":3,"resumable":true,"gap_aim_ms":50)") +
         R"(],"services":[{"name":"shop","max_conns":10},)"
         R"({"name":"chat","max_conns":10},)"
         R"({"name":"model","max_conns":10,"engine":{"slots":4,)"
