[Gateway][Http1][Platform] Use one piece where the same logic stood twice

Ruled out: a change of behaviour. CompleteCall() keeps no connection whose body ended with it, as the parser says that such a response does not keep it alive. No assertion changed.

--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -25,8 +25,6 @@
 // Told to callers while no configuration is known.
 constexpr Duration kNotReadyRetryAfter = milliseconds(300);
 
-PlacerLimits DefaultPlacerLimits() { return {}; }
-
 EjectorLimits GatewayEjectorLimits() {
   EjectorLimits limits;
   limits.longest = seconds(4);
@@ -47,7 +45,7 @@
       codecs_(std::move(codecs)),
       self_(settings_.instance + "." + random_.HexId().substr(0, 12)),
       pool_(loop),
-      placer_(DefaultPlacerLimits(), GatewayEjectorLimits(),
+      placer_(PlacerLimits{}, GatewayEjectorLimits(),
               GatewayPeers::kPeerTimeout, settings_.zone),
       book_(codecs_.records, placer_.directory(), metrics_),
       peers_(loop, settings_.store.ToString(), self_, settings_.peer,
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -84,6 +84,7 @@
                      const std::set<UpstreamId>* excluded) const {
   if (excluded != nullptr && excluded->count(upstream.id) > 0) return true;
   if (replaced_.count(upstream.id) > 0) return true;
+  if (load_.Stalled(now, upstream.id, limits_.stall)) return true;
   return ejector_.Ejected(now, upstream.address) || Held(now, upstream.id);
 }
 
@@ -159,7 +160,6 @@
     const uint32_t requests = load_.Requests(now, upstream->id);
     const auto slots = static_cast<uint32_t>(std::max(upstream->slots, 1));
     if (requests >= slots * kPlainQueueFactor) continue;
-    if (load_.Stalled(now, upstream->id, limits_.stall)) continue;
     const double away = upstream->zone == own_zone_ ? 0 : 0.1;
     const double load = requests / static_cast<double>(slots) + away;
     if (best != nullptr && load >= best_load) continue;
@@ -237,7 +237,6 @@
   double best_score = 0;
   for (const UpstreamRecord* upstream : directory_.Usable(query.service)) {
     if (Avoided(now, *upstream, query.excluded)) continue;
-    if (load_.Stalled(now, upstream->id, limits_.stall)) continue;
     const bool whole = tier == WorkTier::kExpress || query.whole_only;
     if (whole && upstream->role == UpstreamRole::kPrefill) continue;
     if (tier == WorkTier::kLate &&
@@ -300,9 +299,7 @@
   for (const UpstreamRecord* upstream : directory_.Usable(query.service)) {
     if (upstream->role != UpstreamRole::kDecode) continue;
     if (query.excluded->count(upstream->id) > 0) continue;
-    const bool troubled = Avoided(now, *upstream, nullptr) ||
-                          load_.Stalled(now, upstream->id, limits_.stall);
-    if (troubled && !also_troubled) continue;
+    if (!also_troubled && Avoided(now, *upstream, nullptr)) continue;
     const double away = upstream->zone == source.zone ? 0 : kOtherZoneMs;
     const double score =
         away + kPerRequestMs * load_.Requests(now, upstream->id) +
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -34,6 +34,11 @@
 // Priorities at an engine, by work tier; 0 goes first.
 constexpr int kTierPriority[kWorkTiers] = {2, 4, 7};
 
+// True if the upstream signed its answer to just this request.
+bool IsTrusted(const UpstreamReply& reply, const RequestId& request) {
+  return reply.is_signed && reply.request == request;
+}
+
 }  // namespace
 
 RelayTask::RelayTask(RelayContext& context,
@@ -207,9 +212,8 @@
 void RelayTask::OnReplyHead(const ResponseHead& head) {
   reply_ = head;
   reply_info_ = context_.codec.decode_reply(head, placement_->upstream.id);
-  const bool is_event_stream = is_stream() && head.status == 200 &&
-                               reply_info_.is_signed &&
-                               reply_info_.request == request_.id;
+  const bool is_event_stream =
+      is_stream() && head.status == 200 && IsTrusted(reply_info_, request_.id);
   forwarding_ = is_event_stream && !placement_->prefill_only;
 }
 
@@ -280,9 +284,7 @@
     OnPrefillDone();
     return;
   }
-  const bool trusted =
-      reply_info_.is_signed && reply_info_.request == request_.id;
-  if (!trusted) {
+  if (!IsTrusted(reply_info_, request_.id)) {
     AttemptFailed(Outcome::MayHaveRun("response without a valid signature"),
                   true);
     return;
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -164,10 +164,8 @@
   const bool complete =
       had_head && !skipping_ && parser_->state() == ParseState::kDone;
   if (complete) {
-    busy_ = false;
-    const UpstreamHandlers handlers = std::exchange(handlers_, {});
-    Close();
-    if (handlers.on_end) handlers.on_end();
+    // A body that ends with its connection never leaves one for reuse.
+    CompleteCall();
     return;
   }
   Fail("upstream closed the connection");
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -31,6 +31,17 @@
 class GatewayTest : public ::testing::Test {
  protected:
   GatewayTest() { world_.Configure(); }
+  /// Settings of another gateway beside that of the world.
+  GatewaySettings SecondSettings() {
+    GatewaySettings settings = world_.Settings();
+    settings.instance = "g2";
+    settings.store = world_.store;
+    settings.front = FreeAddress();
+    settings.ready = FreeAddress();
+    settings.directory = FreeAddress();
+    settings.peer = FreeAddress();
+    return settings;
+  }
   GatewayWorld world_;
 };
 
@@ -383,13 +394,7 @@
 TEST_F(GatewayTest, StartsFromAPeerWithoutTheStore) {
   FakeUpstream& shop = world_.AddUpstream("s1", "shop");
   shop.answer = AnswerOk;
-  GatewaySettings settings = world_.Settings();
-  settings.instance = "g2";
-  settings.store = world_.store;
-  settings.front = FreeAddress();
-  settings.ready = FreeAddress();
-  settings.directory = FreeAddress();
-  settings.peer = FreeAddress();
+  const GatewaySettings settings = SecondSettings();
   Gateway second(world_.loop, settings, platform::MakeCodecs());
   std::string reason;
   ASSERT_TRUE(second.Start(reason)) << reason;
@@ -416,13 +421,7 @@
 TEST_F(GatewayTest, ServesAfterAStartFromAPeer) {
   FakeUpstream& shop = world_.AddUpstream("s1", "shop");
   shop.answer = AnswerOk;
-  GatewaySettings settings = world_.Settings();
-  settings.instance = "g2";
-  settings.store = world_.store;
-  settings.front = FreeAddress();
-  settings.ready = FreeAddress();
-  settings.directory = FreeAddress();
-  settings.peer = FreeAddress();
+  const GatewaySettings settings = SecondSettings();
   Gateway second(world_.loop, settings, platform::MakeCodecs());
   std::string reason;
   ASSERT_TRUE(second.Start(reason)) << reason;
