[Gateway] Count only a real loss of engines against a change of roles

Cause: the planner waits until its set of engines has been the same for 4 s, and an engine that hung or was ejected for a moment was left out of the set. Ruled out: the lease (taken at once when wanted), the demand (0.6 to 3 of the prefill engines), the lead process (the same all the time). Change: trouble is a mark of an engine, not its absence; more than 5% of them in trouble, or an engine that comes or goes, starts the wait anew.

--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -118,8 +118,7 @@
                const std::set<UpstreamId>& held);
   /// Demand of this gateway on the engines of each service.
   std::map<ServiceId, MixDemand> Demands(Time now) const;
-  /// The engines of a service as the role planner sees them; nothing if too
-  /// many of them are in trouble.
+  /// The engines of a service as the role planner sees them.
   std::vector<PlannedEngine> PlannedEngines(Time now,
                                             const ServiceId& service) const;
   /// Drops what is known of upstreams that are gone.
--- a/include/corianderlink/Gateway/role_planner.h
+++ b/include/corianderlink/Gateway/role_planner.h
@@ -32,6 +32,8 @@
   ZoneId zone;
   int slots = 1;
   uint32_t requests = 0;
+  /// Ejected or hanging, so that it counts as lost for now.
+  bool in_trouble = false;
 };
 
 /// An engine that is to change its role.
@@ -56,8 +58,12 @@
   double calm_load = 0.6;
   /// Time after a change before one in the other direction.
   Duration reversal_dwell = seconds(30);
-  /// Time without engines coming or going before a change.
+  /// Time without engines coming or going, and with few in trouble, before a
+  /// change.
   Duration settle = seconds(4);
+  /// Share of the engines whose trouble is no reason to wait: in a large fleet
+  /// some engine hangs for a moment at almost any time.
+  double tolerated_trouble = 0.05;
 };
 
 class RolePlanner {
@@ -76,11 +82,13 @@
   static std::vector<RoleChange> Choose(std::vector<PlannedEngine> engines,
                                         UpstreamRole to, double count);
   void NoteMembership(Time now, const std::vector<PlannedEngine>& engines);
+  bool TooMuchTrouble(const std::vector<PlannedEngine>& engines) const;
 
   const RolePlannerLimits limits_;
   std::optional<Time> first_demand_;
   std::vector<UpstreamId> members_;
-  Time members_since_{};
+  // Since then the fleet has been whole and the same.
+  Time settled_since_{};
   std::optional<UpstreamRole> last_direction_;
   Time last_change_{};
 };
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -40,8 +40,6 @@
 constexpr double kIdleBacklogMs = 20;
 // Younger news of the peers show a flood before it fills the engines.
 constexpr Duration kFreshNews = milliseconds(30);
-// Share of the engines that may be in trouble while roles are changed.
-constexpr double kToleratedTrouble = 0.05;
 // Late requests on one engine, as a share of its slots.
 constexpr double kLateShare = 1.0;
 constexpr double kShortestRetryAfterMs = 100;
@@ -133,21 +131,13 @@
 std::vector<PlannedEngine> Placer::PlannedEngines(
     Time now, const ServiceId& service) const {
   std::vector<PlannedEngine> engines;
-  double in_trouble = 0;
   for (const auto& [id, record] : directory_.records()) {
-    if (record.service != service) continue;
-    const bool troubled = record.draining ||
-                          ejector_.Ejected(now, record.address) ||
-                          load_.Stalled(now, id, limits_.stall);
-    if (troubled) {
-      ++in_trouble;
-      continue;
-    }
-    engines.push_back(
-        {id, record.role, record.zone, record.slots, load_.Requests(now, id)});
+    if (record.service != service || record.draining) continue;
+    const bool in_trouble = ejector_.Ejected(now, record.address) ||
+                            load_.Stalled(now, id, limits_.stall);
+    engines.push_back({id, record.role, record.zone, record.slots,
+                       load_.Requests(now, id), in_trouble});
   }
-  const double total = static_cast<double>(engines.size()) + in_trouble;
-  if (in_trouble > total * kToleratedTrouble) return {};
   return engines;
 }
 
--- a/lib/Gateway/role_planner.cc
+++ b/lib/Gateway/role_planner.cc
@@ -25,7 +25,7 @@
   }
   const PlannedEngine* best = nullptr;
   for (const PlannedEngine& engine : engines) {
-    if (engine.role != from) continue;
+    if (engine.role != from || engine.in_trouble) continue;
     if (best == nullptr) {
       best = &engine;
       continue;
@@ -55,9 +55,18 @@
   std::vector<UpstreamId> members;
   for (const PlannedEngine& engine : engines) members.push_back(engine.id);
   std::sort(members.begin(), members.end());
-  if (members == members_) return;
+  if (members == members_ && !TooMuchTrouble(engines)) return;
   members_ = std::move(members);
-  members_since_ = now;
+  settled_since_ = now;
+}
+
+bool RolePlanner::TooMuchTrouble(
+    const std::vector<PlannedEngine>& engines) const {
+  const auto troubled = static_cast<double>(
+      std::count_if(engines.begin(), engines.end(),
+                    [](const auto& engine) { return engine.in_trouble; }));
+  return troubled >
+         static_cast<double>(engines.size()) * limits_.tolerated_trouble;
 }
 
 std::vector<RoleChange> RolePlanner::Plan(
@@ -69,7 +78,7 @@
   const size_t count = engines.size();
   if (count < kFewestEngines) return {};
   if (now - *first_demand_ < limits_.warm_up) return {};
-  if (now - members_since_ < limits_.settle) return {};
+  if (now - settled_since_ < limits_.settle) return {};
 
   double slots = 0;
   double decode = 0;
--- a/unittests/Gateway/role_planner_test.cc
+++ b/unittests/Gateway/role_planner_test.cc
@@ -105,6 +105,41 @@
   }
 }
 
+/// Plays a heavy prompt load for 20 s, with `count` engines in trouble, other
+/// ones each second; returns the changes of role.
+int PlayWithTrouble(int prefill, int decode, int count) {
+  std::vector<PlannedEngine> engines = Fleet(prefill, decode);
+  RolePlanner planner(RolePlannerLimits{});
+  int changes = 0;
+  for (int second = 0; second < 20; ++second) {
+    for (PlannedEngine& engine : engines) engine.in_trouble = false;
+    for (int i = 0; i < count; ++i) {
+      const size_t at = static_cast<size_t>(second * 7 + i) % engines.size();
+      engines[at].in_trouble = true;
+    }
+    const MixDemand demand{prefill * 700.0, 100, 10};
+    const auto plan =
+        planner.Plan(Time(seconds(1000 + second)), demand, engines);
+    for (const RoleChange& change : plan) {
+      for (const PlannedEngine& engine : engines) {
+        EXPECT_FALSE(engine.id == change.engine && engine.in_trouble);
+      }
+    }
+    Apply(plan, engines);
+    changes += static_cast<int>(plan.size());
+  }
+  return changes;
+}
+
+TEST(RolePlannerTest, ALargeFleetDoesNotWaitForAnEngineThatHangsForAMoment) {
+  EXPECT_GT(PlayWithTrouble(15, 33, 1), 8);
+}
+
+TEST(RolePlannerTest, NoChangeWhileManyEnginesAreInTrouble) {
+  EXPECT_EQ(PlayWithTrouble(15, 33, 5), 0);
+  EXPECT_EQ(PlayWithTrouble(4, 8, 1), 0);
+}
+
 TEST(RolePlannerTest, EachRoleKeepsEngines) {
   auto engines = Fleet(6, 6);
   Play(engines, 60, [](int) { return MixDemand{90000, 10, 1}; });
