[Gateway] Keep one sum of the peers' shares of an upstream

Cause: a choice among 48 engines summed 30 peers' shares five times for each engine, and copied each engine's record; on a third of a core that is a good part of a gateway's time in a flood, and its requests wait for it. Change: the sums are kept, whole numbers so that a share can be taken off again exactly; one sum, one estimate for each candidate; a record is copied for the chosen engine only. The test compares with a sum over all peers.

--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -139,6 +139,18 @@
     DecayingRate handover_ms{kDemandTime};
     DecayingRate generating_ms{kDemandTime};
   };
+  /// An upstream that may take a prompt, with what its choice rests on.
+  struct Candidate {
+    const UpstreamRecord* upstream = nullptr;
+    LoadShare load;
+    double cost_ms = 0;
+    double reluctance_ms = 0;
+  };
+  /// Times of `Placement`.
+  struct Estimate {
+    double computed_ms = 0;
+    double predicted_ms = 0;
+  };
   struct HeldSet {
     Time heard{};
     std::set<UpstreamId> engines;
@@ -150,23 +162,27 @@
                                       const UpstreamRecord& source,
                                       bool also_troubled) const;
   /// Random delay for what peers may have sent since they were heard.
-  double Unseen(Time now, const UpstreamRecord& upstream,
-                const PlacementQuery& query) const;
+  static double Unseen(const UpstreamId& upstream, uint64_t seed,
+                       Duration peer_age);
   bool Held(Time now, const UpstreamId& id) const;
   void CountDemand(Time now, const Placement& placement,
                    const PlacementQuery& query);
   bool Avoided(Time now, const UpstreamRecord& upstream,
                const std::set<UpstreamId>* excluded) const;
-  Placement Predict(Time now, const UpstreamRecord& upstream,
-                    const PlacementQuery& query, WorkTier tier) const;
-  /// What speaks against an upstream besides the predicted time.
-  double Reluctance(Time now, const UpstreamRecord& upstream,
-                    const PlacementQuery& query) const;
+  /// The upstreams that may take a prompt.
+  std::vector<Candidate> Candidates(Time now,
+                                    const PlacementQuery& query) const;
+  Estimate Predict(const Candidate& candidate, const PlacementQuery& query,
+                   WorkTier tier) const;
+  /// What speaks against an upstream besides the predicted time, milliseconds.
+  static double Reluctance(const Candidate& candidate,
+                           const PlacementQuery& query);
   void UseCache(const UpstreamId& upstream,
                 const std::vector<PromptPart>& parts);
   uint32_t CachedTokens(const UpstreamRecord& upstream,
                         const Prompt& prompt) const;
-  std::optional<Placement> Best(Time now, const PlacementQuery& query,
+  std::optional<Placement> Best(const std::vector<Candidate>& candidates,
+                                const PlacementQuery& query,
                                 WorkTier tier) const;
 
   const PlacerLimits limits_;
--- a/include/corianderlink/Gateway/upstream_load.h
+++ b/include/corianderlink/Gateway/upstream_load.h
@@ -32,6 +32,14 @@
   std::array<double, kWorkTiers> backlog_ms{};
 
   bool empty() const { return requests == 0; }
+  /// Time until work of `tier` that is sent now would begin, milliseconds.
+  double BacklogMs(WorkTier tier) const {
+    double sum = 0;
+    for (size_t i = 0; i <= static_cast<size_t>(tier); ++i) {
+      sum += backlog_ms[i];
+    }
+    return sum;
+  }
 };
 
 using DispatchId = uint64_t;
@@ -51,15 +59,19 @@
 
   void SetPeer(Time now, const std::string& peer,
                std::map<UpstreamId, LoadShare> shares);
-  void ForgetPeer(const std::string& peer) { peers_.erase(peer); }
-
-  /// Time until work of `tier` that is sent now would begin, milliseconds.
-  double BacklogMs(Time now, const UpstreamId& upstream, WorkTier tier) const;
+  /// Drops the shares of peers that were silent for too long.
+  void ExpirePeers(Time now);
+
+  /// Sum of all gateways' shares of an upstream; its cost does not depend on
+  /// the number of gateways.
+  LoadShare Total(Time now, const UpstreamId& upstream) const;
+  double BacklogMs(Time now, const UpstreamId& upstream, WorkTier tier) const {
+    return Total(now, upstream).BacklogMs(tier);
+  }
   /// Requests in progress, of all gateways.
-  uint32_t Requests(Time now, const UpstreamId& upstream) const;
-  /// Requests of the express tier in progress, of all gateways.
-  uint32_t Express(Time now, const UpstreamId& upstream) const;
-  uint32_t OwnRequests(const UpstreamId& upstream) const;
+  uint32_t Requests(Time now, const UpstreamId& upstream) const {
+    return Total(now, upstream).requests;
+  }
   /// Own requests that wait for computing longer than `limit`, while nothing
   /// was computed since: the upstream seems to hang.
   bool Stalled(Time now, const UpstreamId& upstream, Duration limit) const;
@@ -91,15 +103,32 @@
     Time heard{};
     std::map<UpstreamId, LoadShare> shares;
   };
+  /// Sum of peers' shares, in whole numbers: what is added can be taken off
+  /// again exactly.
+  struct PeerSum {
+    int64_t requests = 0;
+    int64_t express = 0;
+    std::array<int64_t, kWorkTiers> backlog_us{};
+
+    bool operator==(const PeerSum&) const = default;
+  };
 
   static LoadShare ShareOf(Time now, const Own& own);
-  /// Sum of `value` over the shares of all gateways on an upstream.
-  template <typename Value>
-  auto Sum(Time now, const UpstreamId& upstream, Value value) const;
+  /// Adds a peer's shares to the sums, or takes them off if `sign` is -1.
+  void AddToSums(const Peer& peer, int64_t sign);
+  static void Add(const LoadShare& share, LoadShare& total);
+  /// True if a peer's share is in the sums that should not count any more.
+  bool SumsOutdated(Time now) const {
+    return !peers_.empty() && now - oldest_heard_ > peer_timeout_;
+  }
+  void NoteOldest();
 
   const Duration peer_timeout_;
   std::unordered_map<UpstreamId, Own> own_;
   std::map<std::string, Peer> peers_;
+  std::unordered_map<UpstreamId, PeerSum> peer_sums_;
+  // When the peer that has been silent longest was heard.
+  Time oldest_heard_{};
   DispatchId next_id_ = 1;
 };
 
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -387,6 +387,7 @@
   placer_.SetGateways(peers_.Count(now));
   if (!leaving_) CatchUpWithPeers(now);
   placer_.directory().Expire(now);
+  placer_.load().ExpirePeers(now);
   placer_.Prune();
   metrics_.Set("gateway_client_connections",
                static_cast<double>(front_.connections()));
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -172,76 +172,99 @@
   return cache == caches_.end() ? 0 : cache->second.CachedTokens(prompt);
 }
 
-Placement Placer::Predict(Time now, const UpstreamRecord& upstream,
-                          const PlacementQuery& query, WorkTier tier) const {
-  const uint32_t cached = CachedTokens(upstream, *query.prompt);
-  const double factor = speed_.Factor(upstream);
-  Placement placement;
-  placement.upstream = upstream;
-  placement.tier = tier;
-  placement.prefill_only = upstream.role == UpstreamRole::kPrefill;
-  placement.cost_ms = speed_.ComputeMs(upstream, *query.prompt, cached);
-  placement.computed_ms =
-      load_.BacklogMs(now, upstream.id, tier) + placement.cost_ms;
-  if (upstream.zone != own_zone_) placement.computed_ms += kOtherZoneMs;
+std::vector<Placer::Candidate> Placer::Candidates(
+    Time now, const PlacementQuery& query) const {
+  std::vector<Candidate> candidates;
+  const Duration peer_age = load_.PeerAge(now);
+  for (const UpstreamRecord* upstream : directory_.Usable(query.service)) {
+    if (Avoided(now, *upstream, query.excluded)) continue;
+    Candidate candidate;
+    candidate.upstream = upstream;
+    candidate.load = load_.Total(now, upstream->id);
+    const uint32_t cached = CachedTokens(*upstream, *query.prompt);
+    candidate.cost_ms = speed_.ComputeMs(*upstream, *query.prompt, cached);
+    candidate.reluctance_ms = Reluctance(candidate, query) +
+                              Unseen(upstream->id, query.seed, peer_age);
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+Placer::Estimate Placer::Predict(const Candidate& candidate,
+                                 const PlacementQuery& query,
+                                 WorkTier tier) const {
+  const UpstreamRecord& upstream = *candidate.upstream;
+  Estimate estimate;
+  estimate.computed_ms = candidate.load.BacklogMs(tier) + candidate.cost_ms;
+  if (upstream.zone != own_zone_) estimate.computed_ms += kOtherZoneMs;
   if (tier == WorkTier::kExpress) {
     // The chunk that is being computed is not interrupted.
-    const double others = load_.BacklogMs(now, upstream.id, WorkTier::kTimely);
-    placement.computed_ms += std::min(others, kChunkMs * factor);
+    const double others = candidate.load.BacklogMs(WorkTier::kTimely);
+    estimate.computed_ms +=
+        std::min(others, kChunkMs * speed_.Factor(upstream));
   }
-  placement.predicted_ms = placement.computed_ms;
-  if (placement.prefill_only) {
-    placement.predicted_ms += kHandoverMs + 2 * TransferMs(query);
+  estimate.predicted_ms = estimate.computed_ms;
+  if (upstream.role == UpstreamRole::kPrefill) {
+    estimate.predicted_ms += kHandoverMs + 2 * TransferMs(query);
   }
-  return placement;
+  return estimate;
 }
 
-double Placer::Reluctance(Time now, const UpstreamRecord& upstream,
-                          const PlacementQuery& query) const {
+double Placer::Reluctance(const Candidate& candidate,
+                          const PlacementQuery& query) {
+  const UpstreamRecord& upstream = *candidate.upstream;
   if (upstream.role == UpstreamRole::kPrefill) return 0;
-  const uint32_t express = load_.Express(now, upstream.id);
-  const double backlog_ms = load_.BacklogMs(now, upstream.id, WorkTier::kLate);
+  const uint32_t express = candidate.load.express;
   if (query.prompt->tokens <= kExpressTokens) {
     // Prompts computed beside a stream delay each of its tokens, so streams
     // are gathered where few prompts are computed.
-    return kExpressInterference * backlog_ms -
+    return kExpressInterference * candidate.load.BacklogMs(WorkTier::kLate) -
            kGatherMs * std::min<double>(express, upstream.slots / 2.0);
   }
   return kWholeOnDecodeMs +
          kBesideStreamsMs * std::min<double>(express, kMostStreamsCounted) +
-         kPerRequestMs * load_.Requests(now, upstream.id);
+         kPerRequestMs * candidate.load.requests;
 }
 
-double Placer::Unseen(Time now, const UpstreamRecord& upstream,
-                      const PlacementQuery& query) const {
+double Placer::Unseen(const UpstreamId& upstream, uint64_t seed,
+                      Duration peer_age) {
   const uint64_t hash =
-      MixHash(query.seed ^ std::hash<std::string>()(upstream.id.value()));
+      MixHash(seed ^ std::hash<std::string>()(upstream.value()));
   const double uniform =
       static_cast<double>(hash >> 11) / static_cast<double>(1ULL << 53);
-  return uniform * kUnseenShare * ToMillis(load_.PeerAge(now));
+  return uniform * kUnseenShare * ToMillis(peer_age);
 }
 
-std::optional<Placement> Placer::Best(Time now, const PlacementQuery& query,
+std::optional<Placement> Placer::Best(const std::vector<Candidate>& candidates,
+                                      const PlacementQuery& query,
                                       WorkTier tier) const {
-  std::optional<Placement> best;
+  const Candidate* best = nullptr;
+  Estimate best_estimate;
   double best_score = 0;
-  for (const UpstreamRecord* upstream : directory_.Usable(query.service)) {
-    if (Avoided(now, *upstream, query.excluded)) continue;
+  for (const Candidate& candidate : candidates) {
+    const UpstreamRecord& upstream = *candidate.upstream;
     const bool whole = tier == WorkTier::kExpress || query.whole_only;
-    if (whole && upstream->role == UpstreamRole::kPrefill) continue;
+    if (whole && upstream.role == UpstreamRole::kPrefill) continue;
     if (tier == WorkTier::kLate &&
-        load_.Requests(now, upstream->id) > upstream->slots * kLateShare) {
+        candidate.load.requests > upstream.slots * kLateShare) {
       continue;
     }
-    const Placement placement = Predict(now, *upstream, query, tier);
-    const double score = placement.predicted_ms +
-                         Reluctance(now, *upstream, query) +
-                         Unseen(now, *upstream, query);
-    if (best && score >= best_score) continue;
-    best = placement;
+    const Estimate estimate = Predict(candidate, query, tier);
+    const double score = estimate.predicted_ms + candidate.reluctance_ms;
+    if (best != nullptr && score >= best_score) continue;
+    best = &candidate;
+    best_estimate = estimate;
     best_score = score;
   }
-  return best;
+  if (best == nullptr) return std::nullopt;
+  Placement placement;
+  placement.upstream = *best->upstream;
+  placement.tier = tier;
+  placement.prefill_only = best->upstream->role == UpstreamRole::kPrefill;
+  placement.cost_ms = best->cost_ms;
+  placement.computed_ms = best_estimate.computed_ms;
+  placement.predicted_ms = best_estimate.predicted_ms;
+  return placement;
 }
 
 PlacementResult Placer::PlacePrompt(Time now, const PlacementQuery& query) {
@@ -250,7 +273,8 @@
   share.Earn(now, directory_.Usable(query.service).size(), gateways_);
   const bool express = query.prompt->tokens <= kExpressTokens;
   const WorkTier first = express ? WorkTier::kExpress : WorkTier::kTimely;
-  const std::optional<Placement> timely = Best(now, query, first);
+  const std::vector<Candidate> candidates = Candidates(now, query);
+  const std::optional<Placement> timely = Best(candidates, query, first);
   const double bound_ms = query.objective_left_ms * limits_.objective_share;
   const double late_bound_ms = query.deadline_left_ms * limits_.deadline_share;
   // A small prompt costs the others little, also when it is late.
@@ -264,7 +288,7 @@
     result.placement = timely;
     return result;
   }
-  const std::optional<Placement> late = Best(now, query, WorkTier::kLate);
+  const std::optional<Placement> late = Best(candidates, query, WorkTier::kLate);
   const bool idle = late && load_.BacklogMs(now, late->upstream.id,
                                             WorkTier::kLate) < kIdleBacklogMs;
   if (idle && allowed && late->predicted_ms <= late_bound_ms) {
@@ -286,16 +310,17 @@
                                             bool also_troubled) const {
   const UpstreamRecord* best = nullptr;
   double best_score = 0;
+  const Duration peer_age = load_.PeerAge(now);
   for (const UpstreamRecord* upstream : directory_.Usable(query.service)) {
     if (upstream->role != UpstreamRole::kDecode) continue;
     if (query.excluded->count(upstream->id) > 0) continue;
     if (!also_troubled && Avoided(now, *upstream, nullptr)) continue;
     const double away = upstream->zone == source.zone ? 0 : kOtherZoneMs;
+    const LoadShare load = load_.Total(now, upstream->id);
     const double score =
-        away + kPerRequestMs * load_.Requests(now, upstream->id) +
-        kInterferenceShare *
-            load_.BacklogMs(now, upstream->id, WorkTier::kTimely) +
-        Unseen(now, *upstream, query);
+        away + kPerRequestMs * load.requests +
+        kInterferenceShare * load.BacklogMs(WorkTier::kTimely) +
+        Unseen(upstream->id, query.seed, peer_age);
     if (best != nullptr && score >= best_score) continue;
     best = upstream;
     best_score = score;
--- a/lib/Gateway/upstream_load.cc
+++ b/lib/Gateway/upstream_load.cc
@@ -2,12 +2,15 @@
 #include "corianderlink/Gateway/upstream_load.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
 namespace corianderlink {
 namespace {
 
+constexpr double kUsPerMs = 1000;
+
 size_t Index(WorkTier tier) { return static_cast<size_t>(tier); }
 
 }  // namespace
@@ -39,7 +42,43 @@
 
 void UpstreamLoad::SetPeer(Time now, const std::string& peer,
                            std::map<UpstreamId, LoadShare> shares) {
-  peers_[peer] = {now, std::move(shares)};
+  Peer& known = peers_[peer];
+  AddToSums(known, -1);
+  known = {now, std::move(shares)};
+  AddToSums(known, 1);
+  NoteOldest();
+}
+
+void UpstreamLoad::ExpirePeers(Time now) {
+  if (!SumsOutdated(now)) return;
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    if (now - it->second.heard <= peer_timeout_) {
+      ++it;
+      continue;
+    }
+    AddToSums(it->second, -1);
+    it = peers_.erase(it);
+  }
+  NoteOldest();
+}
+
+void UpstreamLoad::NoteOldest() {
+  oldest_heard_ = Time::max();
+  for (const auto& [name, peer] : peers_) {
+    oldest_heard_ = std::min(oldest_heard_, peer.heard);
+  }
+}
+
+void UpstreamLoad::AddToSums(const Peer& peer, int64_t sign) {
+  for (const auto& [upstream, share] : peer.shares) {
+    PeerSum& sum = peer_sums_[upstream];
+    sum.requests += sign * share.requests;
+    sum.express += sign * share.express;
+    for (size_t i = 0; i < kWorkTiers; ++i) {
+      sum.backlog_us[i] += sign * std::llround(share.backlog_ms[i] * kUsPerMs);
+    }
+    if (sum == PeerSum{}) peer_sums_.erase(upstream);
+  }
 }
 
 LoadShare UpstreamLoad::ShareOf(Time now, const Own& own) {
@@ -61,43 +100,35 @@
   return share;
 }
 
-template <typename Value>
-auto UpstreamLoad::Sum(Time now, const UpstreamId& upstream,
-                       Value value) const {
-  decltype(value(LoadShare{})) sum{};
-  const auto own = own_.find(upstream);
-  if (own != own_.end()) sum += value(ShareOf(now, own->second));
-  for (const auto& [name, peer] : peers_) {
-    if (now - peer.heard > peer_timeout_) continue;
-    const auto share = peer.shares.find(upstream);
-    if (share != peer.shares.end()) sum += value(share->second);
+void UpstreamLoad::Add(const LoadShare& share, LoadShare& total) {
+  total.requests += share.requests;
+  total.express += share.express;
+  for (size_t i = 0; i < kWorkTiers; ++i) {
+    total.backlog_ms[i] += share.backlog_ms[i];
   }
-  return sum;
-}
-
-double UpstreamLoad::BacklogMs(Time now, const UpstreamId& upstream,
-                               WorkTier tier) const {
-  return Sum(now, upstream, [tier](const LoadShare& share) {
-    double sum = 0;
-    for (size_t i = 0; i <= Index(tier); ++i) sum += share.backlog_ms[i];
-    return sum;
-  });
-}
-
-uint32_t UpstreamLoad::Requests(Time now, const UpstreamId& upstream) const {
-  return Sum(now, upstream,
-             [](const LoadShare& share) { return share.requests; });
-}
-
-uint32_t UpstreamLoad::Express(Time now, const UpstreamId& upstream) const {
-  return Sum(now, upstream,
-             [](const LoadShare& share) { return share.express; });
 }
 
-uint32_t UpstreamLoad::OwnRequests(const UpstreamId& upstream) const {
+LoadShare UpstreamLoad::Total(Time now, const UpstreamId& upstream) const {
+  LoadShare total;
   const auto own = own_.find(upstream);
-  if (own == own_.end()) return 0;
-  return static_cast<uint32_t>(own->second.dispatches.size());
+  if (own != own_.end()) Add(ShareOf(now, own->second), total);
+  if (SumsOutdated(now)) {
+    for (const auto& [name, peer] : peers_) {
+      if (now - peer.heard > peer_timeout_) continue;
+      const auto share = peer.shares.find(upstream);
+      if (share != peer.shares.end()) Add(share->second, total);
+    }
+    return total;
+  }
+  const auto sum = peer_sums_.find(upstream);
+  if (sum == peer_sums_.end()) return total;
+  total.requests += static_cast<uint32_t>(sum->second.requests);
+  total.express += static_cast<uint32_t>(sum->second.express);
+  for (size_t i = 0; i < kWorkTiers; ++i) {
+    total.backlog_ms[i] +=
+        static_cast<double>(sum->second.backlog_us[i]) / kUsPerMs;
+  }
+  return total;
 }
 
 bool UpstreamLoad::Stalled(Time now, const UpstreamId& upstream,
--- a/unittests/Gateway/load_models_test.cc
+++ b/unittests/Gateway/load_models_test.cc
@@ -1,5 +1,9 @@
 // Load, cache, speed, waits, rates and the retry budget, with naive versions.
 #include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <string>
 #include <rapidcheck/gtest.h>
 
 #include <deque>
@@ -52,6 +56,50 @@
   EXPECT_EQ(load.Requests(kStart + seconds(2), kA), 0U);
 }
 
+TEST(UpstreamLoadTest, TotalIsTheSumOfThePeersThatAreHeard) {
+  // Against a sum over all peers, with peers that change and fall silent.
+  constexpr Duration kTimeout = seconds(1);
+  struct Heard {
+    Time at{};
+    LoadShare share;
+  };
+  std::mt19937_64 random(7);
+  UpstreamLoad load(kTimeout);
+  std::map<std::string, Heard> naive;
+  Time now = kStart;
+  for (int step = 0; step < 3000; ++step) {
+    now += milliseconds(random() % 60);
+    const std::string peer = "p" + std::to_string(random() % 30);
+    LoadShare share;
+    share.requests = static_cast<uint32_t>(random() % 4);
+    share.express = share.requests / 2;
+    share.backlog_ms = {0.125, 0.3 * static_cast<double>(random() % 9), 7.25};
+    std::map<UpstreamId, LoadShare> shares;
+    if (share.requests > 0) shares[kA] = share;
+    if (share.requests == 0) share = {};
+    load.SetPeer(now, peer, shares);
+    naive[peer] = {now, share};
+    if (random() % 5 == 0) load.ExpirePeers(now);
+
+    const Time asked = now + milliseconds(random() % 300);
+    LoadShare sum;
+    for (const auto& [name, heard] : naive) {
+      if (asked - heard.at > kTimeout) continue;
+      sum.requests += heard.share.requests;
+      sum.express += heard.share.express;
+      for (size_t i = 0; i < kWorkTiers; ++i) {
+        sum.backlog_ms[i] += heard.share.backlog_ms[i];
+      }
+    }
+    const LoadShare total = load.Total(asked, kA);
+    ASSERT_EQ(total.requests, sum.requests);
+    ASSERT_EQ(total.express, sum.express);
+    for (size_t i = 0; i < kWorkTiers; ++i) {
+      ASSERT_NEAR(total.backlog_ms[i], sum.backlog_ms[i], 0.05);
+    }
+  }
+}
+
 TEST(UpstreamLoadTest, OneSilentPeerDoesNotAgeTheOthersNews) {
   UpstreamLoad load(seconds(2));
   EXPECT_EQ(load.PeerAge(kStart), Duration::zero());
