[Gateway] Give shared parts a home; apply the share by the usual time between news

Cause 2: the admission share was applied while the peers' news were older than 30 ms. All gateways tell their news at nearly the same moments, so for a third of the time none was held to its share: of the prompts sent from 20 s to 23 s half were decided within 18 ms of the news, though its median age is 45 ms. Change: each engine role has one engine that is the home of a prompt's shared parts; elsewhere the time to read them counts twice. The share applies wherever peers usually tell their news at intervals of 60 ms and more.

--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -172,6 +172,9 @@
   /// The upstreams that may take a prompt.
   std::vector<Candidate> Candidates(Time now,
                                     const PlacementQuery& query) const;
+  /// Adds what it costs to read shared parts away from their home.
+  void AddDisplacement(const Prompt& prompt,
+                       std::vector<Candidate>& candidates) const;
   Estimate Predict(const Candidate& candidate, const PlacementQuery& query,
                    WorkTier tier) const;
   /// What speaks against an upstream besides the predicted time, milliseconds.
--- a/include/corianderlink/Gateway/upstream_load.h
+++ b/include/corianderlink/Gateway/upstream_load.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -77,6 +78,8 @@
   bool Stalled(Time now, const UpstreamId& upstream, Duration limit) const;
   /// Median age of the peers' shares that count.
   Duration PeerAge(Time now) const;
+  /// Usual time between two news of a peer, the median over the peers.
+  Duration NewsInterval(Time now) const;
   /// Own shares on all upstreams that have any.
   std::map<UpstreamId, LoadShare> OwnShares(Time now) const;
   /// Forgets upstreams without own requests for which `gone` holds.
@@ -101,6 +104,8 @@
   };
   struct Peer {
     Time heard{};
+    /// Time between its news, averaged; nothing before the second news.
+    std::optional<Duration> interval;
     std::map<UpstreamId, LoadShare> shares;
   };
   /// Sum of peers' shares, in whole numbers: what is added can be taken off
@@ -113,6 +118,7 @@
     bool operator==(const PeerSum&) const = default;
   };
 
+  static std::optional<Duration> AverageInterval(Time now, const Peer& peer);
   static LoadShare ShareOf(Time now, const Own& own);
   /// Adds a peer's shares to the sums, or takes them off if `sign` is -1.
   void AddToSums(const Peer& peer, int64_t sign);
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -29,6 +29,9 @@
 constexpr double kMostStreamsCounted = 4;
 // A piece of a prompt that an engine computes at once.
 constexpr double kChunkMs = 8;
+// Parts that are read at another engine than their home's displace parts that
+// will be read again there; share of the time that this costs.
+constexpr double kDisplacementShare = 1;
 // Work that peers may have sent to an engine for each time since they were
 // heard.
 constexpr double kUnseenShare = 0.3;
@@ -38,8 +41,8 @@
 constexpr double kWholeOnDecodeMs = 10;
 // An engine with less waiting work has room for late requests.
 constexpr double kIdleBacklogMs = 20;
-// Younger news of the peers show a flood before it fills the engines.
-constexpr Duration kFreshNews = milliseconds(30);
+// More frequent news of the peers show a flood before it fills the engines.
+constexpr Duration kFrequentNews = milliseconds(60);
 // Late requests on one engine, as a share of its slots.
 constexpr double kLateShare = 1.0;
 constexpr double kShortestRetryAfterMs = 100;
@@ -59,6 +62,18 @@
   return x ^ x >> 31;
 }
 
+// Identifies the parts of a prompt that other prompts share, if it has any: the
+// last part is its own.
+std::optional<uint64_t> SharedPartsKey(const Prompt& prompt) {
+  if (prompt.parts.size() < 2) return std::nullopt;
+  return prompt.parts[prompt.parts.size() - 2].id;
+}
+
+// The engine of the highest rank is the home of the shared parts.
+uint64_t HomeRank(uint64_t key, const UpstreamId& upstream) {
+  return MixHash(key ^ std::hash<std::string>()(upstream.value()));
+}
+
 // Time to move a prompt's memory within a zone.
 double TransferMs(const PlacementQuery& query) {
   if (query.engine->link_bytes_per_ms <= 0) return 0;
@@ -187,9 +202,32 @@
                               Unseen(upstream->id, query.seed, peer_age);
     candidates.push_back(candidate);
   }
+  AddDisplacement(*query.prompt, candidates);
   return candidates;
 }
 
+void Placer::AddDisplacement(const Prompt& prompt,
+                             std::vector<Candidate>& candidates) const {
+  const std::optional<uint64_t> key = SharedPartsKey(prompt);
+  if (!key) return;
+  // The engine of each role that is the parts' home.
+  std::map<UpstreamRole, std::pair<uint64_t, const Candidate*>> homes;
+  for (const Candidate& candidate : candidates) {
+    auto& home = homes[candidate.upstream->role];
+    const uint64_t rank = HomeRank(*key, candidate.upstream->id);
+    if (home.second == nullptr || rank > home.first) home = {rank, &candidate};
+  }
+  for (Candidate& candidate : candidates) {
+    if (homes[candidate.upstream->role].second == &candidate) continue;
+    const uint32_t cached = CachedTokens(*candidate.upstream, prompt);
+    const uint32_t shared = prompt.tokens - prompt.parts.back().tokens;
+    const double held_ms = speed_.ComputeMs(*candidate.upstream, prompt,
+                                            std::max(cached, shared));
+    candidate.reluctance_ms +=
+        kDisplacementShare * (candidate.cost_ms - held_ms);
+  }
+}
+
 Placer::Estimate Placer::Predict(const Candidate& candidate,
                                  const PlacementQuery& query,
                                  WorkTier tier) const {
@@ -279,9 +317,9 @@
   const double late_bound_ms = query.deadline_left_ms * limits_.deadline_share;
   // A small prompt costs the others little, also when it is late.
   const double first_bound_ms = express ? late_bound_ms : bound_ms;
-  // With fresh news of the peers the backlog itself says what fits.
-  const bool fresh = load_.PeerAge(now) < kFreshNews;
-  const bool allowed = express || query.resumed || fresh || share.Allows();
+  // With frequent news of the peers the backlog itself says what fits.
+  const bool frequent = load_.NewsInterval(now) < kFrequentNews;
+  const bool allowed = express || query.resumed || frequent || share.Allows();
   const bool in_time =
       query.resumed || (timely && timely->predicted_ms <= first_bound_ms);
   if (timely && allowed && in_time) {
--- a/lib/Gateway/upstream_load.cc
+++ b/lib/Gateway/upstream_load.cc
@@ -10,9 +10,19 @@
 namespace {
 
 constexpr double kUsPerMs = 1000;
+// News over which the time between them is averaged.
+constexpr int kIntervalSamples = 8;
 
 size_t Index(WorkTier tier) { return static_cast<size_t>(tier); }
 
+Duration Median(std::vector<Duration> values) {
+  if (values.empty()) return Duration::zero();
+  const auto median =
+      values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), median, values.end());
+  return *median;
+}
+
 }  // namespace
 
 DispatchId UpstreamLoad::OnDispatch(Time now, const UpstreamId& upstream,
@@ -44,11 +54,21 @@
                            std::map<UpstreamId, LoadShare> shares) {
   Peer& known = peers_[peer];
   AddToSums(known, -1);
-  known = {now, std::move(shares)};
+  known.interval = AverageInterval(now, known);
+  known.heard = now;
+  known.shares = std::move(shares);
   AddToSums(known, 1);
   NoteOldest();
 }
 
+std::optional<Duration> UpstreamLoad::AverageInterval(Time now,
+                                                      const Peer& peer) {
+  if (peer.heard == Time{}) return std::nullopt;
+  const Duration gap = now - peer.heard;
+  if (!peer.interval) return gap;
+  return *peer.interval + (gap - *peer.interval) / kIntervalSamples;
+}
+
 void UpstreamLoad::ExpirePeers(Time now) {
   if (!SumsOutdated(now)) return;
   for (auto it = peers_.begin(); it != peers_.end();) {
@@ -148,11 +168,16 @@
     const Duration age = now - peer.heard;
     if (age <= peer_timeout_) ages.push_back(age);
   }
-  if (ages.empty()) return Duration::zero();
-  const auto median =
-      ages.begin() + static_cast<std::ptrdiff_t>(ages.size() / 2);
-  std::nth_element(ages.begin(), median, ages.end());
-  return *median;
+  return Median(std::move(ages));
+}
+
+Duration UpstreamLoad::NewsInterval(Time now) const {
+  std::vector<Duration> intervals;
+  for (const auto& [name, peer] : peers_) {
+    if (now - peer.heard > peer_timeout_ || !peer.interval) continue;
+    intervals.push_back(*peer.interval);
+  }
+  return Median(std::move(intervals));
 }
 
 std::map<UpstreamId, LoadShare> UpstreamLoad::OwnShares(Time now) const {
