--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -26,7 +26,7 @@
 constexpr double kGatherMs = 1;
 // Cost of computing a prompt beside streams, for each of them.
 constexpr double kBesideStreamsMs = 25;
-constexpr double kMostStreamsCounted = 4;
+constexpr double kMostStreamsCounted = 12;
 // A piece of a prompt that an engine computes at once.
 constexpr double kChunkMs = 8;
 // Parts that are read at another engine than their home's displace parts that
