[Gateway] Do not let streams wait for a slot; tests of the home and the news' interval

Ruled out: the choice's processor time, prompts beside the streams (only 6 to 11 engines held streams, few prompts among them). Change: requests beyond three quarters of the slots count 50 ms each.

--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -27,6 +27,11 @@
 // Cost of computing a prompt beside streams, for each of them.
 constexpr double kBesideStreamsMs = 25;
 constexpr double kMostStreamsCounted = 12;
+// Share of an engine's slots that is filled before others are preferred: peers
+// fill some before this is known.
+constexpr double kUsableSlots = 0.75;
+// Predicted delay for each request beyond that.
+constexpr double kOverSlotsMs = 50;
 // A piece of a prompt that an engine computes at once.
 constexpr double kChunkMs = 8;
 // Parts that are read at another engine than their home's displace parts that
@@ -74,6 +79,12 @@
   return MixHash(key ^ std::hash<std::string>()(upstream.value()));
 }
 
+// Expected wait for one of the engine's slots, which streams hold for seconds.
+double SlotWaitMs(const UpstreamRecord& upstream, const LoadShare& load) {
+  const double usable = upstream.slots * kUsableSlots;
+  return kOverSlotsMs * std::max(0.0, load.requests - usable);
+}
+
 // Time to move a prompt's memory within a zone.
 double TransferMs(const PlacementQuery& query) {
   if (query.engine->link_bytes_per_ms <= 0) return 0;
@@ -257,7 +268,8 @@
     // Prompts computed beside a stream delay each of its tokens, so streams
     // are gathered where few prompts are computed.
     return kExpressInterference * candidate.load.BacklogMs(WorkTier::kLate) -
-           kGatherMs * std::min<double>(express, upstream.slots / 2.0);
+           kGatherMs * std::min<double>(express, upstream.slots / 2.0) +
+           SlotWaitMs(upstream, candidate.load);
   }
   return kWholeOnDecodeMs +
          kBesideStreamsMs * std::min<double>(express, kMostStreamsCounted) +
@@ -358,6 +370,7 @@
     const double score =
         away + kPerRequestMs * load.requests +
         kInterferenceShare * load.BacklogMs(WorkTier::kTimely) +
+        SlotWaitMs(*upstream, load) +
         Unseen(upstream->id, query.seed, peer_age);
     if (best != nullptr && score >= best_score) continue;
     best = upstream;
--- a/unittests/Gateway/load_models_test.cc
+++ b/unittests/Gateway/load_models_test.cc
@@ -110,6 +110,22 @@
   EXPECT_EQ(load.PeerAge(later), Duration(milliseconds(9)));
 }
 
+TEST(UpstreamLoadTest, NewsIntervalIsTheSameAtAnyMoment) {
+  UpstreamLoad load(seconds(2));
+  EXPECT_EQ(load.NewsInterval(kStart), Duration::zero());
+  Time now = kStart;
+  for (int i = 0; i < 20; ++i) {
+    now += milliseconds(90);
+    for (const char* peer : {"a", "b", "c"}) load.SetPeer(now, peer, {});
+  }
+  // Right after all peers' news, and right before the next.
+  EXPECT_EQ(load.PeerAge(now + milliseconds(1)), Duration(milliseconds(1)));
+  EXPECT_EQ(load.NewsInterval(now + milliseconds(1)),
+            Duration(milliseconds(90)));
+  EXPECT_EQ(load.NewsInterval(now + milliseconds(89)),
+            Duration(milliseconds(90)));
+}
+
 TEST(UpstreamLoadTest, UpstreamWithoutNewsIsStalled) {
   UpstreamLoad load(seconds(1));
   load.OnDispatch(kStart, kA, WorkTier::kTimely, 20);
--- a/unittests/Gateway/placer_test.cc
+++ b/unittests/Gateway/placer_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
+#include <map>
 #include <random>
 
 namespace corianderlink {
@@ -88,6 +90,40 @@
   EXPECT_LT(again.placement->cost_ms, placed.placement->cost_ms);
 }
 
+// A flood with as many shared parts as the engines hold together: if each went
+// where the queue is shortest, the engines would read the same parts over and
+// over.
+TEST_F(PlacerTest, SharedPartsKeepTheirHomeInAFlood) {
+  constexpr uint64_t kSharedParts = 80;
+  AddEngines(6, 2);
+  std::mt19937_64 random(3);
+  uint32_t read = 0;
+  uint32_t shared_read = 0;
+  std::deque<std::pair<Placement, DispatchId>> running;
+  for (int i = 0; i < 3000; ++i) {
+    const Prompt prompt = LongPrompt(100 + random() % kSharedParts, 9000 + i);
+    const PlacementQuery query = Query(prompt);
+    const auto result = placer_->PlacePrompt(kStart, query);
+    if (result.placement) {
+      const DispatchId id =
+          placer_->OnDispatch(kStart, *result.placement, &query);
+      running.emplace_back(*result.placement, id);
+      if (i > 1000) {
+        ++read;
+        // Reading the shared part takes more than its own part does.
+        if (result.placement->cost_ms > 15) ++shared_read;
+      }
+    }
+    // About two prompts wait at each engine.
+    if (running.size() > 12) {
+      placer_->OnEnd(kStart, running.front().first, running.front().second);
+      running.pop_front();
+    }
+  }
+  EXPECT_GT(read, 500U);
+  EXPECT_LT(shared_read, read / 3);
+}
+
 TEST_F(PlacerTest, PeersPromptsAreKnownToBeCached) {
   AddEngines(4, 2);
   const Prompt any = LongPrompt(5, 1);
@@ -178,6 +214,26 @@
   }
 }
 
+// Streams come faster than they end: none may wait for a slot of one engine
+// while others have free ones.
+TEST_F(PlacerTest, StreamsDoNotWaitForASlotWhileOtherEnginesHaveFreeOnes) {
+  AddEngines(2, 6);
+  std::map<UpstreamId, int> streams;
+  for (int i = 0; i < 130; ++i) {
+    Prompt prompt;
+    prompt.parts = {{9, 80}, {2000 + static_cast<uint64_t>(i), 140}};
+    prompt.tokens = 220;
+    const PlacementQuery query = Query(prompt);
+    const auto result = placer_->PlacePrompt(kStart, query);
+    ASSERT_TRUE(result.placement);
+    ++streams[result.placement->upstream.id];
+    const DispatchId id =
+        placer_->OnDispatch(kStart, *result.placement, &query);
+    placer_->OnComputed(kStart, *result.placement, id, 1);
+  }
+  for (const auto& [engine, count] : streams) EXPECT_LE(count, 32);
+}
+
 TEST_F(PlacerTest, ResumedStreamTakesAnyEngine) {
   AddEngines(0, 1);
   const Prompt prompt = LongPrompt(1, 2);
