[Gateway] Learn how much work fits the engines from what is in time

Change: the room of the share grows by 1% for a prompt that is computed within its objective and shrinks by 5% for one that is not, while prompts are refused.

--- a/include/corianderlink/Gateway/admission_share.h
+++ b/include/corianderlink/Gateway/admission_share.h
@@ -2,8 +2,10 @@
 //
 // Answers a flood on many gateways: each sees what the others sent only after a
 // while, in which all of them together could send far more than the engines
-// compute.  A gateway therefore sends no more than its share, with some room
-// for arrivals that are not even.
+// compute.  A gateway therefore sends no more than its share.  How much work
+// fits is learned from whether prompts are computed in time, since costs are
+// estimates: all gateways see the same engines, so their shares grow and shrink
+// alike.
 #ifndef CORIANDERLINK_GATEWAY_ADMISSION_SHARE_H_
 #define CORIANDERLINK_GATEWAY_ADMISSION_SHARE_H_
 
@@ -19,12 +21,21 @@
   void Earn(Time now, size_t engines, size_t gateways);
   /// True if there is something left of the share.
   bool Allows() const { return left_ms_ > 0; }
-  /// Work of `cost_ms` engine time was sent.
+  /// A prompt was refused, for want of a share or of engines.
+  void OnRefused(Time now) { refused_at_ = now; }
+  /// Work of `cost_ms` estimated engine time was sent.
   void Spend(double cost_ms) { left_ms_ -= cost_ms; }
+  /// A prompt that was sent was computed, in time or not.
+  void OnComputed(Time now, bool in_time);
+  /// Estimated engine time that counts as one engine's, in milliseconds for
+  /// each millisecond.
+  double room() const { return room_; }
 
  private:
+  double room_ = 1.25;
   double left_ms_ = 0;
   Time earned_at_{};
+  Time refused_at_{};
 };
 
 }  // namespace corianderlink
--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -57,6 +57,8 @@
   double computed_ms = 0;
   /// Until the first token, handing the prompt over included.
   double predicted_ms = 0;
+  /// The prompt is in time if it is computed within this.
+  double allowed_ms = 0;
 };
 
 /// Either a placement or a refusal.
--- a/lib/Gateway/admission_share.cc
+++ b/lib/Gateway/admission_share.cc
@@ -6,19 +6,32 @@
 namespace corianderlink {
 namespace {
 
-// Room for arrivals that are not even over the gateways.
-constexpr double kRoom = 1.25;
+// Bounds of the room.
+constexpr double kLeastRoom = 0.5;
+constexpr double kMostRoom = 4;
+// Growth for a prompt that was in time, and for one that was not: they balance
+// where one in six is late.
+constexpr double kGrowth = 1.01;
+constexpr double kShrinkage = 0.95;
+// The room is learned in floods: this long after a refusal.
+constexpr Duration kFloodTime = seconds(1);
 // Work that may be sent at once, as time of all engines.
 constexpr double kBurstMs = 60;
 
 }  // namespace
 
 void AdmissionShare::Earn(Time now, size_t engines, size_t gateways) {
-  const double share = kRoom * static_cast<double>(engines) /
+  const double share = room_ * static_cast<double>(engines) /
                        static_cast<double>(std::max<size_t>(gateways, 1));
   left_ms_ =
       std::min(left_ms_ + ToMillis(now - earned_at_) * share, kBurstMs * share);
   earned_at_ = std::max(earned_at_, now);
 }
 
+void AdmissionShare::OnComputed(Time now, bool in_time) {
+  if (now - refused_at_ > kFloodTime) return;
+  const double change = in_time ? kGrowth : kShrinkage;
+  room_ = std::clamp(room_ * change, kLeastRoom, kMostRoom);
+}
+
 }  // namespace corianderlink
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -232,8 +232,8 @@
     if (homes[candidate.upstream->role].second == &candidate) continue;
     const uint32_t cached = CachedTokens(*candidate.upstream, prompt);
     const uint32_t shared = prompt.tokens - prompt.parts.back().tokens;
-    const double held_ms = speed_.ComputeMs(*candidate.upstream, prompt,
-                                            std::max(cached, shared));
+    const double held_ms =
+        speed_.ComputeMs(*candidate.upstream, prompt, std::max(cached, shared));
     candidate.reluctance_ms +=
         kDisplacementShare * (candidate.cost_ms - held_ms);
   }
@@ -336,15 +336,19 @@
       query.resumed || (timely && timely->predicted_ms <= first_bound_ms);
   if (timely && allowed && in_time) {
     result.placement = timely;
+    result.placement->allowed_ms =
+        query.objective_left_ms - (timely->predicted_ms - timely->computed_ms);
     return result;
   }
-  const std::optional<Placement> late = Best(candidates, query, WorkTier::kLate);
+  const std::optional<Placement> late =
+      Best(candidates, query, WorkTier::kLate);
   const bool idle = late && load_.BacklogMs(now, late->upstream.id,
                                             WorkTier::kLate) < kIdleBacklogMs;
   if (idle && allowed && late->predicted_ms <= late_bound_ms) {
     result.placement = late;
     return result;
   }
+  share.OnRefused(now);
   result.reason =
       timely || late ? "predicted after the deadline" : "no upstream available";
   const double excess_ms =
@@ -433,6 +437,13 @@
                         double observed_ms) {
   load_.OnComputed(now, placement.upstream.id, id);
   if (placement.tier == WorkTier::kLate) return;
+  const auto share = shares_.find(placement.upstream.service);
+  // One that was close to its objective from the start tells nothing.
+  const bool telling = placement.tier == WorkTier::kTimely &&
+                       placement.allowed_ms > 2 * placement.cost_ms;
+  if (telling && share != shares_.end()) {
+    share->second.OnComputed(now, observed_ms <= placement.allowed_ms);
+  }
   speed_.Observe(placement.upstream, placement.computed_ms, observed_ms);
 }
 
--- a/unittests/Gateway/admission_share_test.cc
+++ b/unittests/Gateway/admission_share_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+#include <queue>
 #include <random>
 #include <vector>
 
@@ -46,5 +48,67 @@
   }
 }
 
+/// What came of a flood on engines that work through queues.
+struct FloodResult {
+  int sent = 0;
+  int in_time = 0;
+};
+
+/// Plays `requests` a second for `length_s` on 48 engines and 31 gateways.
+/// Each prompt takes `true_ms` of an engine and is estimated to take kCostMs;
+/// a gateway sees no queue at all, and sends each prompt to any engine.
+FloodResult PlayFlood(double true_ms, int requests_per_s, int length_s) {
+  constexpr size_t kEngines = 48;
+  constexpr size_t kGateways = 31;
+  constexpr double kAllowedMs = 150;
+  constexpr int kMeasuredFromS = 2;
+  struct Computed {
+    Time at{};
+    size_t gateway = 0;
+    bool in_time = false;
+    bool operator>(const Computed& other) const { return at > other.at; }
+  };
+  std::vector<AdmissionShare> shares(kGateways);
+  std::vector<Time> free_at(kEngines);
+  std::priority_queue<Computed, std::vector<Computed>, std::greater<>> running;
+  std::mt19937 random(11);
+  FloodResult result;
+  for (int i = 0; i < requests_per_s * length_s; ++i) {
+    const Time now =
+        Time(seconds(10)) + microseconds(1000000LL * i / requests_per_s);
+    for (; !running.empty() && running.top().at <= now; running.pop()) {
+      shares[running.top().gateway].OnComputed(running.top().at,
+                                               running.top().in_time);
+    }
+    const size_t gateway = random() % kGateways;
+    shares[gateway].Earn(now, kEngines, kGateways);
+    if (!shares[gateway].Allows()) {
+      shares[gateway].OnRefused(now);
+      continue;
+    }
+    shares[gateway].Spend(kCostMs);
+    Time& engine = free_at[random() % kEngines];
+    engine = std::max(engine, now) + FromSeconds(true_ms / 1000);
+    const bool in_time = ToMillis(engine - now) <= kAllowedMs;
+    running.push({engine, gateway, in_time});
+    if (now < Time(seconds(10 + kMeasuredFromS))) continue;
+    ++result.sent;
+    result.in_time += in_time ? 1 : 0;
+  }
+  return result;
+}
+
+// Estimates are wrong in a flood, up to twice: the engines are nevertheless
+// kept busy, and most of what is sent is in time.
+TEST(AdmissionShareTest, WrongEstimatesNeitherIdleNorFloodTheEngines) {
+  constexpr int kLengthS = 6;
+  for (const double true_ms : {8.0, 12.0, 20.0, 30.0}) {
+    const FloodResult result = PlayFlood(true_ms, 12000, kLengthS);
+    const double capacity = 48 * 1000 / true_ms * (kLengthS - 2);
+    EXPECT_GT(result.in_time, 0.4 * capacity) << true_ms;
+    EXPECT_GT(result.in_time, 0.75 * result.sent) << true_ms;
+  }
+}
+
 }  // namespace
 }  // namespace corianderlink
--- a/unittests/Gateway/load_models_test.cc
+++ b/unittests/Gateway/load_models_test.cc
@@ -1,12 +1,11 @@
 // Load, cache, speed, waits, rates and the retry budget, with naive versions.
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
+#include <deque>
 #include <map>
 #include <random>
 #include <string>
-#include <rapidcheck/gtest.h>
-
-#include <deque>
 
 #include "corianderlink/Gateway/demand_meter.h"
 #include "corianderlink/Gateway/event_splitter.h"
