[Gateway][Utils] Fault soak of real gateways; do not end a stream with another upstream's failure

Cause: a stream that had begun went on at a second upstream, which answered a signed 500; its body was passed on as the rest of the stream, with its end, so that the client took a cut stream for a whole one. Ruled out: the stand-in (its log holds the 500, not the bytes of events). Change: any answer but an event stream to the rest of a stream fails the attempt. The test fails before (body ends in the failure's) and passes after. The soak: gateways as processes, stand-ins of the store and the upstreams, links that delay, reset, silence and cut one way, signals, outages of the store, leaving and returning upstreams, configurations; checks UNASKED, TWICE, REFUSED, DENIED, MIXED, ORDER, GONE, DRAIN, RECOVER, own ends and memory while clients ask.

--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -293,6 +293,13 @@
     EndStream();
     return;
   }
+  if (is_stream() && exchange_->started()) {
+    // Its body is not the rest of the stream that an upstream before began.
+    AttemptFailed(Outcome::MayHaveRun("upstream answered " +
+                                      std::to_string(reply_->status)),
+                  true);
+    return;
+  }
   const bool failed = reply_->status >= 500;
   if (failed && !exchange_->started() && MayRetry(now, Verdict::kMayHaveRun)) {
     RetryElsewhere(now,
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -249,6 +249,29 @@
   EXPECT_EQ(a.requests.size() + b.requests.size(), 2U);
 }
 
+// The failure of the upstream that should go on was passed on as the rest of
+// the stream, with its end.
+TEST_F(GatewayTest, FailureOfTheSecondUpstreamIsNotTheEndOfAStream) {
+  FakeUpstream& a = world_.AddUpstream("c1", "chat");
+  FakeUpstream& b = world_.AddUpstream("c2", "chat");
+  EventHandle later;
+  const auto cut_then_fail = [&](const Exchange& exchange) {
+    if (a.requests.size() + b.requests.size() > 1) {
+      exchange->Answer(500, FakeUpstream::Signed(exchange), "oops");
+      return;
+    }
+    SendEvents(exchange, 2);
+    later =
+        world_.loop.After(milliseconds(30), [exchange] { exchange->Abort(); });
+  };
+  a.answer = cut_then_fail;
+  b.answer = cut_then_fail;
+  const auto result = world_.Send("POST", "/chat/1", {}, "b");
+  world_.Await(result);
+  EXPECT_FALSE(result->complete);
+  EXPECT_EQ(result->body, Event(1) + Event(2));
+}
+
 // A stalled stream was cut although no other upstream could go on with it.
 TEST_F(GatewayTest, StalledStreamIsNotCutWhileNoOtherUpstreamCanGoOn) {
   FakeUpstream& only = world_.AddUpstream("c1", "chat");
--- /dev/null
+++ b/utils/soak.py
@@ -0,0 +1,275 @@
+"""Fault soak: real gateways, stand-ins of the platform, seeded faults.
+
+Each seed draws a schedule of faults, alone and overlapping, and plays it while
+clients ask; what clients, upstreams and the store saw is checked against the
+promises of the users' pages.  Exit status 1 if a seed broke one.
+"""
+
+import argparse
+import asyncio
+import concurrent.futures
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+
+from soak_lib import checks, clients, stand_ins, world
+
+# Calm before the first fault and after the last one, seconds.
+WARM_UP_S = 2.0
+CALM_S = 5.0
+RATE_PER_S = 60
+# Gateways catch up with what they missed within this.
+SETTLE_S = 3.5
+REGRESSIONS = os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                           "soak_seeds.txt")
+
+
+class Faults:
+    """Draws and plays one seed's faults."""
+
+    def __init__(self, deployment, length_s):
+        self.world = deployment
+        self.random = deployment.random
+        self.spans = []
+        self.log = []
+        self.plan = []
+        kinds = [self.stop, self.kill, self.kill_all, self.pause, self.reload,
+                 self.store, self.store_link, self.upstream, self.upstream_link,
+                 self.crash, self.drain, self.new_config, self.cut_all]
+        at = 0.0
+        while at < length_s:
+            kind = self.random.choice(kinds)
+            for_s = self.random.uniform(0.3, min(3.0, length_s))
+            self.plan.append((at, kind, for_s))
+            # Some faults overlap, some come in a series.
+            at += self.random.choice([0.1, 0.5, 1.5])
+
+    def troubled(self, since, to):
+        return any(a < to + SETTLE_S and since < b + SETTLE_S
+                   for a, b in self.spans)
+
+    async def play(self):
+        start = time.monotonic()
+        tasks = []
+        for at, kind, for_s in self.plan:
+            await asyncio.sleep(max(0, start + at - time.monotonic()))
+            tasks.append(asyncio.ensure_future(self.one(kind, for_s)))
+        await asyncio.wait(tasks)
+        for task in tasks:
+            task.result()
+
+    async def one(self, kind, for_s):
+        span = [time.monotonic(), float("inf")]
+        # Planned leaving excuses nothing.
+        if kind not in (self.drain, self.new_config, self.reload):
+            self.spans.append(span)
+        what = await kind(for_s)
+        span[1] = time.monotonic()
+        self.log.append("%s %s" % (kind.__name__, what))
+
+    async def stop(self, for_s):
+        gateway = self.random.choice(self.world.gateways)
+        gateway.signal(signal.SIGTERM)
+        end = time.monotonic() + 9
+        while gateway.running and time.monotonic() < end:
+            await asyncio.sleep(0.05)
+        if gateway.running:
+            gateway.own_ends.append("no end within the grace time")
+            gateway.signal(signal.SIGKILL)
+        await self.restart(gateway, 0.2)
+        return gateway.name
+
+    async def kill(self, for_s):
+        gateway = self.random.choice(self.world.gateways)
+        gateway.signal(signal.SIGKILL)
+        await self.restart(gateway, for_s)
+        return gateway.name
+
+    async def kill_all(self, for_s):
+        for gateway in self.world.gateways:
+            gateway.signal(signal.SIGKILL)
+        for gateway in self.world.gateways:
+            await self.restart(gateway, 0.2)
+        return "all"
+
+    async def restart(self, gateway, after_s):
+        await asyncio.sleep(after_s)
+        if gateway.expected_end and not gateway.running:
+            gateway.start()
+
+    async def pause(self, for_s):
+        gateway = self.random.choice(self.world.gateways)
+        if gateway.paused:
+            return "none"
+        gateway.paused = True
+        gateway.signal(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        gateway.signal(signal.SIGCONT)
+        gateway.paused = False
+        return gateway.name
+
+    async def reload(self, for_s):
+        gateway = self.random.choice(self.world.gateways)
+        gateway.write_settings(slack=self.random.randint(20, 90))
+        if self.random.random() < 0.5:
+            gateway.signal(signal.SIGHUP)
+        return gateway.name
+
+    async def harm(self, target, trouble, for_s):
+        target.trouble = trouble
+        await asyncio.sleep(for_s)
+        if target.trouble == trouble:
+            target.trouble = None
+        return trouble
+
+    async def store(self, for_s):
+        trouble = self.random.choice(stand_ins.Store.troubles)
+        if trouble == "compacted":
+            self.world.store.compact()
+            return trouble
+        return await self.harm(self.world.store, trouble, for_s)
+
+    async def store_link(self, for_s):
+        link = self.random.choice(self.world.store_links)
+        return await self.harm(
+            link, self.random.choice(stand_ins.Link.troubles), for_s)
+
+    def some_upstream(self):
+        return self.random.choice(sorted(self.world.upstreams))
+
+    async def upstream(self, for_s):
+        upstream = self.world.upstreams[self.some_upstream()]
+        return await self.harm(
+            upstream, self.random.choice(stand_ins.Upstream.troubles), for_s)
+
+    async def upstream_link(self, for_s):
+        link = self.world.links[self.some_upstream()]
+        return await self.harm(
+            link, self.random.choice(stand_ins.Link.troubles), for_s)
+
+    async def replace(self, planned, for_s):
+        identity = self.some_upstream()
+        old = self.world.upstreams[identity]
+        role, service = old.role, old.service
+        await self.world.remove_upstream(identity, planned)
+        await asyncio.sleep(0 if planned else for_s)
+        again = identity if self.random.random() < 0.3 and not planned else None
+        await self.world.add_upstream(service, role, again)
+        return identity
+
+    async def crash(self, for_s):
+        return await self.replace(False, for_s)
+
+    async def drain(self, for_s):
+        return await self.replace(True, for_s)
+
+    async def new_config(self, for_s):
+        self.world.put_config(self.random.choice([0.8, 1.0, 1.2]))
+        return str(self.world.config_version)
+
+    async def cut_all(self, for_s):
+        for server in (list(self.world.links.values()) +
+                       self.world.store_links):
+            server.cut()
+        return "all"
+
+
+async def watch(deployment, peak):
+    while True:
+        for gateway in deployment.gateways:
+            gateway.check_alive()
+            peak[0] = max(peak[0], gateway.resident_mb())
+        await asyncio.sleep(0.1)
+
+
+async def play(seed, length_s, size):
+    deployment = world.World(seed, *size)
+    callers = clients.Clients(deployment)
+    faults = Faults(deployment, length_s)
+    peak = [0]
+    try:
+        await deployment.start()
+        watcher = asyncio.ensure_future(watch(deployment, peak))
+        await asyncio.sleep(1.5)
+        end = (time.monotonic() + WARM_UP_S + length_s + SETTLE_S + CALM_S + 3)
+        asking = asyncio.ensure_future(callers.run(end, RATE_PER_S))
+        await asyncio.sleep(WARM_UP_S)
+        await faults.play()
+        calm_from = time.monotonic() + SETTLE_S
+        await asyncio.sleep(max(0, calm_from + CALM_S - time.monotonic()))
+        await asking
+        watcher.cancel()
+        # What is late, and against a promise, still arrives.
+        await asyncio.sleep(0.5)
+        broken = checks.check(deployment, callers.requests, faults.troubled)
+        broken += checks.check_recovery(callers.requests, calm_from)
+        if peak[0] > checks.MAX_RESIDENT_MB:
+            broken.append("MEMORY %.0f MB" % peak[0])
+    finally:
+        deployment.stop()
+    served = sum(1 for r in callers.requests.values()
+                 if r.status == 200 and r.complete)
+    print("seed %d: %d of %d served, %d faults, peak %.0f MB: %s" %
+          (seed, served, len(callers.requests), len(faults.plan), peak[0],
+           "ok" if not broken else "BROKEN"))
+    for text in broken[:10]:
+        print("  " + text)
+    if broken:
+        print("  faults: " + "; ".join(faults.log))
+        print("  logs: " + deployment.directory)
+    else:
+        shutil.rmtree(deployment.directory)
+    return not broken
+
+
+def play_alone(seed, arguments):
+    """Plays a seed in a process of its own."""
+    done = subprocess.run(
+        [sys.executable, os.path.abspath(__file__), "--first", str(seed),
+         "--seeds", "1", "--jobs", "1"] + arguments, stdout=subprocess.PIPE)
+    print(done.stdout.decode(), end="", flush=True)
+    return done.returncode == 0
+
+
+def regression_seeds():
+    with open(REGRESSIONS) as f:
+        return [int(line.split()[0]) for line in f
+                if line.strip() and not line.startswith("#")]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=6)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--length", type=float, default=8,
+                        help="seconds with faults")
+    parser.add_argument("--gateways", type=int, default=3)
+    parser.add_argument("--plain", type=int, default=3)
+    parser.add_argument("--engines", type=int, default=5)
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--program", default=world.PROGRAM,
+                        help="the gateway to play against")
+    parser.add_argument("--regressions", action="store_true",
+                        help="also the seeds of soak_seeds.txt")
+    args = parser.parse_args()
+    seeds = list(range(args.first, args.first + args.seeds))
+    if args.regressions:
+        seeds = regression_seeds() + seeds
+    size = (args.gateways, args.plain, args.engines)
+    world.PROGRAM = args.program
+    if len(seeds) == 1:
+        return 0 if asyncio.run(play(seeds[0], args.length, size)) else 1
+    arguments = ["--length", str(args.length), "--program", args.program,
+                 "--gateways", str(args.gateways), "--plain", str(args.plain),
+                 "--engines", str(args.engines)]
+    with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
+        good = list(pool.map(lambda seed: play_alone(seed, arguments), seeds))
+    print("%d of %d seeds kept every promise" % (sum(good), len(good)))
+    return 0 if all(good) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/utils/soak_lib/checks.py
@@ -0,0 +1,110 @@
+"""The promises of the users' pages, judged from what the sockets saw."""
+
+import collections
+import time
+
+from . import clients, stand_ins, world
+
+PROMISES = (408, 421, 429, 503)
+# What the system may take after a client left before its worker is free.
+FREE_S = 1.5
+MAX_RESIDENT_MB = 120
+
+
+def check(deployment, requests, troubled):
+    """Returns the broken rules as texts.  `troubled(from, to)` tells whether a
+    fault touched that span."""
+    broken = []
+    runs = collections.defaultdict(list)
+    for run in deployment.runs:
+        runs[run.request].append(run)
+    for identity in runs:
+        if identity not in requests:
+            broken.append("UNASKED %s" % identity)
+    for request in requests.values():
+        broken += check_request(request, runs[request.identity], troubled)
+    broken += check_draining(deployment, troubled)
+    for gateway in deployment.gateways:
+        if gateway.own_ends:
+            broken.append("END %s ended by itself: %s" %
+                          (gateway.name, gateway.own_ends))
+    return broken
+
+
+def check_request(request, runs, troubled):
+    broken = []
+    name = "%s %s" % (request.kind, request.identity)
+    for run in runs:
+        if (run.method, run.target, run.body) != (
+                request.method, request.target, request.body):
+            broken.append("UNASKED %s was changed" % name)
+    once = request.kind in ("unsafe", "once")
+    if once and len(runs) > 1:
+        broken.append("TWICE %s ran %d times" % (name, len(runs)))
+    if once and request.status in PROMISES and runs:
+        broken.append("REFUSED %s: %d, but it ran" % (name, request.status))
+    if request.status in (400, 401, 403, 404, 413) and not request.signer:
+        broken.append("DENIED %s: %d" % (name, request.status))
+    if request.signer:
+        broken += check_signed(name, request, runs)
+    elif request.status is not None and request.status < 300:
+        broken.append("MIXED %s: %d without a signature" %
+                      (name, request.status))
+    if request.left_at is not None:
+        broken += check_left(name, request, runs, troubled)
+    return broken
+
+
+def check_signed(name, request, runs):
+    signers = {run.upstream: run.status for run in runs}
+    if request.signer not in signers:
+        return ["MIXED %s: signed by %s, which did not run it" %
+                (name, request.signer)]
+    if signers[request.signer] != request.status:
+        return ["MIXED %s: status %d, the worker's was %s" %
+                (name, request.status, signers[request.signer])]
+    if request.status != 200:
+        return []
+    if request.kind in ("unsafe", "safe"):
+        whole = stand_ins.body_of(request.identity)
+        rule = "MIXED"
+    else:
+        whole = clients.whole_stream(request.identity)
+        rule = "ORDER"
+    if request.complete and request.answer != whole:
+        return ["%s %s: complete, but not the whole answer" % (rule, name)]
+    if not whole.startswith(request.answer):
+        return ["%s %s: bytes that are not its answer's" % (rule, name)]
+    return []
+
+
+def check_left(name, request, runs, troubled):
+    late = request.left_at + FREE_S
+    if late > time.monotonic() or troubled(request.began, late):
+        return []
+    return ["GONE %s: still at work %.1f s after its client left" %
+            (name, FREE_S) for run in runs
+            if run.began < late and (run.ended is None or run.ended > late)]
+
+
+def check_draining(deployment, troubled):
+    broken = []
+    for at, identity, request in deployment.arrivals:
+        left = deployment.left.get(identity)
+        if left is None or request is None:
+            continue
+        if at > left + world.DRAIN_S and not troubled(left - 3, at):
+            broken.append("DRAIN %s reached %s %.1f s after it announced its "
+                          "end" % (request, identity, at - left))
+    return broken
+
+
+def check_recovery(requests, since):
+    """After the last fault, nearly all requests are served."""
+    later = [r for r in requests.values()
+             if r.began > since and r.left_at is None]
+    served = sum(1 for r in later if r.status == 200 and r.complete)
+    if len(later) >= 20 and served < 0.9 * len(later):
+        return ["RECOVER %d of %d served after the last fault" %
+                (served, len(later))]
+    return []
--- /dev/null
+++ b/utils/soak_lib/clients.py
@@ -0,0 +1,141 @@
+"""Clients of the soak, and what each request came to."""
+
+import asyncio
+import json
+import time
+
+from . import http1, stand_ins, world
+
+KINDS = ["unsafe", "safe", "stream", "once"]
+
+
+class Request:
+    """One attempt of a client, and its end."""
+
+    def __init__(self, identity, kind, method, target, body):
+        self.identity, self.kind = identity, kind
+        self.method, self.target, self.body = method, target, body
+        self.began = time.monotonic()
+        self.ended = None
+        self.status = None
+        self.signer = None
+        self.answer = b""
+        self.complete = False
+        self.left_at = None
+        self.gateway = None
+        self.refused_for_s = None
+
+
+class Clients:
+    def __init__(self, deployment):
+        self.world = deployment
+        self.random = deployment.random
+        self.requests = {}
+        self.count = 0
+
+    async def run(self, until, rate):
+        """Starts requests at `rate` a second, in the mean, until then."""
+        tasks = set()
+        while time.monotonic() < until:
+            await asyncio.sleep(self.random.expovariate(rate))
+            task = asyncio.ensure_future(self.session())
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        if tasks:
+            await asyncio.wait(tasks)
+
+    async def session(self):
+        """A request, repeated once as clients may."""
+        kind = self.random.choice(KINDS)
+        request = await self.attempt(kind)
+        again = request.status in (429, 503)
+        if not again or request.left_at is not None:
+            return
+        await asyncio.sleep(min(request.refused_for_s or 0.1, 1.0))
+        await self.attempt(kind)
+
+    async def resolve(self):
+        for gateway in self.random.sample(self.world.gateways,
+                                          len(self.world.gateways))[:3]:
+            try:
+                answer = await asyncio.wait_for(self.ask(gateway), 1)
+                if answer:
+                    return self.random.choice(answer)
+            except (OSError, http1.Cut, ValueError, asyncio.TimeoutError):
+                continue
+        return None
+
+    async def ask(self, gateway):
+        reader, writer = await asyncio.open_connection("127.0.0.1",
+                                                       gateway.directory)
+        try:
+            writer.write(http1.message("GET /resolve?name=%s HTTP/1.1" %
+                                       world.HOST, {"Host": world.HOST}))
+            first, fields = await http1.read_head(reader)
+            body = await http1.read_body(reader, fields)
+            if " 200 " not in first:
+                return []
+            return [int(a.split(":")[1]) for a in json.loads(body)["addrs"]]
+        finally:
+            writer.transport.abort()
+
+    async def attempt(self, kind):
+        self.count += 1
+        identity = "%016x" % (self.count * 0x9e3779b97f4a7c15 % 2 ** 64)
+        route = world.ROUTES[kind]
+        method = "GET" if kind == "safe" else "POST"
+        body = b"" if kind == "safe" else b"body of " + identity.encode()
+        request = Request(identity, kind, method, route["prefix"] + "x", body)
+        port = await self.resolve()
+        if port is None:
+            return request
+        self.requests[identity] = request
+        request.gateway = port
+        limit_s = route["timeout_ms"] / 1000 + 2
+        leave_s = limit_s
+        if self.random.random() < 0.08:
+            leave_s = self.random.uniform(0.005, 0.15)
+        try:
+            await asyncio.wait_for(self.exchange(request, port), leave_s)
+        except asyncio.TimeoutError:
+            request.left_at = time.monotonic()
+        except (OSError, http1.Cut, ValueError, asyncio.IncompleteReadError):
+            pass
+        request.ended = time.monotonic()
+        return request
+
+    async def exchange(self, request, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        try:
+            fields = {"Host": world.HOST, "Request-Id": request.identity,
+                      "Deadline-Ms": str(world.ROUTES[request.kind]
+                                         ["timeout_ms"])}
+            if request.kind in ("stream", "once"):
+                own = "%x" % self.random.getrandbits(32)
+                fields.update({"Model": "m", "Token-Count": "220,80",
+                               "Prompt-Prefix": "9:80,%s:140" % own})
+            writer.write(http1.message(
+                "%s %s HTTP/1.1" % (request.method, request.target), fields,
+                request.body))
+            first, answer = await http1.read_head(reader)
+            request.status = int(first.split(" ")[1])
+            request.signer = answer.get("server-stamp")
+            if "retry-after" in answer:
+                request.refused_for_s = float(answer["retry-after"])
+            if "chunked" not in answer.get("transfer-encoding", ""):
+                request.answer = await http1.read_body(reader, answer)
+                request.complete = True
+                return
+            while True:
+                data = await http1.read_chunk(reader)
+                if not data:
+                    break
+                request.answer += data
+            request.complete = True
+        finally:
+            writer.transport.abort()
+
+
+def whole_stream(identity):
+    return b"".join(stand_ins.event_of(identity, event)
+                    for event in range(1, stand_ins.EVENTS + 1))
--- /dev/null
+++ b/utils/soak_lib/stand_ins.py
@@ -0,0 +1,370 @@
+"""Stand-ins of the platform: its store and its upstreams.
+
+They speak the published protocol and keep what they saw, from which the soak
+judges the gateways.
+"""
+
+import asyncio
+import base64
+import json
+import time
+from urllib.parse import parse_qs, urlsplit
+
+from . import http1
+
+REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 412: "Failed",
+           421: "Misdirected", 500: "Error", 503: "Unavailable"}
+
+
+def reply(status, body=b"", **fields):
+    fields = {name.replace("_", "-"): value for name, value in fields.items()}
+    first = "HTTP/1.1 %d %s" % (status, REASONS.get(status, "Status"))
+    return http1.message(first, fields, body)
+
+
+class Server:
+    """A listener whose connections can be cut."""
+
+    def __init__(self):
+        self.connections = set()
+        self.listener = None
+
+    async def listen(self, port):
+        self.listener = await asyncio.start_server(self._serve, "127.0.0.1",
+                                                   port)
+
+    def close(self):
+        if self.listener:
+            self.listener.close()
+            self.listener = None
+        self.cut()
+
+    def cut(self):
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer):
+        self.connections.add(writer)
+        try:
+            while await self.exchange(reader, writer):
+                pass
+        except (http1.Cut, OSError, ValueError, asyncio.CancelledError):
+            pass
+        finally:
+            self.connections.discard(writer)
+            writer.transport.abort()
+
+
+class Store(Server):
+    """Rows with versions; `trouble` is one of the names in `troubles`."""
+
+    troubles = ["down", "silent", "slow", "lost", "busy", "compacted"]
+
+    def __init__(self):
+        super().__init__()
+        self.rows = {}
+        self.changes = []
+        self.version = 1
+        self.oldest = 0
+        self.trouble = None
+        self.changed = asyncio.Event()
+
+    def put(self, table, key, value):
+        """Writes as the platform does; returns when it was acknowledged."""
+        self._set(table, key, json.dumps(value).encode())
+        return time.monotonic()
+
+    def remove(self, table, key):
+        if key in self.rows.get(table, {}):
+            self._set(table, key, None)
+
+    def _set(self, table, key, value):
+        self.version += 1
+        if value is None:
+            del self.rows[table][key]
+        else:
+            self.rows.setdefault(table, {})[key] = (value, self.version)
+        self.changes.append((self.version, table, key, value))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def exchange(self, reader, writer):
+        first, fields = await http1.read_head(reader)
+        body = await http1.read_body(reader, fields)
+        method, target, _ = first.split(" ")
+        trouble = self.trouble
+        if trouble == "down":
+            return False
+        if trouble == "silent":
+            await asyncio.sleep(60)
+            return False
+        if trouble == "slow":
+            await asyncio.sleep(0.4)
+        if trouble == "busy":
+            writer.write(reply(503))
+            return True
+        answer = await self.answer(method, urlsplit(target), body)
+        if trouble == "lost":
+            return False
+        writer.write(answer)
+        await writer.drain()
+        return True
+
+    async def answer(self, method, url, body):
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        if url.path == "/rows-tx":
+            return self.transact(json.loads(body))
+        if url.path == "/rows-get":
+            rows = self.rows.get(query["table"], {})
+            found = [self._row(query["table"], key, *rows[key])
+                     for key in sorted(rows) if key >= query.get("from", "")]
+            return self._answer(found)
+        if url.path == "/rows-feed":
+            return await self.feed(query)
+        return reply(404)
+
+    async def feed(self, query):
+        after = int(query["after"])
+        end = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+        while True:
+            if after < self.oldest:
+                return reply(410)
+            news = {}
+            for version, table, key, value in self.changes:
+                if version > after and table == query["table"]:
+                    news[key] = self._row(table, key, value, version)
+            left = end - time.monotonic()
+            if news or left <= 0:
+                return self._answer(sorted(news.values(),
+                                           key=lambda row: row["ver"]))
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    def transact(self, body):
+        for expected in body.get("expected", []):
+            rows = self.rows.get(expected["table"], {})
+            version = rows.get(expected["key"], (None, 0))[1]
+            if version != expected["ver"]:
+                return reply(412, json.dumps({"rows": []}).encode())
+        for row in body.get("set_keys", []):
+            self._set(row["table"], row["key"], base64.b64decode(row["value"]))
+        for row in body.get("delete", []):
+            self.remove(row["table"], row["key"])
+        return self._answer([])
+
+    def compact(self):
+        """Forgets the history."""
+        self.oldest = self.version + 1
+        self.changes = []
+        self.version += 1
+
+    @staticmethod
+    def _row(table, key, value, version):
+        row = {"table": table, "part": "", "key": key, "ver": version}
+        if value is None:
+            row["removed"] = True
+        else:
+            row["value"] = base64.b64encode(value).decode()
+        return row
+
+    def _answer(self, rows):
+        body = {"rows": rows, "truncated": False, "ver": self.version,
+                "now_ms": int(time.monotonic() * 1000)}
+        return reply(200, json.dumps(body).encode(),
+                     Content_Type="application/json")
+
+
+class Run:
+    """One request that an upstream began to work on."""
+
+    def __init__(self, request, upstream, method, target, body):
+        self.request, self.upstream = request, upstream
+        self.method, self.target, self.body = method, target, body
+        self.began = time.monotonic()
+        self.ended = None
+        self.status = None
+
+
+class Upstream(Server):
+    """A plain service's worker or an engine.
+
+    `trouble`: mute (no answers), grey (500), slow, lost (runs, then cuts),
+    cut (cuts within a stream's event), extra (bytes after an answer), full
+    (refuses everything).
+    """
+
+    troubles = ["mute", "grey", "slow", "lost", "cut", "extra", "full"]
+
+    def __init__(self, identity, service, role, runs, arrivals):
+        super().__init__()
+        self.identity, self.service, self.role = identity, service, role
+        self.runs, self.arrivals = runs, arrivals
+        self.trouble = None
+        self.slots = 32 if role else 6
+        self.busy = 0
+        self.handles = set()
+
+    async def exchange(self, reader, writer):
+        first, fields = await http1.read_head(reader)
+        body = await http1.read_body(reader, fields)
+        method, target, _ = first.split(" ")
+        self.arrivals.append((time.monotonic(), self.identity,
+                              fields.get("request-id")))
+        expected = fields.get("expect-instance")
+        if expected and expected != self.identity:
+            writer.write(reply(421, Instance_Id=self.identity))
+            return True
+        if method == "DELETE" or target == "/report":
+            writer.write(reply(200, b"{}"))
+            return True
+        if self.trouble == "mute":
+            await reader.read(1)
+            return False
+        if self.busy >= self.slots or self.trouble == "full":
+            writer.write(reply(503, Not_Run="1"))
+            return True
+        self.busy += 1
+        try:
+            return await self.work(reader, writer, method, target, fields,
+                                   body)
+        finally:
+            self.busy -= 1
+
+    async def work(self, reader, writer, method, target, fields, body):
+        identity = fields["request-id"]
+        if fields.get("stage") == "prefill":
+            await asyncio.sleep(0.01)
+            handle = "h%x" % (len(self.handles) + 1)
+            self.handles.add(handle)
+            answer = {"handle": handle, "tokens": 1, "version": 1}
+            writer.write(reply(200, json.dumps(answer).encode(),
+                               Request_Id=identity))
+            return True
+        run = Run(identity, self.identity, method, target, body)
+        self.runs.append(run)
+        # The connection's end frees the worker.
+        gone = asyncio.ensure_future(reader.read(1))
+        try:
+            return await self.run(run, writer, fields, gone)
+        finally:
+            run.ended = time.monotonic()
+            gone.cancel()
+
+    async def run(self, run, writer, fields, gone):
+        pace = 8 if self.trouble == "slow" else 1
+        work_s = 0.02 * pace
+        await asyncio.wait([gone], timeout=work_s)
+        if gone.done():
+            return False
+        if self.trouble == "lost":
+            return False
+        if self.trouble == "grey":
+            run.status = 500
+            writer.write(reply(500, b"failed", Request_Id=run.request,
+                               Server_Stamp=self.identity))
+            return await self.settle(gone, writer)
+        run.status = 200
+        if "token-count" not in fields:
+            answer = reply(200, body_of(run.request), Request_Id=run.request,
+                           Server_Stamp=self.identity)
+            writer.write(answer + (b"junk" if self.trouble == "extra" else b""))
+            return await self.settle(gone, writer)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                     b"Transfer-Encoding: chunked\r\n" +
+                     ("Request-Id: %s\r\nServer-Stamp: %s\r\n\r\n" %
+                      (run.request, self.identity)).encode())
+        return await self.stream(run, writer, fields, gone, 0.03 * pace)
+
+    async def stream(self, run, writer, fields, gone, pause_s):
+        first = int(fields.get("last-event-id", 0)) + 1
+        for event in range(first, EVENTS + 1):
+            data = event_of(run.request, event)
+            if self.trouble == "cut" and event > 1:
+                writer.write(http1.chunk(data[:9]))
+                await writer.drain()
+                return False
+            writer.write(http1.chunk(data))
+            await writer.drain()
+            await asyncio.wait([gone], timeout=pause_s)
+            if gone.done():
+                return False
+        writer.write(http1.chunk(b""))
+        return await self.settle(gone, writer)
+
+    @staticmethod
+    async def settle(gone, writer):
+        """True if the connection can go on, without a byte read from it."""
+        await writer.drain()
+        gone.cancel()
+        try:
+            await gone
+        except asyncio.CancelledError:
+            return True
+        return False
+
+
+# Events of each stream.
+EVENTS = 8
+
+
+def body_of(request):
+    return ("answer to %s\n" % request).encode() * 20
+
+
+def event_of(request, event):
+    return ("id: %d\ndata: %s %d\n\n" % (event, request, event)).encode()
+
+
+class Link(Server):
+    """Carries connections on to `port`; `trouble` harms them."""
+
+    troubles = ["delay", "reset", "one_way", "silence"]
+
+    def __init__(self, port):
+        super().__init__()
+        self.port = port
+        self.trouble = None
+
+    async def exchange(self, reader, writer):
+        if self.trouble == "reset":
+            return False
+        there_reader, there_writer = await asyncio.open_connection(
+            "127.0.0.1", self.port)
+        self.connections.add(there_writer)
+        there = asyncio.ensure_future(self.carry(reader, there_writer, True))
+        back = asyncio.ensure_future(self.carry(there_reader, writer, False))
+        try:
+            await asyncio.wait([there, back],
+                               return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in (there, back):
+                task.cancel()
+            self.connections.discard(there_writer)
+            there_writer.close()
+            if there.done() and not back.done():
+                writer.transport.abort()
+        writer.close()
+        return False
+
+    async def carry(self, reader, writer, forward):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if not data:
+                    await writer.drain()
+                    return
+                if self.trouble == "reset":
+                    writer.transport.abort()
+                    return
+                if self.trouble == "delay":
+                    await asyncio.sleep(0.15)
+                if self.trouble == "silence":
+                    continue
+                if self.trouble == "one_way" and not forward:
+                    continue
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            return
--- /dev/null
+++ b/utils/soak_lib/world.py
@@ -0,0 +1,212 @@
+"""The soak's deployment: stand-ins in this process, gateways as processes."""
+
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import tempfile
+
+from . import stand_ins
+
+ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..")
+PROGRAM = os.path.join(ROOT, "build", "corianderlink-gateway")
+HOST = "soak.example"
+DRAIN_S = 2.0
+CONFIG_APPLY_S = 2.0
+ROUTES = {
+    "unsafe": {"prefix": "/book/", "kind": "unsafe", "service": "shop",
+               "attempts": 1, "timeout_ms": 2500, "slo_ms": 150},
+    "safe": {"prefix": "/look/", "kind": "safe", "service": "shop",
+             "attempts": 2, "timeout_ms": 2500, "slo_ms": 150},
+    "stream": {"prefix": "/chat/", "kind": "stream", "service": "model",
+               "attempts": 2, "timeout_ms": 6000, "slo_ms": 200,
+               "resumable": True, "gap_aim_ms": 200},
+    "once": {"prefix": "/read/", "kind": "stream", "service": "model",
+             "attempts": 1, "timeout_ms": 4000, "slo_ms": 200,
+             "resumable": False, "gap_aim_ms": 200},
+}
+
+
+# Ports of this process, below those that the system gives to connections: a
+# gateway that is down for a while finds its ports free again.
+FIRST_PORT, PORTS, PORTS_EACH = 12000, 20000, 400
+_next_port = FIRST_PORT + os.getpid() * PORTS_EACH % PORTS
+
+
+def free_ports(count):
+    global _next_port
+    ports = []
+    while len(ports) < count:
+        port, _next_port = _next_port, _next_port + 1
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
+
+
+class Gateway:
+    """One gateway process; `down` while the soak has stopped it."""
+
+    def __init__(self, name, store_port, directory):
+        self.name = name
+        (self.front, self.ready, self.directory, self.peer,
+         self.admin) = free_ports(5)
+        self.store_port = store_port
+        self.file = os.path.join(directory, name + ".json")
+        self.log = os.path.join(directory, name + ".log")
+        self.process = None
+        self.expected_end = False
+        self.paused = False
+        self.own_ends = []
+
+    def write_settings(self, slack=50):
+        at = "127.0.0.1:%d"
+        with open(self.file, "w") as f:
+            json.dump({
+                "instance": self.name, "availability_zone": "zone-a",
+                "listen": {"front": at % self.front, "ready": at % self.ready,
+                           "directory": at % self.directory,
+                           "peer": at % self.peer, "admin": at % self.admin},
+                "store": at % self.store_port, "max_descriptors": 4096,
+                "stop_grace_s": 8, "directory_ttl_max_s": 5, "lease_s": 3,
+                "retries": {"ratio": 0.2, "slack": slack, "window_s": 10},
+            }, f)
+
+    def start(self):
+        self.expected_end = False
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(
+                [PROGRAM, "--settings", self.file], stdout=log, stderr=log)
+
+    @property
+    def running(self):
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number):
+        if self.running:
+            if number in (signal.SIGTERM, signal.SIGKILL):
+                self.expected_end = True
+            self.process.send_signal(number)
+
+    def check_alive(self):
+        if self.process and not self.expected_end and not self.running:
+            self.own_ends.append(self.process.returncode)
+            self.start()
+
+    def resident_mb(self):
+        try:
+            with open("/proc/%d/statm" % self.process.pid) as f:
+                return int(f.read().split()[1]) * 4096 / 1e6
+        except (OSError, IndexError, AttributeError):
+            return 0
+
+
+class World:
+    def __init__(self, seed, gateways, plain, engines):
+        self.random = random.Random(seed)
+        self.directory = tempfile.mkdtemp(prefix="corianderlink-soak-")
+        self.counts = (gateways, plain, engines)
+        self.store = stand_ins.Store()
+        self.store_links = []
+        self.gateways = []
+        self.upstreams = {}
+        self.links = {}
+        self.runs, self.arrivals = [], []
+        self.left = {}
+        self.config_version = 0
+        self.next_id = 0
+
+    async def start(self):
+        gateways, plain, engines = self.counts
+        store_port = free_ports(1)[0]
+        await self.store.listen(store_port)
+        self.put_config()
+        for i in range(plain):
+            await self.add_upstream("shop", None)
+        for i in range(engines):
+            await self.add_upstream("model",
+                                    "prefill" if i % 3 == 0 else "decode")
+        for i in range(gateways):
+            link = stand_ins.Link(store_port)
+            port = free_ports(1)[0]
+            await link.listen(port)
+            self.store_links.append(link)
+            gateway = Gateway("gateway-%d" % i, port, self.directory)
+            gateway.write_settings()
+            gateway.start()
+            self.gateways.append(gateway)
+
+    def put_config(self, timeout_factor=1.0):
+        self.config_version += self.random.randint(1, 5)
+        routes = []
+        for name, route in ROUTES.items():
+            routes.append(dict(route, name="r-" + name, host=HOST, priority=0,
+                               timeout_ms=route["timeout_ms"] * timeout_factor,
+                               sticky=route["kind"] == "stream"))
+        engine = {"slots": 32, "kv_capacity": 232000, "kv_token_bytes": 18432,
+                  "link_mbps": 2900000.0, "kv_ttl_s": 5.0}
+        services = [
+            {"name": "shop", "health_path": "/healthz", "max_conns": 100},
+            {"name": "model", "health_path": "/healthz", "max_conns": 200,
+             "engine": engine}]
+        limits = {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+                  "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+        self.store.put("op", "config", {
+            "version": self.config_version, "routes": routes,
+            "services": services, "limits": limits})
+
+    async def add_upstream(self, service, role, identity=None):
+        if identity is None:
+            self.next_id += 1
+            identity = "i-%04x" % self.next_id
+        upstream = stand_ins.Upstream(identity, service, role, self.runs,
+                                      self.arrivals)
+        inner, outer = free_ports(2)
+        await upstream.listen(inner)
+        link = stand_ins.Link(inner)
+        await link.listen(outer)
+        upstream.port = outer
+        self.upstreams[identity] = upstream
+        self.links[identity] = link
+        self.left.pop(identity, None)
+        self.put_upstream(upstream)
+        return upstream
+
+    def put_upstream(self, upstream, state="ready"):
+        row = {"service": upstream.service, "zone": "zone-a", "version": 1,
+               "addr": "127.0.0.1:%d" % upstream.port, "state": state,
+               "slots": upstream.slots, "cold_left_ms": 0, "seq": 1,
+               "born": 1}
+        if upstream.role:
+            row.update(phase=upstream.role,
+                       models=[{"name": "m", "version": 1, "adapters": []}])
+        return self.store.put("servers", upstream.identity, row)
+
+    async def remove_upstream(self, identity, planned):
+        """Takes an upstream away: announced and drained, or at once."""
+        upstream = self.upstreams.pop(identity)
+        link = self.links.pop(identity)
+        if planned:
+            self.left[identity] = self.put_upstream(upstream, "draining")
+            await asyncio.sleep(DRAIN_S + 1.5)
+        self.store.remove("servers", identity)
+        upstream.close()
+        link.close()
+
+    def stop(self):
+        for gateway in self.gateways:
+            if gateway.paused:
+                gateway.signal(signal.SIGCONT)
+            gateway.signal(signal.SIGKILL)
+            if gateway.process:
+                gateway.process.wait()
+        for server in ([self.store] + self.store_links +
+                       list(self.links.values()) +
+                       list(self.upstreams.values())):
+            server.close()
