[Gateway][Http1][Platform] Bound connections to an upstream; drop what nothing used

Cause: max_connections of a service was decoded and never used: with many gateways, each with its own kept connections, an upstream's limit could be passed, beyond which it resets connections. State and kept connections of upstreams that are gone stayed until they timed out. Change: a gateway has its part of an upstream's connections for requests in progress, and a new connection beyond it replaces an idle one; state of gone upstreams is dropped with them. A change of the retry settings no longer forgets the window. Removed: route priority, health path, engine slots, handle lifetime, requests in progress in heartbeats, the version in records requests, the followers' and calls' unread state. Tests: GatewaysStayWithinAnUpstreamsConnections, NewConnectionBeyondTheLimitReplacesAnIdleOne.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -98,6 +98,7 @@
   /// Asks a peer for what it knows and this gateway does not.
   void CatchUpWithPeers(Time now);
   void Housekeeping();
+  void CloseConnectionsToGoneUpstreams();
   void ContinueStop();
   std::string Dump(Time now) const;
 
--- a/include/corianderlink/Gateway/gateway_config.h
+++ b/include/corianderlink/Gateway/gateway_config.h
@@ -41,8 +41,6 @@
   Duration objective = seconds(1);
   /// Longest pause between events of a stream that is still in time.
   std::optional<Duration> event_gap;
-  /// 0 is the most urgent.
-  int priority = 0;
   /// Upstreams on which one request may run.
   int attempts = 1;
   /// A stream may go on at another upstream after an event.
@@ -57,18 +55,13 @@
 
 /// Properties of a service whose upstreams are model engines.
 struct EngineTraits {
-  /// Requests that one engine runs at once.
-  int slots = 1;
   uint64_t cache_tokens = 0;
   double cache_bytes_per_token = 0;
   double link_bytes_per_ms = 0;
-  /// How long an engine keeps a computed prompt for another engine.
-  Duration handle_ttl = seconds(5);
 };
 
 struct ServicePoolSpec {
   ServiceId id;
-  std::string health_path;
   /// Connections that one upstream accepts from all gateways together.
   int max_connections = 100;
   std::optional<EngineTraits> engine;
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -31,7 +31,6 @@
   uint64_t config_version = 0;
   /// Version of the store up to which the upstreams are known.
   uint64_t upstreams_version = 0;
-  uint32_t in_progress = 0;
   std::map<UpstreamId, LoadShare> shares;
   /// Prompts sent to engines since the last heartbeat.
   std::vector<PromptUse> uses;
@@ -78,7 +77,7 @@
   const PeerBusCounters& counters() const { return bus_.counters(); }
 
   /// Asks a live peer for records that the store does not give.
-  void AskForRecords(uint64_t have_config_version, bool needs_upstreams);
+  void AskForRecords(bool needs_upstreams);
 
   /// Fills in the answer to a peer that asks for records.
   std::function<PeerRecords(bool needs_upstreams)> on_records_request;
--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -115,6 +115,12 @@
   std::vector<PromptUse> TakeRecentUses();
   /// Gateways that share the engines, this one included.
   void SetGateways(size_t gateways) { gateways_ = gateways; }
+  /// Connections that one upstream of a service accepts from all gateways.
+  void SetMaxConnections(const ServiceId& service, int connections) {
+    max_connections_[service] = connections;
+  }
+  /// This gateway's part of them, for requests in progress.
+  size_t ConnectionShare(const ServiceId& service) const;
   /// Engines that get no new work; replaces the source's earlier set.
   void SetHeld(Time now, const std::string& source,
                const std::set<UpstreamId>& held);
@@ -204,6 +210,7 @@
   std::map<std::string, HeldSet> held_;
   std::set<UpstreamId> replaced_;
   std::map<ServiceId, AdmissionShare> shares_;
+  std::map<ServiceId, int> max_connections_;
   size_t gateways_ = 1;
   const Duration peer_timeout_;
 };
--- a/include/corianderlink/Gateway/retry_window.h
+++ b/include/corianderlink/Gateway/retry_window.h
@@ -29,12 +29,13 @@
   /// Takes one extra arrival out of the budget, if there is one; `gateways`
   /// share the slack.
   bool TryRetry(Time now, size_t gateways);
-  size_t retries(Time now);
+  /// Applies to what was counted so far, too.
+  void SetLimits(const RetryLimits& limits) { limits_ = limits; }
 
  private:
   void Expire(Time now);
 
-  const RetryLimits limits_;
+  RetryLimits limits_;
   std::deque<Time> requests_;
   std::deque<Time> retries_;
 };
--- a/include/corianderlink/Gateway/speed_model.h
+++ b/include/corianderlink/Gateway/speed_model.h
@@ -22,7 +22,12 @@
   void Observe(const UpstreamRecord& upstream, double predicted_ms,
                double observed_ms);
   double Factor(const UpstreamRecord& upstream) const;
-  void Forget(const UpstreamId& id) { factors_.erase(id); }
+  /// Forgets the upstreams for which `gone` holds.
+  template <typename Predicate>
+  void ForgetIf(Predicate gone) {
+    std::erase_if(factors_,
+                  [&](const auto& entry) { return gone(entry.first); });
+  }
 
  private:
   std::unordered_map<UpstreamId, double> factors_;
--- a/include/corianderlink/Gateway/table_follower.h
+++ b/include/corianderlink/Gateway/table_follower.h
@@ -36,10 +36,6 @@
         handlers_(std::move(handlers)) {}
 
   void Start() { ReadAll(); }
-  bool reachable() const { return reachable_; }
-  /// When the store last answered.
-  Time last_answer() const { return last_answer_; }
-  bool loaded() const { return loaded_; }
 
  private:
   // A watch answers after this time even if nothing changed.
@@ -92,7 +88,6 @@
   }
 
   void OnAnswered() {
-    last_answer_ = BootClock::now();
     retry_ = kFirstRetry;
     if (reachable_) return;
     reachable_ = true;
@@ -116,7 +111,6 @@
   uint64_t version_ = 0;
   bool loaded_ = false;
   bool reachable_ = true;
-  Time last_answer_{};
   Duration retry_ = kFirstRetry;
   EventHandle timer_;
 };
--- a/include/corianderlink/Gateway/upstream_load.h
+++ b/include/corianderlink/Gateway/upstream_load.h
@@ -73,6 +73,8 @@
   uint32_t Requests(Time now, const UpstreamId& upstream) const {
     return Total(now, upstream).requests;
   }
+  /// Requests in progress, of this gateway.
+  size_t OwnRequests(const UpstreamId& upstream) const;
   /// Own requests that wait for computing longer than `limit`, while nothing
   /// was computed since: the upstream seems to hang.
   bool Stalled(Time now, const UpstreamId& upstream, Duration limit) const;
--- a/include/corianderlink/Http1/upstream_call.h
+++ b/include/corianderlink/Http1/upstream_call.h
@@ -22,6 +22,9 @@
   std::string body;
   /// A kept connection that was idle for longer is not used for this request.
   Duration max_idle = seconds(60);
+  /// Connections to the upstream, busy and idle: a new one beyond them takes
+  /// the place of an idle one.
+  size_t max_connections = 100;
   /// Longest time for a new connection to be made.
   Duration connect_timeout = milliseconds(300);
   /// A response answers this request only if this holds; other responses on
@@ -46,8 +49,6 @@
   virtual void Cancel() = 0;
   virtual void PauseReading() = 0;
   virtual void ResumeReading() = 0;
-  /// True once a byte of the request was handed to a connected socket.
-  virtual bool bytes_sent() const = 0;
 };
 
 }  // namespace corianderlink
--- a/include/corianderlink/Http1/upstream_pool.h
+++ b/include/corianderlink/Http1/upstream_pool.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "corianderlink/Http/event_loop.h"
 #include "corianderlink/Http1/upstream_call.h"
@@ -28,6 +29,8 @@
                                       UpstreamHandlers handlers);
   /// Connections to an upstream, busy and idle.
   size_t Connections(const Address& address) const;
+  /// Upstreams to which there are idle connections.
+  std::vector<Address> IdleAddresses() const;
   size_t IdleConnections(const Address& address) const;
   /// Closes idle connections to an upstream that is gone.
   void Forget(const Address& address);
@@ -36,6 +39,7 @@
  private:
   friend class UpstreamConnection;
 
+  void CloseOldestIdle(const Address& address);
   void Keep(std::shared_ptr<UpstreamConnection> connection);
   void Remove(UpstreamConnection* connection);
   std::shared_ptr<UpstreamConnection> TakeIdle(Time now, const Address& address,
--- a/include/corianderlink/Routing/ejector.h
+++ b/include/corianderlink/Routing/ejector.h
@@ -35,8 +35,12 @@
   bool Ejected(Time now, const Address& upstream) const;
   /// 1 in normal use; grows from 0.1 to 1 over the ramp after a return.
   double Share(Time now, const Address& upstream) const;
-  /// Forgets an upstream that is no longer in force.
-  void Forget(const Address& upstream) { states_.erase(upstream); }
+  /// Forgets the upstreams for which `gone` holds.
+  template <typename Predicate>
+  void ForgetIf(Predicate gone) {
+    std::erase_if(states_,
+                  [&](const auto& entry) { return gone(entry.first); });
+  }
 
  private:
   struct State {
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -121,7 +121,7 @@
   settings_.retries = settings.retries;
   settings_.stop_grace = settings.stop_grace;
   settings_.directory_ttl_max = settings.directory_ttl_max;
-  if (retries_changed) retries_.clear();
+  for (auto& [service, window] : retries_) window.SetLimits(settings.retries);
   Log(LogLevel::kInfo, "settings_reloaded",
       {{"retries_changed", retries_changed ? "yes" : "no"}});
 }
@@ -170,6 +170,9 @@
        {"routes", static_cast<uint64_t>(config->routes.size())}});
   routes_ = RouteTable(config);
   front_.SetLimits(config->limits);
+  for (const auto& [id, service] : config->services) {
+    placer_.SetMaxConnections(id, service.max_connections);
+  }
   metrics_.Set("gateway_config_version", static_cast<double>(config->version));
 }
 
@@ -378,7 +381,7 @@
   if (!behind_since_) behind_since_ = now;
   const bool started = book_.upstreams_loaded() && book_.config() != nullptr;
   if (started && now - *behind_since_ < kCatchUpAfter) return;
-  peers_.AskForRecords(book_.config_version(), upstreams_behind);
+  peers_.AskForRecords(upstreams_behind);
 }
 
 void Gateway::Housekeeping() {
@@ -389,6 +392,7 @@
   placer_.directory().Expire(now);
   placer_.load().ExpirePeers(now);
   placer_.Prune();
+  CloseConnectionsToGoneUpstreams();
   metrics_.Set("gateway_client_connections",
                static_cast<double>(front_.connections()));
   metrics_.Set("gateway_upstream_connects",
@@ -396,6 +400,16 @@
   metrics_.Set("gateway_peers", static_cast<double>(peers_.Live(now).size()));
 }
 
+void Gateway::CloseConnectionsToGoneUpstreams() {
+  std::set<Address> present;
+  for (const auto& [id, upstream] : placer_.directory().records()) {
+    present.insert(upstream.address);
+  }
+  for (const Address& address : pool_.IdleAddresses()) {
+    if (present.count(address) == 0) pool_.Forget(address);
+  }
+}
+
 void Gateway::BeginStop() {
   if (leaving_) return;
   leaving_ = true;
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -36,7 +36,6 @@
   heartbeat.set_upstreams_version(status.upstreams_version);
   heartbeat.set_leaving(status.leaving);
   heartbeat.set_ready(status.ready);
-  heartbeat.set_in_flight(status.in_progress);
   heartbeat.set_entry_address(status.front.ToString());
   heartbeat.set_peer_address(status.peer.ToString());
   for (const auto& [id, load] : status.shares) {
@@ -77,7 +76,6 @@
   status.upstreams_version = heartbeat.upstreams_version();
   status.leaving = heartbeat.leaving();
   status.ready = heartbeat.ready();
-  status.in_progress = heartbeat.in_flight();
   status.front = Address::Parse(heartbeat.entry_address()).value_or(Address{});
   status.peer = Address::Parse(heartbeat.peer_address()).value_or(Address{});
   for (const wire::EngineShare& share : heartbeat.shares()) {
@@ -158,13 +156,11 @@
   if (message.has_records_answer()) OnRecordsAnswer(message);
 }
 
-void GatewayPeers::AskForRecords(uint64_t have_config_version,
-                                 bool needs_upstreams) {
+void GatewayPeers::AskForRecords(bool needs_upstreams) {
   for (const GatewayPeer* peer : Live(BootClock::now())) {
     if (!peer->status.ready) continue;
     wire::Envelope message;
     wire::RecordsRequest* request = message.mutable_records_request();
-    request->set_have_config_version(have_config_version);
     request->set_needs_upstreams(needs_upstreams);
     request->set_peer_address(own_address_.ToString());
     bus_.Send(peer->status.peer, message);
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -55,6 +55,10 @@
 // Share of an engine's memory that holds parts; the rest is in use by running
 // requests.
 constexpr double kCacheShare = 0.85;
+// Connections to an upstream whose limit is not known.
+constexpr size_t kDefaultConnections = 50;
+// The rest is for probes, orders and gateways that come and go.
+constexpr double kUsableConnections = 0.9;
 // Prompts kept for the peers between two heartbeats.
 constexpr size_t kMaxRecentUses = 512;
 
@@ -109,9 +113,20 @@
   if (excluded != nullptr && excluded->count(upstream.id) > 0) return true;
   if (replaced_.count(upstream.id) > 0) return true;
   if (load_.Stalled(now, upstream.id, limits_.stall)) return true;
+  if (load_.OwnRequests(upstream.id) >= ConnectionShare(upstream.service)) {
+    return true;
+  }
   return ejector_.Ejected(now, upstream.address) || Held(now, upstream.id);
 }
 
+size_t Placer::ConnectionShare(const ServiceId& service) const {
+  const auto it = max_connections_.find(service);
+  if (it == max_connections_.end()) return kDefaultConnections;
+  const double share = kUsableConnections * it->second /
+                       static_cast<double>(std::max<size_t>(gateways_, 1));
+  return std::max<size_t>(1, static_cast<size_t>(share));
+}
+
 bool Placer::Held(Time now, const UpstreamId& id) const {
   for (const auto& [source, held] : held_) {
     if (now - held.heard > peer_timeout_) continue;
@@ -470,6 +485,13 @@
   };
   std::erase_if(caches_, [&](const auto& entry) { return gone(entry.first); });
   std::erase_if(replaced_, gone);
+  speed_.ForgetIf(gone);
+  std::set<Address> present;
+  for (const auto& [id, record] : directory_.records()) {
+    present.insert(record.address);
+  }
+  ejector_.ForgetIf(
+      [&](const Address& address) { return present.count(address) == 0; });
   load_.ForgetIf(gone);
 }
 
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -183,6 +183,7 @@
   request.fields = context_.codec.encode_request(exchange_->head(), directions);
   request.body = exchange_->body();
   request.max_idle = route_.idempotent() ? kMaxIdle : kMaxIdleNonIdempotent;
+  request.max_connections = context_.placer.ConnectionShare(service_.id);
   request.connect_timeout = kConnectTimeout;
   request.answers = [codec = &context_.codec, id = request_.id,
                      upstream =
--- a/lib/Gateway/retry_window.cc
+++ b/lib/Gateway/retry_window.cc
@@ -35,9 +35,4 @@
   return true;
 }
 
-size_t RetryWindow::retries(Time now) {
-  Expire(now);
-  return retries_.size();
-}
-
 }  // namespace corianderlink
--- a/lib/Gateway/upstream_load.cc
+++ b/lib/Gateway/upstream_load.cc
@@ -151,6 +151,11 @@
   return total;
 }
 
+size_t UpstreamLoad::OwnRequests(const UpstreamId& upstream) const {
+  const auto own = own_.find(upstream);
+  return own == own_.end() ? 0 : own->second.dispatches.size();
+}
+
 bool UpstreamLoad::Stalled(Time now, const UpstreamId& upstream,
                            Duration limit) const {
   const auto own = own_.find(upstream);
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -28,7 +28,6 @@
   void Cancel() override;
   void PauseReading() override;
   void ResumeReading() override;
-  bool bytes_sent() const override { return request_bytes_sent_; }
 
   const Address& address() const { return address_; }
   /// When the connection became idle.
--- a/lib/Http1/upstream_pool.cc
+++ b/lib/Http1/upstream_pool.cc
@@ -17,6 +17,9 @@
   auto connection =
       TakeIdle(BootClock::now(), request.address, request.max_idle);
   if (!connection) {
+    if (Connections(request.address) >= request.max_connections) {
+      CloseOldestIdle(request.address);
+    }
     connection =
         std::make_shared<UpstreamConnection>(*this, loop_, request.address);
     ++open_[request.address];
@@ -42,6 +45,19 @@
   }
 }
 
+void UpstreamPool::CloseOldestIdle(const Address& address) {
+  const auto it = idle_.find(address);
+  if (it == idle_.end() || it->second.empty()) return;
+  const std::shared_ptr<UpstreamConnection> oldest = it->second.front();
+  oldest->Close();
+}
+
+std::vector<Address> UpstreamPool::IdleAddresses() const {
+  std::vector<Address> addresses;
+  for (const auto& [address, idle] : idle_) addresses.push_back(address);
+  return addresses;
+}
+
 void UpstreamPool::Keep(std::shared_ptr<UpstreamConnection> connection) {
   idle_[connection->address()].push_back(std::move(connection));
 }
--- a/unittests/Gateway/placer_test.cc
+++ b/unittests/Gateway/placer_test.cc
@@ -34,7 +34,6 @@
     EjectorLimits ejector;
     placer_ = std::make_unique<Placer>(PlacerLimits{}, ejector, seconds(1),
                                        ZoneId("z"));
-    engine_.slots = 32;
     engine_.cache_tokens = 200000;
     engine_.link_bytes_per_ms = 1e9;
     engine_.cache_bytes_per_token = 300000;
@@ -234,6 +233,24 @@
   for (const auto& [engine, count] : streams) EXPECT_LE(count, 32);
 }
 
+// Beyond its limit an upstream resets connections; all gateways together stay
+// below it, each in its part.
+TEST_F(PlacerTest, GatewaysStayWithinAnUpstreamsConnections) {
+  placer_->directory().Put(Record("s0", kShop, UpstreamRole::kPlain, 100));
+  placer_->directory().Put(Record("s1", kShop, UpstreamRole::kPlain, 100));
+  placer_->SetMaxConnections(kShop, 40);
+  placer_->SetGateways(4);
+  std::map<UpstreamId, int> sent;
+  for (int i = 0; i < 30; ++i) {
+    const auto result = placer_->PlacePlain(kStart, kShop, {});
+    if (!result.placement) break;
+    ++sent[result.placement->upstream.id];
+    placer_->OnDispatch(kStart, *result.placement, nullptr);
+  }
+  EXPECT_EQ(sent[UpstreamId("s0")], 9);
+  EXPECT_EQ(sent[UpstreamId("s1")], 9);
+}
+
 TEST_F(PlacerTest, ResumedStreamTakesAnyEngine) {
   AddEngines(0, 1);
   const Prompt prompt = LongPrompt(1, 2);
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -48,6 +48,8 @@
     request.method = "POST";
     request.fields = {{"Id", id}};
     request.body = body;
+    request.max_idle = max_idle_;
+    request.max_connections = max_connections_;
     request.answers = [id](const ResponseHead& head) {
       const std::string* got = FindField(head.fields, "Id");
       return got != nullptr && *got == id;
@@ -72,6 +74,8 @@
     loop_.Run();
   }
 
+  Duration max_idle_ = seconds(60);
+  size_t max_connections_ = 100;
   EventLoop loop_;
   UpstreamPool pool_{loop_};
   std::shared_ptr<UpstreamCall> call_;
@@ -88,6 +92,23 @@
   RunFor(milliseconds(10));
 }
 
+TEST_F(UpstreamPoolTest, NewConnectionBeyondTheLimitReplacesAnIdleOne) {
+  RawPeer peer([](int fd) {
+    while (ReadUntil(fd, "\r\n\r\n")) Write(fd, Answer("1", "x"));
+  });
+  EXPECT_TRUE(Call(peer.address, "1").ended);
+  EXPECT_EQ(pool_.IdleAddresses().size(), 1U);
+  // Too old for the second request, but still open.
+  max_idle_ = Duration::zero();
+  max_connections_ = 1;
+  RunFor(milliseconds(5));
+  EXPECT_TRUE(Call(peer.address, "1").ended);
+  EXPECT_EQ(pool_.connects(), 2U);
+  EXPECT_EQ(pool_.Connections(peer.address), 1U);
+  pool_.Forget(peer.address);
+  RunFor(milliseconds(10));
+}
+
 TEST_F(UpstreamPoolTest, SkipsALateResponseToAnotherRequest) {
   RawPeer peer([](int fd) {
     if (!ReadUntil(fd, "\r\n\r\n")) return;
--- a/unittests/PlatformAdapter/codecs_test.cc
+++ b/unittests/PlatformAdapter/codecs_test.cc
@@ -116,7 +116,6 @@
   EXPECT_EQ(config->routes[0].objective, Duration(milliseconds(120)));
   EXPECT_FALSE(config->routes[1].idempotent());
   EXPECT_EQ(config->routes[1].services.size(), 2U);
-  EXPECT_EQ(config->services.at(ServiceId("s")).engine->slots, 32);
   EXPECT_FALSE(config->services.at(ServiceId("t")).engine);
   EXPECT_EQ(config->limits.idle_timeout, Duration(seconds(15)));
 }
