--- a/unittests/Gateway/admission_share_test.cc
+++ b/unittests/Gateway/admission_share_test.cc
@@ -112,7 +112,7 @@
   return result;
 }
 
-// Estimates are wrong in a flood, up to twice: the engines are nevertheless
+// Estimates are wrong in a flood, by up to half: the engines are nevertheless
 // kept busy, and most of what is sent is in time.
 TEST(AdmissionShareTest, WrongEstimatesNeitherIdleNorFloodTheEngines) {
   constexpr int kLengthS = 6;
