--- a/utils/soak.py
+++ b/utils/soak.py
@@ -37,8 +37,10 @@
         self.log = []
         self.plan = []
         kinds = [self.stop, self.kill, self.kill_all, self.pause, self.reload,
-                 self.store, self.store_link, self.upstream, self.upstream_link,
-                 self.crash, self.drain, self.new_config, self.cut_all]
+                 self.store, self.store_link, self.upstream_link, self.crash,
+                 self.drain, self.new_config, self.cut_all]
+        # Upstreams go wrong in most ways.
+        kinds += 5 * [self.upstream]
         at = 0.0
         while at < length_s:
             kind = self.random.choice(kinds)
