--- a/utils/soak_lib/checks.py
+++ b/utils/soak_lib/checks.py
@@ -93,7 +93,7 @@
         left = deployment.left.get(identity)
         if left is None or request is None:
             continue
-        if at > left + world.DRAIN_S and not troubled(left - 3, at):
+        if at > left + world.DRAIN_S and not troubled(left, at):
             broken.append("DRAIN %s reached %s %.1f s after it announced its "
                           "end" % (request, identity, at - left))
     return broken
