[Gateway] One set of the upstreams' addresses; compute cached tokens once for a candidate

Cause, found reading the change again: Placer::Prune and the gateway's housekeeping each built the set of addresses that are present; a choice built the list of usable engines twice and looked up the cached tokens of each candidate twice; AdmissionShare::room and two members of the soak's clients had no reader. Change: UpstreamDirectory::Addresses; the list and the tokens are passed on; dead members removed. Behaviour unchanged.

--- a/include/corianderlink/Gateway/admission_share.h
+++ b/include/corianderlink/Gateway/admission_share.h
@@ -28,11 +28,10 @@
   /// A prompt that was sent was computed after `used`, as a share of the time
   /// in which it had to be.
   void OnComputed(Time now, double used);
-  /// Estimated engine time that counts as one engine's, in milliseconds for
-  /// each millisecond.
-  double room() const { return room_; }
 
  private:
+  // Estimated engine time that counts as one engine's, in milliseconds for each
+  // millisecond.
   double room_ = 1.25;
   double left_ms_ = 0;
   Time earned_at_{};
--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -151,6 +151,7 @@
   struct Candidate {
     const UpstreamRecord* upstream = nullptr;
     LoadShare load;
+    uint32_t cached_tokens = 0;
     double cost_ms = 0;
     double reluctance_ms = 0;
   };
@@ -177,9 +178,10 @@
                    const PlacementQuery& query);
   bool Avoided(Time now, const UpstreamRecord& upstream,
                const std::set<UpstreamId>* excluded) const;
-  /// The upstreams that may take a prompt.
-  std::vector<Candidate> Candidates(Time now,
-                                    const PlacementQuery& query) const;
+  /// Those of the usable upstreams that may take a prompt.
+  std::vector<Candidate> Candidates(
+      Time now, const PlacementQuery& query,
+      const std::vector<const UpstreamRecord*>& usable) const;
   /// Adds what it costs to read shared parts away from their home.
   void AddDisplacement(const Prompt& prompt,
                        std::vector<Candidate>& candidates) const;
--- a/include/corianderlink/Gateway/upstream_directory.h
+++ b/include/corianderlink/Gateway/upstream_directory.h
@@ -38,6 +38,8 @@
   const UpstreamRecord* Find(const UpstreamId& id) const;
   /// Upstreams of a service that take new work.
   std::vector<const UpstreamRecord*> Usable(const ServiceId& service) const;
+  /// Addresses of all upstreams.
+  std::set<Address> Addresses() const;
   const std::map<UpstreamId, UpstreamRecord>& records() const {
     return records_;
   }
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -401,10 +401,7 @@
 }
 
 void Gateway::CloseConnectionsToGoneUpstreams() {
-  std::set<Address> present;
-  for (const auto& [id, upstream] : placer_.directory().records()) {
-    present.insert(upstream.address);
-  }
+  const std::set<Address> present = placer_.directory().Addresses();
   for (const Address& address : pool_.IdleAddresses()) {
     if (present.count(address) == 0) pool_.Forget(address);
   }
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -214,16 +214,18 @@
 }
 
 std::vector<Placer::Candidate> Placer::Candidates(
-    Time now, const PlacementQuery& query) const {
+    Time now, const PlacementQuery& query,
+    const std::vector<const UpstreamRecord*>& usable) const {
   std::vector<Candidate> candidates;
   const Duration peer_age = load_.PeerAge(now);
-  for (const UpstreamRecord* upstream : directory_.Usable(query.service)) {
+  for (const UpstreamRecord* upstream : usable) {
     if (Avoided(now, *upstream, query.excluded)) continue;
     Candidate candidate;
     candidate.upstream = upstream;
     candidate.load = load_.Total(now, upstream->id);
-    const uint32_t cached = CachedTokens(*upstream, *query.prompt);
-    candidate.cost_ms = speed_.ComputeMs(*upstream, *query.prompt, cached);
+    candidate.cached_tokens = CachedTokens(*upstream, *query.prompt);
+    candidate.cost_ms =
+        speed_.ComputeMs(*upstream, *query.prompt, candidate.cached_tokens);
     candidate.reluctance_ms = Reluctance(candidate, query) +
                               Unseen(upstream->id, query.seed, peer_age);
     candidates.push_back(candidate);
@@ -243,12 +245,11 @@
     const uint64_t rank = HomeRank(*key, candidate.upstream->id);
     if (home.second == nullptr || rank > home.first) home = {rank, &candidate};
   }
+  const uint32_t shared = prompt.tokens - prompt.parts.back().tokens;
   for (Candidate& candidate : candidates) {
     if (homes[candidate.upstream->role].second == &candidate) continue;
-    const uint32_t cached = CachedTokens(*candidate.upstream, prompt);
-    const uint32_t shared = prompt.tokens - prompt.parts.back().tokens;
-    const double held_ms =
-        speed_.ComputeMs(*candidate.upstream, prompt, std::max(cached, shared));
+    const double held_ms = speed_.ComputeMs(
+        *candidate.upstream, prompt, std::max(candidate.cached_tokens, shared));
     candidate.reluctance_ms +=
         kDisplacementShare * (candidate.cost_ms - held_ms);
   }
@@ -335,10 +336,11 @@
 PlacementResult Placer::PlacePrompt(Time now, const PlacementQuery& query) {
   PlacementResult result;
   AdmissionShare& share = shares_[query.service];
-  share.Earn(now, directory_.Usable(query.service).size(), gateways_);
+  const auto usable = directory_.Usable(query.service);
+  share.Earn(now, usable.size(), gateways_);
   const bool express = query.prompt->tokens <= kExpressTokens;
   const WorkTier first = express ? WorkTier::kExpress : WorkTier::kTimely;
-  const std::vector<Candidate> candidates = Candidates(now, query);
+  const std::vector<Candidate> candidates = Candidates(now, query, usable);
   const std::optional<Placement> timely = Best(candidates, query, first);
   const double bound_ms = query.objective_left_ms * limits_.objective_share;
   const double late_bound_ms = query.deadline_left_ms * limits_.deadline_share;
@@ -486,10 +488,7 @@
   std::erase_if(caches_, [&](const auto& entry) { return gone(entry.first); });
   std::erase_if(replaced_, gone);
   speed_.ForgetIf(gone);
-  std::set<Address> present;
-  for (const auto& [id, record] : directory_.records()) {
-    present.insert(record.address);
-  }
+  const std::set<Address> present = directory_.Addresses();
   ejector_.ForgetIf(
       [&](const Address& address) { return present.count(address) == 0; });
   load_.ForgetIf(gone);
--- a/lib/Gateway/upstream_directory.cc
+++ b/lib/Gateway/upstream_directory.cc
@@ -71,6 +71,12 @@
   return it == records_.end() ? nullptr : &it->second;
 }
 
+std::set<Address> UpstreamDirectory::Addresses() const {
+  std::set<Address> addresses;
+  for (const auto& [id, record] : records_) addresses.insert(record.address);
+  return addresses;
+}
+
 std::vector<const UpstreamRecord*> UpstreamDirectory::Usable(
     const ServiceId& service) const {
   std::vector<const UpstreamRecord*> usable;
--- a/utils/soak_lib/clients.py
+++ b/utils/soak_lib/clients.py
@@ -6,7 +6,7 @@
 
 from . import http1, stand_ins, world
 
-KINDS = ["unsafe", "safe", "stream", "once"]
+KINDS = list(world.ROUTES)
 
 
 class Request:
@@ -22,7 +22,6 @@
         self.answer = b""
         self.complete = False
         self.left_at = None
-        self.gateway = None
         self.refused_for_s = None
 
 
@@ -90,7 +89,6 @@
         if port is None:
             return request
         self.requests[identity] = request
-        request.gateway = port
         limit_s = route["timeout_ms"] / 1000 + 2
         leave_s = limit_s
         if self.random.random() < 0.08:
