[Utils] Soak: gateways are peers, and a connection that lost bytes does not go on

The logs show peer_frame_refused, other deployment: each gateway had a store address of its own, which names the deployment, so none took its peers' news; and a link dropped bytes and then carried the same connection on, which TCP never does, so that one gateway waited up to 25 s for the answer of its watch. Change: all gateways reach the store through one link, which harms half of its connections; a connection that lost bytes is cut when the trouble ends.

--- a/utils/soak.py
+++ b/utils/soak.py
@@ -135,9 +135,9 @@
         return await self.harm(self.world.store, trouble, for_s)
 
     async def store_link(self, for_s):
-        link = self.random.choice(self.world.store_links)
         return await self.harm(
-            link, self.random.choice(stand_ins.Link.troubles), for_s)
+            self.world.store_link, self.random.choice(stand_ins.Link.troubles),
+            for_s)
 
     def some_upstream(self):
         return self.random.choice(sorted(self.world.upstreams))
@@ -173,8 +173,7 @@
         return str(self.world.config_version)
 
     async def cut_all(self, for_s):
-        for server in (list(self.world.links.values()) +
-                       self.world.store_links):
+        for server in list(self.world.links.values()) + [self.world.store_link]:
             server.cut()
         return "all"
 
--- a/utils/soak_lib/stand_ins.py
+++ b/utils/soak_lib/stand_ins.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import json
+import random
 import time
 from urllib.parse import parse_qs, urlsplit
 
@@ -327,23 +328,30 @@
 
 
 class Link(Server):
-    """Carries connections on to `port`; `trouble` harms them."""
+    """Carries connections on to `port`; `trouble` harms `share` of them.
+
+    A connection that lost bytes cannot go on: it is cut when the trouble ends.
+    """
 
     troubles = ["delay", "reset", "one_way", "silence"]
 
-    def __init__(self, port):
+    def __init__(self, port, share=1.0):
         super().__init__()
         self.port = port
+        self.share = share
         self.trouble = None
 
     async def exchange(self, reader, writer):
-        if self.trouble == "reset":
+        harmed = random.random() < self.share
+        if harmed and self.trouble == "reset":
             return False
         there_reader, there_writer = await asyncio.open_connection(
             "127.0.0.1", self.port)
         self.connections.add(there_writer)
-        there = asyncio.ensure_future(self.carry(reader, there_writer, True))
-        back = asyncio.ensure_future(self.carry(there_reader, writer, False))
+        there = asyncio.ensure_future(
+            self.carry(reader, there_writer, True, harmed))
+        back = asyncio.ensure_future(
+            self.carry(there_reader, writer, False, harmed))
         try:
             await asyncio.wait([there, back],
                                return_when=asyncio.FIRST_COMPLETED)
@@ -357,22 +365,25 @@
         writer.close()
         return False
 
-    async def carry(self, reader, writer, forward):
+    async def carry(self, reader, writer, forward, harmed):
         try:
             while True:
                 data = await reader.read(65536)
                 if not data:
                     await writer.drain()
                     return
-                if self.trouble == "reset":
+                trouble = self.trouble if harmed else None
+                if trouble == "reset":
                     writer.transport.abort()
                     return
-                if self.trouble == "delay":
+                if trouble == "delay":
                     await asyncio.sleep(0.15)
-                if self.trouble == "silence":
-                    continue
-                if self.trouble == "one_way" and not forward:
-                    continue
+                one_way = trouble == "one_way" and not forward
+                if trouble == "silence" or one_way:
+                    while self.trouble == trouble:
+                        await asyncio.sleep(0.05)
+                    writer.transport.abort()
+                    return
                 writer.write(data)
                 await writer.drain()
         except ConnectionError:
--- a/utils/soak_lib/world.py
+++ b/utils/soak_lib/world.py
@@ -15,7 +15,6 @@
 PROGRAM = os.path.join(ROOT, "build", "corianderlink-gateway")
 HOST = "soak.example"
 DRAIN_S = 2.0
-CONFIG_APPLY_S = 2.0
 ROUTES = {
     "unsafe": {"prefix": "/book/", "kind": "unsafe", "service": "shop",
                "attempts": 1, "timeout_ms": 2500, "slo_ms": 150},
@@ -51,7 +50,7 @@
 
 
 class Gateway:
-    """One gateway process; `down` while the soak has stopped it."""
+    """One gateway process, which the soak stops, pauses and starts again."""
 
     def __init__(self, name, store_port, directory):
         self.name = name
@@ -113,7 +112,7 @@
         self.directory = tempfile.mkdtemp(prefix="corianderlink-soak-")
         self.counts = (gateways, plain, engines)
         self.store = stand_ins.Store()
-        self.store_links = []
+        self.store_link = None
         self.gateways = []
         self.upstreams = {}
         self.links = {}
@@ -132,11 +131,12 @@
         for i in range(engines):
             await self.add_upstream("model",
                                     "prefill" if i % 3 == 0 else "decode")
+        # One address of the store for all: gateways with other stores belong to
+        # other deployments.
+        self.store_link = stand_ins.Link(store_port, share=0.5)
+        port = free_ports(1)[0]
+        await self.store_link.listen(port)
         for i in range(gateways):
-            link = stand_ins.Link(store_port)
-            port = free_ports(1)[0]
-            await link.listen(port)
-            self.store_links.append(link)
             gateway = Gateway("gateway-%d" % i, port, self.directory)
             gateway.write_settings()
             gateway.start()
@@ -206,7 +206,7 @@
             gateway.signal(signal.SIGKILL)
             if gateway.process:
                 gateway.process.wait()
-        for server in ([self.store] + self.store_links +
+        for server in ([self.store, self.store_link] +
                        list(self.links.values()) +
                        list(self.upstreams.values())):
             server.close()
