[Membership] Relay the holds of stopped fleet processes to new entries

Cause: RollingStopUnderLoadCutsAndRefusesNothing, the known red test. A trace of the hold table in four runs shows that a restarted entry waits for the fleet process of the next instance in the rolling stop: that process ends at once while its entry drains for seconds, so it is never heard, and the entry sends nothing for up to 3 s while chats have 2 s. Ruled out: reconnect delays (all other processes were heard within 0.1 s) and engines without room. Change: an entry that may send relays the last announcements of silent listed fleet processes in its heartbeats; a new entry takes them over with their age. The first dispatch is logged with the time waited.

--- a/include/corianderlink/Membership/hold_table.h
+++ b/include/corianderlink/Membership/hold_table.h
@@ -31,16 +31,25 @@
 class HoldTable {
  public:
   /// `started` is the start time of this process.  A new process does not know
-  /// the holds yet, so it sends no requests until it has received a heartbeat
-  /// from every listed fleet process, or until `start_wait` has passed.  Holds
-  /// of a process whose heartbeats stop are kept for `silent_ttl`, since its
-  /// order may still reach the engine.
+  /// the holds yet, so it sends no requests until it knows the announcement of
+  /// every listed fleet process, from its heartbeat or from another entry, or
+  /// until `start_wait` has passed.  Holds of a process whose heartbeats stop
+  /// are kept for `silent_ttl`, since its order may still reach the engine.
   HoldTable(Time started, Duration start_wait, Duration silent_ttl)
       : started_(started), start_wait_(start_wait), silent_ttl_(silent_ttl) {}
 
   /// Applies the holds in a heartbeat of a fleet process.
   void OnHeartbeat(Time now, const ProcessId& process,
                    const wire::Heartbeat& heartbeat);
+  /// Adds the last announcements of listed fleet processes that have been
+  /// silent for longer than `silence` to this entry's heartbeat, if this entry
+  /// may send requests.
+  void RelaySilent(Time now, Duration silence,
+                   const std::set<std::string>& listed,
+                   wire::Heartbeat& heartbeat) const;
+  /// Applies the announcements that another entry relays, of processes whose
+  /// own heartbeats were not received.
+  void OnEntryHeartbeat(Time now, const wire::Heartbeat& heartbeat);
   /// Drops the holds of processes without a heartbeat for `silent_ttl`.
   void Expire(Time now);
 
@@ -57,6 +66,7 @@
  private:
   /// The holds of one fleet process.
   struct Announcement {
+    std::string instance;
     Time last_heartbeat{};
     Holds holds;
   };
--- a/include/corianderlink/Serving/chat_scheduler.h
+++ b/include/corianderlink/Serving/chat_scheduler.h
@@ -58,7 +58,9 @@
  private:
   void PreemptForUrgent(const PendingRequest& urgent);
   void ExpireQueued();
-  bool CanDispatch(Time now) const;
+  bool CanDispatch(Time now);
+  /// Ids of the instances in the platform's list.
+  std::set<std::string> ListedInstances() const;
   void UpdateHolds();
   void MigrateHeldStreams();
   void RemoveDeadPeers();
@@ -69,7 +71,9 @@
   RetryBudget retry_budget_;
   std::unordered_map<RequestId, std::shared_ptr<ChatTask>> tasks_;
   std::map<AccountId, size_t> per_account_;
+  const Time started_;
   HoldTable hold_table_;
+  bool logged_first_dispatch_ = false;
   std::set<Address> held_;
   double interval_prompt_tokens_ = 0;
   double interval_output_tokens_ = 0;
--- a/lib/Serving/chat_scheduler.cc
+++ b/lib/Serving/chat_scheduler.cc
@@ -39,7 +39,8 @@
       router_({}, {}, node.settings().zone),
       queue_(MakeAdmissionLimits(node.settings())),
       retry_budget_(node.settings().requests.retry_budget_ratio, kRetryBurst),
-      hold_table_(BootClock::now(), kMaxHoldStartWait, kSilentHoldRetention),
+      started_(BootClock::now()),
+      hold_table_(started_, kMaxHoldStartWait, kSilentHoldRetention),
       interval_start_(BootClock::now()) {
   timer_ = node_.loop().Every(kSchedulerInterval, [this] {
     ExpireQueued();
@@ -83,12 +84,23 @@
   });
 }
 
-bool ChatScheduler::CanDispatch(Time now) const {
+bool ChatScheduler::CanDispatch(Time now) {
+  const bool can_dispatch = hold_table_.MaySend(now, ListedInstances());
+  if (can_dispatch && !logged_first_dispatch_) {
+    logged_first_dispatch_ = true;
+    Log(LogLevel::kInfo, "dispatch_enabled",
+        {{"waited_ms", ToMillis(now - started_)},
+         {"queued", static_cast<uint64_t>(queue_.size())}});
+  }
+  return can_dispatch;
+}
+
+std::set<std::string> ChatScheduler::ListedInstances() const {
   std::set<std::string> listed;
   for (const Instance& instance : node_.peers().instances()) {
     listed.insert(instance.id);
   }
-  return hold_table_.MaySend(now, listed);
+  return listed;
 }
 
 void ChatScheduler::DispatchQueued() {
@@ -184,6 +196,8 @@
   }
   hold_table_.Acknowledge(busy, heartbeat);
   const Time now = BootClock::now();
+  hold_table_.RelaySilent(now, node_.settings().timing.peer_timeout,
+                          ListedInstances(), heartbeat);
   const double elapsed = ToSeconds(now - interval_start_);
   if (elapsed >= 1) {
     const double decay = std::exp(-elapsed / kDemandTimeConstantSeconds);
@@ -209,6 +223,8 @@
     }
     router_.SetPeerLoads(peer.value(), shares);
     peers_with_shares_.insert(peer);
+    hold_table_.OnEntryHeartbeat(BootClock::now(), heartbeat);
+    UpdateHolds();
     return;
   }
   hold_table_.OnHeartbeat(BootClock::now(), peer, heartbeat);
--- a/unittests/Membership/membership_test.cc
+++ b/unittests/Membership/membership_test.cc
@@ -117,5 +117,54 @@
                   .MaySend(kNow + seconds(3), listed));
 }
 
+// In a rolling stop, a fleet process ends before its entry has drained, so an
+// entry that starts meanwhile never receives a heartbeat from it.
+TEST(HoldTableTest, NewEntryLearnsHoldsOfAStoppedFleetProcessFromAnEntry) {
+  const std::set<std::string> listed = {"i1", "i2"};
+  const ProcessId running("a");
+  const ProcessId stopped("b");
+  HoldTable old_entry(kNow, seconds(3), seconds(30));
+  old_entry.OnHeartbeat(kNow, running, FleetHeartbeat(1, 1, false));
+  old_entry.OnHeartbeat(kNow, stopped, FleetHeartbeat(2, 1, true));
+  const Time later = kNow + seconds(2);
+  old_entry.OnHeartbeat(later, running, FleetHeartbeat(1, 1, false));
+
+  HoldTable new_entry(later, seconds(3), seconds(30));
+  new_entry.OnHeartbeat(later, running, FleetHeartbeat(1, 1, false));
+  EXPECT_FALSE(new_entry.MaySend(later, listed));
+  wire::Heartbeat heartbeat = EntryHeartbeat(1);
+  old_entry.RelaySilent(later, seconds(1), listed, heartbeat);
+  ASSERT_EQ(heartbeat.silent_announcers_size(), 1);
+  new_entry.OnEntryHeartbeat(later, heartbeat);
+  EXPECT_TRUE(new_entry.MaySend(later, listed));
+  EXPECT_EQ(new_entry.HeldEngines(), old_entry.HeldEngines());
+  EXPECT_EQ(new_entry.HeldEngines().size(), 1u);
+  // The hold lapses as on the entry that received it.
+  new_entry.Expire(kNow + seconds(31));
+  EXPECT_TRUE(new_entry.HeldEngines().empty());
+}
+
+TEST(HoldTableTest, EntryThatMayNotSendRelaysNothing) {
+  const std::set<std::string> listed = {"i1", "i2"};
+  HoldTable starting(kNow, seconds(3), seconds(30));
+  starting.OnHeartbeat(kNow, ProcessId("b"), FleetHeartbeat(2, 1, true));
+  wire::Heartbeat heartbeat = EntryHeartbeat(1);
+  starting.RelaySilent(kNow + seconds(2), seconds(1), listed, heartbeat);
+  EXPECT_EQ(heartbeat.silent_announcers_size(), 0);
+}
+
+TEST(HoldTableTest, RelayedAnnouncementDoesNotReplaceAHeartbeat) {
+  const std::set<std::string> listed = {"i1"};
+  const ProcessId fleet("a");
+  HoldTable behind(kNow, seconds(3), seconds(30));
+  behind.OnHeartbeat(kNow, fleet, FleetHeartbeat(1, 1, true));
+  wire::Heartbeat heartbeat = EntryHeartbeat(1);
+  behind.RelaySilent(kNow + seconds(2), seconds(1), listed, heartbeat);
+  HoldTable table(kNow, seconds(3), seconds(30));
+  table.OnHeartbeat(kNow + seconds(2), fleet, FleetHeartbeat(1, 1, false));
+  table.OnEntryHeartbeat(kNow + seconds(2), heartbeat);
+  EXPECT_TRUE(table.HeldEngines().empty());
+}
+
 }  // namespace
 }  // namespace corianderlink
--- a/unittests/Process/local_fleet_test.cc
+++ b/unittests/Process/local_fleet_test.cc
@@ -125,7 +125,7 @@
       {"platform", {{"address", platform()}, {"timeout_ms", 500}}},
       {"peer_key_file", "peer.key"},
       {"admin_token_file", "admin.token"},
-      {"log_level", "warning"},
+      {"log_level", "info"},
       {"timing",
        {{"lease_ms", 1200},
         {"lease_guard_ms", 600},
