[Http][Wire] Detect dead peers on store and peer connections

Its replay shows two gateways cut off for 12 s that, after the cut, heard neither the store nor their peers for 4.6 s more: the watch of the configuration hung on a dead connection until its 27 s had passed, and the peers' ZeroMQ connections were still backing off. Ruled out: the watch itself and the request of records from a peer, which both worked as soon as a connection did. Change: TCP_USER_TIMEOUT, keep-alive, connect and handshake limits for HTTP calls and the message bus, in one place with those of the upstream connections; a peer that starts is connected to at once instead of after the reconnect delay.

--- a/include/corianderlink/Wire/peer_bus.h
+++ b/include/corianderlink/Wire/peer_bus.h
@@ -71,6 +71,11 @@
   /// Closes the connection to a peer that has left.
   void Disconnect(const Address& to);
 
+  /// A process has started at this address.  If there is no connection to it,
+  /// the next frame connects at once instead of after the reconnect delay,
+  /// which grows while the address does not answer.
+  void OnPeerStarted(const Address& at);
+
   /// Emitted for each received frame of this deployment and protocol version
   /// whose sequence is newer than the sender's last one.
   sigc::signal<void(const wire::Envelope&)> signal_message;
@@ -82,8 +87,8 @@
 
   void OnReadable();
   void OnFrame(const void* data, size_t size);
-  /// Returns the socket connected to `to`, creating it on first use.
-  void* ConnectedSocket(const Address& to);
+  /// Creates a socket that connects to `to`.
+  void* Connect(const Address& to);
 
   EventLoop& loop_;
   const std::string deployment_;
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -201,14 +201,15 @@
   if (message.heartbeat().kind() != kGatewayKind) return;
   const Time now = BootClock::now();
   GatewayPeer& peer = peers_[message.process()];
-  if (peer.process.empty()) {
-    Log(LogLevel::kInfo, "peer_found",
-        {{"peer", message.heartbeat().instance()},
-         {"process", message.process()}});
-  }
+  const bool is_new = peer.process.empty();
   peer.process = message.process();
   peer.last_heartbeat = now;
   peer.status = DecodeHeartbeat(message.heartbeat());
+  if (is_new) {
+    Log(LogLevel::kInfo, "peer_found",
+        {{"peer", peer.status.instance}, {"process", peer.process}});
+    bus_.OnPeerStarted(peer.status.peer_address);
+  }
   AddPeerAddress(peer.status.peer_address);
   receivers_[peer.status.peer_address] = now;
   if (on_heartbeat) on_heartbeat(now, peer);
--- a/lib/Http/http_client.cc
+++ b/lib/Http/http_client.cc
@@ -6,6 +6,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include "corianderlink/Http/dead_peer_detection.h"
 #include "corianderlink/Http/event_loop.h"
 
 namespace corianderlink {
@@ -80,7 +81,10 @@
     const int rc =
         evhttp_make_request(connection_, out, ToEvhttpMethod(request.method),
                             request.target.c_str());
-    if (rc == 0) return;
+    if (rc == 0) {
+      EnableDeadPeerDetection(fd());
+      return;
+    }
     reason_ = "connection could not be started";
     loop_.Post([self = keep_alive_self_] {
       self->Finish(self->MakeFailureResponse());
--- a/lib/Http1/byte_stream.cc
+++ b/lib/Http1/byte_stream.cc
@@ -11,23 +11,10 @@
 
 #include <cstring>
 
+#include "corianderlink/Http/dead_peer_detection.h"
 #include "corianderlink/Http/event_loop.h"
 
 namespace corianderlink {
-namespace {
-
-// The connection fails if sent data remains unacknowledged for this long.
-constexpr unsigned kUserTimeoutMs = 2000;
-// TCP keep-alive probing, which detects a dead peer on an idle connection.
-constexpr int kKeepAliveIdleSeconds = 2;
-constexpr int kKeepAliveIntervalSeconds = 1;
-constexpr int kKeepAliveProbes = 2;
-
-void SetIntOption(int fd, int level, int option, int value) {
-  setsockopt(fd, level, option, &value, sizeof(value));
-}
-
-}  // namespace
 
 ByteStream::ByteStream(EventLoop& loop, int fd, ByteStreamListener& listener)
     : listener_(listener) {
@@ -90,12 +77,9 @@
 void ByteStream::SetSocketOptions() {
   const int fd = bufferevent_getfd(bev_);
   if (fd < 0) return;
-  SetIntOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetIntOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-  SetIntOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
-  SetIntOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
-  SetIntOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
-  SetIntOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  const int enabled = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+  EnableDeadPeerDetection(fd);
 }
 
 ByteStream::~ByteStream() {
--- a/lib/Node/node.cc
+++ b/lib/Node/node.cc
@@ -133,6 +133,10 @@
 
 void Node::OnHeartbeat(const ProcessId& process,
                        const wire::Heartbeat& heartbeat) {
+  const auto peer_address = Address::Parse(heartbeat.peer_address());
+  if (peer_address && peers_.peers().count(process) == 0) {
+    bus_.OnPeerStarted(*peer_address);
+  }
   peers_.OnHeartbeat(BootClock::now(), process, heartbeat);
   const bool behind =
       !release_.has_state() || heartbeat.revision() > state().revision;
@@ -140,8 +144,7 @@
     wire::Envelope request;
     request.mutable_release_request()->set_have_revision(state().revision);
     request.mutable_release_request()->set_needs_state(!release_.has_state());
-    const auto address = Address::Parse(heartbeat.peer_address());
-    if (address) bus_.Send(*address, request);
+    if (peer_address) bus_.Send(*peer_address, request);
   }
   signal_heartbeat.emit(process, heartbeat);
 }
--- a/lib/Wire/peer_bus.cc
+++ b/lib/Wire/peer_bus.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "corianderlink/Http/dead_peer_detection.h"
 #include "corianderlink/Support/log.h"
 #include "peer.pb.h"
 
@@ -18,6 +19,10 @@
 constexpr int kSendQueueFrames = 256;
 constexpr int kReconnectMinMs = 50;
 constexpr int kReconnectMaxMs = 1000;
+// Limits of connecting and of the ZMTP handshake, after which the connection is
+// made anew.
+constexpr int kConnectTimeoutMs = 1000;
+constexpr int kHandshakeTimeoutMs = 2000;
 constexpr int kZ85KeyChars = 40;
 constexpr int kCurveKeyBytes = 32;
 // Senders whose last sequence is kept; beyond this the table is cleared.
@@ -37,6 +42,18 @@
   zmq_setsockopt(socket, option, z85.c_str(), z85.size() + 1);
 }
 
+// A connection that a partition interrupted is made anew soon after it ends.
+// Without these limits, the kernel could retry it for a quarter of an hour.
+void SetDeadPeerDetection(void* socket) {
+  SetInt(socket, ZMQ_TCP_KEEPALIVE, 1);
+  SetInt(socket, ZMQ_TCP_KEEPALIVE_IDLE,
+         static_cast<int>(kTcpKeepAliveIdle.count()));
+  SetInt(socket, ZMQ_TCP_KEEPALIVE_INTVL,
+         static_cast<int>(kTcpKeepAliveInterval.count()));
+  SetInt(socket, ZMQ_TCP_KEEPALIVE_CNT, kTcpKeepAliveProbes);
+  SetInt(socket, ZMQ_TCP_MAXRT, static_cast<int>(kTcpUserTimeout.count()));
+}
+
 int EventDescriptor(void* socket) {
   int fd = -1;
   size_t size = sizeof(fd);
@@ -111,13 +128,18 @@
 }
 
 struct PeerBus::Sockets {
+  struct Sender {
+    void* socket = nullptr;
+    bool last_frame_dropped = false;
+  };
+
   void* context = zmq_ctx_new();
   void* receiver = nullptr;
   void* authenticator = nullptr;
-  std::map<Address, void*> senders;
+  std::map<Address, Sender> senders;
 
   ~Sockets() {
-    for (const auto& [address, socket] : senders) zmq_close(socket);
+    for (const auto& [address, sender] : senders) zmq_close(sender.socket);
     if (receiver != nullptr) zmq_close(receiver);
     if (authenticator != nullptr) zmq_close(authenticator);
     zmq_ctx_term(context);
@@ -148,6 +170,7 @@
   }
   sockets_->receiver = zmq_socket(sockets_->context, ZMQ_PULL);
   SetInt(sockets_->receiver, ZMQ_LINGER, 0);
+  SetDeadPeerDetection(sockets_->receiver);
   const int64_t max_size = kMaxFrameBytes;
   zmq_setsockopt(sockets_->receiver, ZMQ_MAXMSGSIZE, &max_size,
                  sizeof(max_size));
@@ -163,14 +186,15 @@
   return true;
 }
 
-void* PeerBus::ConnectedSocket(const Address& to) {
-  const auto it = sockets_->senders.find(to);
-  if (it != sockets_->senders.end()) return it->second;
+void* PeerBus::Connect(const Address& to) {
   void* socket = zmq_socket(sockets_->context, ZMQ_PUSH);
   SetInt(socket, ZMQ_LINGER, 0);
   SetInt(socket, ZMQ_SNDHWM, kSendQueueFrames);
   SetInt(socket, ZMQ_RECONNECT_IVL, kReconnectMinMs);
   SetInt(socket, ZMQ_RECONNECT_IVL_MAX, kReconnectMaxMs);
+  SetInt(socket, ZMQ_CONNECT_TIMEOUT, kConnectTimeoutMs);
+  SetInt(socket, ZMQ_HANDSHAKE_IVL, kHandshakeTimeoutMs);
+  SetDeadPeerDetection(socket);
   // Drop frames for a peer that is not connected instead of queueing them.
   SetInt(socket, ZMQ_IMMEDIATE, 1);
   if (keys_) {
@@ -179,7 +203,6 @@
     SetKey(socket, ZMQ_CURVE_SECRETKEY, keys_->secret_key);
   }
   zmq_connect(socket, Endpoint(to).c_str());
-  sockets_->senders[to] = socket;
   return socket;
 }
 
@@ -189,8 +212,12 @@
   message.set_process(self_.value());
   message.set_sequence(++sequence_);
   const std::string frame = message.SerializeAsString();
-  void* socket = ConnectedSocket(to);
-  if (zmq_send(socket, frame.data(), frame.size(), ZMQ_DONTWAIT) < 0) {
+  Sockets::Sender& sender = sockets_->senders[to];
+  if (sender.socket == nullptr) sender.socket = Connect(to);
+  const int sent =
+      zmq_send(sender.socket, frame.data(), frame.size(), ZMQ_DONTWAIT);
+  sender.last_frame_dropped = sent < 0;
+  if (sender.last_frame_dropped) {
     ++counters_.frames_dropped;
     return;
   }
@@ -201,10 +228,16 @@
 void PeerBus::Disconnect(const Address& to) {
   const auto it = sockets_->senders.find(to);
   if (it == sockets_->senders.end()) return;
-  zmq_close(it->second);
+  zmq_close(it->second.socket);
   sockets_->senders.erase(it);
 }
 
+void PeerBus::OnPeerStarted(const Address& at) {
+  const auto it = sockets_->senders.find(at);
+  if (it == sockets_->senders.end()) return;
+  if (it->second.last_frame_dropped) Disconnect(at);
+}
+
 void PeerBus::OnReadable() {
   // The descriptor is edge-triggered, so read until the socket is empty.  After
   // kMaxFramesPerCallback frames, continue in a posted callback.
--- a/unittests/Http/http_client_test.cc
+++ b/unittests/Http/http_client_test.cc
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include "Common/raw_tcp_server.h"
+#include "Common/socket_inspection.h"
+#include "corianderlink/Http/dead_peer_detection.h"
 #include "corianderlink/Http/event_loop.h"
 
 namespace corianderlink {
@@ -47,6 +49,24 @@
   return result;
 }
 
+// A watch of the store waits for a response without sending anything, so only
+// keep-alive probes show that its connection is dead.
+TEST(HttpClientTest, ConnectionDetectsADeadPeer) {
+  RawTcpServer peer([](int fd) { ReadRequest(fd); });
+  EventLoop loop;
+  HttpClient client(loop);
+  HttpRequest request;
+  request.address = peer.address;
+  const auto call = client.Start(request, [](const HttpResponse&) {});
+  EXPECT_EQ(SocketOption(call->fd(), IPPROTO_TCP, TCP_USER_TIMEOUT),
+            kTcpUserTimeout.count());
+  EXPECT_EQ(SocketOption(call->fd(), SOL_SOCKET, SO_KEEPALIVE), 1);
+  call->Cancel();
+  const EventHandle stop =
+      loop.After(milliseconds(50), [&loop] { loop.Stop(); });
+  loop.Run();
+}
+
 TEST(HttpClientTest, RefusedConnectionMeansNotRun) {
   Address address;
   {
