[Gateway] Predict slow engines: stall by prediction, learn speed at once

Cause: on the ticket sites an engine reads 37 prompt tokens a ms, an eighth of the initial assumption.

--- a/include/corianderlink/Gateway/speed_model.h
+++ b/include/corianderlink/Gateway/speed_model.h
@@ -31,9 +31,19 @@
   }
 
  private:
-  std::unordered_map<UpstreamId, double> factors_;
-  double prefill_factor_ = 1;
-  double decode_factor_ = 1;
+  struct LearnedFactor {
+    double value = 1;
+    int observations = 0;
+    double last_log_ratio = 0;
+
+    /// Moves the factor towards an observation with this ratio to the
+    /// prediction; `gain` is its weight once there have been many.
+    void Learn(double ratio, double gain);
+  };
+
+  std::unordered_map<UpstreamId, LearnedFactor> factors_;
+  LearnedFactor prefill_factor_;
+  LearnedFactor decode_factor_;
 };
 
 }  // namespace corianderlink
--- a/include/corianderlink/Gateway/upstream_load.h
+++ b/include/corianderlink/Gateway/upstream_load.h
@@ -55,9 +55,10 @@
   /// The load of a peer without a heartbeat for `peer_timeout` is ignored.
   explicit UpstreamLoad(Duration peer_timeout) : peer_timeout_(peer_timeout) {}
 
-  /// A request with an estimated prefill time of `cost_ms` was sent.
+  /// A request with an estimated prefill time of `cost_ms` was sent; with the
+  /// work before it, its prefill was predicted to end after `expected_ms`.
   DispatchId OnDispatch(Time now, const UpstreamId& upstream, PriorityTier tier,
-                        double cost_ms);
+                        double cost_ms, double expected_ms);
   /// The upstream computed the request's prompt, or a plain upstream answered.
   void OnPrefillComplete(Time now, const UpstreamId& upstream, DispatchId id);
   void OnEnd(Time now, const UpstreamId& upstream, DispatchId id);
@@ -82,8 +83,9 @@
   }
   /// Requests in progress, of this gateway.
   size_t OwnRequests(const UpstreamId& upstream) const;
-  /// True if a request of this gateway has waited for its prefill longer than
-  /// `limit`, and the upstream completed nothing else in that time.
+  /// True if a request of this gateway has waited for its prefill for `limit`
+  /// longer than twice the predicted time, and the upstream completed nothing
+  /// else in that time.
   bool Stalled(Time now, const UpstreamId& upstream, Duration limit) const;
   /// Median time since the last heartbeats of live peers.
   Duration PeerAge(Time now) const;
@@ -104,6 +106,7 @@
     DispatchId id = 0;
     PriorityTier tier = PriorityTier::kTimely;
     double cost_ms = 0;
+    double expected_ms = 0;
     Time sent{};
     bool prefill_complete = false;
   };
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -459,7 +459,7 @@
     }
   }
   return load_.OnDispatch(now, placement.upstream.id, placement.tier,
-                          placement.cost_ms);
+                          placement.cost_ms, placement.prefill_end_ms);
 }
 
 void Placer::RecordCacheUse(const UpstreamId& upstream,
--- a/lib/Gateway/upstream_load.cc
+++ b/lib/Gateway/upstream_load.cc
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr double kUsPerMs = 1000;
+constexpr double kMsPerSecond = 1000;
+// An upstream is stalled only after this many times the predicted time.
+constexpr double kStallFactor = 2;
 // Number of heartbeats over which their interval is averaged.
 constexpr int kIntervalSampleCount = 8;
 
@@ -26,9 +29,11 @@
 }  // namespace
 
 DispatchId UpstreamLoad::OnDispatch(Time now, const UpstreamId& upstream,
-                                    PriorityTier tier, double cost_ms) {
+                                    PriorityTier tier, double cost_ms,
+                                    double expected_ms) {
   const DispatchId id = next_id_++;
-  own_[upstream].dispatches.push_back({id, tier, cost_ms, now, false});
+  own_[upstream].dispatches.push_back(
+      {id, tier, cost_ms, expected_ms, now, false});
   return id;
 }
 
@@ -164,7 +169,11 @@
   if (own == own_.end()) return false;
   if (now - own->second.last_progress <= limit) return false;
   for (const Dispatch& dispatch : own->second.dispatches) {
-    if (!dispatch.prefill_complete) return now - dispatch.sent > limit;
+    if (dispatch.prefill_complete) continue;
+    const Time since = std::max(dispatch.sent, own->second.last_progress);
+    const Duration expected =
+        FromSeconds(kStallFactor * dispatch.expected_ms / kMsPerSecond);
+    return now - since > limit + expected;
   }
   return false;
 }
--- a/unittests/Gateway/load_models_test.cc
+++ b/unittests/Gateway/load_models_test.cc
@@ -24,7 +24,8 @@
 
 TEST(UpstreamLoadTest, BacklogShrinksAsTimePassesAndIsClearedByThePrefill) {
   UpstreamLoad load(seconds(1));
-  const DispatchId id = load.OnDispatch(kStart, kA, PriorityTier::kTimely, 20);
+  const DispatchId id =
+      load.OnDispatch(kStart, kA, PriorityTier::kTimely, 20, 20);
   EXPECT_DOUBLE_EQ(load.BacklogMs(kStart, kA, PriorityTier::kTimely), 20);
   EXPECT_DOUBLE_EQ(
       load.BacklogMs(kStart + milliseconds(5), kA, PriorityTier::kTimely), 15);
@@ -38,8 +39,8 @@
 
 TEST(UpstreamLoadTest, BacklogExcludesLowerTiers) {
   UpstreamLoad load(seconds(1));
-  load.OnDispatch(kStart, kA, PriorityTier::kLate, 50);
-  load.OnDispatch(kStart, kA, PriorityTier::kTimely, 20);
+  load.OnDispatch(kStart, kA, PriorityTier::kLate, 50, 50);
+  load.OnDispatch(kStart, kA, PriorityTier::kTimely, 20, 20);
   EXPECT_DOUBLE_EQ(load.BacklogMs(kStart, kA, PriorityTier::kExpress), 0);
   EXPECT_DOUBLE_EQ(load.BacklogMs(kStart, kA, PriorityTier::kTimely), 20);
   EXPECT_DOUBLE_EQ(load.BacklogMs(kStart, kA, PriorityTier::kLate), 70);
@@ -130,15 +131,41 @@
 
 TEST(UpstreamLoadTest, UpstreamWithoutProgressIsStalled) {
   UpstreamLoad load(seconds(1));
-  load.OnDispatch(kStart, kA, PriorityTier::kTimely, 20);
+  load.OnDispatch(kStart, kA, PriorityTier::kTimely, 20, 20);
   EXPECT_FALSE(load.Stalled(kStart + milliseconds(300), kA, milliseconds(400)));
   EXPECT_TRUE(load.Stalled(kStart + milliseconds(500), kA, milliseconds(400)));
-  const DispatchId other =
-      load.OnDispatch(kStart + milliseconds(450), kA, PriorityTier::kTimely, 1);
+  const DispatchId other = load.OnDispatch(kStart + milliseconds(450), kA,
+                                           PriorityTier::kTimely, 1, 1);
   load.OnPrefillComplete(kStart + milliseconds(460), kA, other);
   EXPECT_FALSE(load.Stalled(kStart + milliseconds(500), kA, milliseconds(400)));
 }
 
+// An engine that reads a long prompt for a second answers nothing meanwhile.
+TEST(UpstreamLoadTest, LongPrefillWithinItsPredictionIsNotStalled) {
+  UpstreamLoad load(seconds(1));
+  load.OnDispatch(kStart, kA, PriorityTier::kTimely, 900, 1000);
+  EXPECT_FALSE(load.Stalled(kStart + seconds(2), kA, milliseconds(400)));
+  EXPECT_TRUE(load.Stalled(kStart + seconds(3), kA, milliseconds(400)));
+}
+
+TEST(SpeedModelTest, PredictsEnginesOfUnknownSpeedAfterAFewPrompts) {
+  constexpr double kTokensPerMs = 30;
+  SpeedModel speed;
+  UpstreamRecord engine;
+  engine.id = kA;
+  engine.role = UpstreamRole::kPrefill;
+  Prompt prompt;
+  prompt.tokens = 9000;
+  const double actual_ms = prompt.tokens / kTokensPerMs;
+  for (int i = 0; i < 8; ++i) {
+    speed.Observe(engine, speed.ComputeMs(engine, prompt, 0), actual_ms);
+  }
+  EXPECT_NEAR(speed.ComputeMs(engine, prompt, 0) / actual_ms, 1, 0.15);
+  // An engine that has not been used yet is expected to be like the others.
+  engine.id = UpstreamId("other");
+  EXPECT_NEAR(speed.ComputeMs(engine, prompt, 0) / actual_ms, 1, 0.3);
+}
+
 // Prefix cache that searches a list of its parts.
 class ReferenceCache {
  public:
--- a/unittests/Gateway/placer_test.cc
+++ b/unittests/Gateway/placer_test.cc
@@ -260,7 +260,7 @@
   PlacementQuery query = Query(prompt, -5000, 100);
   for (int i = 0; i < 10; ++i) {
     placer_->load().OnDispatch(kStart, UpstreamId("d0"), PriorityTier::kTimely,
-                               50);
+                               50, 50);
   }
   EXPECT_FALSE(placer_->PlacePrompt(kStart, query).placement);
   query.resumed = true;
