[Gateway] Admit large prompts fairly; keep prefill work away from streams

Cause: the gate of the ticket sites. Half of the late answers came late between events, not to the first one. Change: SizeFairness lets a size band pass that was admitted less than 0.6 times as often as its route; the express tier goes by the route's mean size; GapPenaltyMs keeps prompts away from engines with streams beyond the InterferenceLimit; refused prompts count as demand of the role planner; log lines tell the size of a prompt.

--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -17,9 +17,11 @@
 #include "corianderlink/Gateway/admission_budget.h"
 #include "corianderlink/Gateway/decaying_rate.h"
 #include "corianderlink/Gateway/gateway_config.h"
+#include "corianderlink/Gateway/interference_limit.h"
 #include "corianderlink/Gateway/prefix_cache_model.h"
 #include "corianderlink/Gateway/prompt.h"
 #include "corianderlink/Gateway/role_planner.h"
+#include "corianderlink/Gateway/size_fairness.h"
 #include "corianderlink/Gateway/speed_model.h"
 #include "corianderlink/Gateway/upstream_directory.h"
 #include "corianderlink/Gateway/upstream_load.h"
@@ -30,15 +32,21 @@
 /// Properties of a model request on which its placement depends.
 struct PlacementQuery {
   ServiceId service;
+  RouteId route;
   const EngineTraits* engine = nullptr;
   const Prompt* prompt = nullptr;
   /// Time left until the latency objective; negative if it was missed.
   double objective_left_ms = 0;
+  /// Objective for the time between two events of the answer; 0 if there is
+  /// none.
+  double event_gap_ms = 0;
   /// Time left until the deadline for the whole answer.
   double deadline_left_ms = 0;
   /// Part of the answer was delivered already, so the request is not refused
   /// for a late prediction.
   bool resumed = false;
+  /// No upstream has got this request yet.
+  bool first_attempt = true;
   /// The same engine has to run prefill and decode.
   bool single_engine_only = false;
   /// Random value of the request, for the choice among similar upstreams.
@@ -68,9 +76,6 @@
   std::optional<Placement> placement;
   /// If refused: the reason, for the log.
   std::string reason;
-  /// Earliest predicted time to first token.  Not computed at present: always
-  /// 0.
-  double best_predicted_ms = 0;
   /// If refused: time after which the client should retry.
   Duration retry_after{};
 };
@@ -113,6 +118,11 @@
   void OnEnd(Time now, const Placement& placement, DispatchId id);
   /// An answer ended `ms` after its prompt was computed.
   void OnGenerationComplete(Time now, const ServiceId& service, double ms);
+  /// A stream ended whose longest pause between two events was `gap_fraction`
+  /// of the objective.
+  void OnStreamEnd(const ServiceId& service, double gap_fraction) {
+    interference_limits_[service].OnStreamEnd(gap_fraction);
+  }
   void OnFailure(Time now, const UpstreamRecord& upstream);
   /// No connection could be made to the upstream.
   void OnUnreachable(Time now, const UpstreamRecord& upstream);
@@ -190,7 +200,8 @@
   static double StalenessPenaltyMs(const UpstreamId& upstream, uint64_t seed,
                                    Duration peer_age);
   bool Held(Time now, const UpstreamId& id) const;
-  void RecordDemand(Time now, const Placement& placement,
+  /// Adds a request whose prompt `upstream` computes, or would have computed.
+  void RecordDemand(Time now, const UpstreamRecord& upstream,
                     const PlacementQuery& query);
   /// True if the upstream must not get new requests.
   bool Ineligible(Time now, const UpstreamRecord& upstream,
@@ -207,8 +218,14 @@
                    PriorityTier tier) const;
   /// Penalty for the delay that the prompt causes other requests on the
   /// upstream, and for a wait for a slot, in milliseconds.
-  static double PenaltyMs(const Candidate& candidate,
-                          const PlacementQuery& query);
+  double PenaltyMs(const Candidate& candidate,
+                   const PlacementQuery& query) const;
+  /// Penalty for the pauses that the prompt causes in streams on a decode
+  /// engine.
+  double GapPenaltyMs(const Candidate& candidate,
+                      const PlacementQuery& query) const;
+  /// True if the route's prompts are small.
+  bool IsExpress(const PlacementQuery& query) const;
   void RecordCacheUse(const UpstreamId& upstream,
                       const std::vector<PromptPart>& parts);
   uint32_t CachedTokens(const UpstreamRecord& upstream,
@@ -231,6 +248,8 @@
   std::map<std::string, HeldSet> held_;
   std::set<UpstreamId> replaced_;
   std::map<ServiceId, AdmissionBudget> admission_budgets_;
+  std::map<RouteId, SizeFairness> size_fairness_;
+  std::map<ServiceId, InterferenceLimit> interference_limits_;
   std::map<ServiceId, int> max_connections_;
   size_t gateways_ = 1;
   const Duration peer_timeout_;
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -61,6 +61,8 @@
     return service_.engine.has_value() && request_.prompt.has_value();
   }
   double DeadlineLeftMs(Time now) const;
+  /// 0 if the request has no prompt.
+  uint64_t PromptTokens() const;
   PlacementQuery MakePlacementQuery(Time now) const;
 
   PlacementResult ChoosePlacement(Time now) const;
@@ -92,6 +94,8 @@
   /// Reports once per attempt that the upstream has produced output, which for
   /// a model request means that the prompt is computed.
   void ReportFirstOutput();
+  /// An event of the stream is about to be sent to the client.
+  void RecordEventGap();
 
   /// Ends an attempt that has no response for the client; retries the request
   /// or fails it.  `upstream_failed` counts the failure against the health of
@@ -158,6 +162,8 @@
   // False if the request certainly did not reach the upstream.
   bool reached_upstream_ = true;
   Time first_output_at_{};
+  std::optional<Time> last_event_at_;
+  Duration longest_event_gap_{};
   // The response is an event stream that goes to the client.
   bool forwarding_events_ = false;
   // Head of the upstream's response; empty until it arrives.
--- a/include/corianderlink/Gateway/upstream_load.h
+++ b/include/corianderlink/Gateway/upstream_load.h
@@ -30,6 +30,8 @@
   /// Those of them in the express tier, which spend most of their time
   /// generating.
   uint32_t express = 0;
+  /// Those whose prompt is computed and that generate here.
+  uint32_t generating = 0;
   /// Estimated remaining prefill time by tier, in milliseconds.
   std::array<double, kPriorityTiers> backlog_ms{};
 
@@ -125,6 +127,7 @@
   struct PeerSum {
     int64_t requests = 0;
     int64_t express = 0;
+    int64_t generating = 0;
     std::array<int64_t, kPriorityTiers> backlog_us{};
 
     bool operator==(const PeerSum&) const = default;
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -44,6 +44,7 @@
     share->set_engine(id.value());
     share->set_requests(load.requests);
     share->set_express_requests(load.express);
+    share->set_generating(load.generating);
     for (const double ms : load.backlog_ms) {
       share->add_backlog_ms(static_cast<float>(ms));
     }
@@ -85,6 +86,7 @@
     OutstandingLoad& load = status.shares[UpstreamId(share.engine())];
     load.requests = share.requests();
     load.express = share.express_requests();
+    load.generating = share.generating();
     const int tiers = std::min<int>(share.backlog_ms_size(),
                                     static_cast<int>(kPriorityTiers));
     for (int i = 0; i < tiers; ++i) {
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -12,7 +12,8 @@
 // Records missing after an outage of the store are kept this long after its
 // return, until live upstreams have registered again.
 constexpr Duration kRecordRestoreGrace = milliseconds(2200);
-// Prompts of up to this many tokens are served in the express tier.
+// Routes whose prompts have up to this many tokens on average are served in the
+// express tier.
 constexpr uint32_t kExpressTokens = 1024;
 // A plain upstream is given at most this many requests per slot.
 constexpr uint32_t kPlainQueueFactor = 3;
@@ -32,6 +33,10 @@
 // Penalty for a long prefill on a decode engine, per stream that it delays.
 constexpr double kPrefillPenaltyPerStreamMs = 25;
 constexpr double kMaxCountedStreams = 12;
+// Penalty for each stream whose events a prompt delays beyond the objective, as
+// a fraction of the time left until the request's own objective.
+constexpr double kDelayedStreamFactor = 0.25;
+constexpr uint32_t kMaxDelayed = 12;
 // Fraction of an engine's slots that is filled before other engines are
 // preferred.  The rest allows for requests of peers that are not reported yet.
 constexpr double kUsableSlotFraction = 0.75;
@@ -157,11 +162,11 @@
   }
 }
 
-void Placer::RecordDemand(Time now, const Placement& placement,
+void Placer::RecordDemand(Time now, const UpstreamRecord& upstream,
                           const PlacementQuery& query) {
   UpstreamRecord prefill;
   prefill.role = UpstreamRole::kPrefill;
-  const uint32_t cached = CachedTokens(placement.upstream, *query.prompt);
+  const uint32_t cached = CachedTokens(upstream, *query.prompt);
   DemandRates& rates = demands_[query.service];
   rates.prefill_ms.Add(now, speed_.ComputeMs(prefill, *query.prompt, cached));
   rates.handover_ms.Add(now, KvTransferMs(query));
@@ -179,6 +184,10 @@
     demand.prefill_ms_per_s = rates.prefill_ms.PerSecond(now);
     demand.handover_ms_per_s = rates.handover_ms.PerSecond(now);
     demand.generating = rates.generating_ms.PerSecond(now) / kMsPerSecond;
+    const auto limit = interference_limits_.find(service);
+    if (limit != interference_limits_.end()) {
+      demand.decode_prefill = limit->second.Relative();
+    }
   }
   return demands;
 }
@@ -217,7 +226,7 @@
     result.retry_after = FromSeconds(kPlainRetryAfterMs / 1000);
     return result;
   }
-  result.placement = Placement{*best, PriorityTier::kTimely, false, 0, 0, 0};
+  result.placement = Placement{*best, PriorityTier::kTimely};
   return result;
 }
 
@@ -291,25 +300,39 @@
 }
 
 double Placer::PenaltyMs(const Candidate& candidate,
-                         const PlacementQuery& query) {
+                         const PlacementQuery& query) const {
   const UpstreamRecord& upstream = *candidate.upstream;
   if (upstream.role == UpstreamRole::kPrefill) return 0;
+  const double gap_penalty_ms = GapPenaltyMs(candidate, query);
   const uint32_t express = candidate.load.express;
-  if (query.prompt->tokens <= kExpressTokens) {
+  if (IsExpress(query)) {
     // Prefill on the same engine delays each token of a stream, so streams are
     // packed onto engines with little prefill work.
-    return kExpressInterferenceFactor *
+    return gap_penalty_ms +
+           kExpressInterferenceFactor *
                candidate.load.BacklogMs(PriorityTier::kLate) -
            kStreamPackingBonusMs *
                std::min<double>(express, upstream.slots / 2.0) +
            SlotWaitMs(upstream, candidate.load);
   }
-  return kPrefillOnDecodeMs +
+  return gap_penalty_ms + kPrefillOnDecodeMs +
          kPrefillPenaltyPerStreamMs *
              std::min<double>(express, kMaxCountedStreams) +
          kDelayPerRequestMs * candidate.load.requests;
 }
 
+double Placer::GapPenaltyMs(const Candidate& candidate,
+                            const PlacementQuery& query) const {
+  const auto limit = interference_limits_.find(query.service);
+  if (limit == interference_limits_.end() || query.event_gap_ms <= 0) return 0;
+  const double prefill_ms =
+      candidate.load.BacklogMs(PriorityTier::kLate) + candidate.cost_ms;
+  if (prefill_ms <= limit->second.MaxPrefillMs(query.event_gap_ms)) return 0;
+  const double delayed = std::min(candidate.load.generating, kMaxDelayed);
+  return delayed * kDelayedStreamFactor *
+         std::max(0.0, query.objective_left_ms);
+}
+
 double Placer::StalenessPenaltyMs(const UpstreamId& upstream, uint64_t seed,
                                   Duration peer_age) {
   const uint64_t hash =
@@ -357,7 +380,10 @@
   AdmissionBudget& budget = admission_budgets_[query.service];
   const auto usable = directory_.Usable(query.service);
   budget.Refill(now, usable.size(), gateways_);
-  const bool express = query.prompt->tokens <= kExpressTokens;
+  SizeFairness& fairness = size_fairness_[query.route];
+  const uint32_t tokens = query.prompt->tokens;
+  if (query.first_attempt) fairness.OnArrival(tokens);
+  const bool express = IsExpress(query);
   const PriorityTier first_tier =
       express ? PriorityTier::kExpress : PriorityTier::kTimely;
   const std::vector<Candidate> candidates = Candidates(now, query, usable);
@@ -368,8 +394,10 @@
   const double deadline_bound_ms =
       query.deadline_left_ms * limits_.deadline_fraction;
   // A small prompt delays other requests little, so it may miss its objective.
+  const bool may_be_late =
+      express || (query.first_attempt && fairness.IsUnderserved(tokens));
   const double first_bound_ms =
-      express ? deadline_bound_ms : objective_bound_ms;
+      may_be_late ? deadline_bound_ms : objective_bound_ms;
   // With frequent heartbeats the reported backlog itself shows what the engines
   // can take, so the admission budget does not apply.
   const bool frequent_heartbeats =
@@ -379,6 +407,7 @@
   const bool meets_bound =
       query.resumed || (timely && timely->predicted_ms <= first_bound_ms);
   if (timely && within_budget && meets_bound) {
+    if (query.first_attempt) fairness.OnDecision(tokens, true);
     result.placement = timely;
     result.placement->prefill_limit_ms =
         query.objective_left_ms -
@@ -391,10 +420,14 @@
       late && load_.BacklogMs(now, late->upstream.id, PriorityTier::kLate) <
                   kIdleBacklogMs;
   if (idle && within_budget && late->predicted_ms <= deadline_bound_ms) {
+    if (query.first_attempt) fairness.OnDecision(tokens, true);
     result.placement = late;
     return result;
   }
+  if (query.first_attempt) fairness.OnDecision(tokens, false);
   budget.OnRefused(now);
+  // Refused prompts are demand as well: roles change until they are served.
+  if (timely) RecordDemand(now, timely->upstream, query);
   result.reason =
       timely || late ? "predicted after the deadline" : "no upstream available";
   const double excess_ms =
@@ -404,6 +437,14 @@
   return result;
 }
 
+bool Placer::IsExpress(const PlacementQuery& query) const {
+  const auto fairness = size_fairness_.find(query.route);
+  const double mean_tokens =
+      fairness == size_fairness_.end() ? 0 : fairness->second.MeanTokens();
+  if (mean_tokens > 0) return mean_tokens <= kExpressTokens;
+  return query.prompt->tokens <= kExpressTokens;
+}
+
 const UpstreamRecord* Placer::BestDecodeEngine(Time now,
                                                const PlacementQuery& query,
                                                const UpstreamRecord& source,
@@ -441,7 +482,7 @@
     result.reason = "no decode engine available";
     return result;
   }
-  result.placement = Placement{*best, PriorityTier::kTimely, false, 0, 0, 0};
+  result.placement = Placement{*best, PriorityTier::kTimely};
   return result;
 }
 
@@ -449,7 +490,7 @@
                               const PlacementQuery* query) {
   if (query != nullptr && placement.cost_ms > 0) {
     cache_tokens_[query->service] = query->engine->cache_tokens;
-    RecordDemand(now, placement, *query);
+    RecordDemand(now, placement.upstream, *query);
     if (placement.tier != PriorityTier::kExpress) {
       admission_budgets_[query->service].Spend(placement.cost_ms);
     }
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -78,6 +78,10 @@
   PlaceAndSend();
 }
 
+uint64_t RelayTask::PromptTokens() const {
+  return request_.prompt ? request_.prompt->tokens : 0;
+}
+
 double RelayTask::DeadlineLeftMs(Time now) const {
   return ToMillis(deadline_ - now);
 }
@@ -85,11 +89,15 @@
 PlacementQuery RelayTask::MakePlacementQuery(Time now) const {
   PlacementQuery query;
   query.service = service_.id;
+  query.route = route_.id;
   query.engine = &*service_.engine;
   query.prompt = &*request_.prompt;
   query.objective_left_ms = ToMillis(objective_deadline_ - now);
   query.deadline_left_ms = DeadlineLeftMs(now);
+  query.event_gap_ms =
+      ToMillis(route_.event_gap_objective.value_or(Duration::zero()));
   query.resumed = exchange_->response_started();
+  query.first_attempt = sends_ == 0;
   query.single_engine_only = single_engine_only_;
   query.seed = seed_;
   query.excluded = &excluded_;
@@ -117,7 +125,7 @@
     Log(LogLevel::kInfo, "no_placement",
         {{"request", request_.id.value()},
          {"reason", result.reason},
-         {"predicted_ms", result.best_predicted_ms},
+         {"prompt_tokens", PromptTokens()},
          {"objective_left_ms", ToMillis(objective_deadline_ - now)},
          {"left_ms", DeadlineLeftMs(now)},
          {"peers_age_ms", ToMillis(context_.placer.load().PeerAge(now))},
@@ -161,6 +169,7 @@
        {"upstream", placement.upstream.id.value()},
        {"stage", placement.prefill_only ? "prefill" : "run"},
        {"tier", static_cast<int>(placement.tier)},
+       {"prompt_tokens", PromptTokens()},
        {"predicted_ms", placement.predicted_ms},
        {"cost_ms", placement.cost_ms},
        {"objective_left_ms", ToMillis(objective_deadline_ - now)},
@@ -264,6 +273,7 @@
       exchange_->StartResponse(response_->status,
                                EndToEndFields(response_->fields), std::nullopt);
     }
+    RecordEventGap();
     exchange_->SendBody(event->bytes);
     if (exchange_->PendingBytes() > kMaxPendingBytes && call_) {
       call_->PauseReading();
@@ -273,6 +283,14 @@
   ArmStallTimer();
 }
 
+void RelayTask::RecordEventGap() {
+  const Time now = BootClock::now();
+  if (last_event_at_) {
+    longest_event_gap_ = std::max(longest_event_gap_, now - *last_event_at_);
+  }
+  last_event_at_ = now;
+}
+
 void RelayTask::ReportFirstOutput() {
   if (first_output_seen_) return;
   first_output_seen_ = true;
@@ -357,6 +375,11 @@
     context_.placer.OnGenerationComplete(now, service_.id,
                                          ToMillis(now - first_output_at_));
   }
+  if (is_model_request() && route_.event_gap_objective) {
+    context_.placer.OnStreamEnd(
+        service_.id,
+        ToSeconds(longest_event_gap_) / ToSeconds(*route_.event_gap_objective));
+  }
   EndDispatch();
   context_.placer.OnSuccess(placement_->upstream);
   if (!exchange_->response_started()) {
--- a/lib/Gateway/upstream_load.cc
+++ b/lib/Gateway/upstream_load.cc
@@ -99,6 +99,7 @@
     PeerSum& sum = peer_sums_[upstream];
     sum.requests += sign * load.requests;
     sum.express += sign * load.express;
+    sum.generating += sign * load.generating;
     for (size_t i = 0; i < kPriorityTiers; ++i) {
       sum.backlog_us[i] += sign * std::llround(load.backlog_ms[i] * kUsPerMs);
     }
@@ -112,6 +113,7 @@
   bool first = true;
   for (const Dispatch& dispatch : own.dispatches) {
     if (dispatch.tier == PriorityTier::kExpress) ++load.express;
+    if (dispatch.prefill_complete || dispatch.cost_ms <= 0) ++load.generating;
     if (dispatch.prefill_complete) continue;
     double remaining_ms = dispatch.cost_ms;
     if (first) {
@@ -129,6 +131,7 @@
 void UpstreamLoad::Add(const OutstandingLoad& load, OutstandingLoad& total) {
   total.requests += load.requests;
   total.express += load.express;
+  total.generating += load.generating;
   for (size_t i = 0; i < kPriorityTiers; ++i) {
     total.backlog_ms[i] += load.backlog_ms[i];
   }
@@ -151,6 +154,7 @@
   if (sum == peer_sums_.end()) return total;
   total.requests += static_cast<uint32_t>(sum->second.requests);
   total.express += static_cast<uint32_t>(sum->second.express);
+  total.generating += static_cast<uint32_t>(sum->second.generating);
   for (size_t i = 0; i < kPriorityTiers; ++i) {
     total.backlog_ms[i] +=
         static_cast<double>(sum->second.backlog_us[i]) / kUsPerMs;
