[Gateway][Authority] Follow a store that comes back from a copy

Cause: the users' store may come back from a copy some seconds old; versions go back and are given out again. A watcher took the older version for a failure and read for ever; an older row that says ready brought a draining upstream back; a lease client could take a token that an engine had seen, or renew on a version that now belonged to another holder's row. Ruled out: comparing versions of eras by value anywhere. Change: StorePosition (era, version) in watchers, caches, heartbeats and the records that gateways pass on; a new era is read in full and the gateway's own record written again; records of an upstream are ordered by start time and sequence, and those of departed upstreams are remembered for ten minutes; a lease client stops at a new era, waits for lease and guard, and takes a token above all that it, the row or a peer's heartbeat tell. The product's own path (notes, claims, jobs, order rows) and the stand-in of the platform do not know eras yet.

--- a/include/corianderlink/Authority/lease_client.h
+++ b/include/corianderlink/Authority/lease_client.h
@@ -8,9 +8,13 @@
 //    different machines are never compared.
 //  - If the answer to a write was lost, the lease is extended only after the
 //    row was read back and contains the nonce of that write.
+//  - After the service was restored to an older copy, nothing observed before
+//    counts: a holder stops, and candidates wait for the lease duration plus
+//    the guard time, since the copy may have lost a lease that is still valid.
 #ifndef CORIANDERLINK_AUTHORITY_LEASE_CLIENT_H_
 #define CORIANDERLINK_AUTHORITY_LEASE_CLIENT_H_
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -67,6 +71,16 @@
   void Enqueue(TableTransaction write,
                std::function<void(const CommitResult&)> done);
 
+  /// The next tenure gets a fencing token above `floor`, which another process
+  /// has used or seen.
+  void RaiseFencingFloor(FencingToken floor) {
+    fencing_floor_ = std::max(fencing_floor_, floor);
+  }
+  /// Largest fencing token that is known to have been used.
+  FencingToken fencing_floor() const { return fencing_floor_; }
+  /// True if the service may have lost leases, as far as this process knows.
+  bool after_restore() const { return restored_at_.has_value(); }
+
   /// Returns true if this process holds the lease at `now`.
   bool IsHeld(Time now) const { return now < valid_until_; }
   Time valid_until() const { return valid_until_; }
@@ -84,6 +98,9 @@
   };
 
   void Observe(Time now, const TableRow& row);
+  /// Handles the era of a response.  Returns false if the response is older
+  /// than the era that is known.
+  bool ObserveEra(Time now, uint64_t era);
   bool MayTakeOver(Time now) const;
   bool OwnsRow() const;
   LeaseAction StartWrite(Time now, LeaseRecord record);
@@ -101,6 +118,12 @@
   bool row_known_ = false;
   bool releasing_ = false;
 
+  // Era of the service; empty before the first response.
+  std::optional<uint64_t> era_;
+  // When this process learned that the service was restored, if ever.
+  std::optional<Time> restored_at_;
+  FencingToken fencing_floor_ = 0;
+
   LeaseRecord observed_;
   RowVersion observed_version_ = 0;
   Time unchanged_since_{};
--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -65,13 +65,15 @@
 
   /// Handles records of the configuration that were read from the store.
   void OnConfigRecords(const std::vector<StoreRecord>& records);
-  /// Replaces the list of upstreams by one that is complete up to `version` of
+  /// Replaces the list of upstreams by one that is complete up to `position` of
   /// the store.
   void OnAllUpstreams(const std::vector<StoreRecord>& records,
-                      uint64_t version);
-  /// Applies changed records of upstreams up to `version` of the store.
+                      StorePosition position);
+  /// Applies changed records of upstreams up to `position` of the store.
   void OnUpstreamChanges(const std::vector<StoreRecord>& records,
-                         uint64_t version);
+                         StorePosition position);
+  /// The store came back from a copy and has lost writes.
+  void OnStoreRestored();
   /// Adds the gateways in these records as peers.
   void OnGatewayRecords(const std::vector<StoreRecord>& records);
   /// Handles the loss or return of access to the store's table of upstreams.
@@ -158,6 +160,8 @@
   std::unique_ptr<RoleCoordinator> role_coordinator_;
   // Engines that get no new work because their role is about to change.
   std::set<UpstreamId> held_engines_;
+  // Highest fencing token of role orders that any gateway has told of.
+  FencingToken highest_fencing_ = 0;
   // Since when a peer has had newer records than this gateway.
   std::optional<Time> behind_since_;
   bool shutting_down_ = false;
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "corianderlink/Authority/lease_record.h"
 #include "corianderlink/Gateway/prompt.h"
 #include "corianderlink/Gateway/record_store.h"
 #include "corianderlink/Gateway/role_planner.h"
@@ -36,7 +37,7 @@
   bool leaving = false;
   uint64_t config_version = 0;
   /// Version of the store up to which this gateway knows the upstreams.
-  uint64_t upstreams_version = 0;
+  StorePosition upstreams_position;
   /// Outstanding work that this gateway has sent to each upstream.
   std::map<UpstreamId, OutstandingLoad> shares;
   /// Prompts sent to engines since the last heartbeat.
@@ -46,13 +47,17 @@
   /// Engines that no gateway may send new work to, because a change of their
   /// role is under way.
   std::set<UpstreamId> held_engines;
+  /// Highest fencing token of role orders that the gateway knows of.
+  FencingToken highest_fencing = 0;
+  /// Start times of upstreams that have said that they are leaving.
+  std::map<UpstreamId, int64_t> leaving_upstreams;
 };
 
 /// Records of the store, passed on by a gateway that has read them.
 struct PeerRecords {
   std::optional<StoreRecord> config;
   std::vector<StoreRecord> upstreams;
-  uint64_t upstreams_version = 0;
+  StorePosition upstreams_position;
 };
 
 /// A peer's state in its last heartbeat.
--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -25,6 +25,7 @@
 #include "corianderlink/Gateway/speed_model.h"
 #include "corianderlink/Gateway/upstream_directory.h"
 #include "corianderlink/Gateway/upstream_load.h"
+#include "corianderlink/Gateway/upstream_notices.h"
 #include "corianderlink/Routing/outlier_ejector.h"
 
 namespace corianderlink {
@@ -130,6 +131,9 @@
   /// the directory still has its record.
   void OnReplaced(const UpstreamId& id) { replaced_.insert(id); }
   void OnSuccess(const UpstreamRecord& upstream);
+  /// Notices of upstreams that are leaving or asked for a pause.
+  UpstreamNotices& notices() { return notices_; }
+  const UpstreamNotices& notices() const { return notices_; }
   /// A peer reported that it sent a prompt to an engine.
   void OnPeerUse(const PromptUse& use);
   /// Returns and clears the prompts that this gateway sent since the last call.
@@ -203,6 +207,10 @@
   /// Adds a request whose prompt `upstream` computes, or would have computed.
   void RecordDemand(Time now, const UpstreamRecord& upstream,
                     const PlacementQuery& query);
+  /// Time until a paused upstream of the service takes requests again, if that
+  /// is why none does.
+  std::optional<Duration> TimeUntilPauseEnds(
+      Time now, const std::vector<const UpstreamRecord*>& usable) const;
   /// True if the upstream must not get new requests.
   bool Ineligible(Time now, const UpstreamRecord& upstream,
                   const std::set<UpstreamId>* excluded) const;
@@ -247,6 +255,7 @@
   std::map<ServiceId, DemandRates> demands_;
   std::map<std::string, HeldSet> held_;
   std::set<UpstreamId> replaced_;
+  UpstreamNotices notices_;
   std::map<ServiceId, AdmissionBudget> admission_budgets_;
   std::map<RouteId, SizeFairness> size_fairness_;
   std::map<ServiceId, InterferenceLimit> interference_limits_;
--- a/include/corianderlink/Gateway/record_cache.h
+++ b/include/corianderlink/Gateway/record_cache.h
@@ -32,13 +32,13 @@
   std::shared_ptr<const GatewayConfig> ApplyConfig(
       const std::vector<StoreRecord>& records);
   /// Replaces all upstreams with the records of a full read, complete up to
-  /// `version` of the store.
+  /// `position` of the store.
   void ReplaceUpstreams(Time now, const std::vector<StoreRecord>& records,
-                        uint64_t version);
-  /// Applies records of upstreams that changed or were removed up to `version`
+                        StorePosition position);
+  /// Applies records of upstreams that changed or were removed up to `position`
   /// of the store.
   void ApplyUpstreamChanges(Time now, const std::vector<StoreRecord>& records,
-                            uint64_t version);
+                            StorePosition position);
   /// Applies a peer's records as far as they are newer.  Returns the
   /// configuration if it was replaced, else null.
   std::shared_ptr<const GatewayConfig> ApplyPeerRecords(
@@ -55,7 +55,7 @@
 
   const std::shared_ptr<const GatewayConfig>& config() const { return config_; }
   uint64_t config_version() const { return config_ ? config_->version : 0; }
-  uint64_t upstreams_version() const { return upstreams_version_; }
+  StorePosition upstreams_position() const { return upstreams_position_; }
   /// True once the upstreams have been read in full.
   bool upstreams_loaded() const { return upstreams_loaded_; }
 
@@ -70,7 +70,7 @@
   // The records as the store holds them, to be passed on to peers.
   std::optional<StoreRecord> stored_config_;
   std::map<std::string, StoreRecord> stored_upstreams_;
-  uint64_t upstreams_version_ = 0;
+  StorePosition upstreams_position_;
   bool upstreams_loaded_ = false;
   // Last reason logged for each malformed upstream record, by key.
   std::map<std::string, std::string> logged_reasons_;
--- a/include/corianderlink/Gateway/record_store.h
+++ b/include/corianderlink/Gateway/record_store.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "corianderlink/Gateway/store_position.h"
 #include "corianderlink/Support/time.h"
 
 namespace corianderlink {
@@ -29,8 +30,8 @@
   };
   Status status = Status::kFailed;
   std::vector<StoreRecord> records;
-  /// Version of the store up to which the records are complete.
-  uint64_t version = 0;
+  /// Position of the store up to which the records are complete.
+  StorePosition position;
   /// Set if the read failed.
   std::string reason;
 };
--- a/include/corianderlink/Gateway/role_coordinator.h
+++ b/include/corianderlink/Gateway/role_coordinator.h
@@ -58,6 +58,13 @@
   /// process stops.
   void Stop();
 
+  /// Raises the next fencing token above `known`, the highest one that peers
+  /// have told of.  Returns the highest that is known here.
+  FencingToken ExchangeFencing(FencingToken known) {
+    lease_.RaiseFencingFloor(known);
+    return lease_.fencing_floor();
+  }
+
  private:
   enum class Step {
     /// No change is planned.
--- a/include/corianderlink/Gateway/store_sync.h
+++ b/include/corianderlink/Gateway/store_sync.h
@@ -25,28 +25,30 @@
         gateway_(gateway),
         codec_(codec),
         config_watcher_(loop, store, codec.config_table,
-                        {[this](const auto& all, uint64_t) {
+                        {[this](const auto& all, StorePosition) {
                            gateway_.OnConfigRecords(all);
                          },
-                         [this](const auto& changes, uint64_t) {
+                         [this](const auto& changes, StorePosition) {
                            gateway_.OnConfigRecords(changes);
                          },
                          [this](bool reachable, const std::string& reason) {
                            LogReachability(codec_.config_table, reachable,
                                            reason);
-                         }}),
-        upstreams_watcher_(loop, store, codec.upstream_table,
-                           {[this](const auto& all, uint64_t version) {
-                              gateway_.OnAllUpstreams(all, version);
-                            },
-                            [this](const auto& changes, uint64_t version) {
-                              gateway_.OnUpstreamChanges(changes, version);
-                            },
-                            [this](bool reachable, const std::string& reason) {
-                              LogReachability(codec_.upstream_table, reachable,
-                                              reason);
-                              gateway_.OnUpstreamTableReachable(reachable);
-                            }}) {}
+                         },
+                         [this](uint64_t era) { OnRestored(era); }}),
+        upstreams_watcher_(
+            loop, store, codec.upstream_table,
+            {[this](const auto& all, StorePosition position) {
+               gateway_.OnAllUpstreams(all, position);
+             },
+             [this](const auto& changes, StorePosition position) {
+               gateway_.OnUpstreamChanges(changes, position);
+             },
+             [this](bool reachable, const std::string& reason) {
+               LogReachability(codec_.upstream_table, reachable, reason);
+               gateway_.OnUpstreamTableReachable(reachable);
+             },
+             [this](uint64_t era) { OnRestored(era); }}) {}
 
   void Start() {
     config_watcher_.Start();
@@ -67,6 +69,16 @@
         {{"table", table}, {"reason", reason}});
   }
 
+  // Both watchers notice a restore; the first one counts.
+  void OnRestored(uint64_t era) {
+    if (era <= restored_era_) return;
+    restored_era_ = era;
+    Log(LogLevel::kWarning, "store_restored", {{"era", era}});
+    gateway_.OnStoreRestored();
+    // The copy may lack this gateway's own record.
+    Register();
+  }
+
   // Writes this gateway's own record, then starts reading the others'.
   void Register() {
     const StoreRecord own = gateway_.OwnRecord();
@@ -99,6 +111,7 @@
   TableWatcher<Store> config_watcher_;
   TableWatcher<Store> upstreams_watcher_;
   EventHandle gateways_timer_;
+  uint64_t restored_era_ = 0;
 };
 
 }  // namespace corianderlink
--- a/include/corianderlink/Gateway/table_watcher.h
+++ b/include/corianderlink/Gateway/table_watcher.h
@@ -16,17 +16,24 @@
 
 /// Callbacks of a TableWatcher.
 struct TableWatcherHandlers {
-  /// The table was read in full; `version` is the store's at that read.
-  std::function<void(const std::vector<StoreRecord>&, uint64_t version)>
+  /// The table was read in full; `position` is the store's at that read.
+  std::function<void(const std::vector<StoreRecord>&, StorePosition position)>
       on_snapshot;
-  /// Records were changed or removed; none are missing up to `version`.
-  std::function<void(const std::vector<StoreRecord>&, uint64_t version)>
+  /// Records were changed or removed; none are missing up to `position`.
+  std::function<void(const std::vector<StoreRecord>&, StorePosition position)>
       on_changes;
   /// The store became unreachable, with a reason, or reachable again.
   std::function<void(bool reachable, const std::string& reason)>
       on_reachability_change;
+  /// The store came back from a copy and has lost writes; called before the
+  /// records of the new era.
+  std::function<void(uint64_t era)> on_restored;
 };
 
+/// A store that came back from a copy is read in full as well: its position
+/// counts by the era first, so its lower version is not taken for a delayed
+/// response.
+///
 /// Reads the table in full once, then waits for changes in a loop.  Reads it in
 /// full again after a failure or when the store no longer keeps the changes,
 /// and retries with exponential backoff.
@@ -54,21 +61,24 @@
         OnFailure(result.reason);
         return;
       }
-      if (result.version < version_) {
+      if (result.position < position_) {
         OnFailure("store answered with an older version than before");
         return;
       }
       OnSuccess();
+      if (loaded_ && result.position.era > position_.era) {
+        handlers_.on_restored(result.position.era);
+      }
       loaded_ = true;
-      version_ = result.version;
-      handlers_.on_snapshot(result.records, result.version);
+      position_ = result.position;
+      handlers_.on_snapshot(result.records, result.position);
       Watch();
     });
   }
 
   void Watch() {
     store_.Watch(
-        table_, version_, kWatchTimeout,
+        table_, position_.version, kWatchTimeout,
         [this](const StoreReadResult& result) { OnWatchResult(result); });
   }
 
@@ -83,11 +93,16 @@
       return;
     }
     OnSuccess();
-    // Drop a delayed response that is older than the applied version.
-    if (result.version > version_) {
-      version_ = result.version;
+    if (result.position.era > position_.era) {
+      // The changes continue another history than the applied records.
+      ReadAll();
+      return;
+    }
+    // Drop a delayed response that is older than the applied position.
+    if (result.position > position_) {
+      position_ = result.position;
       if (!result.records.empty()) {
-        handlers_.on_changes(result.records, result.version);
+        handlers_.on_changes(result.records, result.position);
       }
     }
     Watch();
@@ -114,7 +129,7 @@
   Store& store_;
   const std::string table_;
   const TableWatcherHandlers handlers_;
-  uint64_t version_ = 0;
+  StorePosition position_;
   bool loaded_ = false;
   bool reachable_ = true;
   Duration retry_delay_ = kMinRetryDelay;
--- a/include/corianderlink/Gateway/upstream_directory.h
+++ b/include/corianderlink/Gateway/upstream_directory.h
@@ -26,6 +26,9 @@
 
   void OnStoreUnreachable();
   void OnStoreReachable(Time now);
+  /// The store came back from a copy: it may lack records of live upstreams and
+  /// hold records of upstreams that have left since.
+  void OnStoreRestored(Time now);
 
   /// Adds or replaces a record, unless it is older than the known one.
   void Put(const UpstreamRecord& record);
@@ -47,12 +50,34 @@
   }
 
  private:
+  /// Position of a record among all that upstreams of this id have written.
+  struct RecordAge {
+    int64_t started_ms = 0;
+    uint64_t sequence = 0;
+
+    auto operator<=>(const RecordAge&) const = default;
+  };
+  struct Departure {
+    RecordAge last_record;
+    Time at{};
+  };
+
+  static RecordAge AgeOf(const UpstreamRecord& record) {
+    return {record.started_ms, record.sequence};
+  }
+  /// True if a later record of the upstream is known, or it has left since.
+  bool IsOutdated(const UpstreamRecord& record) const;
   void Erase(const UpstreamId& id);
+  /// Drops a record and remembers that the upstream has left.
+  void Depart(Time now, const UpstreamId& id);
 
   const Duration restore_grace_;
   std::map<UpstreamId, UpstreamRecord> records_;
   std::map<ServiceId, std::set<UpstreamId>> by_service_;
   std::set<UpstreamId> missing_;
+  // Upstreams whose records were removed, so that a restored copy of the store
+  // does not bring them back.
+  std::map<UpstreamId, Departure> departed_;
   bool unreachable_ = false;
   std::optional<Time> reachable_since_;
 };
--- a/include/corianderlink/Gateway/upstream_record.h
+++ b/include/corianderlink/Gateway/upstream_record.h
@@ -30,6 +30,8 @@
   UpstreamRole role = UpstreamRole::kPlain;
   /// Start time of this incarnation, in Unix milliseconds; 0 if not given.
   int64_t started_ms = 0;
+  /// Number of this record among those that the incarnation has written.
+  uint64_t sequence = 0;
 
   bool operator==(const UpstreamRecord&) const = default;
 };
--- a/include/corianderlink/Platform/table.h
+++ b/include/corianderlink/Platform/table.h
@@ -55,12 +55,17 @@
   std::vector<TableRow> conflicts;
   /// Reason for the failure, if the status is kNotRun or kUnknown.
   std::string reason;
+  /// Rises when the service was restored to an older copy, which has lost later
+  /// writes and gives out their versions again; 0 if the service has no eras.
+  uint64_t era = 0;
 };
 
 /// The rows read, or nullopt and the reason for the failure.
 struct ReadResult {
   std::optional<std::vector<TableRow>> rows;
   std::string reason;
+  /// As in CommitResult.
+  uint64_t era = 0;
 };
 
 using CommitCallback = std::function<void(const CommitResult&)>;
--- a/lib/Authority/lease_client.cc
+++ b/lib/Authority/lease_client.cc
@@ -5,6 +5,12 @@
 #include <utility>
 
 namespace corianderlink {
+namespace {
+
+// Era of a service that was never restored.
+constexpr uint64_t kFirstEra = 1;
+
+}  // namespace
 
 LeaseClient::LeaseClient(std::string row_key, ProcessId self,
                          LeaseTiming timing,
@@ -21,8 +27,10 @@
 }
 
 bool LeaseClient::MayTakeOver(Time now) const {
+  const Duration wait = timing_.lease + timing_.guard;
+  if (restored_at_ && now - *restored_at_ < wait) return false;
   if (observed_version_ == 0 || observed_.holder.empty()) return true;
-  return now - unchanged_since_ >= timing_.lease + timing_.guard;
+  return now - unchanged_since_ >= wait;
 }
 
 LeaseAction LeaseClient::Next(Time now) {
@@ -37,7 +45,8 @@
     }
     const bool may_write = !needs_read_ && row_known_ && candidate_;
     if (!may_write || !MayTakeOver(now)) return {};
-    return StartWrite(now, {self_, observed_.fencing + 1, next_nonce_()});
+    const FencingToken used = std::max(observed_.fencing, fencing_floor_);
+    return StartWrite(now, {self_, used + 1, next_nonce_()});
   }
   // This process wrote the row last.  An expired lease is renewed as well,
   // since no other process has taken it over.
@@ -95,7 +104,7 @@
 
 void LeaseClient::OnRead(Time now, const ReadResult& result) {
   request_in_flight_ = false;
-  if (!result.rows) return;
+  if (!result.rows || !ObserveEra(now, result.era)) return;
   TableRow row{row_key_, 0, ""};
   for (const TableRow& candidate : *result.rows) {
     if (candidate.key == row_key_) row = candidate;
@@ -103,6 +112,25 @@
   Observe(now, row);
 }
 
+bool LeaseClient::ObserveEra(Time now, uint64_t era) {
+  if (era_ && era < *era_) return false;
+  // A process that starts after a restore cannot know what was lost.
+  const bool restored = era_ ? era > *era_ : era > kFirstEra;
+  era_ = era;
+  if (!restored) return true;
+  restored_at_ = now;
+  RaiseFencingFloor(std::max(own_.fencing, pending_.fencing));
+  own_ = {};
+  pending_ = {};
+  valid_until_ = Time{};
+  releasing_ = false;
+  observed_ = {};
+  observed_version_ = 0;
+  row_known_ = false;
+  needs_read_ = true;
+  return true;
+}
+
 void LeaseClient::Observe(Time now, const TableRow& row) {
   if (row.version < observed_version_) return;  // The answer is stale.
   const auto record = DecodeLeaseRecord(row.value);
@@ -113,6 +141,7 @@
   row_known_ = true;
   observed_version_ = row.version;
   observed_ = record.value_or(LeaseRecord{});
+  RaiseFencingFloor(observed_.fencing);
   needs_read_ = false;
   if (!own_write_committed) {
     if (!OwnsRow()) valid_until_ = Time{};
@@ -129,9 +158,25 @@
 
 void LeaseClient::OnCommit(Time now, const CommitResult& result) {
   request_in_flight_ = false;
+  const std::optional<uint64_t> era_before = era_;
+  const bool answered = result.status != CommitStatus::kUnknown &&
+                        result.status != CommitStatus::kNotRun;
+  if (answered && !ObserveEra(now, result.era)) {
+    needs_read_ = true;
+    row_known_ = false;
+    CompleteWrites({CommitStatus::kUnknown, 0, {}, "response of an older era"});
+    return;
+  }
+  if (answered && era_before && era_ != era_before) {
+    // The condition may have held for the row of another process, whose version
+    // was given out a second time.
+    CompleteWrites({CommitStatus::kUnknown, 0, {}, "the service was restored"});
+    return;
+  }
   switch (result.status) {
     case CommitStatus::kCommitted:
       observed_ = pending_;
+      RaiseFencingFloor(pending_.fencing);
       observed_version_ = result.version;
       unchanged_since_ = now;
       own_ = releasing_ ? LeaseRecord{} : pending_;
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -96,6 +96,11 @@
     placer_.load().SetPeer(now, peer.process, peer.status.shares);
     for (const PromptUse& use : peer.status.prompt_uses) placer_.OnPeerUse(use);
     placer_.SetHeld(now, peer.process, peer.status.held_engines);
+    for (const auto& [id, started_ms] : peer.status.leaving_upstreams) {
+      if (placer_.directory().Find(id) == nullptr) continue;
+      placer_.notices().OnLeaving(id, started_ms);
+    }
+    highest_fencing_ = std::max(highest_fencing_, peer.status.highest_fencing);
   };
 }
 
@@ -142,11 +147,13 @@
   status.ready = ready();
   status.leaving = shutting_down_;
   status.config_version = record_cache_.config_version();
-  status.upstreams_version = record_cache_.upstreams_version();
+  status.upstreams_position = record_cache_.upstreams_position();
   status.shares = placer_.OwnLoads(now);
   status.prompt_uses = placer_.TakeRecentUses();
   status.demands = placer_.Demands(now);
   status.held_engines = held_engines_;
+  status.leaving_upstreams = placer_.notices().leaving();
+  status.highest_fencing = highest_fencing_;
   return status;
 }
 
@@ -184,13 +191,17 @@
 }
 
 void Gateway::OnAllUpstreams(const std::vector<StoreRecord>& records,
-                             uint64_t version) {
-  record_cache_.ReplaceUpstreams(BootClock::now(), records, version);
+                             StorePosition position) {
+  record_cache_.ReplaceUpstreams(BootClock::now(), records, position);
 }
 
 void Gateway::OnUpstreamChanges(const std::vector<StoreRecord>& records,
-                                uint64_t version) {
-  record_cache_.ApplyUpstreamChanges(BootClock::now(), records, version);
+                                StorePosition position) {
+  record_cache_.ApplyUpstreamChanges(BootClock::now(), records, position);
+}
+
+void Gateway::OnStoreRestored() {
+  placer_.directory().OnStoreRestored(BootClock::now());
 }
 
 void Gateway::OnUpstreamTableReachable(bool reachable) {
@@ -402,6 +413,9 @@
 void Gateway::Housekeeping() {
   const Time now = BootClock::now();
   placer_.SetHeld(now, process_id_.value(), held_engines_);
+  if (role_coordinator_) {
+    highest_fencing_ = role_coordinator_->ExchangeFencing(highest_fencing_);
+  }
   placer_.SetGateways(peers_.LiveGatewayCount(now));
   if (!shutting_down_) SyncFromPeers(now);
   placer_.directory().Expire(now);
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -34,7 +34,14 @@
   heartbeat.set_kind(kGatewayKind);
   heartbeat.set_zone(status.zone.value());
   heartbeat.set_revision(status.config_version);
-  heartbeat.set_upstreams_version(status.upstreams_version);
+  heartbeat.set_upstreams_version(status.upstreams_position.version);
+  heartbeat.set_store_era(status.upstreams_position.era);
+  heartbeat.set_highest_fencing(status.highest_fencing);
+  for (const auto& [id, started_ms] : status.leaving_upstreams) {
+    wire::LeavingUpstream* out = heartbeat.add_leaving_upstreams();
+    out->set_upstream(id.value());
+    out->set_started_ms(started_ms);
+  }
   heartbeat.set_leaving(status.leaving);
   heartbeat.set_ready(status.ready);
   heartbeat.set_entry_address(status.client_address.ToString());
@@ -75,7 +82,12 @@
   status.instance = heartbeat.instance();
   status.zone = ZoneId(heartbeat.zone());
   status.config_version = heartbeat.revision();
-  status.upstreams_version = heartbeat.upstreams_version();
+  status.upstreams_position = {heartbeat.store_era(),
+                               heartbeat.upstreams_version()};
+  status.highest_fencing = heartbeat.highest_fencing();
+  for (const wire::LeavingUpstream& in : heartbeat.leaving_upstreams()) {
+    status.leaving_upstreams[UpstreamId(in.upstream())] = in.started_ms();
+  }
   status.leaving = heartbeat.leaving();
   status.ready = heartbeat.ready();
   status.client_address =
@@ -181,7 +193,8 @@
   wire::Envelope reply;
   wire::RecordsAnswer* answer = reply.mutable_records_answer();
   if (records.config) EncodeRecord(*records.config, *answer->mutable_config());
-  answer->set_upstreams_version(records.upstreams_version);
+  answer->set_upstreams_version(records.upstreams_position.version);
+  answer->set_store_era(records.upstreams_position.era);
   for (const StoreRecord& record : records.upstreams) {
     EncodeRecord(record, *answer->add_upstreams());
   }
@@ -192,7 +205,7 @@
   const wire::RecordsAnswer& answer = message.records_answer();
   PeerRecords records;
   if (answer.has_config()) records.config = DecodeRecord(answer.config());
-  records.upstreams_version = answer.upstreams_version();
+  records.upstreams_position = {answer.store_era(), answer.upstreams_version()};
   for (const wire::Record& record : answer.upstreams()) {
     records.upstreams.push_back(DecodeRecord(record));
   }
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -130,6 +130,7 @@
                         const std::set<UpstreamId>* excluded) const {
   if (excluded != nullptr && excluded->count(upstream.id) > 0) return true;
   if (replaced_.count(upstream.id) > 0) return true;
+  if (notices_.Blocks(now, upstream)) return true;
   if (load_.Stalled(now, upstream.id, limits_.stall)) return true;
   if (load_.OwnRequests(upstream.id) >= ConnectionQuota(upstream.service)) {
     return true;
@@ -205,11 +206,25 @@
   return engines;
 }
 
+std::optional<Duration> Placer::TimeUntilPauseEnds(
+    Time now, const std::vector<const UpstreamRecord*>& usable) const {
+  std::optional<Duration> shortest;
+  for (const UpstreamRecord* upstream : usable) {
+    if (notices_.IsLeaving(*upstream)) continue;
+    const auto paused_until = notices_.PausedUntil(now, upstream->id);
+    if (!paused_until) return std::nullopt;
+    shortest =
+        std::min(shortest.value_or(Duration::max()), *paused_until - now);
+  }
+  return shortest;
+}
+
 PlacementResult Placer::PlacePlain(Time now, const ServiceId& service,
                                    const std::set<UpstreamId>& excluded) const {
   const UpstreamRecord* best = nullptr;
   double best_load = 0;
-  for (const UpstreamRecord* upstream : directory_.Usable(service)) {
+  const std::vector<const UpstreamRecord*> usable = directory_.Usable(service);
+  for (const UpstreamRecord* upstream : usable) {
     if (Ineligible(now, *upstream, &excluded)) continue;
     const uint32_t requests = load_.Requests(now, upstream->id);
     const auto slots = static_cast<uint32_t>(std::max(upstream->slots, 1));
@@ -223,7 +238,8 @@
   PlacementResult result;
   if (best == nullptr) {
     result.reason = "no upstream has capacity";
-    result.retry_after = FromSeconds(kPlainRetryAfterMs / 1000);
+    result.retry_after = TimeUntilPauseEnds(now, usable)
+                             .value_or(FromSeconds(kPlainRetryAfterMs / 1000));
     return result;
   }
   result.placement = Placement{*best, PriorityTier::kTimely};
@@ -434,6 +450,11 @@
       late ? late->predicted_ms - deadline_bound_ms : kPlainRetryAfterMs;
   result.retry_after =
       FromSeconds(std::max(excess_ms, kMinRetryAfterMs) / 1000);
+  if (!timely && !late) {
+    result.retry_after =
+        std::max(result.retry_after,
+                 TimeUntilPauseEnds(now, usable).value_or(Duration::zero()));
+  }
   return result;
 }
 
@@ -455,6 +476,7 @@
   for (const UpstreamRecord* upstream : directory_.Usable(query.service)) {
     if (upstream->role != UpstreamRole::kDecode) continue;
     if (query.excluded->count(upstream->id) > 0) continue;
+    if (notices_.Blocks(now, *upstream)) continue;
     if (!include_ineligible && Ineligible(now, *upstream, nullptr)) continue;
     const double cross_zone_ms =
         upstream->zone == source.zone ? 0 : kCrossZoneMs;
@@ -562,6 +584,7 @@
   std::erase_if(caches_, [&](const auto& entry) { return gone(entry.first); });
   std::erase_if(replaced_, gone);
   speed_.ForgetIf(gone);
+  notices_.ForgetIf(gone);
   const std::set<Address> present = directory_.Addresses();
   ejector_.ForgetIf(
       [&](const Address& address) { return present.count(address) == 0; });
--- a/lib/Gateway/record_cache.cc
+++ b/lib/Gateway/record_cache.cc
@@ -52,7 +52,7 @@
 
 void RecordCache::ReplaceUpstreams(Time now,
                                    const std::vector<StoreRecord>& records,
-                                   uint64_t version) {
+                                   StorePosition position) {
   std::vector<UpstreamRecord> upstreams;
   stored_upstreams_.clear();
   for (const StoreRecord& record : records) {
@@ -62,17 +62,18 @@
     if (upstream) upstreams.push_back(*upstream);
   }
   upstreams_loaded_ = true;
-  upstreams_version_ = version;
+  upstreams_position_ = position;
   Log(LogLevel::kInfo, "upstreams_read",
       {{"count", static_cast<uint64_t>(upstreams.size())},
-       {"store_version", version}});
+       {"store_era", position.era},
+       {"store_version", position.version}});
   directory_.ReplaceAll(now, upstreams);
 }
 
 void RecordCache::ApplyUpstreamChanges(Time now,
                                        const std::vector<StoreRecord>& records,
-                                       uint64_t version) {
-  upstreams_version_ = version;
+                                       StorePosition position) {
+  upstreams_position_ = position;
   for (const StoreRecord& record : records) ApplyUpstreamChange(now, record);
 }
 
@@ -101,7 +102,7 @@
 PeerRecords RecordCache::RecordsForPeer(bool with_upstreams) const {
   PeerRecords records;
   records.config = stored_config_;
-  records.upstreams_version = upstreams_version_;
+  records.upstreams_position = upstreams_position_;
   if (!with_upstreams) return records;
   for (const auto& [key, record] : stored_upstreams_) {
     records.upstreams.push_back(record);
@@ -114,12 +115,13 @@
   std::shared_ptr<const GatewayConfig> new_config;
   if (records.config) new_config = ApplyConfig({*records.config});
   const bool newer_upstreams =
-      !upstreams_loaded_ || records.upstreams_version > upstreams_version_;
+      !upstreams_loaded_ || records.upstreams_position > upstreams_position_;
   if (newer_upstreams && !records.upstreams.empty()) {
     Log(LogLevel::kInfo, "upstreams_from_peer",
-        {{"version", records.upstreams_version},
-         {"before", upstreams_version_}});
-    ReplaceUpstreams(now, records.upstreams, records.upstreams_version);
+        {{"era", records.upstreams_position.era},
+         {"version", records.upstreams_position.version},
+         {"before", upstreams_position_.version}});
+    ReplaceUpstreams(now, records.upstreams, records.upstreams_position);
   }
   return new_config;
 }
@@ -129,7 +131,7 @@
 }
 
 bool RecordCache::AreUpstreamsBehind(const GatewayStatus& status) const {
-  return !upstreams_loaded_ || status.upstreams_version > upstreams_version_;
+  return !upstreams_loaded_ || status.upstreams_position > upstreams_position_;
 }
 
 }  // namespace corianderlink
--- a/lib/Gateway/role_coordinator.cc
+++ b/lib/Gateway/role_coordinator.cc
@@ -76,8 +76,10 @@
 }
 
 void RoleCoordinator::AdvanceLease(Time now) {
-  const bool was_unclaimed =
-      lease_.observed().holder.empty() && lease_.observed().fencing == 0;
+  // After a restore, the store may have lost the lease of an earlier holder.
+  const bool was_unclaimed = lease_.observed().holder.empty() &&
+                             lease_.fencing_floor() == 0 &&
+                             !lease_.after_restore();
   const LeaseAction action = lease_.Next(now);
   if (action.kind == LeaseAction::Kind::kRead) {
     callbacks_.read(kLeaseKey, [this](const ReadResult& result) {
--- a/lib/Gateway/upstream_directory.cc
+++ b/lib/Gateway/upstream_directory.cc
@@ -2,6 +2,12 @@
 #include "corianderlink/Gateway/upstream_directory.h"
 
 namespace corianderlink {
+namespace {
+
+// Longer than a restored copy of the store can be old.
+constexpr Duration kDepartureRetention = seconds(600);
+
+}  // namespace
 
 void UpstreamDirectory::OnStoreUnreachable() {
   unreachable_ = true;
@@ -14,13 +20,28 @@
   reachable_since_ = now;
 }
 
+void UpstreamDirectory::OnStoreRestored(Time now) {
+  unreachable_ = false;
+  reachable_since_ = now;
+}
+
+bool UpstreamDirectory::IsOutdated(const UpstreamRecord& record) const {
+  // Without a start time, a restarted upstream cannot be told from an old one.
+  if (record.started_ms == 0) return false;
+  const auto known = records_.find(record.id);
+  if (known != records_.end()) return AgeOf(record) < AgeOf(known->second);
+  const auto departed = departed_.find(record.id);
+  if (departed == departed_.end()) return false;
+  return AgeOf(record) <= departed->second.last_record;
+}
+
 void UpstreamDirectory::Put(const UpstreamRecord& record) {
+  if (IsOutdated(record)) return;
   const auto it = records_.find(record.id);
-  if (it != records_.end()) {
-    // Ignores a delayed record of an earlier incarnation.
-    if (record.started_ms < it->second.started_ms) return;
-    if (it->second.service != record.service) Erase(record.id);
+  if (it != records_.end() && it->second.service != record.service) {
+    Erase(record.id);
   }
+  departed_.erase(record.id);
   missing_.erase(record.id);
   records_[record.id] = record;
   by_service_[record.service].insert(record.id);
@@ -35,6 +56,13 @@
     missing_.insert(id);
     return;
   }
+  Depart(now, id);
+}
+
+void UpstreamDirectory::Depart(Time now, const UpstreamId& id) {
+  const auto it = records_.find(id);
+  if (it == records_.end()) return;
+  departed_[id] = {AgeOf(it->second), now};
   Erase(id);
 }
 
@@ -53,10 +81,13 @@
 }
 
 void UpstreamDirectory::Expire(Time now) {
+  std::erase_if(departed_, [&](const auto& entry) {
+    return now - entry.second.at > kDepartureRetention;
+  });
   if (unreachable_ || missing_.empty()) return;
   if (reachable_since_ && now - *reachable_since_ < restore_grace_) return;
   const std::set<UpstreamId> expired = missing_;
-  for (const UpstreamId& id : expired) Erase(id);
+  for (const UpstreamId& id : expired) Depart(now, id);
 }
 
 void UpstreamDirectory::Erase(const UpstreamId& id) {
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -117,7 +117,7 @@
            1},
           {"f", R"([1,2,3])", 1},
       },
-      1);
+      {1, 1});
   const auto result = harness_.Send("GET", "/safe/1");
   harness_.Await(result);
   EXPECT_EQ(result->status, 503);
@@ -441,7 +441,7 @@
         R"({"service":"shop","addr":")" + upstream.address.ToString() +
             R"(","zone":"z","slots":4,"state":"draining"})",
         100}},
-      100);
+      {1, 100});
   harness_.RunFor(milliseconds(900));
   harness_.front = settings.front;
   const auto refused = harness_.Send("GET", "/safe/1");
--- a/unittests/Gateway/gateway_test_harness.h
+++ b/unittests/Gateway/gateway_test_harness.h
@@ -139,9 +139,9 @@
         upstreams_.back()->address.ToString() +
         R"(","zone":"z","slots":4,"state":"ready")" +
         (phase.empty() ? "" : R"(,"phase":")" + phase + "\"") + "}";
-    gateway_.OnAllUpstreams(records_, ++store_version_);
+    gateway_.OnAllUpstreams(records_, {1, ++store_version_});
     records_.push_back({id, record, 1});
-    gateway_.OnAllUpstreams(records_, ++store_version_);
+    gateway_.OnAllUpstreams(records_, {1, ++store_version_});
     return *upstreams_.back();
   }
 
--- a/unittests/Gateway/table_watcher_test.cc
+++ b/unittests/Gateway/table_watcher_test.cc
@@ -45,10 +45,10 @@
 };
 
 StoreReadResult Result(Status status, uint64_t version,
-                       std::vector<std::string> keys = {}) {
+                       std::vector<std::string> keys = {}, uint64_t era = 1) {
   StoreReadResult result;
   result.status = status;
-  result.version = version;
+  result.position = {era, version};
   for (const std::string& key : keys) {
     result.records.push_back({key, "v", version});
   }
@@ -69,19 +69,21 @@
   std::vector<size_t> snapshot_sizes_;
   std::vector<std::string> changed_;
   std::vector<bool> reachability_changes_;
+  std::vector<uint64_t> restored_eras_;
   TableWatcher<ScriptedStore> watcher_{
       loop_,
       store_,
       "t",
-      {[this](const auto& records, uint64_t) {
+      {[this](const auto& records, StorePosition) {
          snapshot_sizes_.push_back(records.size());
        },
-       [this](const auto& changes, uint64_t) {
+       [this](const auto& changes, StorePosition) {
          for (const StoreRecord& row : changes) changed_.push_back(row.key);
        },
        [this](bool reachable, const std::string&) {
          reachability_changes_.push_back(reachable);
-       }}};
+       },
+       [this](uint64_t era) { restored_eras_.push_back(era); }}};
 };
 
 TEST_F(TableWatcherTest, ReadsTheTableThenItsChanges) {
@@ -120,5 +122,34 @@
   EXPECT_EQ(snapshot_sizes_, (std::vector<size_t>{1, 2}));
 }
 
+TEST_F(TableWatcherTest, FollowsAStoreThatCameBackFromACopy) {
+  store_.snapshots = {Result(Status::kOk, 50, {"a", "b"}),
+                      Result(Status::kOk, 40, {"a"}, 2)};
+  store_.changes = {Result(Status::kHistoryLost, 0),
+                    Result(Status::kOk, 41, {"c"}, 2)};
+  Run();
+  EXPECT_EQ(snapshot_sizes_, (std::vector<size_t>{2, 1}));
+  EXPECT_EQ(restored_eras_, std::vector<uint64_t>{2});
+  EXPECT_EQ(changed_, std::vector<std::string>{"c"});
+}
+
+// The new era has passed the old version, so the watch gets no 410.
+TEST_F(TableWatcherTest, ReadsInFullIfAWatchContinuesInANewEra) {
+  store_.snapshots = {Result(Status::kOk, 50, {"a"}),
+                      Result(Status::kOk, 60, {"x", "y"}, 2)};
+  store_.changes = {Result(Status::kOk, 55, {"z"}, 2)};
+  Run();
+  EXPECT_TRUE(changed_.empty());
+  EXPECT_EQ(snapshot_sizes_, (std::vector<size_t>{1, 2}));
+}
+
+TEST_F(TableWatcherTest, DropsADelayedResponseOfAnOlderEra) {
+  store_.snapshots = {Result(Status::kOk, 40, {"a"}, 2)};
+  store_.changes = {Result(Status::kOk, 90, {"old"}, 1),
+                    Result(Status::kOk, 41, {"new"}, 2)};
+  Run();
+  EXPECT_EQ(changed_, std::vector<std::string>{"new"});
+}
+
 }  // namespace
 }  // namespace corianderlink
--- a/unittests/Gateway/upstream_directory_test.cc
+++ b/unittests/Gateway/upstream_directory_test.cc
@@ -88,5 +88,53 @@
   EXPECT_EQ(directory_.Usable(ServiceId("t")).size(), 1U);
 }
 
+UpstreamRecord RecordAt(uint64_t sequence, bool draining) {
+  UpstreamRecord record = Record("a");
+  record.sequence = sequence;
+  record.draining = draining;
+  return record;
+}
+
+// A copy of the store brings back records that were replaced or removed since.
+TEST_F(UpstreamDirectoryTest, RestoredRecordDoesNotEndDraining) {
+  directory_.Put(RecordAt(8, true));
+  directory_.OnStoreRestored(now_);
+  directory_.ReplaceAll(now_, {RecordAt(5, false)});
+  EXPECT_EQ(Usable(), 0U);
+  // Only what the upstream writes later counts.
+  directory_.Put(RecordAt(9, false));
+  EXPECT_EQ(Usable(), 1U);
+}
+
+TEST_F(UpstreamDirectoryTest, RestoredRecordDoesNotBringBackAGoneUpstream) {
+  directory_.Put(RecordAt(5, false));
+  directory_.Remove(now_, UpstreamId("a"));
+  directory_.OnStoreRestored(now_);
+  directory_.ReplaceAll(now_, {RecordAt(5, false)});
+  EXPECT_EQ(Usable(), 0U);
+  UpstreamRecord restarted = Record("a", 2);
+  directory_.Put(restarted);
+  EXPECT_EQ(Usable(), 1U);
+}
+
+TEST_F(UpstreamDirectoryTest, RecordMissingFromACopyIsKeptForTheGraceTime) {
+  directory_.Put(Record("a"));
+  directory_.OnStoreRestored(now_);
+  directory_.ReplaceAll(now_, {});
+  EXPECT_EQ(Usable(), 1U);
+  directory_.Expire(now_ + kRestoreGrace);
+  EXPECT_EQ(Usable(), 0U);
+}
+
+TEST_F(UpstreamDirectoryTest, RecordsWithoutStartTimeAreNeverOutdated) {
+  UpstreamRecord record = Record("a", 0);
+  record.sequence = 9;
+  directory_.Put(record);
+  record.sequence = 1;
+  record.draining = true;
+  directory_.Put(record);
+  EXPECT_EQ(Usable(), 0U);
+}
+
 }  // namespace
 }  // namespace corianderlink
--- a/unittests/PlatformAdapter/http_record_store_test.cc
+++ b/unittests/PlatformAdapter/http_record_store_test.cc
@@ -53,7 +53,7 @@
   const StoreReadResult result = ReadAll();
   EXPECT_EQ(result.status, Status::kOk);
   // A watch continues from the version of the first page.
-  EXPECT_EQ(result.version, 9U);
+  EXPECT_EQ(result.position.version, 9U);
   ASSERT_EQ(result.records.size(), 3U);
   EXPECT_EQ(result.records[2].value, "CC");
 }
@@ -119,5 +119,27 @@
   EXPECT_NE(body.find("dmFsdWU="), std::string::npos);
 }
 
+TEST_F(HttpRecordStoreTest, TellsTheEraOfEachResponse) {
+  fake_store_.on_request = [](const FakeUpstream::Exchange& exchange) {
+    exchange->SendResponse(200, {{"Store-Era", "3"}},
+                           R"({"rows":[],"truncated":false,"ver":9})");
+  };
+  EXPECT_EQ(ReadAll().position, (StorePosition{3, 9}));
+  EXPECT_EQ(Commit().era, 3U);
+}
+
+TEST_F(HttpRecordStoreTest, ReadFailsIfTheStoreIsRestoredBetweenItsPages) {
+  fake_store_.on_request = [this](const FakeUpstream::Exchange& exchange) {
+    const bool first = fake_store_.requests.size() == 1;
+    exchange->SendResponse(
+        200, {{"Store-Era", first ? "1" : "2"}},
+        first ? R"({"rows":[{"key":"a","value":"QQ==","ver":1}],
+                    "truncated":true,"ver":9})"
+              : R"({"rows":[{"key":"b","value":"Qg==","ver":2}],
+                    "truncated":false,"ver":4})");
+  };
+  EXPECT_EQ(ReadAll().status, Status::kFailed);
+}
+
 }  // namespace
 }  // namespace corianderlink::platform
