[Gateway] Heed leaving upstreams and pauses; bound bytes without end

A prefill response, an unsigned body or an event without end grew to 64 MB in memory, and the body of a late response to another request was never dropped. Ruled out: the head of a response and bytes after its end were bounded already (EndlessHeadIsAFailure, EndlessBytesAfterAResponseCloseTheConnection passed at once). A response that cannot be forwarded is given up after 256 KiB, an event after 1 MiB; a slow client pauses reading from any upstream.

--- a/include/corianderlink/Gateway/relay_codec.h
+++ b/include/corianderlink/Gateway/relay_codec.h
@@ -64,6 +64,10 @@
   bool address_reassigned = false;
   /// The response carries the upstream's signature.
   bool is_signed = false;
+  /// The upstream is leaving.
+  bool leaving = false;
+  /// The upstream asks for no requests for this long.
+  std::optional<Duration> pause;
 };
 
 /// Decodes and encodes the platform's header fields and bodies.
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -96,6 +96,11 @@
   void ReportFirstOutput();
   /// An event of the stream is about to be sent to the client.
   void RecordEventGap();
+  /// Passes on what the upstream said about itself in its response head.
+  void ApplyNotices();
+  /// Gives up an attempt whose response exceeds every bound.
+  void AbandonEndlessResponse();
+  void PauseReadingForSlowClient();
 
   /// Ends an attempt that has no response for the client; retries the request
   /// or fails it.  `upstream_failed` counts the failure against the health of
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -19,6 +19,8 @@
 // Response bytes that are buffered before forwarding begins, so that an attempt
 // whose response is truncated can be retried.
 constexpr size_t kMaxBufferedBytes = 256 * 1024;
+// Longest event of a stream.
+constexpr size_t kMaxEventBytes = 1024 * 1024;
 // Response bytes queued for a slow client before reading from the upstream is
 // paused.
 constexpr size_t kMaxPendingBytes = 1024 * 1024;
@@ -235,11 +237,35 @@
   response_ = head;
   response_info_ =
       context_.codec.decode_response(head, placement_->upstream.id);
+  ApplyNotices();
   const bool is_event_stream = is_stream() && head.status == 200 &&
                                IsSignedResponseTo(response_info_, request_.id);
   forwarding_events_ = is_event_stream && !placement_->prefill_only;
 }
 
+void RelayTask::ApplyNotices() {
+  // Another upstream that has this address now speaks for itself only.
+  if (response_info_.address_reassigned) return;
+  const UpstreamRecord& upstream = placement_->upstream;
+  UpstreamNotices& notices = context_.placer.notices();
+  if (response_info_.leaving &&
+      notices.OnLeaving(upstream.id, upstream.started_ms)) {
+    Log(LogLevel::kInfo, "upstream_leaving",
+        {{"upstream", upstream.id.value()},
+         {"started_ms", upstream.started_ms},
+         {"request", request_.id.value()}});
+  }
+  if (!response_info_.pause) return;
+  const Time now = BootClock::now();
+  const Time end =
+      notices.OnPauseRequested(now, upstream.id, *response_info_.pause);
+  Log(LogLevel::kInfo, "upstream_pause",
+      {{"upstream", upstream.id.value()},
+       {"request", request_.id.value()},
+       {"asked_s", ToSeconds(*response_info_.pause)},
+       {"until_s", ToSeconds(end - now)}});
+}
+
 void RelayTask::OnResponseBody(std::string data) {
   if (finished_) return;
   if (forwarding_events_) {
@@ -251,13 +277,32 @@
   const bool can_forward = !placement_->prefill_only &&
                            response_info_.is_signed &&
                            !response_info_.not_run && !is_stream();
-  if (!can_forward || buffered_.size() <= kMaxBufferedBytes) return;
+  if (buffered_.size() <= kMaxBufferedBytes) return;
+  if (!can_forward) {
+    AbandonEndlessResponse();
+    return;
+  }
   if (!exchange_->response_started()) {
     exchange_->StartResponse(response_->status,
                              EndToEndFields(response_->fields),
                              response_->content_length);
   }
   exchange_->SendBody(std::exchange(buffered_, {}));
+  PauseReadingForSlowClient();
+}
+
+void RelayTask::AbandonEndlessResponse() {
+  call_->Cancel();
+  call_.reset();
+  buffered_.clear();
+  OnAttemptFailed(Outcome::MayHaveRun("response is longer than any valid one"),
+                  true);
+}
+
+void RelayTask::PauseReadingForSlowClient() {
+  if (exchange_->PendingBytes() <= kMaxPendingBytes || !call_) return;
+  call_->PauseReading();
+  exchange_->on_drained = [call = call_] { call->ResumeReading(); };
 }
 
 void RelayTask::ForwardEvents() {
@@ -275,10 +320,11 @@
     }
     RecordEventGap();
     exchange_->SendBody(event->bytes);
-    if (exchange_->PendingBytes() > kMaxPendingBytes && call_) {
-      call_->PauseReading();
-      exchange_->on_drained = [call = call_] { call->ResumeReading(); };
-    }
+    PauseReadingForSlowClient();
+  }
+  if (event_splitter_.rest().size() > kMaxEventBytes) {
+    AbandonEndlessResponse();
+    return;
   }
   ArmStallTimer();
 }
@@ -604,6 +650,11 @@
 
 void RelayTask::ReleaseKvHandle() {
   if (!kv_handle_) return;
+  // The engine drops the handle by itself in time.
+  if (context_.placer.notices().Blocks(BootClock::now(), kv_handle_->source)) {
+    kv_handle_.reset();
+    return;
+  }
   const auto [method, target] =
       context_.codec.encode_release_kv_handle(kv_handle_->id);
   UpstreamRequest request;
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -83,7 +83,8 @@
     if (state == ParseState::kHead) return;
     if (!head_delivered_) DeliverHead();
     if (closed_ || !busy_) return;
-    if (!discarding_response_ && !parser_->body().empty()) DeliverBody();
+    if (discarding_response_) parser_->body().clear();
+    if (!parser_->body().empty()) DeliverBody();
     if (closed_ || !busy_) return;
     if (state == ParseState::kDone) FinishResponse();
     if (used == 0) return;
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -227,5 +227,43 @@
   RunFor(milliseconds(10));
 }
 
+// Writes until the peer closes the connection; returns the number of bytes.
+size_t WriteUntilClosed(int fd, const std::string& text) {
+  size_t sent = 0;
+  while (true) {
+    const ssize_t n = send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+    if (n <= 0) return sent;
+    sent += static_cast<size_t>(n);
+  }
+}
+
+TEST_F(UpstreamPoolTest, EndlessHeadIsAFailure) {
+  std::atomic<size_t> sent{0};
+  RawTcpServer peer([&](int fd) {
+    ReadUntil(fd, "\r\n\r\n");
+    Write(fd, "HTTP/1.1 200 OK\r\n");
+    sent = WriteUntilClosed(fd, "X-More: " + std::string(1000, 'x') + "\r\n");
+  });
+  const CallResult result = Call(peer.address, "1");
+  EXPECT_TRUE(result.failure);
+  RunFor(milliseconds(100));
+  EXPECT_LT(sent, 8U * 1024 * 1024);
+}
+
+TEST_F(UpstreamPoolTest, EndlessBytesAfterAResponseCloseTheConnection) {
+  std::atomic<size_t> sent{0};
+  RawTcpServer peer([&](int fd) {
+    ReadUntil(fd, "\r\n\r\n");
+    Write(fd, MakeResponse("1", "x"));
+    sent = WriteUntilClosed(fd, std::string(1000, 'x'));
+  });
+  const CallResult result = Call(peer.address, "1");
+  EXPECT_TRUE(result.ended);
+  EXPECT_EQ(result.body, "x");
+  RunFor(milliseconds(200));
+  EXPECT_EQ(pool_.ConnectionCount(peer.address), 0U);
+  EXPECT_LT(sent, 8U * 1024 * 1024);
+}
+
 }  // namespace
 }  // namespace corianderlink
