[Gateway][Authority] Bound what is learned by route; two guards of records

Cause: found reading the diff. SizeFairness and the estimate of client timeouts kept an entry for every route that ever had a request, without end where routes come and go. After a restore a lease row with an empty nonce would have counted as this process's own write. Change: entries of routes that the configuration lacks are dropped; both guards. Before: RecordWithoutStartTimeDoesNotReplaceOneWithIt would fail.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -129,6 +129,8 @@
   void OnPeerRecords(const PeerRecords& records);
   /// Applies a new configuration; null changes nothing.
   void ApplyConfig(const std::shared_ptr<const GatewayConfig>& config);
+  /// Drops what was learned about routes that `config` does not contain.
+  void ForgetRemovedRoutes(const GatewayConfig& config);
   /// Requests records from a peer that has newer ones than this gateway.
   void SyncFromPeers(Time now);
   /// Periodic work: synchronizes with peers, drops expired state, updates
--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -159,6 +159,12 @@
                                               const ServiceId& service) const;
   /// Drops the state of upstreams that left the directory.
   void Prune();
+  /// Drops the state of the routes for which `gone` returns true.
+  template <typename Predicate>
+  void ForgetRoutesIf(Predicate gone) {
+    std::erase_if(size_fairness_,
+                  [&](const auto& entry) { return gone(entry.first); });
+  }
 
   UpstreamDirectory& directory() { return directory_; }
   const UpstreamDirectory& directory() const { return directory_; }
--- a/lib/Authority/lease_client.cc
+++ b/lib/Authority/lease_client.cc
@@ -135,8 +135,9 @@
   if (row.version < observed_version_) return;  // The answer is stale.
   const auto record = DecodeLeaseRecord(row.value);
   if (row.version != 0 && !record) return;  // Ignore a malformed row.
-  const bool own_write_committed =
-      needs_read_ && record && record->nonce == pending_.nonce;
+  const bool own_write_committed = needs_read_ && record &&
+                                   !pending_.nonce.empty() &&
+                                   record->nonce == pending_.nonce;
   if (row.version != observed_version_ || !row_known_) unchanged_since_ = now;
   row_known_ = true;
   observed_version_ = row.version;
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -188,12 +188,22 @@
        {"routes", static_cast<uint64_t>(config->routes.size())}});
   route_table_ = RouteTable(config);
   client_server_.SetLimits(config->limits);
+  ForgetRemovedRoutes(*config);
   for (const auto& [id, service] : config->services) {
     placer_.SetMaxConnections(id, service.max_connections);
   }
   metrics_.Set("gateway_config_version", static_cast<double>(config->version));
 }
 
+void Gateway::ForgetRemovedRoutes(const GatewayConfig& config) {
+  std::set<RouteId> present;
+  for (const RouteSpec& route : config.routes) present.insert(route.id);
+  const auto gone = [&](const RouteId& id) { return present.count(id) == 0; };
+  placer_.ForgetRoutesIf(gone);
+  std::erase_if(client_timeout_estimates_,
+                [&](const auto& entry) { return gone(entry.first); });
+}
+
 void Gateway::OnAllUpstreams(const std::vector<StoreRecord>& records,
                              StorePosition position) {
   record_cache_.ReplaceUpstreams(BootClock::now(), records, position);
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -182,6 +182,7 @@
   const double deadline_bound_ms =
       query.deadline_left_ms * limits_.deadline_fraction;
   // A small prompt delays other requests little, so it may miss its objective.
+  // So may a large one if too many of its size were refused.
   const bool may_be_late =
       express || (query.first_attempt && fairness.IsUnderserved(tokens));
   const double first_bound_ms =
--- a/lib/Gateway/upstream_directory.cc
+++ b/lib/Gateway/upstream_directory.cc
@@ -26,12 +26,13 @@
 }
 
 bool UpstreamDirectory::IsOutdated(const UpstreamRecord& record) const {
-  // Without a start time, a restarted upstream cannot be told from an old one.
-  if (record.started_ms == 0) return false;
   const auto known = records_.find(record.id);
-  if (known != records_.end()) return AgeOf(record) < AgeOf(known->second);
+  // Without a start time, a restarted upstream cannot be told from an old one.
+  if (known != records_.end() && known->second.started_ms != 0) {
+    return AgeOf(record) < AgeOf(known->second);
+  }
   const auto departed = departed_.find(record.id);
-  if (departed == departed_.end()) return false;
+  if (departed == departed_.end() || record.started_ms == 0) return false;
   return AgeOf(record) <= departed->second.last_record;
 }
 
--- a/unittests/Gateway/upstream_directory_test.cc
+++ b/unittests/Gateway/upstream_directory_test.cc
@@ -136,5 +136,13 @@
   EXPECT_EQ(Usable(), 0U);
 }
 
+TEST_F(UpstreamDirectoryTest, RecordWithoutStartTimeDoesNotReplaceOneWithIt) {
+  UpstreamRecord record = Record("a", 5);
+  record.draining = true;
+  directory_.Put(record);
+  directory_.Put(Record("a", 0));
+  EXPECT_EQ(Usable(), 0U);
+}
+
 }  // namespace
 }  // namespace corianderlink
