[Gateway] Let a removed upstream register again as it was

Cause: the memory of departed upstreams, added for restored stores, would also have refused a record with the same start time and sequence that was written after the removal; the soak's upstreams write such records. Before: RemovedUpstreamMayRegisterAgain failed. After: passes.

--- a/include/corianderlink/Gateway/upstream_directory.h
+++ b/include/corianderlink/Gateway/upstream_directory.h
@@ -59,6 +59,8 @@
   };
   struct Departure {
     RecordAge last_record;
+    /// Number of restores of the store before it.
+    int restores = 0;
     Time at{};
   };
 
@@ -78,6 +80,7 @@
   // Upstreams whose records were removed, so that a restored copy of the store
   // does not bring them back.
   std::map<UpstreamId, Departure> departed_;
+  int restores_ = 0;
   bool unreachable_ = false;
   std::optional<Time> reachable_since_;
 };
--- a/lib/Gateway/upstream_directory.cc
+++ b/lib/Gateway/upstream_directory.cc
@@ -23,6 +23,7 @@
 void UpstreamDirectory::OnStoreRestored(Time now) {
   unreachable_ = false;
   reachable_since_ = now;
+  ++restores_;
 }
 
 bool UpstreamDirectory::IsOutdated(const UpstreamRecord& record) const {
@@ -33,6 +34,8 @@
   }
   const auto departed = departed_.find(record.id);
   if (departed == departed_.end() || record.started_ms == 0) return false;
+  // Without a restore since, the record was written after the removal.
+  if (departed->second.restores == restores_) return false;
   return AgeOf(record) <= departed->second.last_record;
 }
 
@@ -63,7 +66,7 @@
 void UpstreamDirectory::Depart(Time now, const UpstreamId& id) {
   const auto it = records_.find(id);
   if (it == records_.end()) return;
-  departed_[id] = {AgeOf(it->second), now};
+  departed_[id] = {AgeOf(it->second), restores_, now};
   Erase(id);
 }
 
--- a/unittests/Gateway/upstream_directory_test.cc
+++ b/unittests/Gateway/upstream_directory_test.cc
@@ -117,6 +117,13 @@
   EXPECT_EQ(Usable(), 1U);
 }
 
+TEST_F(UpstreamDirectoryTest, RemovedUpstreamMayRegisterAgain) {
+  directory_.Put(RecordAt(5, false));
+  directory_.Remove(now_, UpstreamId("a"));
+  directory_.Put(RecordAt(5, false));
+  EXPECT_EQ(Usable(), 1U);
+}
+
 TEST_F(UpstreamDirectoryTest, RecordMissingFromACopyIsKeptForTheGraceTime) {
   directory_.Put(Record("a"));
   directory_.OnStoreRestored(now_);
--- a/utils/soak_lib/stand_ins.py
+++ b/utils/soak_lib/stand_ins.py
@@ -206,6 +206,8 @@
         self.runs, self.arrivals = runs, arrivals
         self.trouble = None
         self.slots = 32 if role else 6
+        self.born = int(time.time() * 1000)
+        self.seq = 0
         self.busy = 0
         self.handles = set()
 
--- a/utils/soak_lib/world.py
+++ b/utils/soak_lib/world.py
@@ -179,10 +179,11 @@
         return upstream
 
     def put_upstream(self, upstream, state="ready"):
+        upstream.seq += 1
         row = {"service": upstream.service, "zone": "zone-a", "version": 1,
                "addr": "127.0.0.1:%d" % upstream.port, "state": state,
-               "slots": upstream.slots, "cold_left_ms": 0, "seq": 1,
-               "born": 1}
+               "slots": upstream.slots, "cold_left_ms": 0,
+               "seq": upstream.seq, "born": upstream.born}
         if upstream.role:
             row.update(phase=upstream.role,
                        models=[{"name": "m", "version": 1, "adapters": []}])
