--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -75,6 +75,10 @@
   /// Time from a change in the store to the next watch of its table.  Grows
   /// with the number of gateways, all of which watch the same tables.
   Duration WatchSpacing() const;
+  /// Time after which a watch ends even if nothing changed.  Short at a few
+  /// gateways, so that a store that stopped answering is noticed soon; the
+  /// others learn of changes from these if their own watches hang.
+  Duration WatchWait() const;
   /// The store came back from a copy and has lost writes.
   void OnStoreRestored();
   /// Adds the gateways in these records as peers.
--- a/include/corianderlink/Gateway/store_sync.h
+++ b/include/corianderlink/Gateway/store_sync.h
@@ -36,7 +36,8 @@
                                            reason);
                          },
                          [this](uint64_t era) { OnRestored(era); },
-                         [this] { return gateway_.WatchSpacing(); }}),
+                         [this] { return gateway_.WatchSpacing(); },
+                         [this] { return gateway_.WatchWait(); }}),
         upstreams_watcher_(
             loop, store, codec.upstream_table,
             {[this](const auto& all, StorePosition position) {
@@ -50,7 +51,8 @@
                gateway_.OnUpstreamTableReachable(reachable);
              },
              [this](uint64_t era) { OnRestored(era); },
-             [this] { return gateway_.WatchSpacing(); }}) {}
+             [this] { return gateway_.WatchSpacing(); },
+             [this] { return gateway_.WatchWait(); }}) {}
 
   void Start() {
     config_watcher_.Start();
--- a/include/corianderlink/Gateway/table_watcher.h
+++ b/include/corianderlink/Gateway/table_watcher.h
@@ -30,6 +30,9 @@
   std::function<void(uint64_t era)> on_restored;
   /// Time from a change to the next watch; may be null for none.
   std::function<Duration()> watch_spacing;
+  /// Time after which the store ends a watch even if nothing changed; may be
+  /// null for the longest.
+  std::function<Duration()> watch_wait;
 };
 
 /// A store that came back from a copy is read in full as well: its position
@@ -52,8 +55,7 @@
   void Start() { ReadAll(); }
 
  private:
-  // The store ends a watch after this time even if nothing changed.
-  static constexpr Duration kWatchTimeout = seconds(25);
+  static constexpr Duration kLongestWatch = seconds(25);
   static constexpr Duration kMinRetryDelay = milliseconds(100);
   static constexpr Duration kMaxRetryDelay = milliseconds(1000);
 
@@ -79,8 +81,10 @@
   }
 
   void Watch() {
+    const Duration wait =
+        handlers_.watch_wait ? handlers_.watch_wait() : kLongestWatch;
     store_.Watch(
-        table_, position_.version, kWatchTimeout,
+        table_, position_.version, std::min(wait, kLongestWatch),
         [this](const StoreReadResult& result) { OnWatchResult(result); });
   }
 
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -25,6 +25,10 @@
 // is small beside the time in which changes have to be in force.
 constexpr Duration kWatchSpacingPerGateway = milliseconds(8);
 constexpr Duration kMaxWatchSpacing = milliseconds(1000);
+// Gateways whose watches are short, and the longest times of both kinds.
+constexpr size_t kShortWatchGateways = 2;
+constexpr Duration kShortWatch = milliseconds(1500);
+constexpr Duration kLongWatch = seconds(25);
 constexpr Duration kShutdownPollInterval = milliseconds(100);
 // The process ends at the latest this long before the end of the grace period.
 constexpr Duration kShutdownMargin = milliseconds(700);
@@ -220,6 +224,14 @@
   return std::min(gateways * kWatchSpacingPerGateway, kMaxWatchSpacing);
 }
 
+Duration Gateway::WatchWait() const {
+  size_t rank = 0;
+  for (const GatewayPeer* peer : peers_.Live(BootClock::now())) {
+    if (peer->process < process_id_.value()) ++rank;
+  }
+  return rank < kShortWatchGateways ? kShortWatch : kLongWatch;
+}
+
 void Gateway::OnStoreRestored() {
   placer_.directory().OnStoreRestored(BootClock::now());
 }
--- a/unittests/Gateway/table_watcher_test.cc
+++ b/unittests/Gateway/table_watcher_test.cc
@@ -19,9 +19,10 @@
     ++reads;
     ReplyFrom(snapshots, std::move(callback));
   }
-  void Watch(const std::string&, uint64_t after, Duration,
+  void Watch(const std::string&, uint64_t after, Duration wait,
              StoreReadCallback callback) {
     watched_after.push_back(after);
+    waits.push_back(wait);
     ReplyFrom(changes, std::move(callback));
   }
   void Put(const std::string&, const std::string&, const std::string&,
@@ -30,6 +31,7 @@
   std::deque<StoreReadResult> snapshots;
   std::deque<StoreReadResult> changes;
   std::vector<uint64_t> watched_after;
+  std::vector<Duration> waits;
   int reads = 0;
 
  private:
@@ -71,6 +73,7 @@
   std::vector<bool> reachability_changes_;
   std::vector<uint64_t> restored_eras_;
   Duration spacing_{};
+  Duration wait_ = seconds(90);
   TableWatcher<ScriptedStore> watcher_{
       loop_,
       store_,
@@ -85,7 +88,7 @@
          reachability_changes_.push_back(reachable);
        },
        [this](uint64_t era) { restored_eras_.push_back(era); },
-       [this] { return spacing_; }}};
+       [this] { return spacing_; }, [this] { return wait_; }}};
 };
 
 TEST_F(TableWatcherTest, ReadsTheTableThenItsChanges) {
@@ -164,5 +167,17 @@
   EXPECT_EQ(changed_.size(), 3U);
 }
 
+TEST_F(TableWatcherTest, AsksForTheLengthOfEachWatch) {
+  store_.snapshots = {Result(Status::kOk, 1)};
+  store_.changes = {Result(Status::kOk, 2)};
+  Run();
+  EXPECT_EQ(store_.waits, (std::vector<Duration>{seconds(25), seconds(25)}));
+  store_.waits.clear();
+  wait_ = milliseconds(1500);
+  store_.snapshots = {Result(Status::kOk, 3)};
+  Run();
+  EXPECT_EQ(store_.waits, std::vector<Duration>{milliseconds(1500)});
+}
+
 }  // namespace
 }  // namespace corianderlink
--- a/utils/soak.py
+++ b/utils/soak.py
@@ -23,6 +23,10 @@
 RATE_PER_S = 60
 # Gateways catch up with what they missed within this.
 SETTLE_S = 3.5
+# Seeds from here on also draw restores of the store from copies, upstreams that
+# say they leave or ask for a pause, and bytes without end; earlier seeds play
+# what they always played.
+FIRST_LATER_SEED = 1000
 REGRESSIONS = os.path.join(os.path.dirname(os.path.abspath(__file__)),
                            "soak_seeds.txt")
 
@@ -30,7 +34,7 @@
 class Faults:
     """Draws and plays one seed's faults."""
 
-    def __init__(self, deployment, length_s):
+    def __init__(self, deployment, length_s, seed):
         self.world = deployment
         self.random = deployment.random
         self.spans = []
@@ -41,6 +45,10 @@
                  self.drain, self.new_config, self.cut_all]
         # Upstreams go wrong in most ways.
         kinds += 5 * [self.upstream]
+        self.upstream_troubles = list(stand_ins.Upstream.troubles)
+        if seed >= FIRST_LATER_SEED:
+            kinds += 2 * [self.restore, self.leave]
+            self.upstream_troubles += 2 * stand_ins.Upstream.later_troubles
         at = 0.0
         while at < length_s:
             kind = self.random.choice(kinds)
@@ -66,7 +74,7 @@
     async def one(self, kind, for_s):
         span = [time.monotonic(), float("inf")]
         # Planned leaving excuses nothing.
-        if kind not in (self.drain, self.new_config, self.reload):
+        if kind not in (self.drain, self.leave, self.new_config, self.reload):
             self.spans.append(span)
         what = await kind(for_s)
         span[1] = time.monotonic()
@@ -145,7 +153,7 @@
     async def upstream(self, for_s):
         upstream = self.world.upstreams[self.some_upstream()]
         return await self.harm(
-            upstream, self.random.choice(stand_ins.Upstream.troubles), for_s)
+            upstream, self.random.choice(self.upstream_troubles), for_s)
 
     async def upstream_link(self, for_s):
         link = self.world.links[self.some_upstream()]
@@ -168,6 +176,19 @@
     async def drain(self, for_s):
         return await self.replace(True, for_s)
 
+    async def leave(self, for_s):
+        identity = self.some_upstream()
+        old = self.world.upstreams[identity]
+        await self.world.leave_by_answers(identity)
+        await self.world.add_upstream(old.service, old.role)
+        return identity
+
+    async def restore(self, for_s):
+        copy = self.world.store.copy()
+        await asyncio.sleep(for_s)
+        await self.world.restore_store(copy)
+        return "era %d" % self.world.store.era
+
     async def new_config(self, for_s):
         self.world.put_config(self.random.choice([0.8, 1.0, 1.2]))
         return str(self.world.config_version)
@@ -189,7 +210,7 @@
 async def play(seed, length_s, size):
     deployment = world.World(seed, *size)
     callers = clients.Clients(deployment)
-    faults = Faults(deployment, length_s)
+    faults = Faults(deployment, length_s, seed)
     peak = [0]
     try:
         await deployment.start()
@@ -210,6 +231,7 @@
         await asyncio.sleep(0.5)
         broken = checks.check(deployment, callers.requests, faults.troubled)
         broken += checks.check_recovery(callers.requests, calm_from)
+        broken += checks.check_store_followed(deployment)
         if peak[0] > checks.MAX_RESIDENT_MB:
             broken.append("MEMORY %.0f MB" % peak[0])
     finally:
--- a/utils/soak_lib/checks.py
+++ b/utils/soak_lib/checks.py
@@ -1,7 +1,9 @@
 """The promises of the users' pages, judged from what the sockets saw."""
 
 import collections
+import json
 import time
+import urllib.request
 
 from . import clients, stand_ins, world
 
@@ -9,6 +11,8 @@
 # What the system may take after a client left before its worker is free.
 FREE_S = 0.6
 MAX_RESIDENT_MB = 120
+# After its first pause, an upstream's wish is known to whoever asked it.
+PAUSE_KNOWN_S = 0.5
 
 
 def check(deployment, requests, troubled):
@@ -24,6 +28,7 @@
     for request in requests.values():
         broken += check_request(request, runs[request.identity], troubled)
     broken += check_draining(deployment, troubled)
+    broken += check_pauses(deployment)
     for gateway in deployment.gateways:
         if gateway.own_ends:
             broken.append("END %s ended by itself: %s" %
@@ -99,6 +104,43 @@
     return broken
 
 
+def check_pauses(deployment):
+    """A paused upstream gets at most two requests more from each gateway."""
+    broken = []
+    for upstream in deployment.all_upstreams:
+        if not upstream.pauses:
+            continue
+        first, last = upstream.pauses[0], upstream.pauses[-1]
+        end = min(first + upstream.PAUSE_S, last)
+        arrivals = [at for at, identity, _ in deployment.arrivals
+                    if identity == upstream.identity and
+                    first + PAUSE_KNOWN_S < at < end]
+        allowed = 3 * len(deployment.gateways)
+        if len(arrivals) > allowed:
+            broken.append("BUDGET %s got %d requests in its pause" %
+                          (upstream.identity, len(arrivals)))
+    return broken
+
+
+def check_store_followed(deployment):
+    """Every gateway has the newest configuration and is registered, also after
+    restores of the store."""
+    broken = []
+    registered = deployment.store.rows.get("gateways", {})
+    for gateway in deployment.gateways:
+        if not gateway.running:
+            continue
+        url = "http://127.0.0.1:%d/dump" % gateway.admin
+        with urllib.request.urlopen(url, timeout=2) as answer:
+            version = json.load(answer)["config_version"]
+        if version != deployment.config_version:
+            broken.append("CONFIG %s has version %d, not %d" %
+                          (gateway.name, version, deployment.config_version))
+        if "127.0.0.1:%d" % gateway.peer not in registered:
+            broken.append("RECOVER %s is not registered" % gateway.name)
+    return broken
+
+
 def check_recovery(requests, since):
     """After the last fault, nearly all requests are served."""
     later = [r for r in requests.values()
--- a/utils/soak_lib/stand_ins.py
+++ b/utils/soak_lib/stand_ins.py
@@ -68,6 +68,20 @@
         self.version = 1
         self.oldest = 0
         self.trouble = None
+        self.era = 1
+        self.changed = asyncio.Event()
+
+    def copy(self):
+        rows = {table: dict(rows) for table, rows in self.rows.items()}
+        return rows, self.version
+
+    def restore(self, copy):
+        """Comes back from a copy: later writes are lost, versions go back."""
+        self.rows, self.version = copy
+        self.changes = []
+        self.oldest = self.version
+        self.era += 1
+        self.changed.set()
         self.changed = asyncio.Event()
 
     def put(self, table, key, value):
@@ -128,8 +142,8 @@
         after = int(query["after"])
         end = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
         while True:
-            if after < self.oldest:
-                return reply(410)
+            if after < self.oldest or after > self.version:
+                return reply(410, Store_Era=str(self.era))
             news = {}
             for version, table, key, value in self.changes:
                 if version > after and table == query["table"]:
@@ -148,7 +162,8 @@
             rows = self.rows.get(expected["table"], {})
             version = rows.get(expected["key"], (None, 0))[1]
             if version != expected["ver"]:
-                return reply(412, json.dumps({"rows": []}).encode())
+                return reply(412, json.dumps({"rows": []}).encode(),
+                             Store_Era=str(self.era))
         for row in body.get("set_keys", []):
             self._set(row["table"], row["key"], base64.b64decode(row["value"]))
         for row in body.get("delete", []):
@@ -174,7 +189,8 @@
         body = {"rows": rows, "truncated": False, "ver": self.version,
                 "now_ms": int(time.monotonic() * 1000)}
         return reply(200, json.dumps(body).encode(),
-                     Content_Type="application/json")
+                     Content_Type="application/json",
+                     Store_Era=str(self.era))
 
 
 class Run:
@@ -194,11 +210,15 @@
     `trouble`: mute (no answers), grey (500), slow, lost (runs, then cuts),
     cut (cuts within a stream's event), extra (bytes after an answer), full
     (refuses everything), unsigned (a success that bears no signature), other
-    (the answer of another request comes first).
+    (the answer of another request comes first), pause (refuses and asks for no
+    requests for a time), endless (bytes that are no answer, without end).
     """
 
     troubles = ["mute", "grey", "slow", "lost", "cut", "extra", "full",
                 "unsigned", "other"]
+    later_troubles = ["pause", "endless"]
+    # Time without requests that a paused upstream asks for.
+    PAUSE_S = 1.5
 
     def __init__(self, identity, service, role, runs, arrivals):
         super().__init__()
@@ -208,9 +228,29 @@
         self.slots = 32 if role else 6
         self.born = int(time.time() * 1000)
         self.seq = 0
+        self.state = "ready"
+        self.leaving = False
+        # When the first answer said that this upstream leaves.
+        self.said_leaving = None
+        self.pauses = []
         self.busy = 0
         self.handles = set()
 
+    def send(self, writer, head):
+        """Writes an answer, or its head."""
+        if self.leaving:
+            self.said_leaving = self.said_leaving or time.monotonic()
+            head = head.replace(b"\r\n", b"\r\nServer-Leaving: 1\r\n", 1)
+        writer.write(head)
+
+    async def send_without_end(self, writer):
+        try:
+            while self.trouble == "endless":
+                writer.write(b"x" * 65536)
+                await writer.drain()
+        except ConnectionError:
+            pass
+
     async def exchange(self, reader, writer):
         first, fields = await http1.read_head(reader)
         body = await http1.read_body(reader, fields)
@@ -219,16 +259,21 @@
                               fields.get("request-id")))
         expected = fields.get("expect-instance")
         if expected and expected != self.identity:
-            writer.write(reply(421, Instance_Id=self.identity))
+            self.send(writer, reply(421, Instance_Id=self.identity))
             return True
         if method == "DELETE" or target == "/report":
-            writer.write(reply(200, b"{}"))
+            self.send(writer, reply(200, b"{}"))
             return True
         if self.trouble == "mute":
             await reader.read(1)
             return False
+        if self.trouble == "pause":
+            self.pauses.append(time.monotonic())
+            self.send(writer, reply(503, Not_Run="1",
+                                    Retry_After=str(self.PAUSE_S)))
+            return True
         if self.busy >= self.slots or self.trouble == "full":
-            writer.write(reply(503, Not_Run="1"))
+            self.send(writer, reply(503, Not_Run="1"))
             return True
         self.busy += 1
         try:
@@ -244,7 +289,7 @@
             handle = "h%x" % (len(self.handles) + 1)
             self.handles.add(handle)
             answer = {"handle": handle, "tokens": 1, "version": 1}
-            writer.write(reply(200, json.dumps(answer).encode(),
+            self.send(writer, reply(200, json.dumps(answer).encode(),
                                Request_Id=identity))
             return True
         run = Run(identity, self.identity, method, target, body)
@@ -265,24 +310,31 @@
             return False
         if self.trouble == "lost":
             return False
+        if self.trouble == "endless":
+            head = b"HTTP/1.1 200 OK\r\n"
+            if fields.get("request-id", "0")[-1] in "01234567":
+                head += b"Connection: close\r\n\r\n"
+            self.send(writer, head)
+            await self.send_without_end(writer)
+            return False
         if self.trouble == "grey":
             run.status = 500
-            writer.write(reply(500, b"failed", Request_Id=run.request,
+            self.send(writer, reply(500, b"failed", Request_Id=run.request,
                                Server_Stamp=self.identity))
             return await self.settle(gone, writer)
         if self.trouble == "unsigned":
-            writer.write(reply(200, b"not the answer", Request_Id=run.request))
+            self.send(writer, reply(200, b"not the answer", Request_Id=run.request))
             return await self.settle(gone, writer)
         run.status = 200
         if self.trouble == "other":
-            writer.write(reply(200, b"another's", Request_Id="0" * 16,
+            self.send(writer, reply(200, b"another's", Request_Id="0" * 16,
                                Server_Stamp=self.identity))
         if "token-count" not in fields:
             answer = reply(200, body_of(run.request), Request_Id=run.request,
                            Server_Stamp=self.identity)
-            writer.write(answer + (b"junk" if self.trouble == "extra" else b""))
+            self.send(writer, answer + (b"junk" if self.trouble == "extra" else b""))
             return await self.settle(gone, writer)
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        self.send(writer, b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                      b"Transfer-Encoding: chunked\r\n" +
                      ("Request-Id: %s\r\nServer-Stamp: %s\r\n\r\n" %
                       (run.request, self.identity)).encode())
--- a/utils/soak_lib/world.py
+++ b/utils/soak_lib/world.py
@@ -116,8 +116,11 @@
         self.gateways = []
         self.upstreams = {}
         self.links = {}
+        self.all_upstreams = []
         self.runs, self.arrivals = [], []
         self.left = {}
+        self.draining = set()
+        self.config = None
         self.config_version = 0
         self.next_id = 0
 
@@ -157,9 +160,25 @@
              "engine": engine}]
         limits = {"max_header_bytes": 16384, "max_body_bytes": 4194304,
                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
-        self.store.put("op", "config", {
+        self.config = {
             "version": self.config_version, "routes": routes,
-            "services": services, "limits": limits})
+            "services": services, "limits": limits}
+        self.store.put("op", "config", self.config)
+
+    async def restore_store(self, copy):
+        """The store comes back from a copy after a moment; then the operator
+        and the upstreams write again what they had written."""
+        self.store.trouble = "down"
+        await asyncio.sleep(0.3)
+        self.store.restore(copy)
+        self.store.trouble = None
+        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        self.store.put("op", "config", self.config)
+        for upstream in list(self.upstreams.values()) + list(self.draining):
+            self.put_upstream(upstream, upstream.state)
+        present = set(self.upstreams) | {u.identity for u in self.draining}
+        for identity in set(self.store.rows.get("servers", {})) - present:
+            self.store.remove("servers", identity)
 
     async def add_upstream(self, service, role, identity=None):
         if identity is None:
@@ -173,6 +192,7 @@
         await link.listen(outer)
         upstream.port = outer
         self.upstreams[identity] = upstream
+        self.all_upstreams.append(upstream)
         self.links[identity] = link
         self.left.pop(identity, None)
         self.put_upstream(upstream)
@@ -180,6 +200,7 @@
 
     def put_upstream(self, upstream, state="ready"):
         upstream.seq += 1
+        upstream.state = state
         row = {"service": upstream.service, "zone": "zone-a", "version": 1,
                "addr": "127.0.0.1:%d" % upstream.port, "state": state,
                "slots": upstream.slots, "cold_left_ms": 0,
@@ -194,12 +215,29 @@
         upstream = self.upstreams.pop(identity)
         link = self.links.pop(identity)
         if planned:
+            self.draining.add(upstream)
             self.left[identity] = self.put_upstream(upstream, "draining")
             await asyncio.sleep(DRAIN_S + 1.5)
+            self.draining.discard(upstream)
         self.store.remove("servers", identity)
         upstream.close()
         link.close()
 
+    async def leave_by_answers(self, identity):
+        """An upstream says in its answers only that it leaves."""
+        upstream = self.upstreams.pop(identity)
+        self.draining.add(upstream)
+        upstream.leaving = True
+        end = asyncio.get_running_loop().time() + DRAIN_S + 1.5
+        while asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(0.05)
+            if upstream.said_leaving:
+                self.left[identity] = upstream.said_leaving
+        self.draining.discard(upstream)
+        self.store.remove("servers", identity)
+        upstream.close()
+        self.links.pop(identity).close()
+
     def stop(self):
         for gateway in self.gateways:
             if gateway.paused:
