[Gateway] Treat a restore that a peer tells of like one read from the store

Cause: found reading the diff. A gateway that hears of the restored store from a peer before its own watch does replaced its upstreams without the grace time and without the memory of departed ones. Change: RecordCache notices the new era itself. Before: PeerThatTellsOfARestoreBringsNoGoneUpstreamBack failed with the call taken out. After: passes.

--- a/lib/Gateway/record_cache.cc
+++ b/lib/Gateway/record_cache.cc
@@ -53,6 +53,10 @@
 void RecordCache::ReplaceUpstreams(Time now,
                                    const std::vector<StoreRecord>& records,
                                    StorePosition position) {
+  // A peer may be the first to tell of a restore of the store.
+  if (upstreams_loaded_ && position.era > upstreams_position_.era) {
+    directory_.OnStoreRestored(now);
+  }
   std::vector<UpstreamRecord> upstreams;
   stored_upstreams_.clear();
   for (const StoreRecord& record : records) {
--- /dev/null
+++ b/unittests/Gateway/record_cache_test.cc
@@ -0,0 +1,44 @@
+// Records of upstreams that a peer tells of, after the store was restored.
+#include "corianderlink/Gateway/record_cache.h"
+
+#include <gtest/gtest.h>
+
+#include "platform/codecs.h"
+
+namespace corianderlink {
+namespace {
+
+constexpr Time kStart = Time(seconds(1000));
+
+StoreRecord Upstream(const std::string& key, int sequence) {
+  return {key,
+          R"({"service":"s","addr":"127.0.0.1:80","zone":"z","slots":1,)"
+          R"("state":"ready","born":7,"seq":)" +
+              std::to_string(sequence) + "}",
+          1};
+}
+
+TEST(RecordCacheTest, PeerThatTellsOfARestoreBringsNoGoneUpstreamBack) {
+  const GatewayCodecs codecs = platform::MakeCodecs();
+  UpstreamDirectory directory(seconds(2));
+  Metrics metrics;
+  RecordCache cache(codecs.records, directory, metrics);
+  cache.ReplaceUpstreams(kStart, {Upstream("a", 5), Upstream("b", 5)}, {1, 50});
+  cache.ApplyUpstreamChanges(kStart, {{"a", std::nullopt, 51}}, {1, 51});
+  PeerRecords restored;
+  restored.upstreams = {Upstream("a", 5)};
+  restored.upstreams_position = {2, 40};
+  cache.ApplyPeerRecords(kStart, restored);
+  EXPECT_EQ(directory.Find(UpstreamId("a")), nullptr);
+  // What the copy lacks may still be alive.
+  EXPECT_NE(directory.Find(UpstreamId("b")), nullptr);
+  // A peer that is still in the older era does not overrule.
+  PeerRecords older;
+  older.upstreams = {Upstream("c", 1)};
+  older.upstreams_position = {1, 900};
+  cache.ApplyPeerRecords(kStart, older);
+  EXPECT_EQ(directory.Find(UpstreamId("c")), nullptr);
+}
+
+}  // namespace
+}  // namespace corianderlink
