[Gateway] Make the schedule of store watches a decision of its own

Cause: found reading the whole diff. When and how long a gateway watches the store was decided inside Gateway, without a test; the longest watch stood in two places; a store that keeps answering with an older position was asked again without any delay; the soak's check of pauses allowed one request more than its comment said, the one that is told of the pause.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "corianderlink/Gateway/retry_window.h"
 #include "corianderlink/Gateway/role_coordinator.h"
 #include "corianderlink/Gateway/route_table.h"
+#include "corianderlink/Gateway/watch_schedule.h"
 #include "corianderlink/Http/event_loop.h"
 #include "corianderlink/Http/http_server.h"
 #include "corianderlink/Http1/inbound_server.h"
@@ -72,13 +73,8 @@
   /// Applies changed records of upstreams up to `position` of the store.
   void OnUpstreamChanges(const std::vector<StoreRecord>& records,
                          StorePosition position);
-  /// Time from a change in the store to the next watch of its table.  Grows
-  /// with the number of gateways, all of which watch the same tables.
-  Duration WatchSpacing() const;
-  /// Time after which a watch ends even if nothing changed.  Short at a few
-  /// gateways, so that a store that stopped answering is noticed soon; the
-  /// others learn of changes from these if their own watches hang.
-  Duration WatchWait() const;
+  /// When and for how long this gateway watches the store now.
+  WatchSchedule CurrentWatchSchedule() const;
   /// The store came back from a copy and has lost writes.
   void OnStoreRestored();
   /// Adds the gateways in these records as peers.
--- a/include/corianderlink/Gateway/store_sync.h
+++ b/include/corianderlink/Gateway/store_sync.h
@@ -36,8 +36,7 @@
                                            reason);
                          },
                          [this](uint64_t era) { OnRestored(era); },
-                         [this] { return gateway_.WatchSpacing(); },
-                         [this] { return gateway_.WatchWait(); }}),
+                         [this] { return gateway_.CurrentWatchSchedule(); }}),
         upstreams_watcher_(
             loop, store, codec.upstream_table,
             {[this](const auto& all, StorePosition position) {
@@ -51,8 +50,7 @@
                gateway_.OnUpstreamTableReachable(reachable);
              },
              [this](uint64_t era) { OnRestored(era); },
-             [this] { return gateway_.WatchSpacing(); },
-             [this] { return gateway_.WatchWait(); }}) {}
+             [this] { return gateway_.CurrentWatchSchedule(); }}) {}
 
   void Start() {
     config_watcher_.Start();
--- a/include/corianderlink/Gateway/table_watcher.h
+++ b/include/corianderlink/Gateway/table_watcher.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "corianderlink/Gateway/record_store.h"
+#include "corianderlink/Gateway/watch_schedule.h"
 #include "corianderlink/Http/event_loop.h"
 #include "corianderlink/Support/log.h"
 
@@ -28,11 +29,8 @@
   /// The store came back from a copy and has lost writes; called before the
   /// records of the new era.
   std::function<void(uint64_t era)> on_restored;
-  /// Time from a change to the next watch; may be null for none.
-  std::function<Duration()> watch_spacing;
-  /// Time after which the store ends a watch even if nothing changed; may be
-  /// null for the longest.
-  std::function<Duration()> watch_wait;
+  /// Returns when and for how long to watch.
+  std::function<WatchSchedule()> watch_schedule;
 };
 
 /// A store that came back from a copy is read in full as well: its position
@@ -55,7 +53,6 @@
   void Start() { ReadAll(); }
 
  private:
-  static constexpr Duration kLongestWatch = seconds(25);
   static constexpr Duration kMinRetryDelay = milliseconds(100);
   static constexpr Duration kMaxRetryDelay = milliseconds(1000);
 
@@ -81,10 +78,8 @@
   }
 
   void Watch() {
-    const Duration wait =
-        handlers_.watch_wait ? handlers_.watch_wait() : kLongestWatch;
     store_.Watch(
-        table_, position_.version, std::min(wait, kLongestWatch),
+        table_, position_.version, handlers_.watch_schedule().Wait(),
         [this](const StoreReadResult& result) { OnWatchResult(result); });
   }
 
@@ -104,28 +99,25 @@
       ReadAll();
       return;
     }
-    // Drop a delayed response that is older than the applied position.
+    if (result.position < position_) {
+      // A delayed response.  The next one may be delayed as well.
+      WatchAfter(kMinRetryDelay);
+      return;
+    }
     if (result.position > position_) {
       position_ = result.position;
       if (!result.records.empty()) {
         handlers_.on_changes(result.records, result.position);
-        WatchAfterSpacing();
+        // Changes often come in series, so a moment's wait saves most calls.
+        WatchAfter(handlers_.watch_schedule().Spacing());
         return;
       }
     }
     Watch();
   }
 
-  // Changes often come in series.  Each would end one watch of every gateway,
-  // so that a moment's wait saves most calls of the store.
-  void WatchAfterSpacing() {
-    const Duration spacing =
-        handlers_.watch_spacing ? handlers_.watch_spacing() : Duration::zero();
-    if (spacing <= Duration::zero()) {
-      Watch();
-      return;
-    }
-    spacing_timer_ = loop_.After(spacing, [this] { Watch(); });
+  void WatchAfter(Duration delay) {
+    watch_timer_ = loop_.After(delay, [this] { Watch(); });
   }
 
   void OnSuccess() {
@@ -154,7 +146,7 @@
   bool reachable_ = true;
   Duration retry_delay_ = kMinRetryDelay;
   EventHandle retry_timer_;
-  EventHandle spacing_timer_;
+  EventHandle watch_timer_;
 };
 
 }  // namespace corianderlink
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -21,14 +21,6 @@
 // A gateway that has had older records than a peer for this long requests them
 // from the peer.
 constexpr Duration kPeerSyncDelay = milliseconds(300);
-// A change of the store may be applied this much later than it could be, which
-// is small beside the time in which changes have to be in force.
-constexpr Duration kWatchSpacingPerGateway = milliseconds(8);
-constexpr Duration kMaxWatchSpacing = milliseconds(1000);
-// Gateways whose watches are short, and the longest times of both kinds.
-constexpr size_t kShortWatchGateways = 2;
-constexpr Duration kShortWatch = milliseconds(1500);
-constexpr Duration kLongWatch = seconds(25);
 constexpr Duration kShutdownPollInterval = milliseconds(100);
 // The process ends at the latest this long before the end of the grace period.
 constexpr Duration kShutdownMargin = milliseconds(700);
@@ -218,18 +210,13 @@
   record_cache_.ApplyUpstreamChanges(BootClock::now(), records, position);
 }
 
-Duration Gateway::WatchSpacing() const {
-  const auto gateways =
-      static_cast<int64_t>(peers_.LiveGatewayCount(BootClock::now()));
-  return std::min(gateways * kWatchSpacingPerGateway, kMaxWatchSpacing);
-}
-
-Duration Gateway::WatchWait() const {
-  size_t rank = 0;
+WatchSchedule Gateway::CurrentWatchSchedule() const {
+  WatchSchedule schedule;
   for (const GatewayPeer* peer : peers_.Live(BootClock::now())) {
-    if (peer->process < process_id_.value()) ++rank;
+    ++schedule.gateways;
+    if (peer->process < process_id_.value()) ++schedule.rank;
   }
-  return rank < kShortWatchGateways ? kShortWatch : kLongWatch;
+  return schedule;
 }
 
 void Gateway::OnStoreRestored() {
--- a/unittests/Gateway/table_watcher_test.cc
+++ b/unittests/Gateway/table_watcher_test.cc
@@ -72,8 +72,7 @@
   std::vector<std::string> changed_;
   std::vector<bool> reachability_changes_;
   std::vector<uint64_t> restored_eras_;
-  Duration spacing_{};
-  Duration wait_ = seconds(90);
+  WatchSchedule schedule_;
   TableWatcher<ScriptedStore> watcher_{
       loop_,
       store_,
@@ -88,7 +87,7 @@
          reachability_changes_.push_back(reachable);
        },
        [this](uint64_t era) { restored_eras_.push_back(era); },
-       [this] { return spacing_; }, [this] { return wait_; }}};
+       [this] { return schedule_; }}};
 };
 
 TEST_F(TableWatcherTest, ReadsTheTableThenItsChanges) {
@@ -157,7 +156,8 @@
 }
 
 TEST_F(TableWatcherTest, SpacesTheWatchesOfAChangingTable) {
-  spacing_ = milliseconds(150);
+  // 160 ms between watches.
+  schedule_.gateways = 20;
   store_.snapshots = {Result(Status::kOk, 1)};
   for (uint64_t version = 2; version < 40; ++version) {
     store_.changes.push_back(Result(Status::kOk, version, {"a"}));
@@ -168,15 +168,25 @@
 }
 
 TEST_F(TableWatcherTest, AsksForTheLengthOfEachWatch) {
+  schedule_ = {20, 0};
   store_.snapshots = {Result(Status::kOk, 1)};
-  store_.changes = {Result(Status::kOk, 2)};
   Run();
-  EXPECT_EQ(store_.waits, (std::vector<Duration>{seconds(25), seconds(25)}));
+  EXPECT_EQ(store_.waits, std::vector<Duration>{schedule_.Wait()});
+  schedule_ = {20, 19};
   store_.waits.clear();
-  wait_ = milliseconds(1500);
   store_.snapshots = {Result(Status::kOk, 3)};
   Run();
-  EXPECT_EQ(store_.waits, std::vector<Duration>{milliseconds(1500)});
+  EXPECT_EQ(store_.waits, std::vector<Duration>{schedule_.Wait()});
+}
+
+TEST_F(TableWatcherTest, DelayedResponsesAreNotAskedForWithoutPause) {
+  store_.snapshots = {Result(Status::kOk, 50)};
+  for (int i = 0; i < 1000; ++i) {
+    store_.changes.push_back(Result(Status::kOk, 40, {"old"}));
+  }
+  Run();
+  EXPECT_TRUE(changed_.empty());
+  EXPECT_LE(store_.watched_after.size(), 5U);
 }
 
 }  // namespace
--- a/utils/soak_lib/checks.py
+++ b/utils/soak_lib/checks.py
@@ -105,7 +105,8 @@
 
 
 def check_pauses(deployment):
-    """A paused upstream gets at most two requests more from each gateway."""
+    """Each gateway asks a paused upstream once, which tells it of the pause, and
+    sends at most two requests more."""
     broken = []
     for upstream in deployment.all_upstreams:
         if not upstream.pauses:
