[Gateway] Log the age of what is known of the store, and where changes come from

Cause: of the hypotheses on changes that come late, none could be told from the others by a log: neither a call of the store that gave no answer nor the source of a change was logged. Ruled out: nothing by this change. Change: StoreContact holds the time of the store's last response per table; the events store_call_failed and config_applied and the metric gateway_store_age_seconds show it.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "corianderlink/Gateway/retry_window.h"
 #include "corianderlink/Gateway/role_coordinator.h"
 #include "corianderlink/Gateway/route_table.h"
+#include "corianderlink/Gateway/store_contact.h"
 #include "corianderlink/Gateway/watch_schedule.h"
 #include "corianderlink/Http/event_loop.h"
 #include "corianderlink/Http/http_server.h"
@@ -75,6 +76,14 @@
                          StorePosition position);
   /// When and for how long this gateway watches the store now.
   WatchSchedule CurrentWatchSchedule() const;
+  /// The store responded to a read or watch of the table.
+  void OnStoreResponse(StoreTable table) {
+    store_contact_.OnResponse(BootClock::now(), table);
+  }
+  /// Time since the store's last response about the table.
+  Duration StoreAge(StoreTable table) const {
+    return store_contact_.OwnAge(BootClock::now(), table);
+  }
   /// The store came back from a copy and has lost writes.
   void OnStoreRestored();
   /// Adds the gateways in these records as peers.
@@ -127,8 +136,10 @@
   /// Returns the contents of the next heartbeat.
   GatewayStatus CurrentStatus(Time now);
   void OnPeerRecords(const PeerRecords& records);
-  /// Applies a new configuration; null changes nothing.
-  void ApplyConfig(const std::shared_ptr<const GatewayConfig>& config);
+  /// Applies a new configuration, which came from the store or a peer as
+  /// `source` says; null changes nothing.
+  void ApplyConfig(const std::shared_ptr<const GatewayConfig>& config,
+                   const char* source);
   /// Drops what was learned about routes that `config` does not contain.
   void ForgetRemovedRoutes(const GatewayConfig& config);
   /// Requests records from a peer that has newer ones than this gateway.
@@ -152,6 +163,7 @@
   UpstreamPool pool_;
   Placer placer_;
   RecordCache record_cache_;
+  StoreContact store_contact_;
   GatewayPeers peers_;
   InboundServer client_server_;
   HttpServer ready_server_;
--- a/include/corianderlink/Gateway/store_sync.h
+++ b/include/corianderlink/Gateway/store_sync.h
@@ -35,6 +35,13 @@
                            LogReachability(codec_.config_table, reachable,
                                            reason);
                          },
+                         [this] {
+                           gateway_.OnStoreResponse(StoreTable::kConfig);
+                         },
+                         [this](const std::string& reason) {
+                           LogFailedCall(codec_.config_table,
+                                         StoreTable::kConfig, reason);
+                         },
                          [this](uint64_t era) { OnRestored(era); },
                          [this] { return gateway_.CurrentWatchSchedule(); }}),
         upstreams_watcher_(
@@ -49,6 +56,11 @@
                LogReachability(codec_.upstream_table, reachable, reason);
                gateway_.OnUpstreamTableReachable(reachable);
              },
+             [this] { gateway_.OnStoreResponse(StoreTable::kUpstreams); },
+             [this](const std::string& reason) {
+               LogFailedCall(codec_.upstream_table, StoreTable::kUpstreams,
+                             reason);
+             },
              [this](uint64_t era) { OnRestored(era); },
              [this] { return gateway_.CurrentWatchSchedule(); }}) {}
 
@@ -71,6 +83,14 @@
         {{"table", table}, {"reason", reason}});
   }
 
+  void LogFailedCall(const std::string& name, StoreTable table,
+                     const std::string& reason) const {
+    Log(LogLevel::kInfo, "store_call_failed",
+        {{"table", name},
+         {"reason", reason},
+         {"last_response_ms", ToMillis(gateway_.StoreAge(table))}});
+  }
+
   // Both watchers notice a restore; the first one counts.
   void OnRestored(uint64_t era) {
     if (era <= restored_era_) return;
--- a/include/corianderlink/Gateway/table_watcher.h
+++ b/include/corianderlink/Gateway/table_watcher.h
@@ -26,6 +26,10 @@
   /// The store became unreachable, with a reason, or reachable again.
   std::function<void(bool reachable, const std::string& reason)>
       on_reachability_change;
+  /// The store responded.
+  std::function<void()> on_response;
+  /// A call gave no usable response.
+  std::function<void(const std::string& reason)> on_failed_call;
   /// The store came back from a copy and has lost writes; called before the
   /// records of the new era.
   std::function<void(uint64_t era)> on_restored;
@@ -121,6 +125,7 @@
   }
 
   void OnSuccess() {
+    handlers_.on_response();
     retry_delay_ = kMinRetryDelay;
     if (reachable_) return;
     reachable_ = true;
@@ -128,6 +133,7 @@
   }
 
   void OnFailure(const std::string& reason) {
+    handlers_.on_failed_call(reason);
     if (reachable_) {
       reachable_ = false;
       handlers_.on_reachability_change(false, reason);
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -170,18 +170,22 @@
 }
 
 void Gateway::OnConfigRecords(const std::vector<StoreRecord>& records) {
-  ApplyConfig(record_cache_.ApplyConfig(records));
+  ApplyConfig(record_cache_.ApplyConfig(records), "store");
 }
 
 void Gateway::OnPeerRecords(const PeerRecords& records) {
-  ApplyConfig(record_cache_.ApplyPeerRecords(BootClock::now(), records));
+  ApplyConfig(record_cache_.ApplyPeerRecords(BootClock::now(), records),
+              "peer");
 }
 
-void Gateway::ApplyConfig(const std::shared_ptr<const GatewayConfig>& config) {
+void Gateway::ApplyConfig(const std::shared_ptr<const GatewayConfig>& config,
+                          const char* source) {
   if (config == nullptr) return;
   Log(LogLevel::kInfo, "config_applied",
       {{"version", config->version},
-       {"routes", static_cast<uint64_t>(config->routes.size())}});
+       {"routes", static_cast<uint64_t>(config->routes.size())},
+       {"source", source},
+       {"last_store_response_ms", ToMillis(StoreAge(StoreTable::kConfig))}});
   route_table_ = RouteTable(config);
   client_server_.SetLimits(config->limits);
   ForgetRemovedRoutes(*config);
@@ -446,6 +450,8 @@
   metrics_.Set("gateway_upstream_connects",
                static_cast<double>(pool_.connections_opened()));
   metrics_.Set("gateway_peers", static_cast<double>(peers_.Live(now).size()));
+  metrics_.Set("gateway_store_age_seconds",
+               ToSeconds(store_contact_.OwnAge(now)));
 }
 
 void Gateway::CloseConnectionsToRemovedUpstreams() {
--- a/unittests/Gateway/table_watcher_test.cc
+++ b/unittests/Gateway/table_watcher_test.cc
@@ -72,6 +72,8 @@
   std::vector<std::string> changed_;
   std::vector<bool> reachability_changes_;
   std::vector<uint64_t> restored_eras_;
+  int responses_ = 0;
+  int failed_calls_ = 0;
   WatchSchedule schedule_;
   TableWatcher<ScriptedStore> watcher_{
       loop_,
@@ -86,6 +88,8 @@
        [this](bool reachable, const std::string&) {
          reachability_changes_.push_back(reachable);
        },
+       [this] { ++responses_; },
+       [this](const std::string&) { ++failed_calls_; },
        [this](uint64_t era) { restored_eras_.push_back(era); },
        [this] { return schedule_; }}};
 };
@@ -113,6 +117,8 @@
   store_.changes = {Result(Status::kFailed, 0)};
   Run();
   EXPECT_EQ(reachability_changes_, (std::vector<bool>{false, true}));
+  EXPECT_EQ(failed_calls_, 2);
+  EXPECT_EQ(responses_, 2);
   EXPECT_EQ(store_.watched_after.back(), 6U);
 }
 
