--- a/unittests/Gateway/table_watcher_test.cc
+++ b/unittests/Gateway/table_watcher_test.cc
@@ -59,10 +59,12 @@
 
 class TableWatcherTest : public ::testing::Test {
  protected:
-  void Run() {
+  void Run(Duration time = milliseconds(400)) {
     watcher_.Start();
-    const EventHandle stop =
-        loop_.After(milliseconds(400), [this] { loop_.Stop(); });
+    RunFor(time);
+  }
+  void RunFor(Duration time) {
+    const EventHandle stop = loop_.After(time, [this] { loop_.Stop(); });
     loop_.Run();
   }
 
@@ -185,6 +187,31 @@
   EXPECT_EQ(store_.waits, std::vector<Duration>{schedule_.Wait()});
 }
 
+// A connection that went silent says nothing about the store.
+TEST_F(TableWatcherTest, FailedWatchAloneIsNotAnOutageOfTheStore) {
+  store_.snapshots = {Result(Status::kOk, 5), Result(Status::kOk, 6)};
+  store_.changes = {Result(Status::kFailed, 0)};
+  Run();
+  EXPECT_TRUE(reachability_changes_.empty());
+  EXPECT_EQ(store_.watched_after.back(), 6U);
+}
+
+TEST_F(TableWatcherTest, SilentReadIsRepeatedBeforeItTimesOut) {
+  Run(milliseconds(1000));
+  EXPECT_GE(store_.reads, 2);
+}
+
+TEST_F(TableWatcherTest, LongWatchIsRenewedOnceNoPeerReadsTheStore) {
+  schedule_ = {4, 3};
+  store_.snapshots = {Result(Status::kOk, 5)};
+  Run();
+  EXPECT_EQ(store_.waits, std::vector<Duration>{schedule_.Wait()});
+  // The connections of this watch and to all peers have gone silent.
+  schedule_ = {1, 0};
+  RunFor(milliseconds(2500));
+  EXPECT_GE(store_.reads, 2);
+}
+
 TEST_F(TableWatcherTest, DelayedResponsesAreNotAskedForWithoutPause) {
   store_.snapshots = {Result(Status::kOk, 50)};
   for (int i = 0; i < 1000; ++i) {
--- a/unittests/PlatformAdapter/http_record_store_test.cc
+++ b/unittests/PlatformAdapter/http_record_store_test.cc
@@ -58,6 +58,18 @@
   EXPECT_EQ(result.records[2].value, "CC");
 }
 
+TEST_F(HttpRecordStoreTest, SilentWatchFailsSoonAfterItsWait) {
+  const Time start = BootClock::now();
+  StoreReadResult received;
+  store_.Watch("t", 5, milliseconds(200), [&](const StoreReadResult& result) {
+    received = result;
+    loop_.Stop();
+  });
+  loop_.Run();
+  EXPECT_EQ(received.status, Status::kFailed);
+  EXPECT_LT(BootClock::now() - start, milliseconds(1000));
+}
+
 TEST_F(HttpRecordStoreTest, RemovedRowsHaveNoValue) {
   fake_store_.on_request = [](const FakeUpstream::Exchange& exchange) {
     exchange->SendResponse(
