[Gateway] Ask a peer that has newer records, not the first one

Callers saw: requests handled by an older configuration, or sent to an upstream that had left, at one gateway while others knew better. Cause: a gateway that was behind any peer requested records from the first live peer by process id, again and again, even if that peer knew no more. The class of fault: a need found at one party is put to another. Ruled out: that heartbeats do not arrive; the test hears all of them. Change: FindPeersAhead returns the ready peers with the newest configuration and the newest upstreams; these are asked. Looked for elsewhere: entries ask for releases by revision from the sender of the heartbeat that told of it; claims are asked of their owner.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -111,6 +111,12 @@
   bool ready() const;
 
  private:
+  /// The peers with the newest records, each null if this gateway's are as new.
+  struct PeersAhead {
+    const GatewayPeer* config = nullptr;
+    const GatewayPeer* upstreams = nullptr;
+  };
+
   void StartRoleCoordinator(
       std::function<void(const TableTransaction&, CommitCallback)> commit,
       std::function<void(const std::string&, ReadCallback)> read);
@@ -142,7 +148,8 @@
                    const char* source);
   /// Drops what was learned about routes that `config` does not contain.
   void ForgetRemovedRoutes(const GatewayConfig& config);
-  /// Requests records from a peer that has newer ones than this gateway.
+  PeersAhead FindPeersAhead(Time now) const;
+  /// Requests records from the peers that have newer ones than this gateway.
   void SyncFromPeers(Time now);
   /// Periodic work: synchronizes with peers, drops expired state, updates
   /// gauges.
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -95,9 +95,9 @@
   size_t LiveGatewayCount(Time now) const { return Live(now).size() + 1; }
   const PeerBusCounters& counters() const { return bus_.counters(); }
 
-  /// Requests the store's records from one live, ready peer.  Used while the
-  /// store is unreachable or its watch lags behind a peer.
-  void RequestRecords(bool needs_upstreams);
+  /// Requests the store's records from a peer.  Used while the store is
+  /// unreachable or its watch lags behind that peer.
+  void RequestRecords(const GatewayPeer& peer, bool needs_upstreams);
 
   /// Provides the records for a peer that requests them.
   std::function<PeerRecords(bool needs_upstreams)> on_records_request;
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -412,15 +412,29 @@
   return dump.dump(2);
 }
 
-void Gateway::SyncFromPeers(Time now) {
-  bool config_behind = false;
-  bool upstreams_behind = !record_cache_.upstreams_loaded();
+Gateway::PeersAhead Gateway::FindPeersAhead(Time now) const {
+  PeersAhead ahead;
   for (const GatewayPeer* peer : peers_.Live(now)) {
-    config_behind = config_behind || record_cache_.IsConfigBehind(peer->status);
-    upstreams_behind =
-        upstreams_behind || record_cache_.AreUpstreamsBehind(peer->status);
+    const GatewayStatus& status = peer->status;
+    if (!status.ready) continue;
+    if (record_cache_.IsConfigBehind(status) &&
+        (ahead.config == nullptr ||
+         status.config_version > ahead.config->status.config_version)) {
+      ahead.config = peer;
+    }
+    if (record_cache_.AreUpstreamsBehind(status) &&
+        (ahead.upstreams == nullptr ||
+         status.upstreams_position >
+             ahead.upstreams->status.upstreams_position)) {
+      ahead.upstreams = peer;
+    }
   }
-  if (!config_behind && !upstreams_behind) {
+  return ahead;
+}
+
+void Gateway::SyncFromPeers(Time now) {
+  const PeersAhead ahead = FindPeersAhead(now);
+  if (ahead.config == nullptr && ahead.upstreams == nullptr) {
     behind_since_.reset();
     return;
   }
@@ -430,7 +444,10 @@
   const bool loaded =
       record_cache_.upstreams_loaded() && record_cache_.config() != nullptr;
   if (loaded && now - *behind_since_ < kPeerSyncDelay) return;
-  peers_.RequestRecords(upstreams_behind);
+  if (ahead.upstreams != nullptr) peers_.RequestRecords(*ahead.upstreams, true);
+  if (ahead.config != nullptr && ahead.config != ahead.upstreams) {
+    peers_.RequestRecords(*ahead.config, false);
+  }
 }
 
 void Gateway::Housekeeping() {
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -173,16 +173,13 @@
   if (message.has_records_answer()) OnRecordsAnswer(message);
 }
 
-void GatewayPeers::RequestRecords(bool needs_upstreams) {
-  for (const GatewayPeer* peer : Live(BootClock::now())) {
-    if (!peer->status.ready) continue;
-    wire::Envelope message;
-    wire::RecordsRequest* request = message.mutable_records_request();
-    request->set_needs_upstreams(needs_upstreams);
-    request->set_peer_address(own_address_.ToString());
-    bus_.Send(peer->status.peer_address, message);
-    return;
-  }
+void GatewayPeers::RequestRecords(const GatewayPeer& peer,
+                                  bool needs_upstreams) {
+  wire::Envelope message;
+  wire::RecordsRequest* request = message.mutable_records_request();
+  request->set_needs_upstreams(needs_upstreams);
+  request->set_peer_address(own_address_.ToString());
+  bus_.Send(peer.status.peer_address, message);
 }
 
 void GatewayPeers::OnRecordsRequest(const wire::Envelope& message) {
