[Gateway] Take a lost watch for a lost connection, not for an outage of the store

Callers saw: requests to an upstream that had left, for 2.2 s after the gateway's own connection to the store had been lost. Cause: any call that failed counted as an outage of the store, in which the store may lose records; so whatever was missing from the next read was kept for the grace time. The class of fault: the loss of a connection is taken for the loss of the other side. Ruled out: real outages; the read that follows a lost watch fails in them and opens the grace time as before. Change: only a failed read makes the store unreachable. An outage that began and ended unnoticed is told by its effect: a full read that lacks most of a service opens the grace time. Looked for elsewhere: LeaseClient judges by its lease's time; the fleet's tables are read by polling, each read on a connection of its own.

--- a/include/corianderlink/Gateway/table_watcher.h
+++ b/include/corianderlink/Gateway/table_watcher.h
@@ -43,7 +43,8 @@
 ///
 /// Reads the table in full once, then waits for changes in a loop.  Reads it in
 /// full again after a failure or when the store no longer keeps the changes,
-/// and retries with exponential backoff.
+/// and retries with exponential backoff.  The store counts as unreachable when
+/// a read fails, not when a watch does, which may be due to its connection.
 template <RecordStore Store>
 class TableWatcher {
  public:
@@ -94,7 +95,10 @@
       return;
     }
     if (result.status == StoreReadResult::Status::kFailed) {
-      OnFailure(result.reason);
+      // Only the connection is known to be lost.  The read tells whether the
+      // store is.
+      handlers_.on_failed_call(result.reason);
+      retry_timer_ = loop_.After(kMinRetryDelay, [this] { ReadAll(); });
       return;
     }
     OnSuccess();
--- a/include/corianderlink/Gateway/upstream_directory.h
+++ b/include/corianderlink/Gateway/upstream_directory.h
@@ -34,7 +34,8 @@
   void Put(const UpstreamRecord& record);
   /// The store has no record of the upstream any more.
   void Remove(Time now, const UpstreamId& id);
-  /// All records were read from the store.
+  /// All records were read from the store.  If they lack most of a service, the
+  /// store has lost them: upstreams leave one after the other.
   void ReplaceAll(Time now, const std::vector<UpstreamRecord>& records);
   /// Drops missing records once the grace time has passed.
   void Expire(Time now);
@@ -69,6 +70,8 @@
   }
   /// True if a later record of the upstream is known, or it has left since.
   bool IsOutdated(const UpstreamRecord& record) const;
+  /// True if less than half of a service's usable upstreams are left.
+  bool LacksMostOfAService(const std::vector<UpstreamRecord>& records) const;
   void Erase(const UpstreamId& id);
   /// Drops a record and remembers that the upstream has left.
   void Depart(Time now, const UpstreamId& id);
--- a/lib/Gateway/upstream_directory.cc
+++ b/lib/Gateway/upstream_directory.cc
@@ -70,8 +70,20 @@
   Erase(id);
 }
 
+bool UpstreamDirectory::LacksMostOfAService(
+    const std::vector<UpstreamRecord>& records) const {
+  std::map<ServiceId, size_t> listed;
+  for (const UpstreamRecord& record : records) ++listed[record.service];
+  for (const auto& [service, ids] : by_service_) {
+    const size_t usable = Usable(service).size();
+    if (usable > 1 && 2 * listed[service] < usable) return true;
+  }
+  return false;
+}
+
 void UpstreamDirectory::ReplaceAll(Time now,
                                    const std::vector<UpstreamRecord>& records) {
+  if (LacksMostOfAService(records)) reachable_since_ = now;
   std::set<UpstreamId> listed;
   for (const UpstreamRecord& record : records) {
     Put(record);
--- a/unittests/Gateway/upstream_directory_test.cc
+++ b/unittests/Gateway/upstream_directory_test.cc
@@ -53,6 +53,21 @@
   EXPECT_NE(directory_.Find(UpstreamId("a")), nullptr);
 }
 
+// The store was away and nobody noticed.
+TEST_F(UpstreamDirectoryTest, ServiceThatIsLostAtOnceIsKeptForTheGraceTime) {
+  for (const char* id : {"a", "b", "c", "d"}) directory_.Put(Record(id));
+  directory_.ReplaceAll(now_, {Record("a")});
+  EXPECT_EQ(Usable(), 4U);
+  directory_.Expire(now_ + kRestoreGrace);
+  EXPECT_EQ(Usable(), 1U);
+}
+
+TEST_F(UpstreamDirectoryTest, UpstreamsThatLeftOneAfterTheOtherAreDropped) {
+  for (const char* id : {"a", "b", "c", "d"}) directory_.Put(Record(id));
+  directory_.ReplaceAll(now_, {Record("a"), Record("e")});
+  EXPECT_EQ(Usable(), 2U);
+}
+
 TEST_F(UpstreamDirectoryTest, DrainingTakesEffectDuringAnOutage) {
   directory_.Put(Record("a"));
   directory_.OnStoreUnreachable();
