[Gateway] Notice silent connections to the store within a bound

Callers saw: requests handled by an older configuration and sent to leaving upstreams, seconds after the change had been acknowledged, at several gateways at once. Cause: connections that go silent without a reset. A watch ended after 25 s + 2 s of its own, 4 s if TCP probes got no answer; the two gateways that watch shortly took 3.5 s, and the others count on their heartbeats, which come over connections that are silent too. How long to watch was decided only when a watch began. The class of fault: trusting a silent party without a bound on how old its knowledge is. Ruled out: that a shorter watch for all is needed; calls of the store are dear. Change: each gateway tells in its heartbeat how old its own last response of the store is (not what it heard of others, so that no age runs in a circle). If neither the gateway nor a live peer has heard the store for WatchSchedule::MaxAge, the watch is dropped and the table is read on a new connection. A watch that no peer backs is short. Looked for elsewhere: the message bus ends a connection whose data is not acknowledged for 2 s; upstream connections have limits of their own.

--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -38,6 +38,9 @@
   uint64_t config_version = 0;
   /// Version of the store up to which this gateway knows the upstreams.
   StorePosition upstreams_position;
+  /// Time since the store last responded to this gateway itself, about the
+  /// table that was heard of longest ago.
+  Duration store_age = Duration::max();
   /// Outstanding work that this gateway has sent to each upstream.
   std::map<UpstreamId, OutstandingLoad> shares;
   /// Prompts sent to engines since the last heartbeat.
@@ -91,6 +94,9 @@
 
   /// Peers whose last heartbeat is not older than kPeerTimeout.
   std::vector<const GatewayPeer*> Live(Time now) const;
+  /// Time since the store last responded to a live peer; the longest duration
+  /// if there is none.
+  Duration StoreAge(Time now) const;
   /// Number of live gateways, including this one.
   size_t LiveGatewayCount(Time now) const { return Live(now).size() + 1; }
   const PeerBusCounters& counters() const { return bus_.counters(); }
--- a/include/corianderlink/Gateway/table_watcher.h
+++ b/include/corianderlink/Gateway/table_watcher.h
@@ -55,40 +55,73 @@
         table_(std::move(table)),
         handlers_(std::move(handlers)) {}
 
-  void Start() { ReadAll(); }
+  void Start() {
+    ReadAll();
+    stale_timer_ = loop_.Every(kStaleCheckInterval, [this] { RenewIfStale(); });
+  }
 
  private:
   static constexpr Duration kMinRetryDelay = milliseconds(100);
   static constexpr Duration kMaxRetryDelay = milliseconds(1000);
+  // A read without a response for this long is repeated beside the first one.
+  static constexpr Duration kReadRepeatDelay = milliseconds(700);
+  static constexpr Duration kStaleCheckInterval = milliseconds(100);
 
   void ReadAll() {
-    store_.ReadAll(table_, [this](const StoreReadResult& result) {
-      if (result.status != StoreReadResult::Status::kOk) {
-        OnFailure(result.reason);
-        return;
-      }
-      if (result.position < position_) {
-        OnFailure("store answered with an older version than before");
-        return;
-      }
-      OnSuccess();
-      if (loaded_ && result.position.era > position_.era) {
-        handlers_.on_restored(result.position.era);
-      }
-      loaded_ = true;
-      position_ = result.position;
-      handlers_.on_snapshot(result.records, result.position);
-      Watch();
+    const uint64_t step = step_;
+    const uint64_t read = ++last_read_;
+    repeat_timer_ = loop_.After(kReadRepeatDelay, [this] { ReadAll(); });
+    store_.ReadAll(table_, [this, step, read](const StoreReadResult& result) {
+      if (step != step_) return;
+      OnReadResult(result, read == last_read_);
     });
   }
 
+  // An earlier one of several reads may succeed, but only the last one's
+  // failure counts.
+  void OnReadResult(const StoreReadResult& result, bool is_last) {
+    const bool failed = result.status != StoreReadResult::Status::kOk;
+    if (failed || result.position < position_) {
+      if (!is_last) return;
+      OnFailure(failed ? result.reason
+                       : "store answered with an older version than before");
+      return;
+    }
+    OnSuccess();
+    if (loaded_ && result.position.era > position_.era) {
+      handlers_.on_restored(result.position.era);
+    }
+    loaded_ = true;
+    position_ = result.position;
+    handlers_.on_snapshot(result.records, result.position);
+    Watch();
+  }
+
   void Watch() {
-    store_.Watch(
-        table_, position_.version, handlers_.watch_schedule().Wait(),
-        [this](const StoreReadResult& result) { OnWatchResult(result); });
+    const uint64_t step = ++step_;
+    repeat_timer_.Reset();
+    watching_ = true;
+    store_.Watch(table_, position_.version, handlers_.watch_schedule().Wait(),
+                 [this, step](const StoreReadResult& result) {
+                   if (step != step_) return;
+                   OnWatchResult(result);
+                 });
+  }
+
+  // Reads the table on a new connection if that of the watch may be silent.
+  void RenewIfStale() {
+    if (!watching_) return;
+    const Duration age = BootClock::now() - last_response_;
+    if (!handlers_.watch_schedule().IsStale(age)) return;
+    handlers_.on_failed_call("no response to the watch");
+    // Drops a late response to the watch.
+    ++step_;
+    watching_ = false;
+    ReadAll();
   }
 
   void OnWatchResult(const StoreReadResult& result) {
+    watching_ = false;
     if (result.status == StoreReadResult::Status::kHistoryLost) {
       OnSuccess();
       ReadAll();
@@ -129,6 +162,7 @@
   }
 
   void OnSuccess() {
+    last_response_ = BootClock::now();
     handlers_.on_response();
     retry_delay_ = kMinRetryDelay;
     if (reachable_) return;
@@ -142,6 +176,7 @@
       reachable_ = false;
       handlers_.on_reachability_change(false, reason);
     }
+    repeat_timer_.Reset();
     // Changes may be missed during a failure, so read the table in full again.
     retry_timer_ = loop_.After(retry_delay_, [this] { ReadAll(); });
     retry_delay_ = std::min(2 * retry_delay_, kMaxRetryDelay);
@@ -154,6 +189,14 @@
   StorePosition position_;
   bool loaded_ = false;
   bool reachable_ = true;
+  bool watching_ = false;
+  Time last_response_{};
+  // Rises with each watch.  A response to a call of an earlier step is dropped.
+  uint64_t step_ = 0;
+  // Number of the last read, among all reads.
+  uint64_t last_read_ = 0;
+  EventHandle repeat_timer_;
+  EventHandle stale_timer_;
   Duration retry_delay_ = kMinRetryDelay;
   EventHandle retry_timer_;
   EventHandle watch_timer_;
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -148,6 +148,7 @@
   status.leaving = shutting_down_;
   status.config_version = record_cache_.config_version();
   status.upstreams_position = record_cache_.upstreams_position();
+  status.store_age = store_contact_.OwnAge(now);
   status.shares = placer_.OwnLoads(now);
   status.prompt_uses = placer_.TakeRecentUses();
   status.demands = placer_.Demands(now);
@@ -215,11 +216,13 @@
 }
 
 WatchSchedule Gateway::CurrentWatchSchedule() const {
+  const Time now = BootClock::now();
   WatchSchedule schedule;
-  for (const GatewayPeer* peer : peers_.Live(BootClock::now())) {
+  for (const GatewayPeer* peer : peers_.Live(now)) {
     ++schedule.gateways;
     if (peer->process < process_id_.value()) ++schedule.rank;
   }
+  schedule.peer_store_age = peers_.StoreAge(now);
   return schedule;
 }
 
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -18,6 +18,18 @@
 // Peers and addresses without a heartbeat for longer than this are forgotten.
 constexpr Duration kPeerExpiry = seconds(20);
 
+// 0 stands for an unknown age.
+uint64_t EncodeAge(Duration age) {
+  const auto ms = std::chrono::duration_cast<milliseconds>(age).count();
+  return static_cast<uint64_t>(std::max<int64_t>(ms, 1));
+}
+
+Duration DecodeAge(uint64_t ms) {
+  constexpr uint64_t kMaxMs = 24UL * 3600 * 1000;
+  return ms == 0 || ms > kMaxMs ? Duration::max()
+                                : milliseconds(static_cast<int64_t>(ms));
+}
+
 void EncodeRecord(const StoreRecord& record, wire::Record& out) {
   out.set_key(record.key);
   out.set_value(record.value.value_or(""));
@@ -36,6 +48,7 @@
   heartbeat.set_revision(status.config_version);
   heartbeat.set_upstreams_version(status.upstreams_position.version);
   heartbeat.set_store_era(status.upstreams_position.era);
+  heartbeat.set_store_age_ms(EncodeAge(status.store_age));
   heartbeat.set_highest_fencing(status.highest_fencing);
   for (const auto& [id, started_ms] : status.leaving_upstreams) {
     wire::LeavingUpstream* out = heartbeat.add_leaving_upstreams();
@@ -84,6 +97,7 @@
   status.config_version = heartbeat.revision();
   status.upstreams_position = {heartbeat.store_era(),
                                heartbeat.upstreams_version()};
+  status.store_age = DecodeAge(heartbeat.store_age_ms());
   status.highest_fencing = heartbeat.highest_fencing();
   for (const wire::LeavingUpstream& in : heartbeat.leaving_upstreams()) {
     status.leaving_upstreams[UpstreamId(in.upstream())] = in.started_ms();
@@ -243,6 +257,15 @@
   });
 }
 
+Duration GatewayPeers::StoreAge(Time now) const {
+  Duration age = Duration::max();
+  for (const GatewayPeer* peer : Live(now)) {
+    if (peer->status.store_age == Duration::max()) continue;
+    age = std::min(age, now - peer->last_heartbeat + peer->status.store_age);
+  }
+  return age;
+}
+
 std::vector<const GatewayPeer*> GatewayPeers::Live(Time now) const {
   std::vector<const GatewayPeer*> live;
   for (const auto& [process, peer] : peers_) {
--- a/lib/Gateway/watch_schedule.cc
+++ b/lib/Gateway/watch_schedule.cc
@@ -14,6 +14,8 @@
 constexpr size_t kShortWatchGateways = 2;
 constexpr Duration kShortWait = milliseconds(1500);
 constexpr Duration kLongWait = seconds(25);
+// Delay of a watch's response and of the heartbeat that tells of it.
+constexpr Duration kResponseAllowance = milliseconds(700);
 
 }  // namespace
 
@@ -23,7 +25,18 @@
 }
 
 Duration WatchSchedule::Wait() const {
-  return rank < kShortWatchGateways ? kShortWait : kLongWait;
+  const bool told_by_peer = gateways > 1 && peer_store_age <= MaxAge();
+  if (rank < kShortWatchGateways || !told_by_peer) return kShortWait;
+  return kLongWait;
+}
+
+Duration WatchSchedule::MaxAge() const {
+  return kShortWait + kResponseAllowance + 2 * Spacing();
+}
+
+bool WatchSchedule::IsStale(Duration own_age) const {
+  if (own_age <= MaxAge()) return false;
+  return gateways == 1 || peer_store_age > MaxAge();
 }
 
 }  // namespace corianderlink
--- a/unittests/Gateway/watch_schedule_test.cc
+++ b/unittests/Gateway/watch_schedule_test.cc
@@ -29,5 +29,28 @@
   }
 }
 
+TEST(WatchScheduleTest, GatewayThatNoPeerTellsOfTheStoreWatchesShortly) {
+  const Duration short_wait = WatchSchedule{5, 0}.Wait();
+  EXPECT_GT((WatchSchedule{5, 4}.Wait()), short_wait);
+  EXPECT_EQ((WatchSchedule{5, 4, seconds(10)}.Wait()), short_wait);
+  EXPECT_EQ((WatchSchedule{1, 0, seconds(0)}.Wait()), short_wait);
+}
+
+// Machines answer for changes within this time of a loss of their connections.
+TEST(WatchScheduleTest, SilenceIsNoticedInTimeByFleetsOfAnySize) {
+  const Duration repair = milliseconds(300);
+  EXPECT_LT((WatchSchedule{5, 0}.MaxAge() + repair), Duration(seconds(3)));
+  for (const size_t gateways : {30U, 117U, 800U}) {
+    const WatchSchedule schedule{gateways, gateways - 1, seconds(10)};
+    EXPECT_LT(schedule.MaxAge() + repair, Duration(seconds(5))) << gateways;
+    EXPECT_TRUE(schedule.IsStale(schedule.MaxAge() + milliseconds(1)));
+  }
+}
+
+TEST(WatchScheduleTest, KnowledgeOfAPeerKeepsALongWatch) {
+  const WatchSchedule told{5, 4, milliseconds(200)};
+  EXPECT_FALSE(told.IsStale(seconds(20)));
+}
+
 }  // namespace
 }  // namespace corianderlink
