[Gateway] Exchange what gateways know, not the position up to which they read

Callers saw: after a restore of the store, a gateway that had just started answered 404 on a route that was in force and sent requests to an upstream that its peers held as draining or gone, until the store was written again. Cause: gateways compared how far they had read the store. After a restore, all are at the same position, and what some have seen before it is at no position at all. A full read replaced the rows that are passed on, even where the directory kept a later record; departures were never passed on; and a gateway called itself ready before it had heard any peer. The class of fault: the position in a log stands for knowledge that does not only come from the log. Ruled out: the order of records by start and sequence, which was right and which the exchange now relies on. Records carry the position at which they were written, departures that of the removal; both are merged record by record, the later one counts. A digest of them in the heartbeat shows that two gateways know different things (PeerSync, with the logic of behind gateways taken out of Gateway). UpstreamDirectoryTest.RemovedUpstreamMayRegisterAgain now gives positions and checks besides that a late response brings nothing back. Looked for elsewhere: the configuration is ordered by its own version and was passed on rightly.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -15,7 +15,9 @@
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/gateway_peers.h"
 #include "corianderlink/Gateway/gateway_settings.h"
+#include "corianderlink/Gateway/initial_sync.h"
 #include "corianderlink/Gateway/order_codec.h"
+#include "corianderlink/Gateway/peer_sync.h"
 #include "corianderlink/Gateway/placer.h"
 #include "corianderlink/Gateway/record_cache.h"
 #include "corianderlink/Gateway/record_codec.h"
@@ -86,7 +88,8 @@
   }
   /// The store came back from a copy and has lost writes.
   void OnStoreRestored();
-  /// Adds the gateways in these records as peers.
+  /// Adds the gateways in these records as peers.  The gateway serves no
+  /// requests before it was told of the others once, or has a peer's records.
   void OnGatewayRecords(const std::vector<StoreRecord>& records);
   /// Handles the loss or return of access to the store's table of upstreams.
   void OnUpstreamTableReachable(bool reachable);
@@ -106,17 +109,11 @@
 
   /// This gateway's record in the store's table of gateways.
   StoreRecord OwnRecord() const;
-  /// True if the configuration and the list of upstreams are loaded and the
-  /// gateway is not shutting down.
+  /// True if the configuration and the list of upstreams are loaded, the peers
+  /// were heard, and the gateway is not shutting down.
   bool ready() const;
 
  private:
-  /// The peers with the newest records, each null if this gateway's are as new.
-  struct PeersAhead {
-    const GatewayPeer* config = nullptr;
-    const GatewayPeer* upstreams = nullptr;
-  };
-
   void StartRoleCoordinator(
       std::function<void(const TableTransaction&, CommitCallback)> commit,
       std::function<void(const std::string&, ReadCallback)> read);
@@ -148,8 +145,10 @@
                    const char* source);
   /// Drops what was learned about routes that `config` does not contain.
   void ForgetRemovedRoutes(const GatewayConfig& config);
-  PeersAhead FindPeersAhead(Time now) const;
-  /// Requests records from the peers that have newer ones than this gateway.
+  /// True once the configuration and the upstreams are loaded and the peers
+  /// were heard.
+  bool CanServe(Time now) const;
+  /// Requests records from peers that know more than this gateway.
   void SyncFromPeers(Time now);
   /// Periodic work: synchronizes with peers, drops expired state, updates
   /// gauges.
@@ -172,6 +171,8 @@
   RecordCache record_cache_;
   StoreContact store_contact_;
   GatewayPeers peers_;
+  InitialSync initial_sync_;
+  PeerSync peer_sync_;
   InboundServer client_server_;
   HttpServer ready_server_;
   HttpServer directory_server_;
@@ -186,8 +187,6 @@
   std::set<UpstreamId> held_engines_;
   // Highest fencing token of role orders that any gateway has told of.
   FencingToken highest_fencing_ = 0;
-  // Since when a peer has had newer records than this gateway.
-  std::optional<Time> behind_since_;
   bool shutting_down_ = false;
   Time shutdown_began_at_{};
   EventHandle housekeeping_;
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -17,6 +17,7 @@
 #include "corianderlink/Gateway/record_store.h"
 #include "corianderlink/Gateway/role_planner.h"
 #include "corianderlink/Gateway/upstream_load.h"
+#include "corianderlink/Gateway/upstream_record.h"
 #include "corianderlink/Http/event_loop.h"
 #include "corianderlink/Support/address.h"
 #include "corianderlink/Support/strong_id.h"
@@ -38,6 +39,8 @@
   uint64_t config_version = 0;
   /// Version of the store up to which this gateway knows the upstreams.
   StorePosition upstreams_position;
+  /// Digest of the known records and departures of upstreams.
+  uint64_t upstreams_digest = 0;
   /// Time since the store last responded to this gateway itself, about the
   /// table that was heard of longest ago.
   Duration store_age = Duration::max();
@@ -61,6 +64,7 @@
   std::optional<StoreRecord> config;
   std::vector<StoreRecord> upstreams;
   StorePosition upstreams_position;
+  std::vector<UpstreamDeparture> departures;
 };
 
 /// A peer's state in its last heartbeat.
@@ -69,6 +73,8 @@
   std::string process;
   /// When the last heartbeat arrived.
   Time last_heartbeat{};
+  /// When the present digest of the peer's upstreams was first heard.
+  Time digest_since{};
   GatewayStatus status;
 };
 
--- a/include/corianderlink/Gateway/record_cache.h
+++ b/include/corianderlink/Gateway/record_cache.h
@@ -39,12 +39,14 @@
   /// of the store.
   void ApplyUpstreamChanges(Time now, const std::vector<StoreRecord>& records,
                             StorePosition position);
-  /// Applies a peer's records as far as they are newer.  Returns the
-  /// configuration if it was replaced, else null.
+  /// Applies a peer's records as far as they are newer: its whole list if that
+  /// is complete up to a later position, else single later records.  Returns
+  /// the configuration if it was replaced, else null.
   std::shared_ptr<const GatewayConfig> ApplyPeerRecords(
       Time now, const PeerRecords& records);
 
-  /// Records to send to a peer, as they were read from the store.
+  /// Records to send to a peer: the latest that are known, which a restored
+  /// store may lack.
   PeerRecords RecordsForPeer(bool with_upstreams) const;
 
   /// True if a peer with this status has a newer configuration.
@@ -61,13 +63,18 @@
 
  private:
   std::optional<UpstreamRecord> DecodeUpstreamRecord(const StoreRecord& record);
-  void ApplyUpstreamChange(Time now, const StoreRecord& record);
+  void ApplyUpstreamChange(Time now, const StoreRecord& record,
+                           StorePosition position);
+  /// Applies single records of a peer whose list is not newer as a whole.
+  void MergeUpstreams(const PeerRecords& records);
+  /// Keeps the row of an upstream if the directory has taken its record over.
+  void KeepIfInForce(const StoreRecord& row, const UpstreamRecord& upstream);
 
   const RecordCodec& codec_;
   UpstreamDirectory& directory_;
   Metrics& metrics_;
   std::shared_ptr<const GatewayConfig> config_;
-  // The records as the store holds them, to be passed on to peers.
+  // The rows of the records in force, to be passed on to peers.
   std::optional<StoreRecord> stored_config_;
   std::map<std::string, StoreRecord> stored_upstreams_;
   StorePosition upstreams_position_;
--- a/include/corianderlink/Gateway/record_store.h
+++ b/include/corianderlink/Gateway/record_store.h
@@ -20,6 +20,8 @@
   std::optional<std::string> value;
   /// Version of the store at the record's last change.
   uint64_t version = 0;
+  /// Era of that version; 0 if it is that of the read.
+  uint64_t era = 0;
 };
 
 struct StoreReadResult {
--- a/include/corianderlink/Gateway/store_sync.h
+++ b/include/corianderlink/Gateway/store_sync.h
@@ -24,26 +24,23 @@
         store_(store),
         gateway_(gateway),
         codec_(codec),
-        config_watcher_(loop, store, codec.config_table,
-                        {[this](const auto& all, StorePosition) {
-                           gateway_.OnConfigRecords(all);
-                         },
-                         [this](const auto& changes, StorePosition) {
-                           gateway_.OnConfigRecords(changes);
-                         },
-                         [this](bool reachable, const std::string& reason) {
-                           LogReachability(codec_.config_table, reachable,
-                                           reason);
-                         },
-                         [this] {
-                           gateway_.OnStoreResponse(StoreTable::kConfig);
-                         },
-                         [this](const std::string& reason) {
-                           LogFailedCall(codec_.config_table,
-                                         StoreTable::kConfig, reason);
-                         },
-                         [this](uint64_t era) { OnRestored(era); },
-                         [this] { return gateway_.CurrentWatchSchedule(); }}),
+        config_watcher_(
+            loop, store, codec.config_table,
+            {[this](const auto& all, StorePosition) {
+               gateway_.OnConfigRecords(all);
+             },
+             [this](const auto& changes, StorePosition) {
+               gateway_.OnConfigRecords(changes);
+             },
+             [this](bool reachable, const std::string& reason) {
+               LogReachability(codec_.config_table, reachable, reason);
+             },
+             [this] { gateway_.OnStoreResponse(StoreTable::kConfig); },
+             [this](const std::string& reason) {
+               LogFailedCall(codec_.config_table, StoreTable::kConfig, reason);
+             },
+             [this](uint64_t era) { OnRestored(era); },
+             [this] { return gateway_.CurrentWatchSchedule(); }}),
         upstreams_watcher_(
             loop, store, codec.upstream_table,
             {[this](const auto& all, StorePosition position) {
@@ -101,7 +98,8 @@
     Register();
   }
 
-  // Writes this gateway's own record, then starts reading the others'.
+  // Writes this gateway's own record, then starts reading the others', also if
+  // the store takes no writes.
   void Register() {
     const StoreRecord own = gateway_.OwnRecord();
     store_.Put(codec_.gateway_table, own.key, *own.value,
@@ -109,9 +107,8 @@
                  if (!written) {
                    Log(LogLevel::kWarning, "registration_failed",
                        {{"reason", reason}});
-                   gateways_timer_ =
+                   registration_timer_ =
                        loop_.After(kRetryDelay, [this] { Register(); });
-                   return;
                  }
                  ReadGateways();
                });
@@ -132,6 +129,7 @@
   const RecordCodec& codec_;
   TableWatcher<Store> config_watcher_;
   TableWatcher<Store> upstreams_watcher_;
+  EventHandle registration_timer_;
   EventHandle gateways_timer_;
   uint64_t restored_era_ = 0;
 };
--- a/include/corianderlink/Gateway/upstream_record.h
+++ b/include/corianderlink/Gateway/upstream_record.h
@@ -4,8 +4,10 @@
 
 #include <cstdint>
 
+#include "corianderlink/Gateway/store_position.h"
 #include "corianderlink/Support/address.h"
 #include "corianderlink/Support/strong_id.h"
+#include "corianderlink/Support/time.h"
 
 namespace corianderlink {
 
@@ -32,10 +34,35 @@
   int64_t started_ms = 0;
   /// Number of this record among those that the incarnation has written.
   uint64_t sequence = 0;
+  /// Position of the store at which the record was written.
+  StorePosition written_at;
 
   bool operator==(const UpstreamRecord&) const = default;
 };
 
+/// Position of a record among all that upstreams of one id have written.
+struct RecordAge {
+  int64_t started_ms = 0;
+  uint64_t sequence = 0;
+
+  auto operator<=>(const RecordAge&) const = default;
+};
+
+inline RecordAge AgeOf(const UpstreamRecord& record) {
+  return {record.started_ms, record.sequence};
+}
+
+/// The removal of an upstream's record from the store.
+struct UpstreamDeparture {
+  UpstreamId id;
+  /// The last record that was known of the upstream.
+  RecordAge last_record;
+  /// Position of the store at which the record was missing.
+  StorePosition removed_at;
+  /// When the removal was noticed.
+  Time noticed_at{};
+};
+
 }  // namespace corianderlink
 
 #endif  // CORIANDERLINK_GATEWAY_UPSTREAM_RECORD_H_
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -18,9 +18,6 @@
 constexpr Duration kDirectoryTtl = seconds(1);
 // Some clients cache a directory response for up to this many times its TTL.
 constexpr int kMaxTtlOverrunFactor = 3;
-// A gateway that has had older records than a peer for this long requests them
-// from the peer.
-constexpr Duration kPeerSyncDelay = milliseconds(300);
 constexpr Duration kShutdownPollInterval = milliseconds(100);
 // The process ends at the latest this long before the end of the grace period.
 constexpr Duration kShutdownMargin = milliseconds(700);
@@ -93,6 +90,10 @@
     OnPeerRecords(records);
   };
   peers_.on_heartbeat = [this](Time now, const GatewayPeer& peer) {
+    if (initial_sync_.OnHeartbeat(peer.status.peer_address,
+                                  peer.status.ready)) {
+      peers_.RequestRecords(peer, true);
+    }
     placer_.load().SetPeer(now, peer.process, peer.status.shares);
     for (const PromptUse& use : peer.status.prompt_uses) placer_.OnPeerUse(use);
     placer_.SetHeld(now, peer.process, peer.status.held_engines);
@@ -123,9 +124,13 @@
   return true;
 }
 
-bool Gateway::ready() const {
+bool Gateway::CanServe(Time now) const {
   return record_cache_.config() != nullptr &&
-         record_cache_.upstreams_loaded() && !shutting_down_;
+         record_cache_.upstreams_loaded() && initial_sync_.IsOver(now);
+}
+
+bool Gateway::ready() const {
+  return CanServe(BootClock::now()) && !shutting_down_;
 }
 
 void Gateway::Reload(const GatewaySettings& settings) {
@@ -148,6 +153,7 @@
   status.leaving = shutting_down_;
   status.config_version = record_cache_.config_version();
   status.upstreams_position = record_cache_.upstreams_position();
+  status.upstreams_digest = placer_.directory().Digest();
   status.store_age = store_contact_.OwnAge(now);
   status.shares = placer_.OwnLoads(now);
   status.prompt_uses = placer_.TakeRecentUses();
@@ -163,11 +169,15 @@
 }
 
 void Gateway::OnGatewayRecords(const std::vector<StoreRecord>& records) {
+  std::set<Address> others;
   for (const StoreRecord& record : records) {
     if (!record.value) continue;
     const std::optional<Address> address = Address::Parse(record.key);
-    if (address) peers_.AddPeerAddress(*address);
+    if (!address || *address == settings_.peer) continue;
+    peers_.AddPeerAddress(*address);
+    others.insert(*address);
   }
+  initial_sync_.Begin(BootClock::now(), others);
 }
 
 void Gateway::OnConfigRecords(const std::vector<StoreRecord>& records) {
@@ -175,6 +185,7 @@
 }
 
 void Gateway::OnPeerRecords(const PeerRecords& records) {
+  initial_sync_.OnRecords();
   ApplyConfig(record_cache_.ApplyPeerRecords(BootClock::now(), records),
               "peer");
 }
@@ -323,7 +334,7 @@
         status, codecs_.relay.encode_error_fields(request.id, retry_after), "");
   };
   const std::shared_ptr<const GatewayConfig> config = record_cache_.config();
-  if (!config || !record_cache_.upstreams_loaded()) {
+  if (!CanServe(BootClock::now())) {
     refuse(503, "no configuration or upstream list loaded yet");
     return;
   }
@@ -415,41 +426,15 @@
   return dump.dump(2);
 }
 
-Gateway::PeersAhead Gateway::FindPeersAhead(Time now) const {
-  PeersAhead ahead;
-  for (const GatewayPeer* peer : peers_.Live(now)) {
-    const GatewayStatus& status = peer->status;
-    if (!status.ready) continue;
-    if (record_cache_.IsConfigBehind(status) &&
-        (ahead.config == nullptr ||
-         status.config_version > ahead.config->status.config_version)) {
-      ahead.config = peer;
-    }
-    if (record_cache_.AreUpstreamsBehind(status) &&
-        (ahead.upstreams == nullptr ||
-         status.upstreams_position >
-             ahead.upstreams->status.upstreams_position)) {
-      ahead.upstreams = peer;
-    }
-  }
-  return ahead;
-}
-
 void Gateway::SyncFromPeers(Time now) {
-  const PeersAhead ahead = FindPeersAhead(now);
-  if (ahead.config == nullptr && ahead.upstreams == nullptr) {
-    behind_since_.reset();
-    return;
+  const PeerRequests requests =
+      peer_sync_.Next(now, record_cache_, placer_.directory().Digest(),
+                      peers_.Live(now), 2 * CurrentWatchSchedule().Spacing());
+  if (requests.upstreams != nullptr) {
+    peers_.RequestRecords(*requests.upstreams, true);
   }
-  // The store usually delivers the same records shortly, so a gateway that has
-  // records gives it some time first.
-  if (!behind_since_) behind_since_ = now;
-  const bool loaded =
-      record_cache_.upstreams_loaded() && record_cache_.config() != nullptr;
-  if (loaded && now - *behind_since_ < kPeerSyncDelay) return;
-  if (ahead.upstreams != nullptr) peers_.RequestRecords(*ahead.upstreams, true);
-  if (ahead.config != nullptr && ahead.config != ahead.upstreams) {
-    peers_.RequestRecords(*ahead.config, false);
+  if (requests.config != nullptr && requests.config != requests.upstreams) {
+    peers_.RequestRecords(*requests.config, false);
   }
 }
 
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -34,10 +34,32 @@
   out.set_key(record.key);
   out.set_value(record.value.value_or(""));
   out.set_version(record.version);
+  out.set_era(record.era);
 }
 
 StoreRecord DecodeRecord(const wire::Record& in) {
-  return {in.key(), in.value(), in.version()};
+  return {in.key(), in.value(), in.version(), in.era()};
+}
+
+void EncodeDeparture(Time now, const UpstreamDeparture& departure,
+                     wire::Departure& out) {
+  out.set_upstream(departure.id.value());
+  out.set_started_ms(departure.last_record.started_ms);
+  out.set_sequence(departure.last_record.sequence);
+  out.set_era(departure.removed_at.era);
+  out.set_version(departure.removed_at.version);
+  out.set_age_ms(EncodeAge(now - departure.noticed_at));
+}
+
+// Empty if the departure has no usable age.
+std::optional<UpstreamDeparture> DecodeDeparture(Time now,
+                                                 const wire::Departure& in) {
+  const Duration age = DecodeAge(in.age_ms());
+  if (age == Duration::max()) return std::nullopt;
+  return UpstreamDeparture{UpstreamId(in.upstream()),
+                           {in.started_ms(), in.sequence()},
+                           {in.era(), in.version()},
+                           now - age};
 }
 
 wire::Heartbeat EncodeHeartbeat(const GatewayStatus& status) {
@@ -48,6 +70,7 @@
   heartbeat.set_revision(status.config_version);
   heartbeat.set_upstreams_version(status.upstreams_position.version);
   heartbeat.set_store_era(status.upstreams_position.era);
+  heartbeat.set_upstreams_digest(status.upstreams_digest);
   heartbeat.set_store_age_ms(EncodeAge(status.store_age));
   heartbeat.set_highest_fencing(status.highest_fencing);
   for (const auto& [id, started_ms] : status.leaving_upstreams) {
@@ -97,6 +120,7 @@
   status.config_version = heartbeat.revision();
   status.upstreams_position = {heartbeat.store_era(),
                                heartbeat.upstreams_version()};
+  status.upstreams_digest = heartbeat.upstreams_digest();
   status.store_age = DecodeAge(heartbeat.store_age_ms());
   status.highest_fencing = heartbeat.highest_fencing();
   for (const wire::LeavingUpstream& in : heartbeat.leaving_upstreams()) {
@@ -209,6 +233,10 @@
   for (const StoreRecord& record : records.upstreams) {
     EncodeRecord(record, *answer->add_upstreams());
   }
+  const Time now = BootClock::now();
+  for (const UpstreamDeparture& departure : records.departures) {
+    EncodeDeparture(now, departure, *answer->add_departures());
+  }
   bus_.Send(*address, reply);
 }
 
@@ -220,6 +248,11 @@
   for (const wire::Record& record : answer.upstreams()) {
     records.upstreams.push_back(DecodeRecord(record));
   }
+  const Time now = BootClock::now();
+  for (const wire::Departure& in : answer.departures()) {
+    const auto departure = DecodeDeparture(now, in);
+    if (departure) records.departures.push_back(*departure);
+  }
   if (on_records_received) on_records_received(records);
 }
 
@@ -230,6 +263,10 @@
   const bool is_new = peer.process.empty();
   peer.process = message.process();
   peer.last_heartbeat = now;
+  const bool same_digest =
+      !is_new &&
+      peer.status.upstreams_digest == message.heartbeat().upstreams_digest();
+  if (!same_digest) peer.digest_since = now;
   peer.status = DecodeHeartbeat(message.heartbeat());
   if (is_new) {
     Log(LogLevel::kInfo, "peer_found",
--- a/lib/Gateway/record_cache.cc
+++ b/lib/Gateway/record_cache.cc
@@ -9,6 +9,13 @@
 // Bounds the memory for malformed records; beyond it, reasons are logged again.
 constexpr size_t kMaxLoggedReasons = 1000;
 
+// A record that was read from the store belongs to the era of the read, one
+// that a peer passed on to the era in which it was read first.
+StoreRecord WithEra(StoreRecord record, StorePosition position) {
+  if (record.era == 0) record.era = position.era;
+  return record;
+}
+
 }  // namespace
 
 std::shared_ptr<const GatewayConfig> RecordCache::ApplyConfig(
@@ -36,6 +43,7 @@
   std::string reason;
   auto upstream = codec_.decode_upstream(record.key, *record.value, reason);
   if (upstream) {
+    upstream->written_at = {record.era, record.version};
     logged_reasons_.erase(record.key);
     return upstream;
   }
@@ -58,12 +66,14 @@
     directory_.OnStoreRestored(now);
   }
   std::vector<UpstreamRecord> upstreams;
-  stored_upstreams_.clear();
+  std::vector<StoreRecord> rows;
   for (const StoreRecord& record : records) {
     if (!record.value) continue;
-    stored_upstreams_[record.key] = record;
-    const auto upstream = DecodeUpstreamRecord(record);
-    if (upstream) upstreams.push_back(*upstream);
+    const StoreRecord row = WithEra(record, position);
+    const auto upstream = DecodeUpstreamRecord(row);
+    if (!upstream) continue;
+    upstreams.push_back(*upstream);
+    rows.push_back(row);
   }
   upstreams_loaded_ = true;
   upstreams_position_ = position;
@@ -71,25 +81,37 @@
       {{"count", static_cast<uint64_t>(upstreams.size())},
        {"store_era", position.era},
        {"store_version", position.version}});
-  directory_.ReplaceAll(now, upstreams);
+  directory_.ReplaceAll(now, upstreams, position);
+  for (size_t i = 0; i < rows.size(); ++i) KeepIfInForce(rows[i], upstreams[i]);
+  std::erase_if(stored_upstreams_, [this](const auto& entry) {
+    return directory_.Find(UpstreamId(entry.first)) == nullptr;
+  });
+}
+
+void RecordCache::KeepIfInForce(const StoreRecord& row,
+                                const UpstreamRecord& upstream) {
+  const UpstreamRecord* in_force = directory_.Find(upstream.id);
+  if (in_force == nullptr || *in_force != upstream) return;
+  stored_upstreams_[row.key] = row;
 }
 
 void RecordCache::ApplyUpstreamChanges(Time now,
                                        const std::vector<StoreRecord>& records,
                                        StorePosition position) {
   upstreams_position_ = position;
-  for (const StoreRecord& record : records) ApplyUpstreamChange(now, record);
+  for (const StoreRecord& record : records) {
+    ApplyUpstreamChange(now, WithEra(record, position), position);
+  }
 }
 
-void RecordCache::ApplyUpstreamChange(Time now, const StoreRecord& record) {
+void RecordCache::ApplyUpstreamChange(Time now, const StoreRecord& record,
+                                      StorePosition position) {
   if (!record.value) {
     Log(LogLevel::kInfo, "upstream_gone",
         {{"upstream", record.key}, {"store_version", record.version}});
-    stored_upstreams_.erase(record.key);
-    directory_.Remove(now, UpstreamId(record.key));
+    directory_.Remove(now, UpstreamId(record.key), position);
     return;
   }
-  stored_upstreams_[record.key] = record;
   const auto upstream = DecodeUpstreamRecord(record);
   if (!upstream) return;
   const UpstreamRecord* previous = directory_.Find(upstream->id);
@@ -101,6 +123,17 @@
          {"store_version", record.version}});
   }
   directory_.Put(*upstream);
+  KeepIfInForce(record, *upstream);
+}
+
+void RecordCache::MergeUpstreams(const PeerRecords& records) {
+  for (const StoreRecord& record : records.upstreams) {
+    const StoreRecord row = WithEra(record, records.upstreams_position);
+    const auto upstream = DecodeUpstreamRecord(row);
+    if (!upstream) continue;
+    directory_.Merge(*upstream);
+    KeepIfInForce(row, *upstream);
+  }
 }
 
 PeerRecords RecordCache::RecordsForPeer(bool with_upstreams) const {
@@ -109,8 +142,10 @@
   records.upstreams_position = upstreams_position_;
   if (!with_upstreams) return records;
   for (const auto& [key, record] : stored_upstreams_) {
+    if (directory_.Find(UpstreamId(key)) == nullptr) continue;
     records.upstreams.push_back(record);
   }
+  records.departures = directory_.Departures();
   return records;
 }
 
@@ -126,6 +161,11 @@
          {"version", records.upstreams_position.version},
          {"before", upstreams_position_.version}});
     ReplaceUpstreams(now, records.upstreams, records.upstreams_position);
+  } else {
+    MergeUpstreams(records);
+  }
+  for (const UpstreamDeparture& departure : records.departures) {
+    directory_.MergeDeparture(departure);
   }
   return new_config;
 }
--- a/unittests/Gateway/gateway_test_harness.h
+++ b/unittests/Gateway/gateway_test_harness.h
@@ -97,6 +97,8 @@
       : gateway_(loop, MakeSettings(), platform::MakeCodecs()) {
     std::string reason;
     started = gateway_.Start(reason);
+    // No other gateways.
+    gateway_.OnGatewayRecords({gateway_.OwnRecord()});
   }
 
   /// Applies a configuration with a route of each kind, all of which have the
--- a/unittests/Gateway/peer_knowledge_test.cc
+++ b/unittests/Gateway/peer_knowledge_test.cc
@@ -68,6 +68,7 @@
 class StartAfterARestoreTest : public PeerKnowledgeTest {
  protected:
   StartAfterARestoreTest() : peer_(StartGateway("a")) {
+    peer_->OnGatewayRecords({peer_->OwnRecord()});
     peer_->OnConfigRecords({{"config", kNewerConfig, 90}});
     peer_->OnAllUpstreams({Upstream("ready", 5, 20)}, {1, 100});
   }
--- a/unittests/Gateway/placer_test.cc
+++ b/unittests/Gateway/placer_test.cc
@@ -324,7 +324,7 @@
   placer_->OnReplaced(UpstreamId("d0"));
   EXPECT_FALSE(
       placer_->PlacePrompt(kStart + seconds(9), Query(prompt)).placement);
-  placer_->directory().Remove(kStart, UpstreamId("d0"));
+  placer_->directory().Remove(kStart, UpstreamId("d0"), {1, 20});
   placer_->Prune();
   AddEngines(0, 1);
   EXPECT_TRUE(placer_->PlacePrompt(kStart, Query(prompt)).placement);
--- a/unittests/Gateway/upstream_directory_test.cc
+++ b/unittests/Gateway/upstream_directory_test.cc
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr Duration kRestoreGrace = milliseconds(2000);
+constexpr StorePosition kWrittenAt{1, 10};
+constexpr StorePosition kRemovedAt{1, 20};
+constexpr StorePosition kReadAt{1, 30};
 
 UpstreamRecord Record(const std::string& id, int64_t started_ms = 1) {
   UpstreamRecord record;
@@ -14,6 +17,7 @@
   record.service = ServiceId("s");
   record.address = {"127.0.0.1", 80};
   record.started_ms = started_ms;
+  record.written_at = kWrittenAt;
   return record;
 }
 
@@ -27,7 +31,7 @@
 
 TEST_F(UpstreamDirectoryTest, RemovedUpstreamIsDroppedAtOnce) {
   directory_.Put(Record("a"));
-  directory_.Remove(now_, UpstreamId("a"));
+  directory_.Remove(now_, UpstreamId("a"), kRemovedAt);
   EXPECT_EQ(Usable(), 0U);
 }
 
@@ -44,7 +48,7 @@
   directory_.Put(Record("b"));
   directory_.OnStoreUnreachable();
   directory_.OnStoreReachable(now_);
-  directory_.ReplaceAll(now_, {});
+  directory_.ReplaceAll(now_, {}, kReadAt);
   EXPECT_EQ(Usable(), 2U);
   directory_.Put(Record("a"));
   now_ += kRestoreGrace;
@@ -56,7 +60,7 @@
 // The store was away and nobody noticed.
 TEST_F(UpstreamDirectoryTest, ServiceThatIsLostAtOnceIsKeptForTheGraceTime) {
   for (const char* id : {"a", "b", "c", "d"}) directory_.Put(Record(id));
-  directory_.ReplaceAll(now_, {Record("a")});
+  directory_.ReplaceAll(now_, {Record("a")}, kReadAt);
   EXPECT_EQ(Usable(), 4U);
   directory_.Expire(now_ + kRestoreGrace);
   EXPECT_EQ(Usable(), 1U);
@@ -64,7 +68,7 @@
 
 TEST_F(UpstreamDirectoryTest, UpstreamsThatLeftOneAfterTheOtherAreDropped) {
   for (const char* id : {"a", "b", "c", "d"}) directory_.Put(Record(id));
-  directory_.ReplaceAll(now_, {Record("a"), Record("e")});
+  directory_.ReplaceAll(now_, {Record("a"), Record("e")}, kReadAt);
   EXPECT_EQ(Usable(), 2U);
 }
 
@@ -81,7 +85,7 @@
   directory_.Put(Record("a"));
   directory_.OnStoreUnreachable();
   directory_.OnStoreReachable(now_);
-  directory_.Remove(now_ + kRestoreGrace, UpstreamId("a"));
+  directory_.Remove(now_ + kRestoreGrace, UpstreamId("a"), kRemovedAt);
   EXPECT_EQ(Usable(), 0U);
 }
 
@@ -114,7 +118,7 @@
 TEST_F(UpstreamDirectoryTest, RestoredRecordDoesNotEndDraining) {
   directory_.Put(RecordAt(8, true));
   directory_.OnStoreRestored(now_);
-  directory_.ReplaceAll(now_, {RecordAt(5, false)});
+  directory_.ReplaceAll(now_, {RecordAt(5, false)}, kReadAt);
   EXPECT_EQ(Usable(), 0U);
   // Only what the upstream writes later counts.
   directory_.Put(RecordAt(9, false));
@@ -123,9 +127,11 @@
 
 TEST_F(UpstreamDirectoryTest, RestoredRecordDoesNotBringBackAGoneUpstream) {
   directory_.Put(RecordAt(5, false));
-  directory_.Remove(now_, UpstreamId("a"));
+  directory_.Remove(now_, UpstreamId("a"), kRemovedAt);
   directory_.OnStoreRestored(now_);
-  directory_.ReplaceAll(now_, {RecordAt(5, false)});
+  UpstreamRecord restored = RecordAt(5, false);
+  restored.written_at = {2, 25};
+  directory_.ReplaceAll(now_, {restored}, {2, 30});
   EXPECT_EQ(Usable(), 0U);
   UpstreamRecord restarted = Record("a", 2);
   directory_.Put(restarted);
@@ -134,15 +140,20 @@
 
 TEST_F(UpstreamDirectoryTest, RemovedUpstreamMayRegisterAgain) {
   directory_.Put(RecordAt(5, false));
-  directory_.Remove(now_, UpstreamId("a"));
+  directory_.Remove(now_, UpstreamId("a"), kRemovedAt);
+  // A late response of the store tells nothing new.
   directory_.Put(RecordAt(5, false));
+  EXPECT_EQ(Usable(), 0U);
+  UpstreamRecord again = RecordAt(5, false);
+  again.written_at = {1, 21};
+  directory_.Put(again);
   EXPECT_EQ(Usable(), 1U);
 }
 
 TEST_F(UpstreamDirectoryTest, RecordMissingFromACopyIsKeptForTheGraceTime) {
   directory_.Put(Record("a"));
   directory_.OnStoreRestored(now_);
-  directory_.ReplaceAll(now_, {});
+  directory_.ReplaceAll(now_, {}, kReadAt);
   EXPECT_EQ(Usable(), 1U);
   directory_.Expire(now_ + kRestoreGrace);
   EXPECT_EQ(Usable(), 0U);
@@ -166,5 +177,56 @@
   EXPECT_EQ(Usable(), 0U);
 }
 
+UpstreamDeparture Departure(uint64_t sequence, StorePosition removed_at) {
+  return {UpstreamId("a"), {1, sequence}, removed_at, Time(seconds(99))};
+}
+
+TEST_F(UpstreamDirectoryTest, PeerTellsOfADepartureThatTheStoreLost) {
+  directory_.Put(RecordAt(5, false));
+  directory_.MergeDeparture(Departure(5, kRemovedAt));
+  EXPECT_EQ(Usable(), 0U);
+  directory_.Put(RecordAt(5, false));
+  EXPECT_EQ(Usable(), 0U);
+}
+
+TEST_F(UpstreamDirectoryTest, DepartureBeforeTheKnownRecordChangesNothing) {
+  UpstreamRecord again = RecordAt(5, false);
+  again.written_at = {1, 21};
+  directory_.Put(again);
+  directory_.MergeDeparture(Departure(5, kRemovedAt));
+  EXPECT_EQ(Usable(), 1U);
+  directory_.MergeDeparture(Departure(4, {2, 40}));
+  EXPECT_EQ(Usable(), 1U);
+}
+
+TEST_F(UpstreamDirectoryTest, PeerAddsNoUpstreamThatTheStoreDoesNotList) {
+  directory_.Merge(RecordAt(9, false));
+  EXPECT_EQ(Usable(), 0U);
+  directory_.Put(RecordAt(5, false));
+  directory_.Merge(RecordAt(9, true));
+  EXPECT_EQ(Usable(), 0U);
+}
+
+TEST_F(UpstreamDirectoryTest, DigestTellsWhetherTwoGatewaysKnowTheSame) {
+  UpstreamDirectory other(kRestoreGrace);
+  directory_.Put(RecordAt(5, false));
+  directory_.Put(Record("b"));
+  other.Put(Record("b"));
+  EXPECT_NE(directory_.Digest(), other.Digest());
+  other.Put(RecordAt(5, false));
+  EXPECT_EQ(directory_.Digest(), other.Digest());
+  directory_.Remove(now_, UpstreamId("a"), kRemovedAt);
+  EXPECT_NE(directory_.Digest(), other.Digest());
+  for (const UpstreamDeparture& departure : directory_.Departures()) {
+    other.MergeDeparture(departure);
+  }
+  EXPECT_EQ(directory_.Digest(), other.Digest());
+  // Forgotten at the same age by both.
+  directory_.Expire(now_ + seconds(700));
+  other.Expire(now_ + seconds(700));
+  EXPECT_EQ(directory_.Digest(), other.Digest());
+  EXPECT_TRUE(other.Departures().empty());
+}
+
 }  // namespace
 }  // namespace corianderlink
