[Soak] Play connections that go silent, and a start after a restore

Change: seeds from 2000 on also draw the faults silence (open connections of the store and the upstreams carry nothing more, new ones work, a change follows) and start_after_restore (a gateway starts while the restored store was not written again).

--- a/utils/soak.py
+++ b/utils/soak.py
@@ -27,6 +27,11 @@
 # say they leave or ask for a pause, and bytes without end; earlier seeds play
 # what they always played.
 FIRST_LATER_SEED = 1000
+# From here on also connections that go silent, and starts after a restore.
+FIRST_SILENT_SEED = 2000
+# Time in which a change is in force; gateways answer for it again this long
+# after the loss of their connections.
+APPLY_S, CONTACT_S = 2.0, 3.0
 REGRESSIONS = os.path.join(os.path.dirname(os.path.abspath(__file__)),
                            "soak_seeds.txt")
 
@@ -34,7 +39,7 @@
 class Faults:
     """Draws and plays one seed's faults."""
 
-    def __init__(self, deployment, length_s, seed):
+    def __init__(self, deployment, length_s, seed, only=None):
         self.world = deployment
         self.random = deployment.random
         self.spans = []
@@ -49,6 +54,11 @@
         if seed >= FIRST_LATER_SEED:
             kinds += 2 * [self.restore, self.leave]
             self.upstream_troubles += 2 * stand_ins.Upstream.later_troubles
+        if seed >= FIRST_SILENT_SEED:
+            kinds += 3 * [self.silence, self.start_after_restore]
+        if only:
+            kinds = [getattr(self, only)]
+        self.broken = []
         at = 0.0
         while at < length_s:
             kind = self.random.choice(kinds)
@@ -189,6 +199,55 @@
         await self.world.restore_store(copy)
         return "era %d" % self.world.store.era
 
+    async def silence(self, for_s):
+        """Open connections go silent for good; then a change is made."""
+        began = time.monotonic()
+        for link in list(self.world.links.values()) + [self.world.store_link]:
+            link.silence_open_connections()
+        await asyncio.sleep(for_s)
+        self.world.put_config()
+        changed, version = time.monotonic(), self.world.config_version
+        await asyncio.sleep(max(began + CONTACT_S, changed + APPLY_S) -
+                            time.monotonic())
+        if self.others_since(began - SETTLE_S):
+            return "beside others"
+        for gateway in self.world.gateways:
+            dump = await gateway.dump()
+            if dump is None or dump["config_version"] < version:
+                self.broken.append("CONFIG %s lacks version %d after silence" %
+                                   (gateway.name, version))
+        return "judged"
+
+    def others_since(self, since):
+        """Whether another fault than the present one touched the time since."""
+        return sum(1 for _, end in self.spans if end > since) > 1
+
+    async def start_after_restore(self, for_s):
+        """A gateway starts while only its peers know what a restored store
+        lost."""
+        began = time.monotonic()
+        copy = self.world.store.copy()
+        self.world.put_config()
+        version = self.world.config_version
+        draining = asyncio.ensure_future(self.replace(True, 0))
+        await asyncio.sleep(0.6)
+        gateway = self.random.choice(self.world.gateways)
+        gateway.signal(signal.SIGKILL)
+        await self.world.copy_comes_back(copy)
+        await self.restart(gateway, 0.2)
+        dump = None
+        while time.monotonic() < began + 5 and not (dump and dump["ready"]):
+            await asyncio.sleep(0.05)
+            dump = await gateway.dump()
+        judged = not self.others_since(began - SETTLE_S)
+        if judged and not (dump and dump["ready"] and
+                           dump["config_version"] >= version):
+            self.broken.append("CONFIG %s serves without version %d" %
+                               (gateway.name, version))
+        self.world.write_again()
+        await draining
+        return "judged" if judged else "beside others"
+
     async def new_config(self, for_s):
         self.world.put_config(self.random.choice([0.8, 1.0, 1.2]))
         return str(self.world.config_version)
@@ -207,10 +266,10 @@
         await asyncio.sleep(0.1)
 
 
-async def play(seed, length_s, size):
+async def play(seed, length_s, size, only=None):
     deployment = world.World(seed, *size)
     callers = clients.Clients(deployment)
-    faults = Faults(deployment, length_s, seed)
+    faults = Faults(deployment, length_s, seed, only)
     peak = [0]
     try:
         await deployment.start()
@@ -229,7 +288,8 @@
         watcher.cancel()
         # What is late, and against a promise, still arrives.
         await asyncio.sleep(0.5)
-        broken = checks.check(deployment, callers.requests, faults.troubled)
+        broken = faults.broken
+        broken += checks.check(deployment, callers.requests, faults.troubled)
         broken += checks.check_recovery(callers.requests, calm_from)
         broken += checks.check_store_followed(deployment)
         if peak[0] > checks.MAX_RESIDENT_MB:
@@ -278,6 +338,7 @@
     parser.add_argument("--jobs", type=int, default=3)
     parser.add_argument("--program", default=world.PROGRAM,
                         help="the gateway to play against")
+    parser.add_argument("--only", help="draw this kind of fault alone")
     parser.add_argument("--regressions", action="store_true",
                         help="also the seeds of soak_seeds.txt")
     args = parser.parse_args()
@@ -287,10 +348,13 @@
     size = (args.gateways, args.plain, args.engines)
     world.PROGRAM = args.program
     if len(seeds) == 1:
-        return 0 if asyncio.run(play(seeds[0], args.length, size)) else 1
+        good = asyncio.run(play(seeds[0], args.length, size, args.only))
+        return 0 if good else 1
     arguments = ["--length", str(args.length), "--program", args.program,
                  "--gateways", str(args.gateways), "--plain", str(args.plain),
                  "--engines", str(args.engines)]
+    if args.only:
+        arguments += ["--only", args.only]
     with concurrent.futures.ThreadPoolExecutor(args.jobs) as pool:
         good = list(pool.map(lambda seed: play_alone(seed, arguments), seeds))
     print("%d of %d seeds kept every promise" % (sum(good), len(good)))
--- a/utils/soak_lib/stand_ins.py
+++ b/utils/soak_lib/stand_ins.py
@@ -394,8 +394,15 @@
         self.port = port
         self.share = share
         self.trouble = None
+        # Connections up to this number are silent for good.
+        self.opened = self.silent = 0
+
+    def silence_open_connections(self):
+        self.silent = self.opened
 
     async def exchange(self, reader, writer):
+        self.opened += 1
+        number = self.opened
         harmed = random.random() < self.share
         if harmed and self.trouble == "reset":
             return False
@@ -403,9 +410,9 @@
             "127.0.0.1", self.port)
         self.connections.add(there_writer)
         there = asyncio.ensure_future(
-            self.carry(reader, there_writer, True, harmed))
+            self.carry(reader, there_writer, True, harmed, number))
         back = asyncio.ensure_future(
-            self.carry(there_reader, writer, False, harmed))
+            self.carry(there_reader, writer, False, harmed, number))
         try:
             await asyncio.wait([there, back],
                                return_when=asyncio.FIRST_COMPLETED)
@@ -419,10 +426,12 @@
         writer.close()
         return False
 
-    async def carry(self, reader, writer, forward, harmed):
+    async def carry(self, reader, writer, forward, harmed, number):
         try:
             while True:
                 data = await reader.read(65536)
+                if data and number <= self.silent:
+                    continue
                 if not data:
                     await writer.drain()
                     return
--- a/utils/soak_lib/world.py
+++ b/utils/soak_lib/world.py
@@ -8,6 +8,7 @@
 import socket
 import subprocess
 import tempfile
+import urllib.request
 
 from . import stand_ins
 
@@ -106,6 +107,18 @@
             return 0
 
 
+    async def dump(self):
+        """The state dump; None if the process does not answer."""
+        def fetch():
+            url = "http://127.0.0.1:%d/dump" % self.admin
+            with urllib.request.urlopen(url, timeout=1) as answer:
+                return json.load(answer)
+        try:
+            return await asyncio.get_running_loop().run_in_executor(None, fetch)
+        except OSError:
+            return None
+
+
 class World:
     def __init__(self, seed, gateways, plain, engines):
         self.random = random.Random(seed)
@@ -168,11 +181,17 @@
     async def restore_store(self, copy):
         """The store comes back from a copy after a moment; then the operator
         and the upstreams write again what they had written."""
+        await self.copy_comes_back(copy)
+        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+        self.write_again()
+
+    async def copy_comes_back(self, copy):
         self.store.trouble = "down"
         await asyncio.sleep(0.3)
         self.store.restore(copy)
         self.store.trouble = None
-        await asyncio.sleep(self.random.uniform(0.1, 1.0))
+
+    def write_again(self):
         self.store.put("op", "config", self.config)
         for upstream in list(self.upstreams.values()) + list(self.draining):
             self.put_upstream(upstream, upstream.state)
