--- a/include/corianderlink/Gateway/prompt.h
+++ b/include/corianderlink/Gateway/prompt.h
@@ -3,6 +3,8 @@
 #define CORIANDERLINK_GATEWAY_PROMPT_H_
 
 #include <cstdint>
+#include <span>
+#include <string>
 #include <vector>
 
 #include "corianderlink/Gateway/upstream_record.h"
@@ -22,8 +24,17 @@
   /// Length of the whole prompt.
   uint32_t tokens = 0;
   uint32_t max_output_tokens = 0;
+
+  /// All parts but the last, which belongs to the request or its session.
+  std::span<const PromptPart> SharedParts() const {
+    const std::span<const PromptPart> all = parts;
+    return all.empty() ? all : all.first(all.size() - 1);
+  }
 };
 
+/// A part's id as it is written in requests and logs, in hexadecimal.
+std::string FormatPartId(uint64_t id);
+
 /// A prompt that was sent to an engine, whose prefix cache then holds its
 /// parts.
 struct PromptUse {
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -110,6 +110,8 @@
   /// `retry` is the logged value: whether a retry follows.
   void RecordFailedAttempt(Time now, const Outcome& outcome,
                            bool upstream_failed, const char* retry);
+  /// Ids of the prompt's shared parts, for the log.
+  std::string SharedPartsText() const;
   void RetryOnOtherUpstream(Time now, const Outcome& outcome,
                             bool upstream_failed);
   /// True if the deadline, the limit of attempts and idempotence permit
@@ -164,6 +166,8 @@
   DispatchId dispatch_ = 0;
   Time sent_at_{};
   bool first_output_seen_ = false;
+  // Complete events of the present attempt.
+  int events_received_ = 0;
   // False if the request certainly did not reach the upstream.
   bool reached_upstream_ = true;
   Time first_output_at_{};
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -126,6 +126,7 @@
   placement_ = placement;
   sent_at_ = now;
   first_output_seen_ = false;
+  events_received_ = 0;
   reached_upstream_ = true;
   response_.reset();
   buffered_.clear();
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -62,9 +62,20 @@
        {"verdict", ToString(outcome.verdict)},
        {"reason", outcome.reason},
        {"elapsed_ms", ToMillis(now - sent_at_)},
+       {"events", events_received_},
+       {"shared_parts", SharedPartsText()},
        {"retry", retry}});
 }
 
+std::string RelayTask::SharedPartsText() const {
+  if (!request_.prompt) return "";
+  std::string text;
+  for (const PromptPart& part : request_.prompt->SharedParts()) {
+    text += (text.empty() ? "" : ",") + FormatPartId(part.id);
+  }
+  return text;
+}
+
 void RelayTask::RetryOnOtherUpstream(Time now, const Outcome& outcome,
                                      bool upstream_failed) {
   const bool was_prefill_stage = placement_->prefill_only;
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -99,6 +99,7 @@
 void RelayTask::ForwardEvents() {
   while (std::optional<RawEvent> event = event_splitter_.Next()) {
     ReportFirstOutput();
+    ++events_received_;
     // A resumed stream may repeat events that the client already has.
     if (event->id && last_event_id_ && *event->id <= *last_event_id_) continue;
     if (event->id) last_event_id_ = event->id;
