[Gateway] Take the codec of peer messages out of GatewayPeers

Ruled out: a change of behaviour; functions were moved, none was rewritten but for the two ends of RecordsAnswer. Change: lib/Gateway/peer_codec.{h,cc}. Before and after: the tests of peers pass.

--- /dev/null
+++ b/lib/Gateway/peer_codec.cc
@@ -0,0 +1,186 @@
+// Encodes and decodes the messages between gateways.
+#include "peer_codec.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corianderlink {
+namespace {
+
+// 0 stands for an unknown age.
+uint64_t EncodeAge(Duration age) {
+  const auto ms = std::chrono::duration_cast<milliseconds>(age).count();
+  return static_cast<uint64_t>(std::max<int64_t>(ms, 1));
+}
+
+Duration DecodeAge(uint64_t ms) {
+  constexpr uint64_t kMaxMs = 24UL * 3600 * 1000;
+  return ms == 0 || ms > kMaxMs ? Duration::max()
+                                : milliseconds(static_cast<int64_t>(ms));
+}
+
+void EncodeRecord(const StoreRecord& record, wire::Record& out) {
+  out.set_key(record.key);
+  out.set_value(record.value.value_or(""));
+  out.set_version(record.version);
+  out.set_era(record.era);
+}
+
+StoreRecord DecodeRecord(const wire::Record& in) {
+  return {in.key(), in.value(), in.version(), in.era()};
+}
+
+void EncodeDeparture(Time now, const UpstreamDeparture& departure,
+                     wire::Departure& out) {
+  out.set_upstream(departure.id.value());
+  out.set_started_ms(departure.last_record.started_ms);
+  out.set_sequence(departure.last_record.sequence);
+  out.set_era(departure.removed_at.era);
+  out.set_version(departure.removed_at.version);
+  out.set_age_ms(EncodeAge(now - departure.noticed_at));
+}
+
+// Empty if the departure has no usable age.
+std::optional<UpstreamDeparture> DecodeDeparture(Time now,
+                                                 const wire::Departure& in) {
+  const Duration age = DecodeAge(in.age_ms());
+  if (age == Duration::max()) return std::nullopt;
+  return UpstreamDeparture{UpstreamId(in.upstream()),
+                           {in.started_ms(), in.sequence()},
+                           {in.era(), in.version()},
+                           now - age};
+}
+
+}  // namespace
+
+wire::Heartbeat EncodeHeartbeat(const GatewayStatus& status) {
+  wire::Heartbeat heartbeat;
+  heartbeat.set_instance(status.instance);
+  heartbeat.set_kind(kGatewayHeartbeat);
+  heartbeat.set_zone(status.zone.value());
+  heartbeat.set_revision(status.config_version);
+  heartbeat.set_upstreams_version(status.upstreams_position.version);
+  heartbeat.set_store_era(status.upstreams_position.era);
+  heartbeat.set_upstreams_digest(status.upstreams_digest);
+  heartbeat.set_store_age_ms(EncodeAge(status.store_age));
+  heartbeat.set_highest_fencing(status.highest_fencing);
+  for (const auto& [id, started_ms] : status.leaving_upstreams) {
+    wire::LeavingUpstream* out = heartbeat.add_leaving_upstreams();
+    out->set_upstream(id.value());
+    out->set_started_ms(started_ms);
+  }
+  heartbeat.set_leaving(status.leaving);
+  heartbeat.set_ready(status.ready);
+  heartbeat.set_entry_address(status.client_address.ToString());
+  heartbeat.set_peer_address(status.peer_address.ToString());
+  for (const auto& [id, load] : status.shares) {
+    wire::EngineShare* share = heartbeat.add_shares();
+    share->set_engine(id.value());
+    share->set_requests(load.requests);
+    share->set_express_requests(load.express);
+    share->set_generating(load.generating);
+    for (const double ms : load.backlog_ms) {
+      share->add_backlog_ms(static_cast<float>(ms));
+    }
+  }
+  for (const PromptUse& use : status.prompt_uses) {
+    wire::PromptUse* out = heartbeat.add_uses();
+    out->set_engine(use.upstream.value());
+    for (const PromptPart& part : use.parts) {
+      out->add_part_ids(part.id);
+      out->add_part_tokens(part.tokens);
+    }
+  }
+  for (const auto& [service, demand] : status.demands) {
+    wire::EngineDemand* out = heartbeat.add_demands();
+    out->set_service(service.value());
+    out->set_prefill_ms_per_s(demand.prefill_ms_per_s);
+    out->set_handover_ms_per_s(demand.handover_ms_per_s);
+    out->set_generating(demand.generating);
+  }
+  for (const UpstreamId& id : status.held_engines) {
+    heartbeat.add_held_engines(id.value());
+  }
+  return heartbeat;
+}
+
+GatewayStatus DecodeHeartbeat(const wire::Heartbeat& heartbeat) {
+  GatewayStatus status;
+  status.instance = heartbeat.instance();
+  status.zone = ZoneId(heartbeat.zone());
+  status.config_version = heartbeat.revision();
+  status.upstreams_position = {heartbeat.store_era(),
+                               heartbeat.upstreams_version()};
+  status.upstreams_digest = heartbeat.upstreams_digest();
+  status.store_age = DecodeAge(heartbeat.store_age_ms());
+  status.highest_fencing = heartbeat.highest_fencing();
+  for (const wire::LeavingUpstream& in : heartbeat.leaving_upstreams()) {
+    status.leaving_upstreams[UpstreamId(in.upstream())] = in.started_ms();
+  }
+  status.leaving = heartbeat.leaving();
+  status.ready = heartbeat.ready();
+  status.client_address =
+      Address::Parse(heartbeat.entry_address()).value_or(Address{});
+  status.peer_address =
+      Address::Parse(heartbeat.peer_address()).value_or(Address{});
+  for (const wire::EngineShare& share : heartbeat.shares()) {
+    OutstandingLoad& load = status.shares[UpstreamId(share.engine())];
+    load.requests = share.requests();
+    load.express = share.express_requests();
+    load.generating = share.generating();
+    const int tiers = std::min<int>(share.backlog_ms_size(),
+                                    static_cast<int>(kPriorityTiers));
+    for (int i = 0; i < tiers; ++i) {
+      load.backlog_ms[static_cast<size_t>(i)] = share.backlog_ms(i);
+    }
+  }
+  for (const wire::PromptUse& in : heartbeat.uses()) {
+    PromptUse use;
+    use.upstream = UpstreamId(in.engine());
+    const int parts = std::min(in.part_ids_size(), in.part_tokens_size());
+    for (int i = 0; i < parts; ++i) {
+      use.parts.push_back({in.part_ids(i), in.part_tokens(i)});
+    }
+    status.prompt_uses.push_back(std::move(use));
+  }
+  for (const wire::EngineDemand& in : heartbeat.demands()) {
+    ServiceDemand& demand = status.demands[ServiceId(in.service())];
+    demand.prefill_ms_per_s = in.prefill_ms_per_s();
+    demand.handover_ms_per_s = in.handover_ms_per_s();
+    demand.generating = in.generating();
+  }
+  for (const std::string& id : heartbeat.held_engines()) {
+    status.held_engines.insert(UpstreamId(id));
+  }
+  return status;
+}
+
+wire::RecordsAnswer EncodeRecords(Time now, const PeerRecords& records) {
+  wire::RecordsAnswer answer;
+  if (records.config) EncodeRecord(*records.config, *answer.mutable_config());
+  answer.set_upstreams_version(records.upstreams_position.version);
+  answer.set_store_era(records.upstreams_position.era);
+  for (const StoreRecord& record : records.upstreams) {
+    EncodeRecord(record, *answer.add_upstreams());
+  }
+  for (const UpstreamDeparture& departure : records.departures) {
+    EncodeDeparture(now, departure, *answer.add_departures());
+  }
+  return answer;
+}
+
+PeerRecords DecodeRecords(Time now, const wire::RecordsAnswer& answer) {
+  PeerRecords records;
+  if (answer.has_config()) records.config = DecodeRecord(answer.config());
+  records.upstreams_position = {answer.store_era(), answer.upstreams_version()};
+  for (const wire::Record& record : answer.upstreams()) {
+    records.upstreams.push_back(DecodeRecord(record));
+  }
+  for (const wire::Departure& in : answer.departures()) {
+    const auto departure = DecodeDeparture(now, in);
+    if (departure) records.departures.push_back(*departure);
+  }
+  return records;
+}
+
+}  // namespace corianderlink
--- /dev/null
+++ b/lib/Gateway/peer_codec.h
@@ -0,0 +1,24 @@
+// Encodes and decodes the messages between gateways.
+#ifndef CORIANDERLINK_LIB_GATEWAY_PEER_CODEC_H_
+#define CORIANDERLINK_LIB_GATEWAY_PEER_CODEC_H_
+
+#include "corianderlink/Gateway/gateway_peers.h"
+#include "peer.pb.h"
+
+namespace corianderlink {
+
+/// Kind of a gateway's heartbeats.
+inline constexpr char kGatewayHeartbeat[] = "gateway";
+
+wire::Heartbeat EncodeHeartbeat(const GatewayStatus& status);
+/// Fields that are missing or malformed have the values of an empty status.
+GatewayStatus DecodeHeartbeat(const wire::Heartbeat& heartbeat);
+
+/// Times are passed on as ages at `now`.
+wire::RecordsAnswer EncodeRecords(Time now, const PeerRecords& records);
+/// Drops departures without a usable age.
+PeerRecords DecodeRecords(Time now, const wire::RecordsAnswer& answer);
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_LIB_GATEWAY_PEER_CODEC_H_
