[Gateway] Keep prompts with a part that crashes engines away from engines

Callers saw: engines that ended one after the other for half a minute, each with the streams of other callers on it; urgent questions failed meanwhile. Cause: nothing connected the end of an engine with what it was working on. A gateway kept a failure with the engine only, and saw a part of the crashes. The class of fault: a request that is lethal to its server is sent to the next one for as long as clients ask (a query of death). Ruled out: retries (each request that was handed over reached one engine that generates; they are bounded here as well), and engines that end for reasons of their own (the part was in each crash and in no answer). Change: PartQuarantine pools the crashes that all gateways report in their heartbeats, each engine's incarnation once. The shared parts of prompts that an engine was about to answer are suspects; an answer anywhere clears them. Three crashes, one of them with a prompt that was sent after another crash, no answer within 250 ms while others are answered, and the part is quarantined for 600 s: its requests get 503, not run, with the time that is left. A prefilled prompt is stopped before it goes to an engine that generates; a suspect's prompt is not run again. CrashCheck tells a crash from a broken connection by a new connection. Why it works: the fifth crash is the latest at which the evidence can be pooled; a heartbeat takes 25 to 400 ms, and contact is due after 3 s and more. Looked for elsewhere: the product's own chat path retries a failed chat once and keeps no parts; not changed.

--- /dev/null
+++ b/include/corianderlink/Gateway/crash_check.h
@@ -0,0 +1,39 @@
+// Tells a crashed engine from a broken connection.
+#ifndef CORIANDERLINK_GATEWAY_CRASH_CHECK_H_
+#define CORIANDERLINK_GATEWAY_CRASH_CHECK_H_
+
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "corianderlink/Gateway/order_codec.h"
+#include "corianderlink/Gateway/upstream_record.h"
+#include "corianderlink/Http1/upstream_pool.h"
+
+namespace corianderlink {
+
+/// After a connection to an engine broke, asks for its status on a new one.  If
+/// no connection can be made, or another upstream answers, the engine has
+/// crashed.  Requests that broke together share one check.
+class CrashCheck {
+ public:
+  CrashCheck(UpstreamPool& pool, const OrderCodec& codec)
+      : pool_(pool), codec_(codec) {}
+
+  /// Calls `on_crashed` later, if the engine has crashed.
+  void Start(const UpstreamRecord& engine, std::function<void()> on_crashed);
+
+ private:
+  using Incarnation = std::pair<UpstreamId, int64_t>;
+
+  void OnResult(const Incarnation& incarnation, bool crashed);
+
+  UpstreamPool& pool_;
+  const OrderCodec& codec_;
+  std::map<Incarnation, std::vector<std::function<void()>>> pending_;
+};
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_GATEWAY_CRASH_CHECK_H_
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "corianderlink/Authority/lease_record.h"
+#include "corianderlink/Gateway/part_quarantine.h"
 #include "corianderlink/Gateway/prompt.h"
 #include "corianderlink/Gateway/record_store.h"
 #include "corianderlink/Gateway/role_planner.h"
@@ -57,6 +58,8 @@
   FencingToken highest_fencing = 0;
   /// Start times of upstreams that have said that they are leaving.
   std::map<UpstreamId, int64_t> leaving_upstreams;
+  /// What the gateway knows of parts of prompts that crash engines.
+  std::vector<PartReport> part_reports;
 };
 
 /// Records of the store, passed on by a gateway that has read them.
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -12,8 +12,10 @@
 #include <set>
 #include <string>
 
+#include "corianderlink/Gateway/crash_check.h"
 #include "corianderlink/Gateway/event_splitter.h"
 #include "corianderlink/Gateway/gateway_config.h"
+#include "corianderlink/Gateway/part_quarantine.h"
 #include "corianderlink/Gateway/placer.h"
 #include "corianderlink/Gateway/relay_codec.h"
 #include "corianderlink/Http1/inbound_exchange.h"
@@ -32,6 +34,8 @@
   const RelayCodec& codec;
   Metrics& metrics;
   RandomSource& random;
+  PartQuarantine& quarantine;
+  CrashCheck& crash_check;
   /// Charges one retry to the retry budget of a service.  False if the budget
   /// is exhausted.
   std::function<bool(Time, const ServiceId&)> try_claim_retry;
@@ -55,6 +59,9 @@
   void Start();
 
  private:
+  // Events of an attempt that show that the engine survives the prompt.
+  static constexpr int kAnsweringEvents = 3;
+
   bool is_stream() const { return route_.kind == RouteKind::kStream; }
   /// True if the service runs model engines and the request has a prompt.
   bool is_model_request() const {
@@ -110,6 +117,13 @@
   /// `retry` is the logged value: whether a retry follows.
   void RecordFailedAttempt(Time now, const Outcome& outcome,
                            bool upstream_failed, const char* retry);
+  /// Ends the request if its prompt has a part that crashes engines.
+  bool EndIfQuarantined(Time now);
+  /// Counts a failed attempt against the parts of the prompt if the engine has
+  /// crashed before it answered.
+  void CheckForCrash(const Outcome& outcome);
+  /// The engine has answered enough to clear the parts of the prompt.
+  void ReportAnswered();
   /// Ids of the prompt's shared parts, for the log.
   std::string SharedPartsText() const;
   void RetryOnOtherUpstream(Time now, const Outcome& outcome,
--- /dev/null
+++ b/lib/Gateway/crash_check.cc
@@ -0,0 +1,46 @@
+// Tells a crashed engine from a broken connection.
+#include "corianderlink/Gateway/crash_check.h"
+
+#include <memory>
+
+namespace corianderlink {
+namespace {
+
+constexpr Duration kConnectTimeout = milliseconds(250);
+// No pooled connection is young enough: it may break like the first one.
+constexpr Duration kNoReuse = milliseconds(-1);
+// Status of an upstream that the request was not meant for.
+constexpr int kMisdirected = 421;
+
+}  // namespace
+
+void CrashCheck::Start(const UpstreamRecord& engine,
+                       std::function<void()> on_crashed) {
+  const Incarnation incarnation{engine.id, engine.started_ms};
+  auto& waiting = pending_[incarnation];
+  waiting.push_back(std::move(on_crashed));
+  if (waiting.size() > 1) return;
+  UpstreamRequest request = codec_.encode_status_request(engine);
+  request.max_idle = kNoReuse;
+  request.connect_timeout = kConnectTimeout;
+  const auto reassigned = std::make_shared<bool>(false);
+  UpstreamHandlers handlers;
+  handlers.on_head = [reassigned](const ResponseHead& head) {
+    *reassigned = head.status == kMisdirected;
+  };
+  handlers.on_end = [this, incarnation, reassigned] {
+    OnResult(incarnation, *reassigned);
+  };
+  handlers.on_fail = [this, incarnation](const Outcome& outcome) {
+    OnResult(incarnation, outcome.verdict == Verdict::kNotRun);
+  };
+  pool_.Start(std::move(request), std::move(handlers));
+}
+
+void CrashCheck::OnResult(const Incarnation& incarnation, bool crashed) {
+  const auto node = pending_.extract(incarnation);
+  if (node.empty() || !crashed) return;
+  for (const auto& on_crashed : node.mapped()) on_crashed();
+}
+
+}  // namespace corianderlink
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -49,6 +49,7 @@
       pool_(loop),
       placer_(PlacerLimits{}, MakeEjectorLimits(), GatewayPeers::kPeerTimeout,
               settings_.zone),
+      crash_check_(pool_, codecs_.orders),
       record_cache_(codecs_.records, placer_.directory(), metrics_),
       peers_(loop, settings_.store.ToString(), process_id_, settings_.peer,
              [this](Time now) { return CurrentStatus(now); }),
@@ -73,6 +74,8 @@
                      codecs_.relay,
                      metrics_,
                      random_,
+                     quarantine_,
+                     crash_check_,
                      [this](Time now, const ServiceId& service) {
                        return TryClaimRetry(now, service);
                      },
@@ -102,6 +105,7 @@
       placer_.notices().OnLeaving(id, started_ms);
     }
     highest_fencing_ = std::max(highest_fencing_, peer.status.highest_fencing);
+    quarantine_.OnPeerReports(now, peer.status.part_reports);
   };
 }
 
@@ -161,6 +165,7 @@
   status.held_engines = held_engines_;
   status.leaving_upstreams = placer_.notices().leaving();
   status.highest_fencing = highest_fencing_;
+  status.part_reports = quarantine_.Reports(now);
   return status;
 }
 
@@ -417,6 +422,10 @@
         {"speed_factor", placer_.speed().Factor(upstream)},
         {"connections", pool_.ConnectionCount(upstream.address)}};
   }
+  for (const QuarantinedPart& part : quarantine_.Quarantined(now)) {
+    dump["quarantined_parts"][FormatPartId(part.part)] = {
+        {"ends_in_s", ToSeconds(part.ends_at - now)}};
+  }
   for (const GatewayPeer* peer : peers_.Live(now)) {
     dump["peers"][peer->process] = {
         {"ready", peer->status.ready},
@@ -447,6 +456,7 @@
   placer_.SetGateways(peers_.LiveGatewayCount(now));
   if (!shutting_down_) SyncFromPeers(now);
   placer_.directory().Expire(now);
+  quarantine_.Update(now);
   placer_.load().ExpirePeers(now);
   placer_.Prune();
   CloseConnectionsToRemovedUpstreams();
@@ -455,6 +465,8 @@
   metrics_.Set("gateway_upstream_connects",
                static_cast<double>(pool_.connections_opened()));
   metrics_.Set("gateway_peers", static_cast<double>(peers_.Live(now).size()));
+  metrics_.Set("gateway_quarantined_parts",
+               static_cast<double>(quarantine_.Quarantined(now).size()));
   metrics_.Set("gateway_store_age_seconds",
                ToSeconds(store_contact_.OwnAge(now)));
 }
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -48,7 +48,7 @@
 void GatewayPeers::SendHeartbeat() {
   const Time now = BootClock::now();
   wire::Envelope message;
-  *message.mutable_heartbeat() = EncodeHeartbeat(status_source_(now));
+  *message.mutable_heartbeat() = EncodeHeartbeat(now, status_source_(now));
   for (const auto& [address, heard] : receivers_) bus_.Send(address, message);
 }
 
@@ -100,7 +100,7 @@
       !is_new &&
       peer.status.upstreams_digest == message.heartbeat().upstreams_digest();
   if (!same_digest) peer.digest_since = now;
-  peer.status = DecodeHeartbeat(message.heartbeat());
+  peer.status = DecodeHeartbeat(now, message.heartbeat());
   if (is_new) {
     Log(LogLevel::kInfo, "peer_found",
         {{"peer", peer.status.instance}, {"process", peer.process}});
--- a/lib/Gateway/peer_codec.cc
+++ b/lib/Gateway/peer_codec.cc
@@ -51,9 +51,48 @@
                            now - age};
 }
 
+void EncodePartReport(Time now, const PartReport& report,
+                      wire::PartReport& out) {
+  out.set_part(report.part);
+  for (const EngineCrash& crash : report.crashes) {
+    wire::EngineCrash* entry = out.add_crashes();
+    entry->set_engine(crash.engine.value());
+    entry->set_started_ms(crash.started_ms);
+    entry->set_sent_age_ms(EncodeAge(now - crash.sent_at));
+    entry->set_crash_age_ms(EncodeAge(now - crash.crashed_at));
+  }
+  if (report.answered_at) {
+    out.set_answered_age_ms(EncodeAge(now - *report.answered_at));
+  }
+  if (report.quarantined_at) {
+    out.set_quarantined_age_ms(EncodeAge(now - *report.quarantined_at));
+  }
+}
+
+std::optional<Time> DecodeTime(Time now, uint64_t age_ms) {
+  const Duration age = DecodeAge(age_ms);
+  if (age == Duration::max()) return std::nullopt;
+  return now - age;
+}
+
+PartReport DecodePartReport(Time now, const wire::PartReport& in) {
+  PartReport report;
+  report.part = in.part();
+  for (const wire::EngineCrash& crash : in.crashes()) {
+    const auto sent_at = DecodeTime(now, crash.sent_age_ms());
+    const auto crashed_at = DecodeTime(now, crash.crash_age_ms());
+    if (!sent_at || !crashed_at) continue;
+    report.crashes.push_back({UpstreamId(crash.engine()), crash.started_ms(),
+                              *sent_at, *crashed_at});
+  }
+  report.answered_at = DecodeTime(now, in.answered_age_ms());
+  report.quarantined_at = DecodeTime(now, in.quarantined_age_ms());
+  return report;
+}
+
 }  // namespace
 
-wire::Heartbeat EncodeHeartbeat(const GatewayStatus& status) {
+wire::Heartbeat EncodeHeartbeat(Time now, const GatewayStatus& status) {
   wire::Heartbeat heartbeat;
   heartbeat.set_instance(status.instance);
   heartbeat.set_kind(kGatewayHeartbeat);
@@ -69,6 +108,9 @@
     out->set_upstream(id.value());
     out->set_started_ms(started_ms);
   }
+  for (const PartReport& report : status.part_reports) {
+    EncodePartReport(now, report, *heartbeat.add_part_reports());
+  }
   heartbeat.set_leaving(status.leaving);
   heartbeat.set_ready(status.ready);
   heartbeat.set_entry_address(status.client_address.ToString());
@@ -104,7 +146,7 @@
   return heartbeat;
 }
 
-GatewayStatus DecodeHeartbeat(const wire::Heartbeat& heartbeat) {
+GatewayStatus DecodeHeartbeat(Time now, const wire::Heartbeat& heartbeat) {
   GatewayStatus status;
   status.instance = heartbeat.instance();
   status.zone = ZoneId(heartbeat.zone());
@@ -117,6 +159,9 @@
   for (const wire::LeavingUpstream& in : heartbeat.leaving_upstreams()) {
     status.leaving_upstreams[UpstreamId(in.upstream())] = in.started_ms();
   }
+  for (const wire::PartReport& in : heartbeat.part_reports()) {
+    status.part_reports.push_back(DecodePartReport(now, in));
+  }
   status.leaving = heartbeat.leaving();
   status.ready = heartbeat.ready();
   status.client_address =
--- a/lib/Gateway/peer_codec.h
+++ b/lib/Gateway/peer_codec.h
@@ -10,9 +10,10 @@
 /// Kind of a gateway's heartbeats.
 inline constexpr char kGatewayHeartbeat[] = "gateway";
 
-wire::Heartbeat EncodeHeartbeat(const GatewayStatus& status);
+/// Times are passed on as ages at `now`.
+wire::Heartbeat EncodeHeartbeat(Time now, const GatewayStatus& status);
 /// Fields that are missing or malformed have the values of an empty status.
-GatewayStatus DecodeHeartbeat(const wire::Heartbeat& heartbeat);
+GatewayStatus DecodeHeartbeat(Time now, const wire::Heartbeat& heartbeat);
 
 /// Times are passed on as ages at `now`.
 wire::RecordsAnswer EncodeRecords(Time now, const PeerRecords& records);
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -87,6 +87,7 @@
 
 void RelayTask::PlaceAndSend() {
   const Time now = BootClock::now();
+  if (EndIfQuarantined(now)) return;
   const PlacementResult result = ChoosePlacement(now);
   if (!result.placement) {
     if (exchange_->response_started()) {
@@ -225,6 +226,7 @@
 
 void RelayTask::SendDecodeStage() {
   const Time now = BootClock::now();
+  if (EndIfQuarantined(now)) return;
   const PlacementResult result = context_.placer.PlaceGeneration(
       now, MakePlacementQuery(now), kv_handle_->source);
   if (!result.placement) {
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -28,6 +28,7 @@
   if (finished_) return;
   reached_upstream_ = outcome.verdict != Verdict::kNotRun;
   call_.reset();
+  CheckForCrash(outcome);
   OnAttemptFailed(outcome, true);
 }
 
@@ -67,6 +68,41 @@
        {"retry", retry}});
 }
 
+void RelayTask::CheckForCrash(const Outcome& outcome) {
+  if (!is_model_request() || placement_->prefill_only) return;
+  if (outcome.verdict == Verdict::kNotRun) return;
+  if (events_received_ >= kAnsweringEvents) return;
+  const UpstreamRecord& engine = placement_->upstream;
+  const EngineCrash crash{engine.id, engine.started_ms, sent_at_,
+                          BootClock::now()};
+  context_.crash_check.Start(
+      engine, [&quarantine = context_.quarantine, prompt = *request_.prompt,
+               crash] { quarantine.OnCrash(BootClock::now(), prompt, crash); });
+}
+
+void RelayTask::ReportAnswered() {
+  if (!is_model_request()) return;
+  context_.quarantine.OnAnswered(BootClock::now(), *request_.prompt);
+}
+
+bool RelayTask::EndIfQuarantined(Time now) {
+  if (!is_model_request()) return false;
+  // A verdict may have come due since the last periodic update.
+  context_.quarantine.Update(now);
+  const auto part = context_.quarantine.Find(now, *request_.prompt);
+  if (!part) return false;
+  context_.metrics.Add("gateway_quarantine_refusals_total");
+  const std::string reason =
+      "prompt part " + FormatPartId(part->part) + " crashes engines";
+  if (possible_runs_ == 0 && !exchange_->response_started()) {
+    Refuse(reason, part->ends_at - now);
+    return true;
+  }
+  ReleaseKvHandle();
+  FailRequest(Outcome::MayHaveRun(reason));
+  return true;
+}
+
 std::string RelayTask::SharedPartsText() const {
   if (!request_.prompt) return "";
   std::string text;
@@ -96,6 +132,9 @@
   if (DeadlineLeftMs(now) < kMinAttemptMs) return false;
   if (verdict != Verdict::kNotRun) {
     if (!route_.idempotent() || possible_runs_ >= route_.max_runs) return false;
+    if (is_model_request() && context_.quarantine.IsSuspect(*request_.prompt)) {
+      return false;
+    }
   }
   return true;
 }
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -99,7 +99,7 @@
 void RelayTask::ForwardEvents() {
   while (std::optional<RawEvent> event = event_splitter_.Next()) {
     ReportFirstOutput();
-    ++events_received_;
+    if (++events_received_ == kAnsweringEvents) ReportAnswered();
     // A resumed stream may repeat events that the client already has.
     if (event->id && last_event_id_ && *event->id <= *last_event_id_) continue;
     if (event->id) last_event_id_ = event->id;
@@ -220,6 +220,7 @@
   }
   EndDispatch();
   context_.placer.OnSuccess(placement_->upstream);
+  ReportAnswered();
   if (!exchange_->response_started()) {
     exchange_->StartResponse(response_->status,
                              EndToEndFields(response_->fields), std::nullopt);
--- /dev/null
+++ b/unittests/Gateway/part_quarantine_test.cc
@@ -0,0 +1,237 @@
+// Verdicts on parts of prompts, in virtual time and without a network.
+#include "corianderlink/Gateway/part_quarantine.h"
+
+#include <gtest/gtest.h>
+
+namespace corianderlink {
+namespace {
+
+constexpr Time kStart = Time(seconds(1000));
+constexpr uint64_t kCommon = 1;
+constexpr uint64_t kBad = 2;
+
+/// A prompt with these shared parts, and one of its own.
+Prompt MakePrompt(const std::vector<uint64_t>& shared) {
+  static uint64_t own_part = 1'000'000;
+  Prompt prompt;
+  for (const uint64_t id : shared) prompt.parts.push_back({id, 100});
+  prompt.parts.push_back({++own_part, 100});
+  return prompt;
+}
+
+/// Several gateways and the engines that crash under them.
+class PartQuarantineTest : public ::testing::Test {
+ protected:
+  /// An engine crashes under a prompt that `gateway` sent to it.
+  void Crash(size_t gateway, const std::vector<uint64_t>& parts,
+             Duration after_sending = milliseconds(50)) {
+    ++engines_;
+    CrashOf("e" + std::to_string(engines_), gateway, parts, after_sending);
+  }
+  void CrashOf(const std::string& engine, size_t gateway,
+               const std::vector<uint64_t>& parts,
+               Duration after_sending = milliseconds(50)) {
+    gateways_[gateway].OnCrash(
+        now_, MakePrompt(parts),
+        {UpstreamId(engine), 7, now_ - after_sending, now_});
+  }
+  void Answer(size_t gateway, const std::vector<uint64_t>& parts) {
+    gateways_[gateway].OnAnswered(now_, MakePrompt(parts));
+  }
+  /// All gateways hear each other once, then the time goes on.
+  void Step(Duration time) {
+    for (size_t from = 0; from < gateways_.size(); ++from) {
+      for (size_t to = 0; to < gateways_.size(); ++to) {
+        if (from == to) continue;
+        gateways_[to].OnPeerReports(now_, gateways_[from].Reports(now_));
+      }
+    }
+    now_ += time;
+    for (PartQuarantine& gateway : gateways_) gateway.Update(now_);
+  }
+  /// Sound traffic on all gateways.
+  void StepWithAnswers(Duration time) {
+    for (size_t i = 0; i < gateways_.size(); ++i) {
+      for (int j = 0; j < 5; ++j) Answer(i, {kCommon});
+    }
+    Step(time);
+  }
+  bool Quarantined(size_t gateway, const std::vector<uint64_t>& parts) const {
+    return gateways_[gateway].Find(now_, MakePrompt(parts)).has_value();
+  }
+
+  std::vector<PartQuarantine> gateways_ = std::vector<PartQuarantine>(1);
+  Time now_ = kStart;
+  int engines_ = 0;
+};
+
+TEST_F(PartQuarantineTest, PartInEachCrashAndInNoAnswerIsQuarantined) {
+  for (int i = 0; i < 3; ++i) {
+    Crash(0, {kCommon, kBad});
+    StepWithAnswers(milliseconds(200));
+  }
+  StepWithAnswers(milliseconds(300));
+  EXPECT_TRUE(Quarantined(0, {kCommon, kBad}));
+  EXPECT_TRUE(Quarantined(0, {kBad}));
+  EXPECT_FALSE(Quarantined(0, {kCommon}));
+}
+
+TEST_F(PartQuarantineTest, FiveCrashesAtAHundredGatewaysCountTogether) {
+  gateways_ = std::vector<PartQuarantine>(100);
+  for (size_t i = 0; i < 5; ++i) {
+    Crash(20 * i, {kCommon, kBad});
+    StepWithAnswers(milliseconds(400));
+  }
+  for (size_t i = 0; i < gateways_.size(); ++i) {
+    EXPECT_TRUE(Quarantined(i, {kCommon, kBad})) << i;
+    EXPECT_FALSE(Quarantined(i, {kCommon})) << i;
+  }
+}
+
+TEST_F(PartQuarantineTest, BurstOfBadPromptsNeedsOneMoreCrash) {
+  for (int i = 0; i < 5; ++i) Crash(0, {kCommon, kBad});
+  StepWithAnswers(seconds(10));
+  EXPECT_FALSE(Quarantined(0, {kCommon, kBad}));
+  Crash(0, {kCommon, kBad});
+  StepWithAnswers(milliseconds(300));
+  EXPECT_TRUE(Quarantined(0, {kCommon, kBad}));
+}
+
+TEST_F(PartQuarantineTest, EngineCountsOnceThoughManyRequestsWereOnIt) {
+  gateways_ = std::vector<PartQuarantine>(4);
+  for (int round = 0; round < 5; ++round) {
+    for (size_t i = 0; i < 4; ++i) CrashOf("e1", i, {kCommon, kBad});
+    StepWithAnswers(milliseconds(300));
+  }
+  EXPECT_FALSE(Quarantined(0, {kCommon, kBad}));
+}
+
+// A zone loses its power: many engines end, each with prompts of all kinds.
+TEST_F(PartQuarantineTest, EnginesThatCrashTogetherQuarantineNothing) {
+  for (int i = 0; i < 30; ++i) Crash(0, {kCommon, 100, 101});
+  Step(seconds(2));
+  EXPECT_FALSE(Quarantined(0, {kCommon, 100, 101}));
+  StepWithAnswers(seconds(2));
+  EXPECT_FALSE(Quarantined(0, {kCommon, 100, 101}));
+}
+
+TEST_F(PartQuarantineTest, CrashesOfOtherCauseUnderACommonPartHarmNothing) {
+  for (int i = 0; i < 12; ++i) {
+    Crash(0, {kCommon, static_cast<uint64_t>(100 + i)});
+    StepWithAnswers(milliseconds(300));
+  }
+  EXPECT_FALSE(Quarantined(0, {kCommon}));
+  EXPECT_TRUE(gateways_[0].Quarantined(now_).empty());
+}
+
+TEST_F(PartQuarantineTest, BadPartMayBeTheFirstOne) {
+  for (int i = 0; i < 4; ++i) {
+    Crash(0, {kBad, 100});
+    StepWithAnswers(milliseconds(300));
+    Answer(0, {100});
+  }
+  EXPECT_TRUE(Quarantined(0, {kBad}));
+  EXPECT_FALSE(Quarantined(0, {100}));
+}
+
+TEST_F(PartQuarantineTest, TwoBadPartsAtOnceAreBothFound) {
+  for (int i = 0; i < 4; ++i) {
+    Crash(0, {kCommon, kBad});
+    Crash(0, {kCommon, kBad + 1});
+    StepWithAnswers(milliseconds(300));
+  }
+  EXPECT_TRUE(Quarantined(0, {kCommon, kBad}));
+  EXPECT_TRUE(Quarantined(0, {kCommon, kBad + 1}));
+  EXPECT_FALSE(Quarantined(0, {kCommon}));
+}
+
+TEST_F(PartQuarantineTest, LastPartIsNeverJudged) {
+  Prompt prompt;
+  prompt.parts = {{kCommon, 100}, {kBad, 100}};
+  for (int i = 0; i < 6; ++i) {
+    gateways_[0].OnCrash(now_, prompt,
+                         {UpstreamId("e" + std::to_string(i)), 7,
+                          now_ - milliseconds(50), now_});
+    StepWithAnswers(milliseconds(300));
+  }
+  EXPECT_FALSE(gateways_[0].Find(now_, prompt));
+  EXPECT_FALSE(Quarantined(0, {kBad}));
+}
+
+TEST_F(PartQuarantineTest, AnswerAtOnePeerClearsThePartAtAll) {
+  gateways_ = std::vector<PartQuarantine>(3);
+  for (int i = 0; i < 8; ++i) {
+    Crash(0, {kCommon, kBad});
+    Step(milliseconds(25));
+    Answer(1, {kCommon, kBad});
+    StepWithAnswers(milliseconds(300));
+  }
+  for (size_t i = 0; i < 3; ++i) EXPECT_FALSE(Quarantined(i, {kBad}));
+}
+
+TEST_F(PartQuarantineTest, StartedGatewayLearnsFromOneHeartbeat) {
+  gateways_ = std::vector<PartQuarantine>(2);
+  for (int i = 0; i < 4; ++i) {
+    Crash(0, {kCommon, kBad});
+    StepWithAnswers(milliseconds(300));
+  }
+  gateways_.emplace_back();
+  Step(milliseconds(25));
+  EXPECT_TRUE(Quarantined(2, {kCommon, kBad}));
+}
+
+TEST_F(PartQuarantineTest, AnswerLiftsAQuarantineEverywhere) {
+  gateways_ = std::vector<PartQuarantine>(2);
+  for (int i = 0; i < 4; ++i) {
+    Crash(0, {kCommon, kBad});
+    StepWithAnswers(milliseconds(300));
+  }
+  ASSERT_TRUE(Quarantined(1, {kBad}));
+  Answer(0, {kBad});
+  Step(milliseconds(25));
+  Step(milliseconds(25));
+  EXPECT_FALSE(Quarantined(0, {kBad}));
+  EXPECT_FALSE(Quarantined(1, {kBad}));
+}
+
+TEST_F(PartQuarantineTest, QuarantineEndsAndOneCrashRenewsIt) {
+  for (int i = 0; i < 4; ++i) {
+    Crash(0, {kCommon, kBad});
+    StepWithAnswers(milliseconds(300));
+  }
+  ASSERT_TRUE(Quarantined(0, {kBad}));
+  StepWithAnswers(seconds(601));
+  EXPECT_FALSE(Quarantined(0, {kBad}));
+  Crash(0, {kCommon, kBad});
+  StepWithAnswers(milliseconds(10));
+  EXPECT_TRUE(Quarantined(0, {kBad}));
+}
+
+TEST_F(PartQuarantineTest, SuspectPartForbidsAnotherRun) {
+  Crash(0, {kCommon, kBad});
+  EXPECT_FALSE(gateways_[0].IsSuspect(MakePrompt({kBad})));
+  Crash(0, {kCommon, kBad});
+  EXPECT_TRUE(gateways_[0].IsSuspect(MakePrompt({kBad})));
+  StepWithAnswers(milliseconds(10));
+  EXPECT_FALSE(gateways_[0].IsSuspect(MakePrompt({kCommon})));
+}
+
+// A client invents parts and an engine crashes again and again.
+TEST_F(PartQuarantineTest, MemoryAndReportsAreBounded) {
+  for (uint64_t i = 0; i < 5000; ++i) {
+    Crash(0, {10'000 + i, 20'000 + i, 30'000 + i});
+  }
+  EXPECT_LE(gateways_[0].Reports(now_).size(), 32U);
+  for (int i = 0; i < 3; ++i) {
+    Crash(0, {kBad});
+    now_ += milliseconds(100);
+    Crash(0, {40'000U + static_cast<uint64_t>(i)});
+  }
+  StepWithAnswers(milliseconds(300));
+  EXPECT_TRUE(Quarantined(0, {kBad}));
+  StepWithAnswers(seconds(301));
+  EXPECT_TRUE(gateways_[0].Reports(now_).empty());
+}
+
+}  // namespace
+}  // namespace corianderlink
