[Gateway] Under too many suspects, forget the one whose crashes are oldest

Ruled out: the bound itself, which held. Change: the age of the last crash breaks the tie. After: the tests of PartQuarantine and CrashingPrompt pass.

--- a/include/corianderlink/Gateway/part_quarantine.h
+++ b/include/corianderlink/Gateway/part_quarantine.h
@@ -84,6 +84,7 @@
     std::map<Incarnation, EngineCrash> crashes;
     /// Those of them that this gateway has seen itself.
     std::set<Incarnation> own_crashes;
+    Time last_crash_at{};
     /// Last answer, through any gateway and through this one.
     std::optional<Time> answered_at;
     std::optional<Time> own_answered_at;
@@ -97,7 +98,8 @@
 
   static bool IsConvincing(const Suspect& suspect);
   void AddCrash(Time now, uint64_t part, const EngineCrash& crash, bool own);
-  /// Drops the least suspected part if there are too many.
+  /// If there are too many suspects, drops the one with the fewest and oldest
+  /// crashes.
   void MakeRoom();
   /// The part was answered at `answered_at`; drops the evidence before it.
   static void Clear(uint64_t part, Suspect& suspect, Time answered_at);
--- a/lib/Gateway/part_quarantine.cc
+++ b/lib/Gateway/part_quarantine.cc
@@ -2,6 +2,7 @@
 #include "corianderlink/Gateway/part_quarantine.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "corianderlink/Support/log.h"
 
@@ -51,6 +52,7 @@
   const Incarnation incarnation{crash.engine, crash.started_ms};
   if (own) suspect.own_crashes.insert(incarnation);
   const bool is_new = suspect.crashes.try_emplace(incarnation, crash).second;
+  suspect.last_crash_at = std::max(suspect.last_crash_at, crash.crashed_at);
   if (is_new && suspect.crashes.size() >= kSuspectCrashes) {
     Log(LogLevel::kWarning, "part_suspected",
         {{"part", FormatPartId(part)},
@@ -67,8 +69,8 @@
   const auto least = std::min_element(
       suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
         const auto rank = [](const Suspect& suspect) {
-          return std::pair(suspect.quarantined_at.has_value(),
-                           suspect.crashes.size());
+          return std::tuple(suspect.quarantined_at.has_value(),
+                            suspect.crashes.size(), suspect.last_crash_at);
         };
         return rank(a.second) < rank(b.second);
       });
