[Gateway] Take no stream for complete that ends before its first event

Callers saw (by a test only): a stream whose upstream closed the connection after the head of an answer with neither a length nor chunks was passed on as a complete, empty success. Cause: such an answer ends with its connection, and a stream was complete if it did not end inside an event; with no event at all, nothing showed the break. Ruled out: bodies and streams that break inside an event or by a reset; their new tests passed on the code before. Change: ResponseHead tells whether the body ends with the connection; such a stream without an event is a failed attempt.

--- a/include/corianderlink/Http1/message_head.h
+++ b/include/corianderlink/Http1/message_head.h
@@ -53,6 +53,8 @@
   bool keep_alive = true;
   /// Value of Content-Length, unless the body is chunked.
   std::optional<uint64_t> content_length;
+  /// The body has neither a length nor chunks: it ends with the connection.
+  bool ends_with_connection = false;
 };
 
 }  // namespace corianderlink
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -203,9 +203,17 @@
 }
 
 void RelayTask::FinishStream() {
+  const bool framed = !response_->ends_with_connection;
+  const char* broken = nullptr;
   if (!event_splitter_.rest().empty()) {
-    OnAttemptFailed(
-        Outcome::MayHaveRun("stream ended in the middle of an event"), true);
+    broken = "stream ended in the middle of an event";
+  } else if (events_received_ == 0 && !framed) {
+    broken = "connection closed before the first event";
+  }
+  if (broken != nullptr) {
+    const Outcome outcome = Outcome::MayHaveRun(broken);
+    CheckForCrash(outcome);
+    OnAttemptFailed(outcome, true);
     return;
   }
   const Time now = BootClock::now();
@@ -220,7 +228,8 @@
   }
   EndDispatch();
   context_.placer.OnSuccess(placement_->upstream);
-  ReportAnswered();
+  // A crash may look like the end of an answer without a length.
+  if (framed) ReportAnswered();
   if (!exchange_->response_started()) {
     exchange_->StartResponse(response_->status,
                              EndToEndFields(response_->fields), std::nullopt);
--- a/lib/Http1/message_parser.cc
+++ b/lib/Http1/message_parser.cc
@@ -82,6 +82,7 @@
   void on_header_impl(error_code&) override {
     request.keep_alive = this->keep_alive();
     response.keep_alive = this->keep_alive();
+    response.ends_with_connection = this->need_eof();
     if (!this->chunked() && this->content_length()) {
       response.content_length = *this->content_length();
     }
