[Gateway] Keep quarantined parts of prompts in the store

Cause: found while looking for what a process knows that one started later must learn: if all gateways end at once, no peer knows of a quarantine, and three more engines crash before it is reached again. Ruled out: that the restart of some gateways loses it; their peers tell of it. Change: the gateway that reaches or lifts a verdict writes a row (table of its own; the part's id, the Unix time, 0 when lifted); a starting gateway reads the table once. Rows older than a quarantine lasts are ignored. Before: the new tests do not build on the code before, which reads nothing. After: CrashingPromptTest.GatewayThatStartsAloneKnowsWhatTheStoreHasKept and PartQuarantineTest.StoredQuarantineOutlivesAStopOfAllGateways pass; GatewayTests 172 passed. What remains: a write that fails is not repeated; rows are never deleted, one for each part ever quarantined.

--- a/include/corianderlink/Gateway/part_quarantine.h
+++ b/include/corianderlink/Gateway/part_quarantine.h
@@ -3,6 +3,7 @@
 #define CORIANDERLINK_GATEWAY_PART_QUARANTINE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -63,6 +64,9 @@
   void OnAnswered(Time now, const Prompt& prompt);
   /// A peer has reported what it knows.
   void OnPeerReports(Time now, const std::vector<PartReport>& reports);
+  /// The store has kept a quarantine of this age, which outlives a stop of all
+  /// gateways.
+  void Restore(Time now, uint64_t part, Duration age);
   /// Reaches verdicts that are due, and drops what is old.
   void Update(Time now);
 
@@ -76,6 +80,9 @@
   /// Parts in quarantine.
   std::vector<QuarantinedPart> Quarantined(Time now) const;
 
+  /// Called when this gateway quarantines a part, or lifts its quarantine.
+  std::function<void(uint64_t part, bool quarantined)> on_verdict;
+
  private:
   /// An incarnation of an engine, which crashes once.
   using Incarnation = std::pair<UpstreamId, int64_t>;
@@ -102,7 +109,7 @@
   /// crashes.
   void MakeRoom();
   /// The part was answered at `answered_at`; drops the evidence before it.
-  static void Clear(uint64_t part, Suspect& suspect, Time answered_at);
+  void Clear(uint64_t part, Suspect& suspect, Time answered_at);
   void Judge(Time now, uint64_t part, Suspect& suspect);
   void Quarantine(Time at, uint64_t part, Suspect& suspect, const char* source);
   static bool IsForgotten(Time now, const Suspect& suspect);
--- a/include/corianderlink/Gateway/prompt.h
+++ b/include/corianderlink/Gateway/prompt.h
@@ -3,8 +3,10 @@
 #define CORIANDERLINK_GATEWAY_PROMPT_H_
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "corianderlink/Gateway/upstream_record.h"
@@ -34,6 +36,8 @@
 
 /// A part's id as it is written in requests and logs, in hexadecimal.
 std::string FormatPartId(uint64_t id);
+/// Reads such an id; empty if the text is none.
+std::optional<uint64_t> ParsePartId(std::string_view text);
 
 /// A prompt that was sent to an engine, whose prefix cache then holds its
 /// parts.
--- a/include/corianderlink/Gateway/record_codec.h
+++ b/include/corianderlink/Gateway/record_codec.h
@@ -19,6 +19,9 @@
   std::string upstream_table;
   /// Table in which gateways register themselves; not part of the platform.
   std::string gateway_table;
+  /// Table of the parts of prompts that crash engines; not part of the
+  /// platform.
+  std::string quarantine_table;
   std::function<std::optional<GatewayConfig>(const std::string& value,
                                              std::string& reason)>
       decode_config;
--- a/include/corianderlink/Gateway/store_sync.h
+++ b/include/corianderlink/Gateway/store_sync.h
@@ -2,6 +2,7 @@
 #ifndef CORIANDERLINK_GATEWAY_STORE_SYNC_H_
 #define CORIANDERLINK_GATEWAY_STORE_SYNC_H_
 
+#include <chrono>
 #include <string>
 
 #include "corianderlink/Gateway/gateway.h"
@@ -14,7 +15,8 @@
 
 /// Passes the configuration and the upstreams to the gateway as they change,
 /// registers the gateway in the table of gateways and reads that table for the
-/// addresses of its peers.  Retries until each step succeeds.
+/// addresses of its peers.  Retries until each step succeeds.  Also keeps
+/// quarantined parts of prompts in the store, for a start of all gateways.
 template <RecordStore Store>
 class StoreSync {
  public:
@@ -65,6 +67,11 @@
     config_watcher_.Start();
     upstreams_watcher_.Start();
     Register();
+    ReadQuarantine();
+    gateway_.SetQuarantineHandler(
+        [this](const std::string& part, bool quarantined) {
+          KeepQuarantine(part, quarantined ? std::to_string(UnixNowMs()) : "0");
+        });
   }
 
  private:
@@ -123,6 +130,34 @@
     });
   }
 
+  static int64_t UnixNowMs() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(now).count();
+  }
+
+  void ReadQuarantine() {
+    store_.ReadAll(
+        codec_.quarantine_table, [this](const StoreReadResult& result) {
+          if (result.status != StoreReadResult::Status::kOk) {
+            quarantine_timer_ =
+                loop_.After(kRetryDelay, [this] { ReadQuarantine(); });
+            return;
+          }
+          gateway_.OnQuarantineRecords(result.records, UnixNowMs());
+        });
+  }
+
+  // Not repeated: the peers know of it as well, and the next crash would renew
+  // it.
+  void KeepQuarantine(const std::string& part, const std::string& since_ms) {
+    store_.Put(codec_.quarantine_table, part, since_ms,
+               [part](bool written, const std::string& reason) {
+                 if (written) return;
+                 Log(LogLevel::kWarning, "quarantine_not_kept",
+                     {{"part", part}, {"reason", reason}});
+               });
+  }
+
   EventLoop& loop_;
   Store& store_;
   Gateway& gateway_;
@@ -131,6 +166,7 @@
   TableWatcher<Store> upstreams_watcher_;
   EventHandle registration_timer_;
   EventHandle gateways_timer_;
+  EventHandle quarantine_timer_;
   uint64_t restored_era_ = 0;
 };
 
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -2,6 +2,7 @@
 #include "corianderlink/Gateway/gateway.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "corianderlink/Support/json_reader.h"
@@ -185,6 +186,31 @@
   initial_sync_.Begin(BootClock::now(), others);
 }
 
+void Gateway::OnQuarantineRecords(const std::vector<StoreRecord>& records,
+                                  int64_t unix_now_ms) {
+  const Time now = BootClock::now();
+  for (const StoreRecord& record : records) {
+    const std::optional<uint64_t> part = ParsePartId(record.key);
+    if (!part || !record.value) continue;
+    int64_t since_ms = 0;
+    const std::string& text = *record.value;
+    std::from_chars(text.data(), text.data() + text.size(), since_ms);
+    if (since_ms <= 0) continue;
+    // Clocks of instances may differ a little.
+    const Duration age =
+        milliseconds(std::max<int64_t>(unix_now_ms - since_ms, 0));
+    quarantine_.Restore(now, *part, age);
+  }
+}
+
+void Gateway::SetQuarantineHandler(
+    std::function<void(const std::string& key, bool quarantined)> handler) {
+  quarantine_.on_verdict = [handler = std::move(handler)](uint64_t part,
+                                                          bool quarantined) {
+    handler(FormatPartId(part), quarantined);
+  };
+}
+
 void Gateway::OnConfigRecords(const std::vector<StoreRecord>& records) {
   ApplyConfig(record_cache_.ApplyConfig(records), "store");
 }
--- a/lib/Gateway/part_quarantine.cc
+++ b/lib/Gateway/part_quarantine.cc
@@ -2,6 +2,7 @@
 #include "corianderlink/Gateway/part_quarantine.h"
 
 #include <algorithm>
+#include <string_view>
 #include <tuple>
 
 #include "corianderlink/Support/log.h"
@@ -25,6 +26,9 @@
 // Crashes under which a prompt counts as a suspect.
 constexpr size_t kSuspectCrashes = 2;
 
+// Sources of a quarantine, for the log.
+constexpr char kOwn[] = "own";
+
 constexpr size_t kMaxSuspects = 256;
 constexpr size_t kMaxPartsPerPrompt = 16;
 constexpr size_t kMaxReports = 32;
@@ -58,7 +62,7 @@
         {{"part", FormatPartId(part)},
          {"crashes", static_cast<uint64_t>(suspect.crashes.size())},
          {"upstream", crash.engine.value()},
-         {"source", own ? "own" : "peer"},
+         {"source", own ? kOwn : "peer"},
          {"age_ms", ToMillis(now - crash.crashed_at)}});
   }
   Judge(now, part, suspect);
@@ -100,6 +104,14 @@
   suspect.quarantined_at.reset();
   Log(LogLevel::kWarning, "part_quarantine_lifted",
       {{"part", FormatPartId(part)}, {"reason", "an engine answered it"}});
+  if (on_verdict) on_verdict(part, false);
+}
+
+void PartQuarantine::Restore(Time now, uint64_t part, Duration age) {
+  if (age < Duration::zero() || age > kQuarantine) return;
+  if (suspects_.count(part) > 0) return;
+  MakeRoom();
+  Quarantine(now - age, part, suspects_[part], "store");
 }
 
 void PartQuarantine::OnPeerReports(Time now,
@@ -140,7 +152,7 @@
 void PartQuarantine::Judge(Time now, uint64_t part, Suspect& suspect) {
   if (suspect.quarantined_at) return;
   if (suspect.on_probation_until && !suspect.crashes.empty()) {
-    Quarantine(now, part, suspect, "own");
+    Quarantine(now, part, suspect, kOwn);
     return;
   }
   if (!IsConvincing(suspect)) {
@@ -156,13 +168,14 @@
   const bool service_works =
       answers_ - suspect.answers_before >= kMinOtherAnswers;
   if (!service_works && suspect.crashes.size() < kManyCrashes) return;
-  Quarantine(now, part, suspect, "own");
+  Quarantine(now, part, suspect, kOwn);
 }
 
 void PartQuarantine::Quarantine(Time at, uint64_t part, Suspect& suspect,
                                 const char* source) {
   suspect.quarantined_at = at;
   suspect.on_probation_until.reset();
+  const bool own = std::string_view(source) == kOwn;
   std::string engines;
   for (const auto& [incarnation, crash] : suspect.crashes) {
     engines += (engines.empty() ? "" : ",") + crash.engine.value();
@@ -173,6 +186,7 @@
        {"crashes", static_cast<uint64_t>(suspect.crashes.size())},
        {"upstreams", engines},
        {"for_s", ToSeconds(kQuarantine)}});
+  if (own && on_verdict) on_verdict(part, true);
 }
 
 bool PartQuarantine::IsForgotten(Time now, const Suspect& suspect) {
--- a/lib/Gateway/prompt.cc
+++ b/lib/Gateway/prompt.cc
@@ -1,6 +1,7 @@
 // The properties of a model request's prompt that placement uses.
 #include "corianderlink/Gateway/prompt.h"
 
+#include <charconv>
 #include <cinttypes>
 #include <cstdio>
 
@@ -12,4 +13,14 @@
   return text;
 }
 
+std::optional<uint64_t> ParsePartId(std::string_view text) {
+  constexpr int kHexadecimal = 16;
+  uint64_t id = 0;
+  const char* end = text.data() + text.size();
+  const auto [rest, error] =
+      std::from_chars(text.data(), end, id, kHexadecimal);
+  if (error != std::errc{} || rest != end) return std::nullopt;
+  return id;
+}
+
 }  // namespace corianderlink
--- a/unittests/Gateway/crashing_prompt_test.cc
+++ b/unittests/Gateway/crashing_prompt_test.cc
@@ -147,6 +147,22 @@
   EXPECT_GE(CountServed(sound_results_), 54);
 }
 
+TEST_F(CrashingPromptTest, GatewayThatStartsAloneKnowsWhatTheStoreHasKept) {
+  Start(1, 20);
+  constexpr int64_t kNowMs = 1'700'000'000'000;
+  gateways_[0]->OnQuarantineRecords({{"bad", std::to_string(kNowMs - 5000), 1},
+                                     {"c3", "0", 2},
+                                     {"not hexadecimal", "1", 3}},
+                                    kNowMs);
+  const auto bad = SendBad(0);
+  harness_.Await(bad);
+  EXPECT_EQ(bad->status, 503);
+  EXPECT_EQ(bad_arrivals_, 0);
+  const auto sound = SendParts(0, std::string(kCommonPart) + ",c3:100");
+  harness_.Await(sound);
+  EXPECT_EQ(sound->status, 200);
+}
+
 TEST_F(CrashingPromptTest, GatewayThatStartsLaterKnowsTheBadPart) {
   Start(2, 40);
   PlayBadPrompts(8);
--- a/unittests/Gateway/part_quarantine_test.cc
+++ b/unittests/Gateway/part_quarantine_test.cc
@@ -180,6 +180,16 @@
   EXPECT_TRUE(Quarantined(2, {kCommon, kBad}));
 }
 
+TEST_F(PartQuarantineTest, StoredQuarantineOutlivesAStopOfAllGateways) {
+  gateways_[0].Restore(now_, kBad, seconds(30));
+  EXPECT_TRUE(Quarantined(0, {kCommon, kBad}));
+  now_ += seconds(580);
+  gateways_[0].Update(now_);
+  EXPECT_FALSE(Quarantined(0, {kCommon, kBad}));
+  gateways_[0].Restore(now_, kBad + 1, seconds(700));
+  EXPECT_FALSE(Quarantined(0, {kBad + 1}));
+}
+
 TEST_F(PartQuarantineTest, AnswerLiftsAQuarantineEverywhere) {
   gateways_ = std::vector<PartQuarantine>(2);
   for (int i = 0; i < 4; ++i) {
