[Gateway] Drop the rows of removed upstreams, and expire departures in place

Cause: found reading the diff: since the rows kept for peers follow the directory, a row of a removed upstream stayed until the next full read; and the departures were copied at each periodic update. Ruled out: that such rows were passed on; they were left out. Change: rows of gone upstreams are dropped with each change; departures expire in place. A test that peers get the records in force, their eras and the departures. Before: the test passes with and without, it guards the exchange; memory grew by a row for each removed upstream.

--- a/include/corianderlink/Gateway/record_cache.h
+++ b/include/corianderlink/Gateway/record_cache.h
@@ -67,6 +67,7 @@
                            StorePosition position);
   /// Applies single records of a peer whose list is not newer as a whole.
   void MergeUpstreams(const PeerRecords& records);
+  void DropRowsOfGoneUpstreams();
   /// Keeps the row of an upstream if the directory has taken its record over.
   void KeepIfInForce(const StoreRecord& row, const UpstreamRecord& upstream);
 
--- a/lib/Gateway/record_cache.cc
+++ b/lib/Gateway/record_cache.cc
@@ -83,6 +83,10 @@
        {"store_version", position.version}});
   directory_.ReplaceAll(now, upstreams, position);
   for (size_t i = 0; i < rows.size(); ++i) KeepIfInForce(rows[i], upstreams[i]);
+  DropRowsOfGoneUpstreams();
+}
+
+void RecordCache::DropRowsOfGoneUpstreams() {
   std::erase_if(stored_upstreams_, [this](const auto& entry) {
     return directory_.Find(UpstreamId(entry.first)) == nullptr;
   });
@@ -102,6 +106,7 @@
   for (const StoreRecord& record : records) {
     ApplyUpstreamChange(now, WithEra(record, position), position);
   }
+  DropRowsOfGoneUpstreams();
 }
 
 void RecordCache::ApplyUpstreamChange(Time now, const StoreRecord& record,
--- a/lib/Gateway/upstream_directory.cc
+++ b/lib/Gateway/upstream_directory.cc
@@ -172,11 +172,12 @@
 }
 
 void UpstreamDirectory::Expire(Time now) {
-  for (const UpstreamDeparture& departure : Departures()) {
-    if (now - departure.noticed_at > kDepartureRetention) {
-      EraseDeparture(departure.id);
-    }
-  }
+  std::erase_if(departed_, [&](const auto& entry) {
+    const UpstreamDeparture& departure = entry.second;
+    const bool expired = now - departure.noticed_at > kDepartureRetention;
+    if (expired) digest_ ^= HashOf(departure);
+    return expired;
+  });
   if (unreachable_ || missing_.empty()) return;
   if (reachable_since_ && now - *reachable_since_ < restore_grace_) return;
   const std::map<UpstreamId, StorePosition> expired = missing_;
--- a/unittests/Gateway/record_cache_test.cc
+++ b/unittests/Gateway/record_cache_test.cc
@@ -40,5 +40,22 @@
   EXPECT_EQ(directory.Find(UpstreamId("c")), nullptr);
 }
 
+TEST(RecordCacheTest, PeersGetTheRecordsInForceAndNoRowsOfGoneUpstreams) {
+  const GatewayCodecs codecs = platform::MakeCodecs();
+  UpstreamDirectory directory(seconds(2));
+  Metrics metrics;
+  RecordCache cache(codecs.records, directory, metrics);
+  cache.ReplaceUpstreams(kStart, {Upstream("a", 5), Upstream("b", 9)}, {1, 50});
+  cache.ApplyUpstreamChanges(kStart, {{"a", std::nullopt, 51}}, {1, 51});
+  // The restored store has older rows of both.
+  cache.ReplaceUpstreams(kStart, {Upstream("a", 5), Upstream("b", 4)}, {2, 40});
+  const PeerRecords records = cache.RecordsForPeer(true);
+  ASSERT_EQ(records.upstreams.size(), 1U);
+  EXPECT_EQ(records.upstreams[0].value, Upstream("b", 9).value);
+  EXPECT_EQ(records.upstreams[0].era, 1U);
+  ASSERT_EQ(records.departures.size(), 1U);
+  EXPECT_EQ(records.departures[0].id, UpstreamId("a"));
+}
+
 }  // namespace
 }  // namespace corianderlink
