[Gateway] Bound the check of an engine whose connections broke

Cause: found reading the diff: an engine that takes the connection of the check and never answers kept the check open. Requests that broke later joined it, so a later crash of that engine gave no evidence against a part of their prompts, and the list of waiting requests had no bound. Ruled out: that dead peers are meant; TCP ends their connections. Change: the check ends after 1 s; such an engine counts as running. A suspect forgets its own crashes once an answer has cleared them.

--- a/include/corianderlink/Gateway/crash_check.h
+++ b/include/corianderlink/Gateway/crash_check.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -15,11 +16,12 @@
 
 /// After a connection to an engine broke, asks for its status on a new one.  If
 /// no connection can be made, or another upstream answers, the engine has
-/// crashed.  Requests that broke together share one check.
+/// crashed.  Requests that broke together share one check.  An engine that
+/// takes the connection and does not answer in time counts as running.
 class CrashCheck {
  public:
-  CrashCheck(UpstreamPool& pool, const OrderCodec& codec)
-      : pool_(pool), codec_(codec) {}
+  CrashCheck(EventLoop& loop, UpstreamPool& pool, const OrderCodec& codec)
+      : loop_(loop), pool_(pool), codec_(codec) {}
 
   /// Calls `on_crashed` later, if the engine has crashed.
   void Start(const UpstreamRecord& engine, std::function<void()> on_crashed);
@@ -27,11 +29,19 @@
  private:
   using Incarnation = std::pair<UpstreamId, int64_t>;
 
+  struct Check {
+    std::shared_ptr<UpstreamCall> call;
+    EventHandle timeout;
+    std::vector<std::function<void()>> on_crashed;
+  };
+
+  void OnTimeout(const Incarnation& incarnation);
   void OnResult(const Incarnation& incarnation, bool crashed);
 
+  EventLoop& loop_;
   UpstreamPool& pool_;
   const OrderCodec& codec_;
-  std::map<Incarnation, std::vector<std::function<void()>>> pending_;
+  std::map<Incarnation, Check> pending_;
 };
 
 }  // namespace corianderlink
--- a/lib/Gateway/crash_check.cc
+++ b/lib/Gateway/crash_check.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Duration kConnectTimeout = milliseconds(250);
+constexpr Duration kTimeout = milliseconds(1000);
 // No pooled connection is young enough: it may break like the first one.
 constexpr Duration kNoReuse = milliseconds(-1);
 // Status of an upstream that the request was not meant for.
@@ -17,9 +18,9 @@
 void CrashCheck::Start(const UpstreamRecord& engine,
                        std::function<void()> on_crashed) {
   const Incarnation incarnation{engine.id, engine.started_ms};
-  auto& waiting = pending_[incarnation];
-  waiting.push_back(std::move(on_crashed));
-  if (waiting.size() > 1) return;
+  Check& check = pending_[incarnation];
+  check.on_crashed.push_back(std::move(on_crashed));
+  if (check.on_crashed.size() > 1) return;
   UpstreamRequest request = codec_.encode_status_request(engine);
   request.max_idle = kNoReuse;
   request.connect_timeout = kConnectTimeout;
@@ -34,13 +35,20 @@
   handlers.on_fail = [this, incarnation](const Outcome& outcome) {
     OnResult(incarnation, outcome.verdict == Verdict::kNotRun);
   };
-  pool_.Start(std::move(request), std::move(handlers));
+  check.timeout =
+      loop_.After(kTimeout, [this, incarnation] { OnTimeout(incarnation); });
+  check.call = pool_.Start(std::move(request), std::move(handlers));
+}
+
+void CrashCheck::OnTimeout(const Incarnation& incarnation) {
+  pending_.at(incarnation).call->Cancel();
+  OnResult(incarnation, false);
 }
 
 void CrashCheck::OnResult(const Incarnation& incarnation, bool crashed) {
   const auto node = pending_.extract(incarnation);
   if (node.empty() || !crashed) return;
-  for (const auto& on_crashed : node.mapped()) on_crashed();
+  for (const auto& on_crashed : node.mapped().on_crashed) on_crashed();
 }
 
 }  // namespace corianderlink
--- a/lib/Gateway/part_quarantine.cc
+++ b/lib/Gateway/part_quarantine.cc
@@ -98,6 +98,9 @@
   std::erase_if(suspect.crashes, [&](const auto& entry) {
     return entry.second.crashed_at <= answered_at;
   });
+  std::erase_if(suspect.own_crashes, [&](const Incarnation& incarnation) {
+    return suspect.crashes.count(incarnation) == 0;
+  });
   suspect.convincing_since.reset();
   suspect.on_probation_until.reset();
   if (!suspect.quarantined_at || *suspect.quarantined_at > answered_at) return;
