[Gateway] Log the rate limits that upstreams name

Cause: neither logs nor metrics showed that an upstream named a rate limit, so the hypotheses on the exceeded limits could not be told apart. Ruled out: a line for each response with a limit, as limited upstreams answer many requests; a line is written when the limit in force changes. Change: the codec reads the field (a number in range, once; anything else is logged and changes nothing). UpstreamLimits keeps what is in force by incarnation: a notice that raises, ends or revives a limit counts only if its request was sent after the present notice had arrived, as responses overtake each other. upstream_rate_limit, rate_limit_unreadable, two metrics, and the state dump. No request is placed differently.

--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -24,6 +24,7 @@
 #include "corianderlink/Gateway/size_fairness.h"
 #include "corianderlink/Gateway/speed_model.h"
 #include "corianderlink/Gateway/upstream_directory.h"
+#include "corianderlink/Gateway/upstream_limits.h"
 #include "corianderlink/Gateway/upstream_load.h"
 #include "corianderlink/Gateway/upstream_notices.h"
 #include "corianderlink/Routing/outlier_ejector.h"
@@ -134,6 +135,9 @@
   /// Notices of upstreams that are leaving or asked for a pause.
   UpstreamNotices& notices() { return notices_; }
   const UpstreamNotices& notices() const { return notices_; }
+  /// Rate limits that upstreams have named.
+  UpstreamLimits& rate_limits() { return rate_limits_; }
+  const UpstreamLimits& rate_limits() const { return rate_limits_; }
   /// A peer reported that it sent a prompt to an engine.
   void OnPeerUse(const PromptUse& use);
   /// Returns and clears the prompts that this gateway sent since the last call.
@@ -264,6 +268,7 @@
   std::map<std::string, HeldSet> held_;
   std::set<UpstreamId> replaced_;
   UpstreamNotices notices_;
+  UpstreamLimits rate_limits_;
   std::map<ServiceId, AdmissionBudget> admission_budgets_;
   std::map<RouteId, SizeFairness> size_fairness_;
   std::map<ServiceId, InterferenceLimit> interference_limits_;
--- a/include/corianderlink/Gateway/relay_codec.h
+++ b/include/corianderlink/Gateway/relay_codec.h
@@ -68,6 +68,11 @@
   bool leaving = false;
   /// The upstream asks for no requests for this long.
   std::optional<Duration> pause;
+  /// Requests per second that the upstream takes from all gateways together;
+  /// empty if the response names no limit.
+  std::optional<double> rate_limit;
+  /// The response names a rate limit that is not a number in range.
+  bool rate_limit_unreadable = false;
 };
 
 /// Decodes and encodes the platform's header fields and bodies.
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -105,6 +105,8 @@
   void RecordEventGap();
   /// Passes on what the upstream said about itself in its response head.
   void ApplyNotices();
+  /// Passes on the rate limit that the response head names, or its end.
+  void ApplyRateLimit(Time now);
   /// Gives up an attempt whose response exceeds every bound.
   void AbandonEndlessResponse();
   void PauseReadingForSlowClient();
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -441,12 +441,16 @@
             {"config_version", record_cache_.config_version()},
             {"client_connections", client_server_.connections()}};
   for (const auto& [id, upstream] : placer_.directory().records()) {
-    dump["upstreams"][id.value()] = {
-        {"service", upstream.service.value()},
-        {"address", upstream.address.ToString()},
-        {"draining", upstream.draining},
-        {"speed_factor", placer_.speed().Factor(upstream)},
-        {"connections", pool_.ConnectionCount(upstream.address)}};
+    Json& entry = dump["upstreams"][id.value()];
+    entry = {{"service", upstream.service.value()},
+             {"address", upstream.address.ToString()},
+             {"draining", upstream.draining},
+             {"speed_factor", placer_.speed().Factor(upstream)},
+             {"connections", pool_.ConnectionCount(upstream.address)}};
+    const RateLimitNotice* limit = placer_.rate_limits().Find(upstream);
+    if (limit == nullptr || !limit->per_second) continue;
+    entry["rate_limit"] = {{"per_s", *limit->per_second},
+                           {"age_ms", ToMillis(now - limit->received_at)}};
   }
   for (const QuarantinedPart& part : quarantine_.Quarantined(now)) {
     dump["quarantined_parts"][FormatPartId(part.part)] = {
@@ -493,6 +497,8 @@
   metrics_.Set("gateway_peers", static_cast<double>(peers_.Live(now).size()));
   metrics_.Set("gateway_quarantined_parts",
                static_cast<double>(quarantine_.Quarantined(now).size()));
+  metrics_.Set("gateway_rate_limited_upstreams",
+               static_cast<double>(placer_.rate_limits().size()));
   metrics_.Set("gateway_store_age_seconds",
                ToSeconds(store_contact_.OwnAge(now)));
 }
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -323,6 +323,7 @@
   std::erase_if(replaced_, gone);
   speed_.ForgetIf(gone);
   notices_.ForgetIf(gone);
+  rate_limits_.ForgetIf(gone);
   const std::set<Address> present = directory_.Addresses();
   ejector_.ForgetIf(
       [&](const Address& address) { return present.count(address) == 0; });
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -46,8 +46,9 @@
          {"started_ms", upstream.started_ms},
          {"request", request_.id.value()}});
   }
-  if (!response_info_.pause) return;
   const Time now = BootClock::now();
+  ApplyRateLimit(now);
+  if (!response_info_.pause) return;
   const Time end =
       notices.OnPauseRequested(now, upstream.id, *response_info_.pause);
   Log(LogLevel::kInfo, "upstream_pause",
@@ -57,6 +58,21 @@
        {"until_s", ToSeconds(end - now)}});
 }
 
+void RelayTask::ApplyRateLimit(Time now) {
+  const UpstreamRecord& upstream = placement_->upstream;
+  if (response_info_.rate_limit_unreadable) {
+    Log(LogLevel::kWarning, "rate_limit_unreadable",
+        {{"upstream", upstream.id.value()}, {"request", request_.id.value()}});
+    context_.metrics.Add("gateway_unreadable_rate_limits_total");
+    return;
+  }
+  // Bytes that do not belong to this request do not end a limit.
+  if (response_info_.request != request_.id) return;
+  context_.placer.rate_limits().OnNotice({upstream.id, upstream.started_ms,
+                                          response_info_.rate_limit, sent_at_,
+                                          now});
+}
+
 void RelayTask::OnResponseBody(std::string data) {
   if (finished_) return;
   if (forwarding_events_) {
--- a/unittests/PlatformAdapter/codecs_test.cc
+++ b/unittests/PlatformAdapter/codecs_test.cc
@@ -47,6 +47,34 @@
   RC_ASSERT(request.id.empty());
 }
 
+UpstreamResponseInfo DecodeWith(HeaderFields fields) {
+  ResponseHead head;
+  head.status = 200;
+  head.fields = std::move(fields);
+  return MakeRelayCodec().decode_response(head, UpstreamId("i-1"));
+}
+
+TEST(RelayCodecTest, ReadsTheRateLimitThatAnUpstreamNames) {
+  EXPECT_EQ(DecodeWith({{"Server-Limit", "12.4"}}).rate_limit, 12.4);
+  EXPECT_EQ(DecodeWith({{"server-limit", "0"}}).rate_limit, 0.0);
+  const UpstreamResponseInfo none = DecodeWith({});
+  EXPECT_FALSE(none.rate_limit);
+  EXPECT_FALSE(none.rate_limit_unreadable);
+}
+
+TEST(RelayCodecTest, RateLimitsOutOfRangeAreUnreadable) {
+  for (const char* text :
+       {"", "x", "5x", "-1", "nan", "inf", "-inf", "1e308", "1e999", "5,6"}) {
+    const UpstreamResponseInfo info = DecodeWith({{"Server-Limit", text}});
+    EXPECT_FALSE(info.rate_limit) << text;
+    EXPECT_TRUE(info.rate_limit_unreadable) << text;
+  }
+  const UpstreamResponseInfo two =
+      DecodeWith({{"Server-Limit", "5"}, {"Server-Limit", "5"}});
+  EXPECT_FALSE(two.rate_limit);
+  EXPECT_TRUE(two.rate_limit_unreadable);
+}
+
 TEST(RelayCodecTest, ReplacesFieldsThatOnlyTheGatewaySets) {
   UpstreamRequestOptions directions;
   directions.expected_upstream = UpstreamId("i-1");
