[Gateway] Keep the rate limits of upstreams over all gateways together

Callers saw: upstreams that had named a rate limit went on to get several times as many requests, from every gateway. Cause: nothing obeyed the field. The class of fault: a bound on what all gateways send together, where each decides for itself (the retry budget and the connections are divided by the number of gateways; a limit of 0.5 requests a second cannot be). Ruled out: equal parts (with 12 gateways a part is below one request), a few fixed holders of parts (demand at other gateways finds no part, so the limit is not used), parts that follow demand by heartbeat (no whole request either at hundreds of gateways). Change: FleetRateLimiter. Rendezvous hashing over the ready gateways names for each upstream the one that keeps its token bucket; each request to a limited upstream needs a permit, asked for when there is one to send. A bucket starts empty and grants nothing for two heartbeats; a gateway that sees at most half of the known ones grants 0.35 of the limit. An unanswered request for a permit counts as denied after 50 ms. A denied request is placed again, on other upstreams; after four denials on unlimited ones only. A denial holds back the requests of its priority and less urgent ones until the time that the bucket gives, each gateway another one; urgent ones are not held back by it, and less urgent ones get no permit for a second after an urgent one was denied. First and second stage, retries and resumed streams all need a permit. A limit below 0.25 a second is probed with that rate, by one gateway of all. Heartbeats carry the notices that a gateway has received itself. Why it works: one bucket per upstream bounds the fleet by 4 x limit + burst in 4 s, however many gateways and wherever the demand is. Not counted: releases of KV caches, role orders and status checks, which are not requests to run.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -162,6 +162,11 @@
   bool CanServe(Time now) const;
   /// Requests records from peers that know more than this gateway.
   void SyncFromPeers(Time now);
+  /// Tells the rate limiter which gateways take part.
+  void UpdateFleetView(Time now);
+  /// Ends requests for permits that no peer answers in time.
+  void AwaitPermits();
+  void OnPermitTimer();
   /// Periodic work: synchronizes with peers, drops expired state, updates
   /// gauges.
   void Housekeeping();
@@ -205,6 +210,7 @@
   Time shutdown_began_at_{};
   EventHandle housekeeping_;
   EventHandle shutdown_timer_;
+  EventHandle permit_timer_;
 };
 
 }  // namespace corianderlink
--- a/include/corianderlink/Gateway/gateway_config.h
+++ b/include/corianderlink/Gateway/gateway_config.h
@@ -53,6 +53,9 @@
   /// Maximum number of attempts in which an idempotent request may run.
   /// Attempts that certainly did not run are not counted.
   int max_runs = 1;
+  /// Rank among the requests of a service when capacity is short; 0 is the most
+  /// urgent.
+  int priority = 0;
   /// A stream can be resumed after any of its events, at any upstream.
   bool resumable = false;
   std::vector<WeightedService> services;
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "corianderlink/Authority/lease_record.h"
+#include "corianderlink/Gateway/fleet_rate_limiter.h"
 #include "corianderlink/Gateway/part_quarantine.h"
 #include "corianderlink/Gateway/prompt.h"
 #include "corianderlink/Gateway/record_store.h"
@@ -60,6 +61,8 @@
   std::map<UpstreamId, int64_t> leaving_upstreams;
   /// What the gateway knows of parts of prompts that crash engines.
   std::vector<PartReport> part_reports;
+  /// Rate limits that upstreams have named to the gateway.
+  std::vector<RateLimitNotice> rate_limits;
 };
 
 /// Records of the store, passed on by a gateway that has read them.
@@ -106,6 +109,8 @@
   /// Time since the store last responded to a live peer; the longest duration
   /// if there is none.
   Duration StoreAge(Time now) const;
+  /// The gateways that take part in keeping rate limits.
+  FleetView View(Time now, bool self_is_member) const;
   /// Number of live gateways, including this one.
   size_t LiveGatewayCount(Time now) const { return Live(now).size() + 1; }
   const PeerBusCounters& counters() const { return bus_.counters(); }
@@ -114,10 +119,19 @@
   /// unreachable or its watch lags behind that peer.
   void RequestRecords(const GatewayPeer& peer, bool needs_upstreams);
 
+  /// Asks the gateway at `keeper` for permits.
+  void SendPermitRequest(const Address& keeper, const PermitRequest& request);
+
+  /// Answers a peer's request for permits.
+  std::function<PermitReply(Time, const PermitRequest&)> on_permit_request;
+  /// Called with a peer's answer.
+  std::function<void(Time, const PermitReply&)> on_permit_reply;
   /// Provides the records for a peer that requests them.
   std::function<PeerRecords(bool needs_upstreams)> on_records_request;
   /// Called with the records that a peer sent on request.
   std::function<void(const PeerRecords&)> on_records_received;
+  /// A peer began or ceased to be ready, or is leaving.
+  std::function<void(Time)> on_member_change;
   /// Called for each heartbeat of a peer.
   std::function<void(Time, const GatewayPeer&)> on_heartbeat;
 
@@ -129,6 +143,8 @@
   void OnHeartbeat(const wire::Envelope& message);
   void OnRecordsRequest(const wire::Envelope& message);
   void OnRecordsAnswer(const wire::Envelope& message);
+  void OnPermitRequest(const wire::Envelope& message);
+  void OnPermitReply(const wire::Envelope& message);
   void Tick();
   Duration HeartbeatInterval(Time now) const;
   void ExpirePeers(Time now);
--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -16,6 +16,7 @@
 
 #include "corianderlink/Gateway/admission_budget.h"
 #include "corianderlink/Gateway/decaying_rate.h"
+#include "corianderlink/Gateway/fleet_rate_limiter.h"
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/interference_limit.h"
 #include "corianderlink/Gateway/prefix_cache_model.h"
@@ -24,7 +25,6 @@
 #include "corianderlink/Gateway/size_fairness.h"
 #include "corianderlink/Gateway/speed_model.h"
 #include "corianderlink/Gateway/upstream_directory.h"
-#include "corianderlink/Gateway/upstream_limits.h"
 #include "corianderlink/Gateway/upstream_load.h"
 #include "corianderlink/Gateway/upstream_notices.h"
 #include "corianderlink/Routing/outlier_ejector.h"
@@ -55,6 +55,7 @@
   uint64_t seed = 0;
   /// Upstreams that already failed or refused this request.
   const std::set<UpstreamId>* excluded = nullptr;
+  RateLimitQuery rate_limit;
 };
 
 /// The upstream chosen for a request, and the predictions for it.
@@ -101,7 +102,8 @@
 
   /// Chooses an upstream of a plain service, or refuses.
   PlacementResult PlacePlain(Time now, const ServiceId& service,
-                             const std::set<UpstreamId>& excluded) const;
+                             const std::set<UpstreamId>& excluded,
+                             const RateLimitQuery& rate_limit) const;
   /// Chooses the upstream that computes a prompt, or refuses.
   PlacementResult PlacePrompt(Time now, const PlacementQuery& query);
   /// Chooses the decode engine for a prompt that was computed at `source`, or
@@ -135,9 +137,9 @@
   /// Notices of upstreams that are leaving or asked for a pause.
   UpstreamNotices& notices() { return notices_; }
   const UpstreamNotices& notices() const { return notices_; }
-  /// Rate limits that upstreams have named.
-  UpstreamLimits& rate_limits() { return rate_limits_; }
-  const UpstreamLimits& rate_limits() const { return rate_limits_; }
+  /// Rate limits that upstreams have named, and the permits to send to them.
+  FleetRateLimiter& rate_limiter() { return rate_limiter_; }
+  const FleetRateLimiter& rate_limiter() const { return rate_limiter_; }
   /// A peer reported that it sent a prompt to an engine.
   void OnPeerUse(const PromptUse& use);
   /// Returns and clears the prompts that this gateway sent since the last call.
@@ -217,13 +219,15 @@
   /// Adds a request whose prompt `upstream` computes, or would have computed.
   void RecordDemand(Time now, const UpstreamRecord& upstream,
                     const PlacementQuery& query);
-  /// Time until a paused upstream of the service takes requests again, if that
-  /// is why none does.
+  /// Time until a paused or rate-limited upstream of the service takes requests
+  /// again, if that is why none does.
   std::optional<Duration> TimeUntilPauseEnds(
-      Time now, const std::vector<const UpstreamRecord*>& usable) const;
-  /// True if the upstream must not get new requests.
+      Time now, const std::vector<const UpstreamRecord*>& usable,
+      const RateLimitQuery& rate_limit) const;
+  /// True if the upstream must not get the request.
   bool Ineligible(Time now, const UpstreamRecord& upstream,
-                  const std::set<UpstreamId>* excluded) const;
+                  const std::set<UpstreamId>* excluded,
+                  const RateLimitQuery& rate_limit) const;
   /// The eligible ones of the `usable` upstreams.
   std::vector<Candidate> Candidates(
       Time now, const PlacementQuery& query,
@@ -268,7 +272,7 @@
   std::map<std::string, HeldSet> held_;
   std::set<UpstreamId> replaced_;
   UpstreamNotices notices_;
-  UpstreamLimits rate_limits_;
+  FleetRateLimiter rate_limiter_;
   std::map<ServiceId, AdmissionBudget> admission_budgets_;
   std::map<RouteId, SizeFairness> size_fairness_;
   std::map<ServiceId, InterferenceLimit> interference_limits_;
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -71,6 +71,7 @@
   /// 0 if the request has no prompt.
   uint64_t PromptTokens() const;
   PlacementQuery MakePlacementQuery(Time now) const;
+  RateLimitQuery MakeRateLimitQuery() const;
 
   PlacementResult ChoosePlacement(Time now) const;
   /// Chooses an upstream and sends the request to it.  Without an upstream the
@@ -79,6 +80,10 @@
   void PlaceAndSend();
   /// Schedules another search for an upstream that can resume a started stream.
   void ScheduleResume();
+  /// Sends the request to the upstream once it has a permit, if the upstream
+  /// has a rate limit.  Without one, calls `place_again`.
+  void SendWithPermit(const Placement& placement,
+                      void (RelayTask::*place_again)());
   void SendTo(const Placement& placement);
   /// Sends a prefilled prompt to a decode engine.
   void SendDecodeStage();
@@ -170,6 +175,8 @@
   std::set<UpstreamId> excluded_;
   // Attempts; prefill and decode together count as one.
   int sends_ = 0;
+  // Permits for rate-limited upstreams that were denied.
+  int denied_permits_ = 0;
   // Attempts in which the request may have run.
   int possible_runs_ = 0;
   bool finished_ = false;
--- a/include/corianderlink/Support/hash.h
+++ b/include/corianderlink/Support/hash.h
@@ -26,6 +26,15 @@
   return hash;
 }
 
+/// Finalizer of SplitMix64: spreads the bits of `x`.
+constexpr uint64_t MixBits(uint64_t x) {
+  x ^= x >> 30;
+  x *= 0xbf58476d1ce4e5b9ULL;
+  x ^= x >> 27;
+  x *= 0x94d049bb133111ebULL;
+  return x ^ x >> 31;
+}
+
 /// Compares in time that depends only on the lengths, to prevent timing attacks
 /// on secrets.
 bool ConstantTimeEquals(std::string_view a, std::string_view b);
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -107,7 +107,36 @@
     }
     highest_fencing_ = std::max(highest_fencing_, peer.status.highest_fencing);
     quarantine_.OnPeerReports(now, peer.status.part_reports);
+    placer_.rate_limiter().limits().OnPeerNotices(peer.status.rate_limits);
   };
+  peers_.on_member_change = [this](Time now) { UpdateFleetView(now); };
+  peers_.on_permit_request = [this](Time now, const PermitRequest& request) {
+    return placer_.rate_limiter().OnRequest(now, request);
+  };
+  peers_.on_permit_reply = [this](Time now, const PermitReply& reply) {
+    placer_.rate_limiter().OnReply(now, reply);
+  };
+  placer_.rate_limiter().send_request = [this](const Address& keeper,
+                                               const PermitRequest& request) {
+    peers_.SendPermitRequest(keeper, request);
+    if (!permit_timer_.active()) AwaitPermits();
+  };
+}
+
+void Gateway::AwaitPermits() {
+  permit_timer_ = loop_.After(FleetRateLimiter::kReplyTimeout / 2,
+                              [this] { OnPermitTimer(); });
+}
+
+void Gateway::OnPermitTimer() {
+  permit_timer_.Reset();
+  placer_.rate_limiter().Update(BootClock::now());
+  const bool armed = permit_timer_.active();
+  if (placer_.rate_limiter().HasPending() && !armed) AwaitPermits();
+}
+
+void Gateway::UpdateFleetView(Time now) {
+  placer_.rate_limiter().SetView(peers_.View(now, ready()));
 }
 
 bool Gateway::Start(std::string& reason) {
@@ -167,6 +196,7 @@
   status.leaving_upstreams = placer_.notices().leaving();
   status.highest_fencing = highest_fencing_;
   status.part_reports = quarantine_.Reports(now);
+  status.rate_limits = placer_.rate_limiter().limits().OwnNotices(now);
   return status;
 }
 
@@ -447,7 +477,8 @@
              {"draining", upstream.draining},
              {"speed_factor", placer_.speed().Factor(upstream)},
              {"connections", pool_.ConnectionCount(upstream.address)}};
-    const RateLimitNotice* limit = placer_.rate_limits().Find(upstream);
+    const RateLimitNotice* limit =
+        placer_.rate_limiter().limits().Find(upstream);
     if (limit == nullptr || !limit->per_second) continue;
     entry["rate_limit"] = {{"per_s", *limit->per_second},
                            {"age_ms", ToMillis(now - limit->received_at)}};
@@ -484,6 +515,7 @@
     highest_fencing_ = role_coordinator_->ExchangeFencing(highest_fencing_);
   }
   placer_.SetGateways(peers_.LiveGatewayCount(now));
+  UpdateFleetView(now);
   if (!shutting_down_) SyncFromPeers(now);
   placer_.directory().Expire(now);
   quarantine_.Update(now);
@@ -498,7 +530,9 @@
   metrics_.Set("gateway_quarantined_parts",
                static_cast<double>(quarantine_.Quarantined(now).size()));
   metrics_.Set("gateway_rate_limited_upstreams",
-               static_cast<double>(placer_.rate_limits().size()));
+               static_cast<double>(placer_.rate_limiter().limits().size()));
+  metrics_.Set("gateway_denied_permits",
+               static_cast<double>(placer_.rate_limiter().denials()));
   metrics_.Set("gateway_store_age_seconds",
                ToSeconds(store_contact_.OwnAge(now)));
 }
@@ -518,6 +552,7 @@
       {{"client_connections",
         static_cast<uint64_t>(client_server_.connections())}});
   if (role_coordinator_) role_coordinator_->Stop();
+  UpdateFleetView(shutdown_began_at_);
   peers_.SendHeartbeat();
   client_server_.CloseAfterResponses();
   ContinueShutdown();
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -14,6 +14,10 @@
 // The heartbeat interval is at least this long per live peer, which bounds the
 // number of heartbeats sent and received per second.
 constexpr Duration kHeartbeatIntervalPerPeer = milliseconds(3);
+// In a large fleet, a member is gone after so many missing heartbeats.
+constexpr int kMissedHeartbeats = 3;
+// Time for a heartbeat to arrive and to be handled.
+constexpr Duration kViewTransit = milliseconds(50);
 // Peers and addresses without a heartbeat for longer than this are forgotten.
 constexpr Duration kPeerExpiry = seconds(20);
 
@@ -62,6 +66,8 @@
   if (message.has_heartbeat()) OnHeartbeat(message);
   if (message.has_records_request()) OnRecordsRequest(message);
   if (message.has_records_answer()) OnRecordsAnswer(message);
+  if (message.has_permit_request()) OnPermitRequest(message);
+  if (message.has_permit_reply()) OnPermitReply(message);
 }
 
 void GatewayPeers::RequestRecords(const GatewayPeer& peer,
@@ -89,6 +95,31 @@
       DecodeRecords(BootClock::now(), message.records_answer()));
 }
 
+void GatewayPeers::SendPermitRequest(const Address& keeper,
+                                     const PermitRequest& request) {
+  wire::Envelope message;
+  *message.mutable_permit_request() =
+      EncodePermitRequest(BootClock::now(), request, own_address_);
+  bus_.Send(keeper, message);
+}
+
+void GatewayPeers::OnPermitRequest(const wire::Envelope& message) {
+  const wire::PermitRequest& in = message.permit_request();
+  const Time now = BootClock::now();
+  const auto address = Address::Parse(in.peer_address());
+  const auto request = DecodePermitRequest(now, in);
+  if (!address || !request || !on_permit_request) return;
+  wire::Envelope reply;
+  *reply.mutable_permit_reply() =
+      EncodePermitReply(on_permit_request(now, *request));
+  bus_.Send(*address, reply);
+}
+
+void GatewayPeers::OnPermitReply(const wire::Envelope& message) {
+  if (!on_permit_reply) return;
+  on_permit_reply(BootClock::now(), DecodePermitReply(message.permit_reply()));
+}
+
 void GatewayPeers::OnHeartbeat(const wire::Envelope& message) {
   if (message.heartbeat().kind() != kGatewayHeartbeat) return;
   const Time now = BootClock::now();
@@ -100,7 +131,9 @@
       !is_new &&
       peer.status.upstreams_digest == message.heartbeat().upstreams_digest();
   if (!same_digest) peer.digest_since = now;
+  const bool was_member = peer.status.ready && !peer.status.leaving;
   peer.status = DecodeHeartbeat(now, message.heartbeat());
+  const bool is_member = peer.status.ready && !peer.status.leaving;
   if (is_new) {
     Log(LogLevel::kInfo, "peer_found",
         {{"peer", peer.status.instance}, {"process", peer.process}});
@@ -108,6 +141,7 @@
   }
   AddPeerAddress(peer.status.peer_address);
   receivers_[peer.status.peer_address] = now;
+  if (was_member != is_member && on_member_change) on_member_change(now);
   if (on_heartbeat) on_heartbeat(now, peer);
 }
 
@@ -136,6 +170,27 @@
   return age;
 }
 
+FleetView GatewayPeers::View(Time now, bool self_is_member) const {
+  FleetView view;
+  view.self = own_address_;
+  const Duration interval = HeartbeatInterval(now);
+  const Duration timeout =
+      std::max<Duration>(kPeerTimeout, kMissedHeartbeats * interval);
+  std::set<Address> members;
+  std::set<Address> known{own_address_};
+  if (self_is_member) members.insert(own_address_);
+  for (const auto& [process, peer] : peers_) {
+    if (peer.status.leaving) continue;
+    known.insert(peer.status.peer_address);
+    const bool live = now - peer.last_heartbeat <= timeout;
+    if (live && peer.status.ready) members.insert(peer.status.peer_address);
+  }
+  view.members.assign(members.begin(), members.end());
+  view.known = known.size();
+  view.settle = 2 * interval + kViewTransit;
+  return view;
+}
+
 std::vector<const GatewayPeer*> GatewayPeers::Live(Time now) const {
   std::vector<const GatewayPeer*> live;
   for (const auto& [process, peer] : peers_) {
--- a/lib/Gateway/peer_codec.cc
+++ b/lib/Gateway/peer_codec.cc
@@ -2,6 +2,7 @@
 #include "peer_codec.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace corianderlink {
@@ -90,8 +91,76 @@
   return report;
 }
 
+void EncodeRateLimit(Time now, const RateLimitNotice& notice,
+                     wire::RateLimitNotice& out) {
+  out.set_upstream(notice.upstream.value());
+  out.set_started_ms(notice.started_ms);
+  if (notice.per_second) out.set_per_second(*notice.per_second);
+  out.set_sent_age_ms(EncodeAge(now - notice.sent_at));
+  out.set_received_age_ms(EncodeAge(now - notice.received_at));
+}
+
+// Empty if the ages are unknown or the limit is not a number in range.
+std::optional<RateLimitNotice> DecodeRateLimit(
+    Time now, const wire::RateLimitNotice& in) {
+  const auto sent_at = DecodeTime(now, in.sent_age_ms());
+  const auto received_at = DecodeTime(now, in.received_age_ms());
+  if (!sent_at || !received_at) return std::nullopt;
+  RateLimitNotice notice{UpstreamId(in.upstream()), in.started_ms(),
+                         std::nullopt, *sent_at, *received_at};
+  if (!in.has_per_second()) return notice;
+  const double per_second = in.per_second();
+  if (!std::isfinite(per_second) || per_second < 0) return std::nullopt;
+  notice.per_second = per_second;
+  return notice;
+}
+
 }  // namespace
 
+wire::PermitRequest EncodePermitRequest(Time now, const PermitRequest& request,
+                                        const Address& reply_to) {
+  wire::PermitRequest out;
+  out.set_number(request.number);
+  EncodeRateLimit(now, request.limit, *out.mutable_limit());
+  out.set_count(request.demand.count);
+  out.set_priority(static_cast<uint32_t>(request.demand.priority));
+  out.set_peer_address(reply_to.ToString());
+  return out;
+}
+
+std::optional<PermitRequest> DecodePermitRequest(
+    Time now, const wire::PermitRequest& in) {
+  constexpr uint32_t kLeastUrgent = 15;
+  const auto limit = DecodeRateLimit(now, in.limit());
+  if (!limit) return std::nullopt;
+  PermitRequest request;
+  request.number = in.number();
+  request.limit = *limit;
+  request.demand.count = in.count();
+  request.demand.priority =
+      static_cast<int>(std::min(in.priority(), kLeastUrgent));
+  return request;
+}
+
+wire::PermitReply EncodePermitReply(const PermitReply& reply) {
+  wire::PermitReply out;
+  out.set_number(reply.number);
+  out.set_upstream(reply.upstream.value());
+  out.set_granted(reply.grant.granted);
+  const double retry_ms = std::max(0.0, ToMillis(reply.grant.retry_after));
+  out.set_retry_after_ms(static_cast<uint32_t>(retry_ms));
+  return out;
+}
+
+PermitReply DecodePermitReply(const wire::PermitReply& in) {
+  PermitReply reply;
+  reply.number = in.number();
+  reply.upstream = UpstreamId(in.upstream());
+  reply.grant.granted = in.granted();
+  reply.grant.retry_after = milliseconds(in.retry_after_ms());
+  return reply;
+}
+
 wire::Heartbeat EncodeHeartbeat(Time now, const GatewayStatus& status) {
   wire::Heartbeat heartbeat;
   heartbeat.set_instance(status.instance);
@@ -111,6 +180,9 @@
   for (const PartReport& report : status.part_reports) {
     EncodePartReport(now, report, *heartbeat.add_part_reports());
   }
+  for (const RateLimitNotice& notice : status.rate_limits) {
+    EncodeRateLimit(now, notice, *heartbeat.add_rate_limits());
+  }
   heartbeat.set_leaving(status.leaving);
   heartbeat.set_ready(status.ready);
   heartbeat.set_entry_address(status.client_address.ToString());
@@ -162,6 +234,10 @@
   for (const wire::PartReport& in : heartbeat.part_reports()) {
     status.part_reports.push_back(DecodePartReport(now, in));
   }
+  for (const wire::RateLimitNotice& in : heartbeat.rate_limits()) {
+    const auto notice = DecodeRateLimit(now, in);
+    if (notice) status.rate_limits.push_back(*notice);
+  }
   status.leaving = heartbeat.leaving();
   status.ready = heartbeat.ready();
   status.client_address =
--- a/lib/Gateway/peer_codec.h
+++ b/lib/Gateway/peer_codec.h
@@ -20,6 +20,15 @@
 /// Drops departures without a usable age.
 PeerRecords DecodeRecords(Time now, const wire::RecordsAnswer& answer);
 
+/// Times are passed on as ages at `now`; the reply goes to `reply_to`.
+wire::PermitRequest EncodePermitRequest(Time now, const PermitRequest& request,
+                                        const Address& reply_to);
+/// Empty if the limit is malformed.
+std::optional<PermitRequest> DecodePermitRequest(Time now,
+                                                 const wire::PermitRequest& in);
+wire::PermitReply EncodePermitReply(const PermitReply& reply);
+PermitReply DecodePermitReply(const wire::PermitReply& in);
+
 }  // namespace corianderlink
 
 #endif  // CORIANDERLINK_LIB_GATEWAY_PEER_CODEC_H_
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -44,10 +44,12 @@
       peer_timeout_(peer_timeout) {}
 
 bool Placer::Ineligible(Time now, const UpstreamRecord& upstream,
-                        const std::set<UpstreamId>* excluded) const {
+                        const std::set<UpstreamId>* excluded,
+                        const RateLimitQuery& rate_limit) const {
   if (excluded != nullptr && excluded->count(upstream.id) > 0) return true;
   if (replaced_.count(upstream.id) > 0) return true;
   if (notices_.Blocks(now, upstream)) return true;
+  if (rate_limiter_.Blocks(now, upstream, rate_limit)) return true;
   if (load_.Stalled(now, upstream.id, limits_.stall)) return true;
   if (load_.OwnRequests(upstream.id) >= ConnectionQuota(upstream.service)) {
     return true;
@@ -124,25 +126,30 @@
 }
 
 std::optional<Duration> Placer::TimeUntilPauseEnds(
-    Time now, const std::vector<const UpstreamRecord*>& usable) const {
+    Time now, const std::vector<const UpstreamRecord*>& usable,
+    const RateLimitQuery& rate_limit) const {
   std::optional<Duration> shortest;
   for (const UpstreamRecord* upstream : usable) {
     if (notices_.IsLeaving(*upstream)) continue;
-    const auto paused_until = notices_.PausedUntil(now, upstream->id);
-    if (!paused_until) return std::nullopt;
-    shortest =
-        std::min(shortest.value_or(Duration::max()), *paused_until - now);
+    auto until = notices_.PausedUntil(now, upstream->id);
+    if (!until) {
+      until =
+          rate_limiter_.BlockedUntil(now, upstream->id, rate_limit.priority);
+    }
+    if (!until) return std::nullopt;
+    shortest = std::min(shortest.value_or(Duration::max()), *until - now);
   }
   return shortest;
 }
 
 PlacementResult Placer::PlacePlain(Time now, const ServiceId& service,
-                                   const std::set<UpstreamId>& excluded) const {
+                                   const std::set<UpstreamId>& excluded,
+                                   const RateLimitQuery& rate_limit) const {
   const UpstreamRecord* best = nullptr;
   double best_load = 0;
   const std::vector<const UpstreamRecord*> usable = directory_.Usable(service);
   for (const UpstreamRecord* upstream : usable) {
-    if (Ineligible(now, *upstream, &excluded)) continue;
+    if (Ineligible(now, *upstream, &excluded, rate_limit)) continue;
     const uint32_t requests = load_.Requests(now, upstream->id);
     const auto slots = static_cast<uint32_t>(std::max(upstream->slots, 1));
     if (requests >= slots * kPlainQueueFactor) continue;
@@ -155,7 +162,7 @@
   PlacementResult result;
   if (best == nullptr) {
     result.reason = "no upstream has capacity";
-    result.retry_after = TimeUntilPauseEnds(now, usable)
+    result.retry_after = TimeUntilPauseEnds(now, usable, rate_limit)
                              .value_or(FromSeconds(kPlainRetryAfterMs / 1000));
     return result;
   }
@@ -224,9 +231,9 @@
   result.retry_after =
       FromSeconds(std::max(excess_ms, kMinRetryAfterMs) / 1000);
   if (!timely && !late) {
-    result.retry_after =
-        std::max(result.retry_after,
-                 TimeUntilPauseEnds(now, usable).value_or(Duration::zero()));
+    result.retry_after = std::max(
+        result.retry_after, TimeUntilPauseEnds(now, usable, query.rate_limit)
+                                .value_or(Duration::zero()));
   }
   return result;
 }
@@ -323,7 +330,7 @@
   std::erase_if(replaced_, gone);
   speed_.ForgetIf(gone);
   notices_.ForgetIf(gone);
-  rate_limits_.ForgetIf(gone);
+  rate_limiter_.ForgetIf(gone);
   const std::set<Address> present = directory_.Addresses();
   ejector_.ForgetIf(
       [&](const Address& address) { return present.count(address) == 0; });
--- a/lib/Gateway/placer_scoring.cc
+++ b/lib/Gateway/placer_scoring.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "corianderlink/Gateway/placer.h"
+#include "corianderlink/Support/hash.h"
 
 namespace corianderlink {
 namespace {
@@ -55,15 +56,6 @@
 // of its slots.
 constexpr double kLateSlotFraction = 1.0;
 
-// Finalizer of SplitMix64: spreads the bits of `x`.
-uint64_t MixHash(uint64_t x) {
-  x ^= x >> 30;
-  x *= 0xbf58476d1ce4e5b9ULL;
-  x ^= x >> 27;
-  x *= 0x94d049bb133111ebULL;
-  return x ^ x >> 31;
-}
-
 // Identifies the prefix that a prompt shares with others, if any: all parts but
 // the last, which is unique to the prompt.
 std::optional<uint64_t> SharedPrefixKey(const Prompt& prompt) {
@@ -74,7 +66,7 @@
 // Rendezvous hashing: the engine with the highest rank is preferred for the
 // shared prefix `key`.
 uint64_t RendezvousRank(uint64_t key, const UpstreamId& upstream) {
-  return MixHash(key ^ std::hash<std::string>()(upstream.value()));
+  return MixBits(key ^ std::hash<std::string>()(upstream.value()));
 }
 
 // Expected wait for one of the engine's slots, which streams occupy for
@@ -105,7 +97,9 @@
   std::vector<Candidate> candidates;
   const Duration peer_age = load_.PeerAge(now);
   for (const UpstreamRecord* upstream : usable) {
-    if (Ineligible(now, *upstream, query.excluded)) continue;
+    if (Ineligible(now, *upstream, query.excluded, query.rate_limit)) {
+      continue;
+    }
     Candidate candidate;
     candidate.upstream = upstream;
     candidate.load = load_.Total(now, upstream->id);
@@ -199,7 +193,7 @@
 double Placer::StalenessPenaltyMs(const UpstreamId& upstream, uint64_t seed,
                                   Duration peer_age) {
   const uint64_t hash =
-      MixHash(seed ^ std::hash<std::string>()(upstream.value()));
+      MixBits(seed ^ std::hash<std::string>()(upstream.value()));
   const double uniform =
       static_cast<double>(hash >> 11) / static_cast<double>(1ULL << 53);
   return uniform * kStalenessFactor * ToMillis(peer_age);
@@ -249,7 +243,11 @@
     if (upstream->role != UpstreamRole::kDecode) continue;
     if (query.excluded->count(upstream->id) > 0) continue;
     if (notices_.Blocks(now, *upstream)) continue;
-    if (!include_ineligible && Ineligible(now, *upstream, nullptr)) continue;
+    if (rate_limiter_.Blocks(now, *upstream, query.rate_limit)) continue;
+    if (!include_ineligible &&
+        Ineligible(now, *upstream, nullptr, query.rate_limit)) {
+      continue;
+    }
     const double cross_zone_ms =
         upstream->zone == source.zone ? 0 : kCrossZoneMs;
     const OutstandingLoad load = load_.Total(now, upstream->id);
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -15,6 +15,8 @@
 constexpr Duration kMaxIdleNonIdempotent = seconds(5);
 constexpr Duration kMaxIdle = seconds(30);
 constexpr Duration kConnectTimeout = milliseconds(250);
+// A request that was denied so many permits goes to unlimited upstreams only.
+constexpr int kMaxDeniedPermits = 4;
 // Interval between searches for an upstream that can resume a stream.
 constexpr Duration kResumePollInterval = milliseconds(50);
 // Priority of a request in the engine's queue, by work tier; 0 is the highest.
@@ -72,17 +74,23 @@
   query.event_gap_ms =
       ToMillis(route_.event_gap_objective.value_or(Duration::zero()));
   query.resumed = exchange_->response_started();
-  query.first_attempt = sends_ == 0;
+  query.first_attempt = sends_ == 0 && denied_permits_ == 0;
   query.single_engine_only = single_engine_only_;
   query.seed = seed_;
   query.excluded = &excluded_;
+  query.rate_limit = MakeRateLimitQuery();
   return query;
 }
 
+RateLimitQuery RelayTask::MakeRateLimitQuery() const {
+  return {route_.priority, denied_permits_ >= kMaxDeniedPermits};
+}
+
 PlacementResult RelayTask::ChoosePlacement(Time now) const {
   return is_model_request()
              ? context_.placer.PlacePrompt(now, MakePlacementQuery(now))
-             : context_.placer.PlacePlain(now, service_.id, excluded_);
+             : context_.placer.PlacePlain(now, service_.id, excluded_,
+                                          MakeRateLimitQuery());
 }
 
 void RelayTask::PlaceAndSend() {
@@ -109,7 +117,27 @@
     Refuse(result.reason, result.retry_after);
     return;
   }
-  SendTo(*result.placement);
+  SendWithPermit(*result.placement, &RelayTask::PlaceAndSend);
+}
+
+void RelayTask::SendWithPermit(const Placement& placement,
+                               void (RelayTask::*place_again)()) {
+  const auto on_decision = [self = shared_from_this(), placement,
+                            place_again](bool granted) {
+    if (self->finished_) return;
+    if (granted) {
+      self->SendTo(placement);
+      return;
+    }
+    ++self->denied_permits_;
+    Log(LogLevel::kDebug, "permit_denied",
+        {{"request", self->request_.id.value()},
+         {"upstream", placement.upstream.id.value()},
+         {"denied", self->denied_permits_}});
+    (self.get()->*place_again)();
+  };
+  context_.placer.rate_limiter().Acquire(BootClock::now(), placement.upstream,
+                                         route_.priority, on_decision);
 }
 
 void RelayTask::ScheduleResume() {
@@ -132,7 +160,8 @@
   response_.reset();
   buffered_.clear();
   event_splitter_.Clear();
-  ++sends_;
+  // Prefill and decode count as one attempt.
+  if (!kv_handle_) ++sends_;
   if (!placement.prefill_only) ++possible_runs_;
   if (is_model_request()) {
     const PlacementQuery query = MakePlacementQuery(now);
@@ -238,9 +267,7 @@
     FailRequest(Outcome::NotRun(result.reason));
     return;
   }
-  // Prefill and decode count as one attempt.
-  --sends_;
-  SendTo(*result.placement);
+  SendWithPermit(*result.placement, &RelayTask::SendDecodeStage);
 }
 
 void RelayTask::OnClientDisconnected() {
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -68,9 +68,9 @@
   }
   // Bytes that do not belong to this request do not end a limit.
   if (response_info_.request != request_.id) return;
-  context_.placer.rate_limits().OnNotice({upstream.id, upstream.started_ms,
-                                          response_info_.rate_limit, sent_at_,
-                                          now});
+  context_.placer.rate_limiter().limits().OnNotice(
+      {upstream.id, upstream.started_ms, response_info_.rate_limit, sent_at_,
+       now});
 }
 
 void RelayTask::OnResponseBody(std::string data) {
--- a/lib/Node/node.cc
+++ b/lib/Node/node.cc
@@ -125,6 +125,8 @@
       return;
     case wire::Envelope::kRecordsRequest:
     case wire::Envelope::kRecordsAnswer:
+    case wire::Envelope::kPermitRequest:
+    case wire::Envelope::kPermitReply:
       break;  // Exchanged only between gateways.
     case wire::Envelope::BODY_NOT_SET:
       return;
--- a/unittests/Gateway/placer_test.cc
+++ b/unittests/Gateway/placer_test.cc
@@ -245,7 +245,7 @@
   placer_->SetGateways(4);
   std::map<UpstreamId, int> sent;
   for (int i = 0; i < 30; ++i) {
-    const auto result = placer_->PlacePlain(kStart, kPlainService, {});
+    const auto result = placer_->PlacePlain(kStart, kPlainService, {}, {});
     if (!result.placement) break;
     ++sent[result.placement->upstream.id];
     placer_->OnDispatch(kStart, *result.placement, nullptr);
@@ -288,7 +288,7 @@
   Time now = kStart;
   for (int i = 0; i < 1000; ++i) {
     now += milliseconds(10);
-    const auto placed = placer_->PlacePlain(now, kPlainService, excluded_);
+    const auto placed = placer_->PlacePlain(now, kPlainService, excluded_, {});
     ASSERT_TRUE(placed.placement);
     const Placement placement = *placed.placement;
     const DispatchId id = placer_->OnDispatch(now, placement, nullptr);
@@ -345,7 +345,8 @@
       Record("s0", kPlainService, UpstreamRole::kPlain, 2));
   int placed_count = 0;
   for (int i = 0; i < 100; ++i) {
-    const auto placed = placer_->PlacePlain(kStart, kPlainService, excluded_);
+    const auto placed =
+        placer_->PlacePlain(kStart, kPlainService, excluded_, {});
     if (!placed.placement) {
       EXPECT_GT(placed.retry_after, Duration::zero());
       continue;
--- a/unittests/Gateway/upstream_notices_test.cc
+++ b/unittests/Gateway/upstream_notices_test.cc
@@ -54,7 +54,7 @@
   }
 
   std::string Place(Time now) {
-    const PlacementResult result = placer_.PlacePlain(now, kService, {});
+    const PlacementResult result = placer_.PlacePlain(now, kService, {}, {});
     retry_after_ = result.retry_after;
     return result.placement ? result.placement->upstream.id.value() : "";
   }
