[Gateway] Ask for the permits of all waiting requests at once

After a reply each waiting request asked for itself, so that one permit a round trip was granted, however many waited. Ruled out: the pause after a denial (1 denial in 8 s). Change: what waits behind a request for permits is asked for together.

--- a/include/corianderlink/Gateway/fleet_rate_limiter.h
+++ b/include/corianderlink/Gateway/fleet_rate_limiter.h
@@ -139,6 +139,9 @@
   void Send(Time now, const Address& keeper, Pending& pending);
   void Block(Time now, const UpstreamId& upstream, int priority,
              Duration duration);
+  /// Asks for the permits of several waiters at once.
+  void AcquireAll(Time now, const UpstreamRecord& upstream,
+                  std::vector<Waiter> waiters);
   /// Ends the present request and continues with the later waiters.
   void Settle(Time now, const UpstreamId& upstream, const PermitGrant& grant);
 
--- a/lib/Gateway/fleet_rate_limiter.cc
+++ b/lib/Gateway/fleet_rate_limiter.cc
@@ -2,6 +2,7 @@
 #include "corianderlink/Gateway/fleet_rate_limiter.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "corianderlink/Support/hash.h"
@@ -181,24 +182,41 @@
 
 void FleetRateLimiter::Settle(Time now, const UpstreamId& upstream,
                               const PermitGrant& grant) {
-  const auto node = pending_.extract(upstream);
+  auto node = pending_.extract(upstream);
   Pending& pending = node.mapped();
   const size_t asked = std::min<size_t>(pending.asked, pending.waiters.size());
   const size_t granted = std::min<size_t>(grant.granted, asked);
+  const auto first_later =
+      pending.waiters.begin() + static_cast<std::ptrdiff_t>(asked);
+  std::vector<Waiter> later(std::make_move_iterator(first_later),
+                            std::make_move_iterator(pending.waiters.end()));
+  pending.waiters.erase(first_later, pending.waiters.end());
   if (granted < asked) {
     Block(now, upstream, pending.waiters[granted].priority, grant.retry_after);
+  } else {
+    // The callbacks may ask again, so this comes before they run.
+    AcquireAll(now, pending.upstream, std::exchange(later, {}));
   }
-  // The callbacks may ask again, so the state is complete before they run.
-  for (size_t i = 0; i < pending.waiters.size(); ++i) {
-    Waiter& waiter = pending.waiters[i];
-    if (i < asked) {
-      waiter.done(i < granted);
-    } else if (granted < asked) {
-      waiter.done(false);
-    } else {
-      Acquire(now, pending.upstream, waiter.priority, std::move(waiter.done));
+  for (size_t i = 0; i < asked; ++i) pending.waiters[i].done(i < granted);
+  for (Waiter& waiter : later) waiter.done(false);
+}
+
+void FleetRateLimiter::AcquireAll(Time now, const UpstreamRecord& upstream,
+                                  std::vector<Waiter> waiters) {
+  const auto keeper = Keeper(upstream.id);
+  const bool asks_peer =
+      limits_.PerSecond(upstream) && keeper && *keeper != view_.self;
+  if (!asks_peer) {
+    for (Waiter& waiter : waiters) {
+      Acquire(now, upstream, waiter.priority, std::move(waiter.done));
     }
+    return;
   }
+  if (waiters.empty()) return;
+  Pending& pending = pending_[upstream.id];
+  pending.upstream = upstream;
+  pending.waiters = std::move(waiters);
+  Send(now, *keeper, pending);
 }
 
 }  // namespace corianderlink
