[Gateway] Log which request a failed attempt belonged to

Cause: attempt_failed had the id of one attempt of a client, so crashes could not be connected with a request that comes again. Ruled out: the target itself (long, and of the clients).

--- a/include/corianderlink/Gateway/relay_codec.h
+++ b/include/corianderlink/Gateway/relay_codec.h
@@ -25,6 +25,8 @@
   std::optional<Duration> time_left;
   /// Value of the Host field, with the port if there is one.
   std::string host;
+  /// Credentials that tell the client account; empty if the request has none.
+  std::string credentials;
   /// Present if the request carries a prompt.
   std::optional<Prompt> prompt;
 };
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -131,6 +131,9 @@
   void CheckForCrash(const Outcome& outcome);
   /// The engine has answered enough to clear the parts of the prompt.
   void ReportAnswered();
+  /// Identifies the request among all that clients repeat: digest of its
+  /// method, target, credentials and body.
+  uint64_t RequestDigest();
   /// Ids of the prompt's shared parts, for the log.
   std::string SharedPartsText() const;
   void RetryOnOtherUpstream(Time now, const Outcome& outcome,
@@ -207,6 +210,8 @@
   // KV cache that the prefill engine holds for this request.
   std::optional<KvHandle> kv_handle_;
 
+  // Computed when it is needed.
+  std::optional<uint64_t> request_digest_;
   // Id of the last event sent to the client.
   std::optional<uint64_t> last_event_id_;
   EventHandle deadline_timer_;
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "corianderlink/Gateway/relay_task.h"
+#include "corianderlink/Support/hash.h"
 #include "corianderlink/Support/log.h"
 
 namespace corianderlink {
@@ -65,6 +66,7 @@
        {"elapsed_ms", ToMillis(now - sent_at_)},
        {"events", events_received_},
        {"shared_parts", SharedPartsText()},
+       {"digest", FormatPartId(RequestDigest())},
        {"retry", retry}});
 }
 
@@ -103,6 +105,20 @@
   return true;
 }
 
+uint64_t RelayTask::RequestDigest() {
+  if (request_digest_) return *request_digest_;
+  const RequestHead& head = exchange_->head();
+  std::string text;
+  for (const std::string* field :
+       {&head.method, &request_.host, &head.target, &request_.credentials}) {
+    // The lengths keep the fields apart.
+    text += std::to_string(field->size()) + ":" + *field;
+  }
+  text += exchange_->body();
+  request_digest_ = StableHash(text);
+  return *request_digest_;
+}
+
 std::string RelayTask::SharedPartsText() const {
   if (!request_.prompt) return "";
   std::string text;
