[Tests] One request crashes upstream after upstream

Ruled out: hypothesis 3 (the upstreams end for a reason of their own): here the request is the only one.

--- /dev/null
+++ b/unittests/Gateway/crashing_request_test.cc
@@ -0,0 +1,243 @@
+// A request under which each upstream ends that begins to run it, and that
+// comes again and again.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+#include "Gateway/gateway_test_harness.h"
+
+namespace corianderlink {
+namespace {
+
+using Exchange = FakeUpstream::Exchange;
+using Results = std::vector<std::shared_ptr<ClientResult>>;
+
+constexpr char kConfig[] =
+    R"({"version":4,"routes":[{"name":"s","host":"h.example","prefix":"/safe/",)"
+    R"("kind":"safe","timeout_ms":2500,"slo_ms":150,"priority":1,)"
+    R"("service":"shop","attempts":2},)"
+    R"({"name":"u","host":"h.example","prefix":"/unsafe/",)"
+    R"("kind":"unsafe","timeout_ms":2500,"slo_ms":150,"priority":1,)"
+    R"("service":"shop","attempts":1}],)"
+    R"("services":[{"name":"shop","max_conns":200,)"
+    R"("health_path":"/healthz"}]})";
+constexpr char kBadSafe[] = "/safe/bad";
+constexpr char kBadUnsafe[] = "/unsafe/bad";
+constexpr char kBadBody[] = "bad body";
+// Time from an upstream's end until it is back under a new id.
+constexpr Duration kRestart = milliseconds(1500);
+// Time after the third crash from when the request must be stopped.
+constexpr Duration kContact = seconds(3);
+
+class CrashingRequestTest : public ::testing::Test {
+ protected:
+  void Start(size_t gateways, size_t upstreams) {
+    for (size_t i = 0; i < upstreams; ++i) StartUpstream();
+    for (size_t i = 0; i < gateways; ++i) {
+      GatewaySettings settings = harness_.MakeSettings();
+      settings.instance = "g" + std::to_string(i);
+      AddGateway(settings);
+    }
+    for (const auto& gateway : gateways_) gateway->OnGatewayRecords(own_);
+    harness_.RunFor(milliseconds(300));
+  }
+  void AddGateway(GatewaySettings settings) {
+    settings.front = FreeAddress();
+    settings.ready = FreeAddress();
+    settings.directory = FreeAddress();
+    fronts_.push_back(settings.front);
+    gateways_.push_back(std::make_unique<Gateway>(harness_.loop, settings,
+                                                  platform::MakeCodecs()));
+    std::string reason;
+    EXPECT_TRUE(gateways_.back()->Start(reason)) << reason;
+    own_.push_back(gateways_.back()->OwnRecord());
+    gateways_.back()->OnConfigRecords({{"config", kConfig, 1}});
+    gateways_.back()->OnAllUpstreams(records_, {1, ++version_});
+  }
+  void StartUpstream() {
+    const std::string id = "u" + std::to_string(++started_);
+    auto upstream = std::make_unique<FakeUpstream>(harness_.loop, id);
+    records_.push_back({id,
+                        R"({"service":"shop","addr":")" +
+                            upstream->address.ToString() +
+                            R"(","zone":"z","slots":6,"born":7,"seq":1,)"
+                            R"("state":"ready"})",
+                        1});
+    upstream->on_request = [this, id](const Exchange& exchange) {
+      OnUpstreamRequest(id, exchange);
+    };
+    upstreams_[id] = std::move(upstream);
+    PublishRecords();
+  }
+  void PublishRecords() {
+    ++version_;
+    for (const auto& gateway : gateways_) {
+      gateway->OnAllUpstreams(records_, {1, version_});
+    }
+  }
+
+  static bool IsBad(const Exchange& exchange) {
+    return exchange->head().target == kBadSafe ||
+           (exchange->head().target == kBadUnsafe &&
+            exchange->body() == kBadBody);
+  }
+  void OnUpstreamRequest(const std::string& id, const Exchange& exchange) {
+    const bool bad = IsBad(exchange);
+    if (bad) bad_arrivals_.push_back(BootClock::now());
+    timers_.push_back(
+        harness_.loop.After(milliseconds(20), [this, id, exchange, bad] {
+          if (bad) {
+            Crash(id);
+          } else {
+            exchange->SendResponse(200, FakeUpstream::Signed(exchange), "ok");
+          }
+        }));
+  }
+  /// The process ends: its port is closed with all connections.
+  void Crash(const std::string& id) {
+    if (upstreams_.erase(id) == 0) return;
+    crashes_.push_back(BootClock::now());
+    timers_.push_back(harness_.loop.After(kRestart, [this, id] {
+      std::erase_if(records_, [&id](const StoreRecord& record) {
+        return record.key == id;
+      });
+      StartUpstream();
+    }));
+  }
+
+  std::shared_ptr<ClientResult> Send(const std::string& method,
+                                     const std::string& target,
+                                     const std::string& body) {
+    harness_.front = fronts_[static_cast<size_t>(++requests_) % fronts_.size()];
+    return harness_.Send(method, target, {}, body,
+                         "r" + std::to_string(requests_));
+  }
+  std::shared_ptr<ClientResult> SendBadSafe() {
+    return Send("GET", kBadSafe, "");
+  }
+  std::shared_ptr<ClientResult> SendBadUnsafe() {
+    return Send("POST", kBadUnsafe, kBadBody);
+  }
+  /// Four bad requests a second among sixty sound ones.
+  void Play(Duration time, bool unsafe) {
+    const auto steps = static_cast<int>(time / milliseconds(50));
+    for (int i = 0; i < steps; ++i) {
+      if (i % 5 == 0) bad_.push_back(unsafe ? SendBadUnsafe() : SendBadSafe());
+      for (int j = 0; j < 3; ++j) {
+        const std::string item = std::to_string(requests_);
+        sound_.push_back(j == 0 ? Send("POST", kBadUnsafe, "sound body " + item)
+                                : Send("GET", "/safe/" + item, ""));
+      }
+      harness_.RunFor(milliseconds(50));
+    }
+    harness_.RunFor(milliseconds(500));
+  }
+  /// Bad requests that reached upstreams later than `kContact` after the third
+  /// crash.
+  long LateArrivals() const {
+    if (crashes_.size() < 3) return 0;
+    return std::count_if(
+        bad_arrivals_.begin(), bad_arrivals_.end(),
+        [this](Time at) { return at > crashes_[2] + kContact; });
+  }
+  static double ServedShare(const Results& results, size_t first = 0) {
+    const auto served = std::count_if(
+        results.begin() + static_cast<std::ptrdiff_t>(first), results.end(),
+        [](const auto& result) { return result->status == 200; });
+    return static_cast<double>(served) /
+           static_cast<double>(results.size() - first);
+  }
+
+  GatewayTestHarness harness_;
+  std::map<std::string, std::unique_ptr<FakeUpstream>> upstreams_;
+  std::vector<StoreRecord> records_;
+  uint64_t version_ = 100;
+  int started_ = 0;
+  std::vector<Address> fronts_;
+  std::vector<std::unique_ptr<Gateway>> gateways_;
+  std::vector<StoreRecord> own_;
+  std::vector<EventHandle> timers_;
+  Results bad_;
+  Results sound_;
+  std::vector<Time> bad_arrivals_;
+  std::vector<Time> crashes_;
+  int requests_ = 0;
+};
+
+TEST_F(CrashingRequestTest, OneGatewayStopsASafeRequestThatCrashesUpstreams) {
+  Start(1, 8);
+  Play(seconds(8), false);
+  EXPECT_LE(LateArrivals(), 3);
+  EXPECT_LE(crashes_.size(), 4U);
+  EXPECT_EQ(bad_.back()->status, 503);
+  EXPECT_NE(bad_.back()->Field("Retry-After"), "");
+  EXPECT_GE(ServedShare(sound_), 0.95);
+}
+
+TEST_F(CrashingRequestTest, GatewaysStopARequestThatNoneOfThemSawOften) {
+  Start(5, 8);
+  Play(seconds(8), false);
+  EXPECT_LE(LateArrivals(), 3);
+  EXPECT_LE(crashes_.size(), 4U);
+  EXPECT_EQ(bad_.back()->status, 503);
+  EXPECT_GE(ServedShare(sound_), 0.95);
+}
+
+TEST_F(CrashingRequestTest, UnsafeRequestThatCrashesUpstreamsIsStopped) {
+  Start(3, 8);
+  Play(seconds(8), true);
+  EXPECT_LE(LateArrivals(), 3);
+  EXPECT_LE(crashes_.size(), 5U);
+  EXPECT_EQ(bad_.back()->status, 503);
+  EXPECT_GE(ServedShare(sound_), 0.95);
+}
+
+TEST_F(CrashingRequestTest, SmallServiceKeepsAnUpstream) {
+  Start(3, 3);
+  Play(seconds(8), false);
+  EXPECT_LE(LateArrivals(), 3);
+  EXPECT_LE(crashes_.size(), 4U);
+  // Two seconds in which upstreams end and start are left out.
+  EXPECT_GE(ServedShare(sound_, 120), 0.95);
+}
+
+TEST_F(CrashingRequestTest, GatewayThatStartsLaterKnowsTheBadRequest) {
+  Start(2, 8);
+  Play(seconds(3), false);
+  const size_t before = bad_arrivals_.size();
+  GatewaySettings settings = harness_.MakeSettings();
+  settings.instance = "late";
+  AddGateway(settings);
+  gateways_.back()->OnGatewayRecords(own_);
+  for (int i = 0; i < 300 && !gateways_.back()->ready(); ++i) {
+    harness_.RunFor(milliseconds(10));
+  }
+  ASSERT_TRUE(gateways_.back()->ready());
+  fronts_ = {fronts_.back()};
+  for (int i = 0; i < 4; ++i) {
+    const auto result = SendBadSafe();
+    harness_.Await(result);
+    EXPECT_EQ(result->status, 503);
+  }
+  EXPECT_EQ(bad_arrivals_.size(), before);
+}
+
+TEST_F(CrashingRequestTest, SoundRequestSurvivesTheEndOfTwoUpstreams) {
+  Start(1, 8);
+  // Upstreams end for a reason of their own, while one request keeps coming.
+  for (int i = 0; i < 60; ++i) {
+    if (i == 5 || i == 12) {
+      const std::string id = upstreams_.begin()->first;
+      timers_.push_back(
+          harness_.loop.After(milliseconds(10), [this, id] { Crash(id); }));
+    }
+    for (int j = 0; j < 8; ++j) sound_.push_back(Send("GET", "/safe/same", ""));
+    harness_.RunFor(milliseconds(50));
+  }
+  harness_.RunFor(milliseconds(500));
+  EXPECT_GE(ServedShare(sound_), 0.98);
+}
+
+}  // namespace
+}  // namespace corianderlink
