[Gateway] Call the quarantine after what it keeps from crashing

Cause: PartQuarantine is about to count crashes against whole requests as well. Ruled out: a second class beside it. Change: PartQuarantine is CrashQuarantine, PartReport is SuspectReport and QuarantinedPart is QuarantinedKey; no logic changes. Generated messages follow. Before and after: 21 tests of the quarantine, of crashing prompts and of the peers' messages pass.

--- a/include/corianderlink/Gateway/part_quarantine.h
+++ b/include/corianderlink/Gateway/crash_quarantine.h
@@ -1,6 +1,6 @@
 // Finds parts of prompts that crash engines, and keeps them away from engines.
-#ifndef CORIANDERLINK_GATEWAY_PART_QUARANTINE_H_
-#define CORIANDERLINK_GATEWAY_PART_QUARANTINE_H_
+#ifndef CORIANDERLINK_GATEWAY_CRASH_QUARANTINE_H_
+#define CORIANDERLINK_GATEWAY_CRASH_QUARANTINE_H_
 
 #include <cstdint>
 #include <functional>
@@ -28,7 +28,7 @@
 };
 
 /// What one gateway tells the others of one part.
-struct PartReport {
+struct SuspectReport {
   uint64_t part = 0;
   /// Crashes that this gateway has seen itself.
   std::vector<EngineCrash> crashes;
@@ -39,7 +39,7 @@
 };
 
 /// A part that no engine gets any more.
-struct QuarantinedPart {
+struct QuarantinedKey {
   uint64_t part = 0;
   Time ends_at{};
 };
@@ -56,14 +56,14 @@
 ///
 /// Gateways share what they have seen, each of them only its own observations,
 /// so that five crashes at five gateways count as five.
-class PartQuarantine {
+class CrashQuarantine {
  public:
   /// An engine has crashed with this prompt.
   void OnCrash(Time now, const Prompt& prompt, const EngineCrash& crash);
   /// An engine has answered the prompt.
   void OnAnswered(Time now, const Prompt& prompt);
   /// A peer has reported what it knows.
-  void OnPeerReports(Time now, const std::vector<PartReport>& reports);
+  void OnPeerReports(Time now, const std::vector<SuspectReport>& reports);
   /// The store has kept a quarantine of this age, which outlives a stop of all
   /// gateways.
   void Restore(Time now, uint64_t part, Duration age);
@@ -71,14 +71,14 @@
   void Update(Time now);
 
   /// The first quarantined part of the prompt, if it has one.
-  std::optional<QuarantinedPart> Find(Time now, const Prompt& prompt) const;
+  std::optional<QuarantinedKey> Find(Time now, const Prompt& prompt) const;
   /// True if a further engine may crash under the prompt, so that it is not
   /// sent again after it may have run.
   bool IsSuspect(const Prompt& prompt) const;
   /// Reports for the peers, of a bounded number of parts.
-  std::vector<PartReport> Reports(Time now) const;
+  std::vector<SuspectReport> Reports(Time now) const;
   /// Parts in quarantine.
-  std::vector<QuarantinedPart> Quarantined(Time now) const;
+  std::vector<QuarantinedKey> Quarantined(Time now) const;
 
   /// Called when this gateway quarantines a part, or lifts its quarantine.
   std::function<void(uint64_t part, bool quarantined)> on_verdict;
@@ -121,4 +121,4 @@
 
 }  // namespace corianderlink
 
-#endif  // CORIANDERLINK_GATEWAY_PART_QUARANTINE_H_
+#endif  // CORIANDERLINK_GATEWAY_CRASH_QUARANTINE_H_
--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -13,12 +13,12 @@
 
 #include "corianderlink/Gateway/client_timeout_estimate.h"
 #include "corianderlink/Gateway/crash_check.h"
+#include "corianderlink/Gateway/crash_quarantine.h"
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/gateway_peers.h"
 #include "corianderlink/Gateway/gateway_settings.h"
 #include "corianderlink/Gateway/initial_sync.h"
 #include "corianderlink/Gateway/order_codec.h"
-#include "corianderlink/Gateway/part_quarantine.h"
 #include "corianderlink/Gateway/peer_sync.h"
 #include "corianderlink/Gateway/placer.h"
 #include "corianderlink/Gateway/record_cache.h"
@@ -185,7 +185,7 @@
   Metrics metrics_;
   UpstreamPool pool_;
   Placer placer_;
-  PartQuarantine quarantine_;
+  CrashQuarantine quarantine_;
   CrashCheck crash_check_;
   RecordCache record_cache_;
   StoreContact store_contact_;
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "corianderlink/Authority/lease_record.h"
+#include "corianderlink/Gateway/crash_quarantine.h"
 #include "corianderlink/Gateway/fleet_rate_limiter.h"
-#include "corianderlink/Gateway/part_quarantine.h"
 #include "corianderlink/Gateway/prompt.h"
 #include "corianderlink/Gateway/record_store.h"
 #include "corianderlink/Gateway/role_planner.h"
@@ -60,7 +60,7 @@
   /// Start times of upstreams that have said that they are leaving.
   std::map<UpstreamId, int64_t> leaving_upstreams;
   /// What the gateway knows of parts of prompts that crash engines.
-  std::vector<PartReport> part_reports;
+  std::vector<SuspectReport> suspect_reports;
   /// Rate limits that upstreams have named to the gateway.
   std::vector<RateLimitNotice> rate_limits;
 };
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -13,9 +13,9 @@
 #include <string>
 
 #include "corianderlink/Gateway/crash_check.h"
+#include "corianderlink/Gateway/crash_quarantine.h"
 #include "corianderlink/Gateway/event_splitter.h"
 #include "corianderlink/Gateway/gateway_config.h"
-#include "corianderlink/Gateway/part_quarantine.h"
 #include "corianderlink/Gateway/placer.h"
 #include "corianderlink/Gateway/relay_codec.h"
 #include "corianderlink/Http1/inbound_exchange.h"
@@ -34,7 +34,7 @@
   const RelayCodec& codec;
   Metrics& metrics;
   RandomSource& random;
-  PartQuarantine& quarantine;
+  CrashQuarantine& quarantine;
   CrashCheck& crash_check;
   /// Charges one retry to the retry budget of a service.  False if the budget
   /// is exhausted.
--- a/lib/Gateway/part_quarantine.cc
+++ b/lib/Gateway/crash_quarantine.cc
@@ -1,5 +1,5 @@
 // Finds parts of prompts that crash engines, and keeps them away from engines.
-#include "corianderlink/Gateway/part_quarantine.h"
+#include "corianderlink/Gateway/crash_quarantine.h"
 
 #include <algorithm>
 #include <string_view>
@@ -41,15 +41,15 @@
 
 }  // namespace
 
-void PartQuarantine::OnCrash(Time now, const Prompt& prompt,
-                             const EngineCrash& crash) {
+void CrashQuarantine::OnCrash(Time now, const Prompt& prompt,
+                              const EngineCrash& crash) {
   for (const PromptPart& part : JudgedParts(prompt)) {
     AddCrash(now, part.id, crash, true);
   }
 }
 
-void PartQuarantine::AddCrash(Time now, uint64_t part, const EngineCrash& crash,
-                              bool own) {
+void CrashQuarantine::AddCrash(Time now, uint64_t part,
+                               const EngineCrash& crash, bool own) {
   if (suspects_.count(part) == 0) MakeRoom();
   Suspect& suspect = suspects_[part];
   if (suspect.answered_at && crash.crashed_at <= *suspect.answered_at) return;
@@ -68,7 +68,7 @@
   Judge(now, part, suspect);
 }
 
-void PartQuarantine::MakeRoom() {
+void CrashQuarantine::MakeRoom() {
   if (suspects_.size() < kMaxSuspects) return;
   const auto least = std::min_element(
       suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
@@ -81,7 +81,7 @@
   suspects_.erase(least);
 }
 
-void PartQuarantine::OnAnswered(Time now, const Prompt& prompt) {
+void CrashQuarantine::OnAnswered(Time now, const Prompt& prompt) {
   ++answers_;
   if (suspects_.empty()) return;
   for (const PromptPart& part : JudgedParts(prompt)) {
@@ -92,7 +92,7 @@
   }
 }
 
-void PartQuarantine::Clear(uint64_t part, Suspect& suspect, Time answered_at) {
+void CrashQuarantine::Clear(uint64_t part, Suspect& suspect, Time answered_at) {
   if (suspect.answered_at && *suspect.answered_at >= answered_at) return;
   suspect.answered_at = answered_at;
   std::erase_if(suspect.crashes, [&](const auto& entry) {
@@ -110,16 +110,16 @@
   if (on_verdict) on_verdict(part, false);
 }
 
-void PartQuarantine::Restore(Time now, uint64_t part, Duration age) {
+void CrashQuarantine::Restore(Time now, uint64_t part, Duration age) {
   if (age < Duration::zero() || age > kQuarantine) return;
   if (suspects_.count(part) > 0) return;
   MakeRoom();
   Quarantine(now - age, part, suspects_[part], "store");
 }
 
-void PartQuarantine::OnPeerReports(Time now,
-                                   const std::vector<PartReport>& reports) {
-  for (const PartReport& report : reports) {
+void CrashQuarantine::OnPeerReports(Time now,
+                                    const std::vector<SuspectReport>& reports) {
+  for (const SuspectReport& report : reports) {
     for (const EngineCrash& crash : report.crashes) {
       AddCrash(now, report.part, crash, false);
     }
@@ -141,7 +141,7 @@
   Update(now);
 }
 
-bool PartQuarantine::IsConvincing(const Suspect& suspect) {
+bool CrashQuarantine::IsConvincing(const Suspect& suspect) {
   if (suspect.crashes.size() < kMinCrashes) return false;
   Time first = Time::max();
   for (const auto& [incarnation, crash] : suspect.crashes) {
@@ -152,7 +152,7 @@
       [&](const auto& entry) { return entry.second.sent_at > first; });
 }
 
-void PartQuarantine::Judge(Time now, uint64_t part, Suspect& suspect) {
+void CrashQuarantine::Judge(Time now, uint64_t part, Suspect& suspect) {
   if (suspect.quarantined_at) return;
   if (suspect.on_probation_until && !suspect.crashes.empty()) {
     Quarantine(now, part, suspect, kOwn);
@@ -174,8 +174,8 @@
   Quarantine(now, part, suspect, kOwn);
 }
 
-void PartQuarantine::Quarantine(Time at, uint64_t part, Suspect& suspect,
-                                const char* source) {
+void CrashQuarantine::Quarantine(Time at, uint64_t part, Suspect& suspect,
+                                 const char* source) {
   suspect.quarantined_at = at;
   suspect.on_probation_until.reset();
   const bool own = std::string_view(source) == kOwn;
@@ -192,7 +192,7 @@
   if (own && on_verdict) on_verdict(part, true);
 }
 
-bool PartQuarantine::IsForgotten(Time now, const Suspect& suspect) {
+bool CrashQuarantine::IsForgotten(Time now, const Suspect& suspect) {
   const bool answered_lately =
       suspect.own_answered_at &&
       now - *suspect.own_answered_at <= kAnswerLifetime;
@@ -200,7 +200,7 @@
          !suspect.on_probation_until && !answered_lately;
 }
 
-void PartQuarantine::Update(Time now) {
+void CrashQuarantine::Update(Time now) {
   for (auto& [part, suspect] : suspects_) {
     if (suspect.quarantined_at && now - *suspect.quarantined_at > kQuarantine) {
       suspect.quarantined_at.reset();
@@ -220,19 +220,19 @@
   });
 }
 
-std::optional<QuarantinedPart> PartQuarantine::Find(
+std::optional<QuarantinedKey> CrashQuarantine::Find(
     Time now, const Prompt& prompt) const {
   if (suspects_.empty()) return std::nullopt;
   for (const PromptPart& part : JudgedParts(prompt)) {
     const auto it = suspects_.find(part.id);
     if (it == suspects_.end() || !it->second.quarantined_at) continue;
     const Time ends_at = *it->second.quarantined_at + kQuarantine;
-    if (now <= ends_at) return QuarantinedPart{part.id, ends_at};
+    if (now <= ends_at) return QuarantinedKey{part.id, ends_at};
   }
   return std::nullopt;
 }
 
-bool PartQuarantine::IsSuspect(const Prompt& prompt) const {
+bool CrashQuarantine::IsSuspect(const Prompt& prompt) const {
   if (suspects_.empty()) return false;
   const std::span<const PromptPart> parts = JudgedParts(prompt);
   return std::any_of(parts.begin(), parts.end(), [&](const PromptPart& part) {
@@ -243,10 +243,10 @@
   });
 }
 
-std::vector<PartReport> PartQuarantine::Reports(Time now) const {
-  std::vector<PartReport> reports;
+std::vector<SuspectReport> CrashQuarantine::Reports(Time now) const {
+  std::vector<SuspectReport> reports;
   for (const auto& [part, suspect] : suspects_) {
-    PartReport report;
+    SuspectReport report;
     report.part = part;
     report.quarantined_at = suspect.quarantined_at;
     if (suspect.own_answered_at &&
@@ -265,8 +265,8 @@
   }
   // Under the bound, what keeps engines alive counts most.
   std::stable_sort(reports.begin(), reports.end(),
-                   [](const PartReport& a, const PartReport& b) {
-                     const auto rank = [](const PartReport& report) {
+                   [](const SuspectReport& a, const SuspectReport& b) {
+                     const auto rank = [](const SuspectReport& report) {
                        return std::pair(report.quarantined_at.has_value(),
                                         report.crashes.size());
                      };
@@ -276,8 +276,8 @@
   return reports;
 }
 
-std::vector<QuarantinedPart> PartQuarantine::Quarantined(Time now) const {
-  std::vector<QuarantinedPart> parts;
+std::vector<QuarantinedKey> CrashQuarantine::Quarantined(Time now) const {
+  std::vector<QuarantinedKey> parts;
   for (const auto& [part, suspect] : suspects_) {
     if (!suspect.quarantined_at) continue;
     const Time ends_at = *suspect.quarantined_at + kQuarantine;
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -106,7 +106,7 @@
       placer_.notices().OnLeaving(id, started_ms);
     }
     highest_fencing_ = std::max(highest_fencing_, peer.status.highest_fencing);
-    quarantine_.OnPeerReports(now, peer.status.part_reports);
+    quarantine_.OnPeerReports(now, peer.status.suspect_reports);
     placer_.rate_limiter().limits().OnPeerNotices(peer.status.rate_limits);
   };
   peers_.on_member_change = [this](Time now) { UpdateFleetView(now); };
@@ -195,7 +195,7 @@
   status.held_engines = held_engines_;
   status.leaving_upstreams = placer_.notices().leaving();
   status.highest_fencing = highest_fencing_;
-  status.part_reports = quarantine_.Reports(now);
+  status.suspect_reports = quarantine_.Reports(now);
   status.rate_limits = placer_.rate_limiter().limits().OwnNotices(now);
   return status;
 }
@@ -483,7 +483,7 @@
     entry["rate_limit"] = {{"per_s", *limit->per_second},
                            {"age_ms", ToMillis(now - limit->received_at)}};
   }
-  for (const QuarantinedPart& part : quarantine_.Quarantined(now)) {
+  for (const QuarantinedKey& part : quarantine_.Quarantined(now)) {
     dump["quarantined_parts"][FormatPartId(part.part)] = {
         {"ends_in_s", ToSeconds(part.ends_at - now)}};
   }
--- a/lib/Gateway/peer_codec.cc
+++ b/lib/Gateway/peer_codec.cc
@@ -52,8 +52,8 @@
                            now - age};
 }
 
-void EncodePartReport(Time now, const PartReport& report,
-                      wire::PartReport& out) {
+void EncodeSuspectReport(Time now, const SuspectReport& report,
+                         wire::SuspectReport& out) {
   out.set_part(report.part);
   for (const EngineCrash& crash : report.crashes) {
     wire::EngineCrash* entry = out.add_crashes();
@@ -76,8 +76,8 @@
   return now - age;
 }
 
-PartReport DecodePartReport(Time now, const wire::PartReport& in) {
-  PartReport report;
+SuspectReport DecodeSuspectReport(Time now, const wire::SuspectReport& in) {
+  SuspectReport report;
   report.part = in.part();
   for (const wire::EngineCrash& crash : in.crashes()) {
     const auto sent_at = DecodeTime(now, crash.sent_age_ms());
@@ -177,8 +177,8 @@
     out->set_upstream(id.value());
     out->set_started_ms(started_ms);
   }
-  for (const PartReport& report : status.part_reports) {
-    EncodePartReport(now, report, *heartbeat.add_part_reports());
+  for (const SuspectReport& report : status.suspect_reports) {
+    EncodeSuspectReport(now, report, *heartbeat.add_suspect_reports());
   }
   for (const RateLimitNotice& notice : status.rate_limits) {
     EncodeRateLimit(now, notice, *heartbeat.add_rate_limits());
@@ -231,8 +231,8 @@
   for (const wire::LeavingUpstream& in : heartbeat.leaving_upstreams()) {
     status.leaving_upstreams[UpstreamId(in.upstream())] = in.started_ms();
   }
-  for (const wire::PartReport& in : heartbeat.part_reports()) {
-    status.part_reports.push_back(DecodePartReport(now, in));
+  for (const wire::SuspectReport& in : heartbeat.suspect_reports()) {
+    status.suspect_reports.push_back(DecodeSuspectReport(now, in));
   }
   for (const wire::RateLimitNotice& in : heartbeat.rate_limits()) {
     const auto notice = DecodeRateLimit(now, in);
--- a/unittests/Gateway/part_quarantine_test.cc
+++ b/unittests/Gateway/crash_quarantine_test.cc
@@ -1,5 +1,5 @@
 // Verdicts on parts of prompts, in virtual time and without a network.
-#include "corianderlink/Gateway/part_quarantine.h"
+#include "corianderlink/Gateway/crash_quarantine.h"
 
 #include <gtest/gtest.h>
 
@@ -20,7 +20,7 @@
 }
 
 /// Several gateways and the engines that crash under them.
-class PartQuarantineTest : public ::testing::Test {
+class CrashQuarantineTest : public ::testing::Test {
  protected:
   /// An engine crashes under a prompt that `gateway` sent to it.
   void Crash(size_t gateway, const std::vector<uint64_t>& parts,
@@ -47,7 +47,7 @@
       }
     }
     now_ += time;
-    for (PartQuarantine& gateway : gateways_) gateway.Update(now_);
+    for (CrashQuarantine& gateway : gateways_) gateway.Update(now_);
   }
   /// Sound traffic on all gateways.
   void StepWithAnswers(Duration time) {
@@ -60,12 +60,12 @@
     return gateways_[gateway].Find(now_, MakePrompt(parts)).has_value();
   }
 
-  std::vector<PartQuarantine> gateways_ = std::vector<PartQuarantine>(1);
+  std::vector<CrashQuarantine> gateways_ = std::vector<CrashQuarantine>(1);
   Time now_ = kStart;
   int engines_ = 0;
 };
 
-TEST_F(PartQuarantineTest, PartInEachCrashAndInNoAnswerIsQuarantined) {
+TEST_F(CrashQuarantineTest, PartInEachCrashAndInNoAnswerIsQuarantined) {
   for (int i = 0; i < 3; ++i) {
     Crash(0, {kCommon, kBad});
     StepWithAnswers(milliseconds(200));
@@ -76,8 +76,8 @@
   EXPECT_FALSE(Quarantined(0, {kCommon}));
 }
 
-TEST_F(PartQuarantineTest, FiveCrashesAtAHundredGatewaysCountTogether) {
-  gateways_ = std::vector<PartQuarantine>(100);
+TEST_F(CrashQuarantineTest, FiveCrashesAtAHundredGatewaysCountTogether) {
+  gateways_ = std::vector<CrashQuarantine>(100);
   for (size_t i = 0; i < 5; ++i) {
     Crash(20 * i, {kCommon, kBad});
     StepWithAnswers(milliseconds(400));
@@ -88,7 +88,7 @@
   }
 }
 
-TEST_F(PartQuarantineTest, BurstOfBadPromptsNeedsOneMoreCrash) {
+TEST_F(CrashQuarantineTest, BurstOfBadPromptsNeedsOneMoreCrash) {
   for (int i = 0; i < 5; ++i) Crash(0, {kCommon, kBad});
   StepWithAnswers(seconds(10));
   EXPECT_FALSE(Quarantined(0, {kCommon, kBad}));
@@ -97,8 +97,8 @@
   EXPECT_TRUE(Quarantined(0, {kCommon, kBad}));
 }
 
-TEST_F(PartQuarantineTest, EngineCountsOnceThoughManyRequestsWereOnIt) {
-  gateways_ = std::vector<PartQuarantine>(4);
+TEST_F(CrashQuarantineTest, EngineCountsOnceThoughManyRequestsWereOnIt) {
+  gateways_ = std::vector<CrashQuarantine>(4);
   for (int round = 0; round < 5; ++round) {
     for (size_t i = 0; i < 4; ++i) CrashOf("e1", i, {kCommon, kBad});
     StepWithAnswers(milliseconds(300));
@@ -107,7 +107,7 @@
 }
 
 // A zone loses its power: many engines end, each with prompts of all kinds.
-TEST_F(PartQuarantineTest, EnginesThatCrashTogetherQuarantineNothing) {
+TEST_F(CrashQuarantineTest, EnginesThatCrashTogetherQuarantineNothing) {
   for (int i = 0; i < 30; ++i) Crash(0, {kCommon, 100, 101});
   Step(seconds(2));
   EXPECT_FALSE(Quarantined(0, {kCommon, 100, 101}));
@@ -115,7 +115,7 @@
   EXPECT_FALSE(Quarantined(0, {kCommon, 100, 101}));
 }
 
-TEST_F(PartQuarantineTest, CrashesOfOtherCauseUnderACommonPartHarmNothing) {
+TEST_F(CrashQuarantineTest, CrashesOfOtherCauseUnderACommonPartHarmNothing) {
   for (int i = 0; i < 12; ++i) {
     Crash(0, {kCommon, static_cast<uint64_t>(100 + i)});
     StepWithAnswers(milliseconds(300));
@@ -124,7 +124,7 @@
   EXPECT_TRUE(gateways_[0].Quarantined(now_).empty());
 }
 
-TEST_F(PartQuarantineTest, BadPartMayBeTheFirstOne) {
+TEST_F(CrashQuarantineTest, BadPartMayBeTheFirstOne) {
   for (int i = 0; i < 4; ++i) {
     Crash(0, {kBad, 100});
     StepWithAnswers(milliseconds(300));
@@ -134,7 +134,7 @@
   EXPECT_FALSE(Quarantined(0, {100}));
 }
 
-TEST_F(PartQuarantineTest, TwoBadPartsAtOnceAreBothFound) {
+TEST_F(CrashQuarantineTest, TwoBadPartsAtOnceAreBothFound) {
   for (int i = 0; i < 4; ++i) {
     Crash(0, {kCommon, kBad});
     Crash(0, {kCommon, kBad + 1});
@@ -145,7 +145,7 @@
   EXPECT_FALSE(Quarantined(0, {kCommon}));
 }
 
-TEST_F(PartQuarantineTest, LastPartIsNeverJudged) {
+TEST_F(CrashQuarantineTest, LastPartIsNeverJudged) {
   Prompt prompt;
   prompt.parts = {{kCommon, 100}, {kBad, 100}};
   for (int i = 0; i < 6; ++i) {
@@ -158,8 +158,8 @@
   EXPECT_FALSE(Quarantined(0, {kBad}));
 }
 
-TEST_F(PartQuarantineTest, AnswerAtOnePeerClearsThePartAtAll) {
-  gateways_ = std::vector<PartQuarantine>(3);
+TEST_F(CrashQuarantineTest, AnswerAtOnePeerClearsThePartAtAll) {
+  gateways_ = std::vector<CrashQuarantine>(3);
   for (int i = 0; i < 8; ++i) {
     Crash(0, {kCommon, kBad});
     Step(milliseconds(25));
@@ -169,8 +169,8 @@
   for (size_t i = 0; i < 3; ++i) EXPECT_FALSE(Quarantined(i, {kBad}));
 }
 
-TEST_F(PartQuarantineTest, StartedGatewayLearnsFromOneHeartbeat) {
-  gateways_ = std::vector<PartQuarantine>(2);
+TEST_F(CrashQuarantineTest, StartedGatewayLearnsFromOneHeartbeat) {
+  gateways_ = std::vector<CrashQuarantine>(2);
   for (int i = 0; i < 4; ++i) {
     Crash(0, {kCommon, kBad});
     StepWithAnswers(milliseconds(300));
@@ -180,7 +180,7 @@
   EXPECT_TRUE(Quarantined(2, {kCommon, kBad}));
 }
 
-TEST_F(PartQuarantineTest, StoredQuarantineOutlivesAStopOfAllGateways) {
+TEST_F(CrashQuarantineTest, StoredQuarantineOutlivesAStopOfAllGateways) {
   gateways_[0].Restore(now_, kBad, seconds(30));
   EXPECT_TRUE(Quarantined(0, {kCommon, kBad}));
   now_ += seconds(580);
@@ -190,8 +190,8 @@
   EXPECT_FALSE(Quarantined(0, {kBad + 1}));
 }
 
-TEST_F(PartQuarantineTest, AnswerLiftsAQuarantineEverywhere) {
-  gateways_ = std::vector<PartQuarantine>(2);
+TEST_F(CrashQuarantineTest, AnswerLiftsAQuarantineEverywhere) {
+  gateways_ = std::vector<CrashQuarantine>(2);
   for (int i = 0; i < 4; ++i) {
     Crash(0, {kCommon, kBad});
     StepWithAnswers(milliseconds(300));
@@ -204,7 +204,7 @@
   EXPECT_FALSE(Quarantined(1, {kBad}));
 }
 
-TEST_F(PartQuarantineTest, QuarantineEndsAndOneCrashRenewsIt) {
+TEST_F(CrashQuarantineTest, QuarantineEndsAndOneCrashRenewsIt) {
   for (int i = 0; i < 4; ++i) {
     Crash(0, {kCommon, kBad});
     StepWithAnswers(milliseconds(300));
@@ -217,7 +217,7 @@
   EXPECT_TRUE(Quarantined(0, {kBad}));
 }
 
-TEST_F(PartQuarantineTest, SuspectPartForbidsAnotherRun) {
+TEST_F(CrashQuarantineTest, SuspectPartForbidsAnotherRun) {
   Crash(0, {kCommon, kBad});
   EXPECT_FALSE(gateways_[0].IsSuspect(MakePrompt({kBad})));
   Crash(0, {kCommon, kBad});
@@ -227,7 +227,7 @@
 }
 
 // A client invents parts and an engine crashes again and again.
-TEST_F(PartQuarantineTest, MemoryAndReportsAreBounded) {
+TEST_F(CrashQuarantineTest, MemoryAndReportsAreBounded) {
   for (uint64_t i = 0; i < 5000; ++i) {
     Crash(0, {10'000 + i, 20'000 + i, 30'000 + i});
   }
