[Gateway] Keep a request that crashes upstreams away from them

Callers saw: a plain service of three upstreams gone for seconds, again and again, as one request ended each upstream that ran it; sound requests of the same service were refused meanwhile. Cause: crashes were counted against shared parts of prompts only. Ruled out: a second mechanism beside the first; blame by parts alone (a request that comes again has the same parts each time, so the parts that it shares with sound ones would be condemned); three crashes before a verdict (a service of three has none left). Change: CrashQuarantine judges keys: a part of a prompt, or a request by the digest of method, host, target, credentials, prompt parts and body. A request under which two upstreams crashed, one of them after it was sent again, is refused as not run for 15 s, in which they come back; then one more crash renews it for 120 and 600 s, an answer lifts it at once. Gateways end a quarantine of a request at different times, so that they don't all try it again together. A suspect request is not retried after an attempt that may have run. A part needs crashes of different requests, and crashes that a condemned request explains don't count against parts. CrashCheck covers plain upstreams by their health check, and takes only a refused connection or a foreign answer for a crash: a link that is cut refuses nothing. The end of an upstream that leaves is no crash. Evidence from before a verdict does not count again after it. Pooling, store rows, logs and metrics are those of the parts; events are crash_suspected, quarantined, quarantine_lifted with the key. The test of the last part goes through SuspectsOf, which leaves that part out now, with the same expectations. Not covered: upstreams that fall silent, and the first stage of a split prompt.

--- a/include/corianderlink/Gateway/crash_check.h
+++ b/include/corianderlink/Gateway/crash_check.h
@@ -1,4 +1,4 @@
-// Tells a crashed engine from a broken connection.
+// Tells a crashed upstream from a broken connection.
 #ifndef CORIANDERLINK_GATEWAY_CRASH_CHECK_H_
 #define CORIANDERLINK_GATEWAY_CRASH_CHECK_H_
 
@@ -14,17 +14,20 @@
 
 namespace corianderlink {
 
-/// After a connection to an engine broke, asks for its status on a new one.  If
-/// no connection can be made, or another upstream answers, the engine has
-/// crashed.  Requests that broke together share one check.  An engine that
-/// takes the connection and does not answer in time counts as running.
+/// After a connection to an upstream broke, asks for its status on a new one.
+/// If its host refuses the connection, or another upstream answers, the
+/// upstream has crashed.  Requests that broke together share one check.  An
+/// upstream that cannot be reached otherwise, or does not answer in time,
+/// counts as running: the link may be cut.
 class CrashCheck {
  public:
   CrashCheck(EventLoop& loop, UpstreamPool& pool, const OrderCodec& codec)
       : loop_(loop), pool_(pool), codec_(codec) {}
 
-  /// Calls `on_crashed` later, if the engine has crashed.
-  void Start(const UpstreamRecord& engine, std::function<void()> on_crashed);
+  /// Calls `on_crashed` later, if the upstream has crashed.  Upstreams other
+  /// than engines are asked at `health_path`; without one, nothing is known.
+  void Start(const UpstreamRecord& upstream, const std::string& health_path,
+             std::function<void()> on_crashed);
 
  private:
   using Incarnation = std::pair<UpstreamId, int64_t>;
--- a/include/corianderlink/Gateway/crash_quarantine.h
+++ b/include/corianderlink/Gateway/crash_quarantine.h
@@ -1,4 +1,4 @@
-// Finds parts of prompts that crash engines, and keeps them away from engines.
+// Finds what crashes upstreams, and keeps it away from them.
 #ifndef CORIANDERLINK_GATEWAY_CRASH_QUARANTINE_H_
 #define CORIANDERLINK_GATEWAY_CRASH_QUARANTINE_H_
 
@@ -11,84 +11,105 @@
 #include <utility>
 #include <vector>
 
-#include "corianderlink/Gateway/prompt.h"
+#include "corianderlink/Gateway/suspect_key.h"
+#include "corianderlink/Gateway/upstream_record.h"
 #include "corianderlink/Support/time.h"
 
 namespace corianderlink {
 
-/// The end of an engine that had begun, or was about to begin, to answer a
-/// prompt.
-struct EngineCrash {
-  UpstreamId engine;
-  /// Start time of the engine's incarnation, in Unix milliseconds.
+/// The end of an upstream that had begun, or was about to begin, to answer a
+/// request.
+struct UpstreamCrash {
+  UpstreamId upstream;
+  /// Start time of the upstream's incarnation, in Unix milliseconds.
   int64_t started_ms = 0;
-  /// When the prompt was sent to the engine.
+  /// When the request was sent to the upstream.
   Time sent_at{};
   Time crashed_at{};
+  /// Digest of the request.
+  uint64_t request = 0;
 };
 
-/// What one gateway tells the others of one part.
+/// What one gateway tells the others of one key.
 struct SuspectReport {
-  uint64_t part = 0;
+  SuspectKey key;
   /// Crashes that this gateway has seen itself.
-  std::vector<EngineCrash> crashes;
-  /// When an engine last answered a prompt with the part through this gateway.
+  std::vector<UpstreamCrash> crashes;
+  /// When an upstream last answered a request with the key through this
+  /// gateway.
   std::optional<Time> answered_at;
-  /// Since when the part is quarantined, by whichever gateway's verdict.
+  /// Since when the key is quarantined, by whichever gateway's verdict.
   std::optional<Time> quarantined_at;
+  /// How often in a row it was quarantined.
+  uint32_t level = 0;
 };
 
-/// A part that no engine gets any more.
+/// A key whose requests no upstream gets any more.
 struct QuarantinedKey {
-  uint64_t part = 0;
+  SuspectKey key;
   Time ends_at{};
 };
 
-/// Answers the load of a few prompts that crash each engine they reach, among
-/// many sound ones with the same other parts.
+/// Answers the load of a few requests that crash each upstream they reach,
+/// among many sound ones.
 ///
-/// Suspects are the shared parts of all prompts that an engine was about to
-/// answer when it crashed.  A sound part is soon answered somewhere, which ends
-/// the suspicion; a part under which several engines have crashed, one of them
-/// with a prompt that was sent after another crash, and that none has answered
-/// since, is quarantined.  Engines that crash together, for a reason of their
-/// own, do not meet this: their prompts were sent before.
+/// Suspects are the request itself and the shared parts of its prompt.  An
+/// answer to a request with the key ends the suspicion.  Upstreams that crash
+/// together, for a reason of their own, prove nothing: at least one crash must
+/// be of a request that was sent after another crash.
+///
+/// A request under which two upstreams have crashed like this is quarantined
+/// for a short time, in which they come back.  Then one more crash renews the
+/// quarantine, each time for longer.
+///
+/// A part is quarantined after more crashes, those of different requests, while
+/// other prompts are answered.  Crashes that a quarantined request explains do
+/// not count against the parts that it shares with others.
 ///
 /// Gateways share what they have seen, each of them only its own observations,
 /// so that five crashes at five gateways count as five.
 class CrashQuarantine {
  public:
-  /// An engine has crashed with this prompt.
-  void OnCrash(Time now, const Prompt& prompt, const EngineCrash& crash);
-  /// An engine has answered the prompt.
-  void OnAnswered(Time now, const Prompt& prompt);
+  /// `seed` differs between gateways; by it they end a quarantine at different
+  /// times, so that not all of them try the request again at once.
+  explicit CrashQuarantine(uint64_t seed = 0) : seed_(seed) {}
+
+  /// An upstream has crashed with this request.
+  void OnCrash(Time now, const RequestSuspects& request,
+               const UpstreamCrash& crash);
+  /// An upstream has answered the request.
+  void OnAnswered(Time now, const RequestSuspects& request);
   /// A peer has reported what it knows.
   void OnPeerReports(Time now, const std::vector<SuspectReport>& reports);
   /// The store has kept a quarantine of this age, which outlives a stop of all
   /// gateways.
-  void Restore(Time now, uint64_t part, Duration age);
+  void Restore(Time now, const SuspectKey& key, Duration age);
   /// Reaches verdicts that are due, and drops what is old.
   void Update(Time now);
 
-  /// The first quarantined part of the prompt, if it has one.
-  std::optional<QuarantinedKey> Find(Time now, const Prompt& prompt) const;
-  /// True if a further engine may crash under the prompt, so that it is not
+  /// The first quarantined key of the request, if it has one.
+  std::optional<QuarantinedKey> Find(Time now,
+                                     const RequestSuspects& request) const;
+  /// True if a further upstream may crash under the request, so that it is not
   /// sent again after it may have run.
-  bool IsSuspect(const Prompt& prompt) const;
-  /// Reports for the peers, of a bounded number of parts.
+  bool IsSuspect(const RequestSuspects& request) const;
+  /// True if the digest of a request has to be known to judge it.
+  bool HasRequests() const { return requests_ > 0; }
+  /// Reports for the peers, of a bounded number of keys.
   std::vector<SuspectReport> Reports(Time now) const;
-  /// Parts in quarantine.
+  /// Keys in quarantine.
   std::vector<QuarantinedKey> Quarantined(Time now) const;
 
-  /// Called when this gateway quarantines a part, or lifts its quarantine.
-  std::function<void(uint64_t part, bool quarantined)> on_verdict;
+  /// Called when this gateway quarantines a key for long, or lifts its
+  /// quarantine.
+  std::function<void(const SuspectKey&, bool quarantined)> on_verdict;
 
  private:
-  /// An incarnation of an engine, which crashes once.
+  /// An incarnation of an upstream, which crashes once.
   using Incarnation = std::pair<UpstreamId, int64_t>;
   struct Suspect {
-    /// Crashes since the last answer, of all gateways.
-    std::map<Incarnation, EngineCrash> crashes;
+    /// Crashes since the last answer and the last verdict, of all gateways.
+    std::map<Incarnation, UpstreamCrash> crashes;
     /// Those of them that this gateway has seen itself.
     std::set<Incarnation> own_crashes;
     Time last_crash_at{};
@@ -99,22 +120,40 @@
     std::optional<Time> convincing_since;
     uint64_t answers_before = 0;
     std::optional<Time> quarantined_at;
+    /// Number of quarantines in a row.
+    uint32_t level = 0;
+    /// Requests sent until then have been judged.
+    std::optional<Time> judged_until;
     /// A quarantine has ended; until then the next crash renews it.
     std::optional<Time> on_probation_until;
   };
+  using Suspects = std::map<SuspectKey, Suspect>;
 
-  static bool IsConvincing(const Suspect& suspect);
-  void AddCrash(Time now, uint64_t part, const EngineCrash& crash, bool own);
+  static bool IsConvincing(const SuspectKey& key, const Suspect& suspect);
+  Time EndOf(const SuspectKey& key, const Suspect& suspect) const;
+  /// Adds the key, for which there is room.
+  Suspects::iterator Insert(const SuspectKey& key);
+  void Erase(Suspects::iterator suspect);
+  void AddCrash(Time now, const SuspectKey& key, const UpstreamCrash& crash,
+                bool own);
+  /// True if the crash is explained by a quarantine of its whole request.
+  bool IsExplained(const UpstreamCrash& crash) const;
+  /// Drops the evidence against parts that the request explains.
+  void DropExplained(uint64_t request);
   /// If there are too many suspects, drops the one with the fewest and oldest
   /// crashes.
   void MakeRoom();
-  /// The part was answered at `answered_at`; drops the evidence before it.
-  void Clear(uint64_t part, Suspect& suspect, Time answered_at);
-  void Judge(Time now, uint64_t part, Suspect& suspect);
-  void Quarantine(Time at, uint64_t part, Suspect& suspect, const char* source);
+  /// The key was answered at `answered_at`; drops the evidence before it.
+  void Clear(const SuspectKey& key, Suspect& suspect, Time answered_at);
+  void Judge(Time now, const SuspectKey& key, Suspect& suspect);
+  void Quarantine(Time at, uint32_t level, const SuspectKey& key,
+                  Suspect& suspect, const char* source);
   static bool IsForgotten(Time now, const Suspect& suspect);
 
-  std::map<uint64_t, Suspect> suspects_;
+  const uint64_t seed_;
+  Suspects suspects_;
+  // Suspects that are whole requests.
+  size_t requests_ = 0;
   // Prompts answered through this gateway.
   uint64_t answers_ = 0;
 };
--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -93,14 +93,14 @@
   /// Adds the gateways in these records as peers.  The gateway serves no
   /// requests before it was told of the others once, or has a peer's records.
   void OnGatewayRecords(const std::vector<StoreRecord>& records);
-  /// Takes over quarantined parts of prompts that the store has kept.  A
-  /// record's key is the part's id, its value the Unix time of the quarantine
+  /// Takes over quarantines that the store has kept.  A record's key is that of
+  /// the part or request, its value the Unix time of the quarantine
   /// in milliseconds, 0 if it was lifted; `unix_now_ms` is the present time.
   void OnQuarantineRecords(const std::vector<StoreRecord>& records,
                            int64_t unix_now_ms);
   /// Called with the record to be kept when this gateway quarantines a part of
-  /// prompts or lifts a quarantine; `quarantined` says which, and the value is
-  /// left to the callee.
+  /// prompts or a request, or lifts a quarantine; `quarantined` says which, and
+  /// the value is left to the callee.
   void SetQuarantineHandler(
       std::function<void(const std::string& key, bool quarantined)> handler);
   /// Handles the loss or return of access to the store's table of upstreams.
--- a/include/corianderlink/Gateway/gateway_config.h
+++ b/include/corianderlink/Gateway/gateway_config.h
@@ -81,6 +81,8 @@
   ServiceId id;
   /// Maximum number of connections to one upstream, over all gateways.
   int max_connections = 100;
+  /// Path of health checks; empty if the upstreams have none.
+  std::string health_path;
   /// Present if the upstreams are model engines.
   std::optional<EngineTraits> engine;
 };
--- a/include/corianderlink/Gateway/order_codec.h
+++ b/include/corianderlink/Gateway/order_codec.h
@@ -37,6 +37,9 @@
 
 /// Encodes requests to engines and decodes their responses.
 struct OrderCodec {
+  /// A health check of an upstream, whose service has the path for it.
+  std::function<UpstreamRequest(const UpstreamRecord&, const std::string& path)>
+      encode_health_check;
   std::function<UpstreamRequest(const UpstreamRecord&)> encode_status_request;
   /// Returns nothing if the body is malformed.
   std::function<std::optional<EngineStatus>(const std::string& body)>
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -124,13 +124,16 @@
   /// `retry` is the logged value: whether a retry follows.
   void RecordFailedAttempt(Time now, const Outcome& outcome,
                            bool upstream_failed, const char* retry);
-  /// Ends the request if its prompt has a part that crashes engines.
+  /// Ends the request if it or a part of its prompt crashes upstreams.
   bool EndIfQuarantined(Time now);
-  /// Counts a failed attempt against the parts of the prompt if the engine has
-  /// crashed before it answered.
+  /// Counts a failed attempt against the request and the parts of its prompt if
+  /// the upstream has crashed before it answered.
   void CheckForCrash(const Outcome& outcome);
-  /// The engine has answered enough to clear the parts of the prompt.
+  /// The upstream has answered enough to clear the request and its parts.
   void ReportAnswered();
+  /// What the request has that may crash upstreams, as far as anybody asks for
+  /// it.
+  RequestSuspects Suspects();
   /// Identifies the request among all that clients repeat: digest of its
   /// method, target, credentials and body.
   uint64_t RequestDigest();
@@ -140,7 +143,7 @@
                             bool upstream_failed);
   /// True if the deadline, the limit of attempts and idempotence permit
   /// another attempt.
-  bool IsRetryAllowed(Time now, Verdict verdict) const;
+  bool IsRetryAllowed(Time now, Verdict verdict);
   /// Like IsRetryAllowed, and charges the retry to the retry budget unless the
   /// failed attempt did not reach its upstream.
   bool TryClaimRetry(Time now, Verdict verdict);
--- a/include/corianderlink/Support/verdict.h
+++ b/include/corianderlink/Support/verdict.h
@@ -21,6 +21,8 @@
 struct Outcome {
   Verdict verdict = Verdict::kNotRun;
   std::string reason;
+  /// The host of the upstream has answered that no process listens there.
+  bool connection_refused = false;
 
   static Outcome NotRun(std::string reason) {
     return {Verdict::kNotRun, std::move(reason)};
--- a/lib/Gateway/crash_check.cc
+++ b/lib/Gateway/crash_check.cc
@@ -1,4 +1,4 @@
-// Tells a crashed engine from a broken connection.
+// Tells a crashed upstream from a broken connection.
 #include "corianderlink/Gateway/crash_check.h"
 
 #include <memory>
@@ -15,13 +15,18 @@
 
 }  // namespace
 
-void CrashCheck::Start(const UpstreamRecord& engine,
+void CrashCheck::Start(const UpstreamRecord& upstream,
+                       const std::string& health_path,
                        std::function<void()> on_crashed) {
-  const Incarnation incarnation{engine.id, engine.started_ms};
+  const bool is_engine = upstream.role != UpstreamRole::kPlain;
+  if (!is_engine && health_path.empty()) return;
+  const Incarnation incarnation{upstream.id, upstream.started_ms};
   Check& check = pending_[incarnation];
   check.on_crashed.push_back(std::move(on_crashed));
   if (check.on_crashed.size() > 1) return;
-  UpstreamRequest request = codec_.encode_status_request(engine);
+  UpstreamRequest request =
+      is_engine ? codec_.encode_status_request(upstream)
+                : codec_.encode_health_check(upstream, health_path);
   request.max_idle = kNoReuse;
   request.connect_timeout = kConnectTimeout;
   const auto reassigned = std::make_shared<bool>(false);
@@ -33,7 +38,7 @@
     OnResult(incarnation, *reassigned);
   };
   handlers.on_fail = [this, incarnation](const Outcome& outcome) {
-    OnResult(incarnation, outcome.verdict == Verdict::kNotRun);
+    OnResult(incarnation, outcome.connection_refused);
   };
   check.timeout =
       loop_.After(kTimeout, [this, incarnation] { OnTimeout(incarnation); });
--- a/lib/Gateway/crash_quarantine.cc
+++ b/lib/Gateway/crash_quarantine.cc
@@ -1,17 +1,23 @@
-// Finds parts of prompts that crash engines, and keeps them away from engines.
+// Finds what crashes upstreams, and keeps it away from them.
 #include "corianderlink/Gateway/crash_quarantine.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string_view>
 #include <tuple>
 
+#include "corianderlink/Support/hash.h"
 #include "corianderlink/Support/log.h"
 
 namespace corianderlink {
 namespace {
 
-// Engines that have to crash under a part, one of them in a later attempt.
-constexpr size_t kMinCrashes = 3;
+using Kind = SuspectKey::Kind;
+
+// Upstreams that have to crash under a part, one of them in a later attempt.
+constexpr size_t kMinPartCrashes = 3;
+// The same for a request: it is known by more than a part of it.
+constexpr size_t kMinRequestCrashes = 2;
 // With so many crashes, no answer to other prompts has to show that the service
 // works.
 constexpr size_t kManyCrashes = 5;
@@ -19,53 +25,83 @@
 // Time for an answer to clear a part that many prompts share.
 constexpr Duration kSettle = milliseconds(250);
 constexpr Duration kEvidenceLifetime = seconds(300);
-constexpr Duration kQuarantine = seconds(600);
 constexpr Duration kProbation = seconds(600);
 // An answer is reported for this long, so that all peers hear of it.
 constexpr Duration kAnswerLifetime = seconds(10);
-// Crashes under which a prompt counts as a suspect.
+// Crashes under which a prompt's part counts as a suspect.
 constexpr size_t kSuspectCrashes = 2;
+// Quarantines of a part and, in a row, of a request.
+constexpr Duration kPartQuarantine = seconds(600);
+constexpr Duration kRequestQuarantines[] = {seconds(15), seconds(120),
+                                            seconds(600)};
+constexpr uint32_t kMaxLevel = std::size(kRequestQuarantines);
+// Quarantines of requests from this level on are kept by the store.
+constexpr uint32_t kKeptLevel = 2;
+// A gateway ends a request's quarantine later by up to this fraction.
+constexpr double kMaxDelay = 0.25;
 
 // Sources of a quarantine, for the log.
 constexpr char kOwn[] = "own";
 
 constexpr size_t kMaxSuspects = 256;
-constexpr size_t kMaxPartsPerPrompt = 16;
 constexpr size_t kMaxReports = 32;
 constexpr size_t kMaxCrashesPerReport = 6;
 
-std::span<const PromptPart> JudgedParts(const Prompt& prompt) {
-  const std::span<const PromptPart> shared = prompt.SharedParts();
-  return shared.first(std::min(shared.size(), kMaxPartsPerPrompt));
+bool IsKept(const SuspectKey& key, uint32_t level) {
+  return key.kind == Kind::kPart || level >= kKeptLevel;
+}
+
+// Length of a quarantine, without the delay of a single gateway.
+Duration QuarantineTime(const SuspectKey& key, uint32_t level) {
+  if (key.kind == Kind::kPart) return kPartQuarantine;
+  return kRequestQuarantines[std::clamp(level, 1U, kMaxLevel) - 1];
 }
 
 }  // namespace
 
-void CrashQuarantine::OnCrash(Time now, const Prompt& prompt,
-                              const EngineCrash& crash) {
-  for (const PromptPart& part : JudgedParts(prompt)) {
-    AddCrash(now, part.id, crash, true);
-  }
+CrashQuarantine::Suspects::iterator CrashQuarantine::Insert(
+    const SuspectKey& key) {
+  const auto known = suspects_.find(key);
+  if (known != suspects_.end()) return known;
+  MakeRoom();
+  if (key.kind == Kind::kRequest) ++requests_;
+  return suspects_.try_emplace(key).first;
+}
+
+void CrashQuarantine::Erase(Suspects::iterator suspect) {
+  if (suspect->first.kind == Kind::kRequest) --requests_;
+  suspects_.erase(suspect);
 }
 
-void CrashQuarantine::AddCrash(Time now, uint64_t part,
-                               const EngineCrash& crash, bool own) {
-  if (suspects_.count(part) == 0) MakeRoom();
-  Suspect& suspect = suspects_[part];
+void CrashQuarantine::OnCrash(Time now, const RequestSuspects& request,
+                              const UpstreamCrash& crash) {
+  for (const SuspectKey& key : request.Keys()) AddCrash(now, key, crash, true);
+}
+
+bool CrashQuarantine::IsExplained(const UpstreamCrash& crash) const {
+  const auto it = suspects_.find({Kind::kRequest, crash.request});
+  return it != suspects_.end() && it->second.level > 0;
+}
+
+void CrashQuarantine::AddCrash(Time now, const SuspectKey& key,
+                               const UpstreamCrash& crash, bool own) {
+  if (key.kind == Kind::kPart && IsExplained(crash)) return;
+  Suspect& suspect = Insert(key)->second;
   if (suspect.answered_at && crash.crashed_at <= *suspect.answered_at) return;
-  const Incarnation incarnation{crash.engine, crash.started_ms};
+  if (suspect.judged_until && crash.sent_at <= *suspect.judged_until) return;
+  const Incarnation incarnation{crash.upstream, crash.started_ms};
   if (own) suspect.own_crashes.insert(incarnation);
   const bool is_new = suspect.crashes.try_emplace(incarnation, crash).second;
   suspect.last_crash_at = std::max(suspect.last_crash_at, crash.crashed_at);
   if (is_new && suspect.crashes.size() >= kSuspectCrashes) {
-    Log(LogLevel::kWarning, "part_suspected",
-        {{"part", FormatPartId(part)},
+    Log(LogLevel::kWarning, "crash_suspected",
+        {{"key", ToString(key)},
          {"crashes", static_cast<uint64_t>(suspect.crashes.size())},
-         {"upstream", crash.engine.value()},
+         {"upstream", crash.upstream.value()},
          {"source", own ? kOwn : "peer"},
          {"age_ms", ToMillis(now - crash.crashed_at)}});
   }
-  Judge(now, part, suspect);
+  Judge(now, key, suspect);
 }
 
 void CrashQuarantine::MakeRoom() {
@@ -73,26 +109,27 @@
   const auto least = std::min_element(
       suspects_.begin(), suspects_.end(), [](const auto& a, const auto& b) {
         const auto rank = [](const Suspect& suspect) {
-          return std::tuple(suspect.quarantined_at.has_value(),
-                            suspect.crashes.size(), suspect.last_crash_at);
+          return std::tuple(suspect.level > 0, suspect.crashes.size(),
+                            suspect.last_crash_at);
         };
         return rank(a.second) < rank(b.second);
       });
-  suspects_.erase(least);
+  Erase(least);
 }
 
-void CrashQuarantine::OnAnswered(Time now, const Prompt& prompt) {
-  ++answers_;
+void CrashQuarantine::OnAnswered(Time now, const RequestSuspects& request) {
+  if (!request.parts.empty()) ++answers_;
   if (suspects_.empty()) return;
-  for (const PromptPart& part : JudgedParts(prompt)) {
-    const auto it = suspects_.find(part.id);
+  for (const SuspectKey& key : request.Keys()) {
+    const auto it = suspects_.find(key);
     if (it == suspects_.end()) continue;
     it->second.own_answered_at = now;
-    Clear(part.id, it->second, now);
+    Clear(key, it->second, now);
   }
 }
 
-void CrashQuarantine::Clear(uint64_t part, Suspect& suspect, Time answered_at) {
+void CrashQuarantine::Clear(const SuspectKey& key, Suspect& suspect,
+                            Time answered_at) {
   if (suspect.answered_at && *suspect.answered_at >= answered_at) return;
   suspect.answered_at = answered_at;
   std::erase_if(suspect.crashes, [&](const auto& entry) {
@@ -103,65 +140,80 @@
   });
   suspect.convincing_since.reset();
   suspect.on_probation_until.reset();
-  if (!suspect.quarantined_at || *suspect.quarantined_at > answered_at) return;
+  if (suspect.quarantined_at && *suspect.quarantined_at > answered_at) return;
+  const uint32_t level = std::exchange(suspect.level, 0);
+  if (!suspect.quarantined_at) return;
   suspect.quarantined_at.reset();
-  Log(LogLevel::kWarning, "part_quarantine_lifted",
-      {{"part", FormatPartId(part)}, {"reason", "an engine answered it"}});
-  if (on_verdict) on_verdict(part, false);
+  Log(LogLevel::kWarning, "quarantine_lifted",
+      {{"key", ToString(key)}, {"reason", "an upstream answered it"}});
+  if (on_verdict && IsKept(key, level)) on_verdict(key, false);
 }
 
-void CrashQuarantine::Restore(Time now, uint64_t part, Duration age) {
-  if (age < Duration::zero() || age > kQuarantine) return;
-  if (suspects_.count(part) > 0) return;
-  MakeRoom();
-  Quarantine(now - age, part, suspects_[part], "store");
+void CrashQuarantine::Restore(Time now, const SuspectKey& key, Duration age) {
+  if (age < Duration::zero() || age > QuarantineTime(key, kKeptLevel)) return;
+  if (suspects_.count(key) > 0) return;
+  Quarantine(now - age, kKeptLevel, key, Insert(key)->second, "store");
 }
 
 void CrashQuarantine::OnPeerReports(Time now,
                                     const std::vector<SuspectReport>& reports) {
   for (const SuspectReport& report : reports) {
-    for (const EngineCrash& crash : report.crashes) {
-      AddCrash(now, report.part, crash, false);
-    }
-    if (report.quarantined_at && suspects_.count(report.part) == 0) {
-      MakeRoom();
-      suspects_.try_emplace(report.part);
+    for (const UpstreamCrash& crash : report.crashes) {
+      AddCrash(now, report.key, crash, false);
     }
-    const auto it = suspects_.find(report.part);
+    if (report.quarantined_at) Insert(report.key);
+    const auto it = suspects_.find(report.key);
     if (it == suspects_.end()) continue;
     Suspect& suspect = it->second;
-    if (report.answered_at) Clear(report.part, suspect, *report.answered_at);
-    if (!report.quarantined_at || suspect.quarantined_at) continue;
+    if (report.answered_at) Clear(report.key, suspect, *report.answered_at);
+    if (!report.quarantined_at) continue;
+    // The times of a verdict that passes from peer to peer are not exact.
+    if (suspect.quarantined_at && report.level <= suspect.level) continue;
     const Time since = *report.quarantined_at;
     const bool outdated =
-        now - since > kQuarantine ||
+        report.level < suspect.level ||
+        now - since > QuarantineTime(report.key, report.level) ||
         (suspect.answered_at && *suspect.answered_at >= since);
-    if (!outdated) Quarantine(since, report.part, suspect, "peer");
+    if (outdated) continue;
+    Quarantine(since, report.level, report.key, suspect, "peer");
   }
   Update(now);
 }
 
-bool CrashQuarantine::IsConvincing(const Suspect& suspect) {
-  if (suspect.crashes.size() < kMinCrashes) return false;
+bool CrashQuarantine::IsConvincing(const SuspectKey& key,
+                                   const Suspect& suspect) {
+  const bool is_part = key.kind == Kind::kPart;
+  if (suspect.crashes.size() <
+      (is_part ? kMinPartCrashes : kMinRequestCrashes)) {
+    return false;
+  }
   Time first = Time::max();
+  std::set<uint64_t> requests;
   for (const auto& [incarnation, crash] : suspect.crashes) {
     first = std::min(first, crash.crashed_at);
+    requests.insert(crash.request);
   }
+  // One request that comes again says nothing of its parts.
+  if (is_part && requests.size() < 2) return false;
   return std::any_of(
       suspect.crashes.begin(), suspect.crashes.end(),
       [&](const auto& entry) { return entry.second.sent_at > first; });
 }
 
-void CrashQuarantine::Judge(Time now, uint64_t part, Suspect& suspect) {
+void CrashQuarantine::Judge(Time now, const SuspectKey& key, Suspect& suspect) {
   if (suspect.quarantined_at) return;
   if (suspect.on_probation_until && !suspect.crashes.empty()) {
-    Quarantine(now, part, suspect, kOwn);
+    Quarantine(now, suspect.level + 1, key, suspect, kOwn);
     return;
   }
-  if (!IsConvincing(suspect)) {
+  if (!IsConvincing(key, suspect)) {
     suspect.convincing_since.reset();
     return;
   }
+  if (key.kind == Kind::kRequest) {
+    Quarantine(now, 1, key, suspect, kOwn);
+    return;
+  }
   if (!suspect.convincing_since) {
     suspect.convincing_since = now;
     suspect.answers_before = answers_;
@@ -171,25 +223,39 @@
   const bool service_works =
       answers_ - suspect.answers_before >= kMinOtherAnswers;
   if (!service_works && suspect.crashes.size() < kManyCrashes) return;
-  Quarantine(now, part, suspect, kOwn);
+  Quarantine(now, 1, key, suspect, kOwn);
 }
 
-void CrashQuarantine::Quarantine(Time at, uint64_t part, Suspect& suspect,
-                                 const char* source) {
+void CrashQuarantine::Quarantine(Time at, uint32_t level, const SuspectKey& key,
+                                 Suspect& suspect, const char* source) {
   suspect.quarantined_at = at;
+  suspect.judged_until = at;
+  suspect.level = std::clamp(level, 1U, kMaxLevel);
   suspect.on_probation_until.reset();
   const bool own = std::string_view(source) == kOwn;
-  std::string engines;
+  std::string upstreams;
   for (const auto& [incarnation, crash] : suspect.crashes) {
-    engines += (engines.empty() ? "" : ",") + crash.engine.value();
+    upstreams += (upstreams.empty() ? "" : ",") + crash.upstream.value();
   }
-  Log(LogLevel::kError, "part_quarantined",
-      {{"part", FormatPartId(part)},
+  Log(LogLevel::kError, "quarantined",
+      {{"key", ToString(key)},
        {"source", source},
        {"crashes", static_cast<uint64_t>(suspect.crashes.size())},
-       {"upstreams", engines},
-       {"for_s", ToSeconds(kQuarantine)}});
-  if (own && on_verdict) on_verdict(part, true);
+       {"upstreams", upstreams},
+       {"level", static_cast<uint64_t>(suspect.level)},
+       {"for_s", ToSeconds(QuarantineTime(key, suspect.level))}});
+  if (own && on_verdict && IsKept(key, suspect.level)) on_verdict(key, true);
+  if (key.kind == Kind::kRequest) DropExplained(key.id);
+}
+
+void CrashQuarantine::DropExplained(uint64_t request) {
+  for (auto& [key, suspect] : suspects_) {
+    if (key.kind != Kind::kPart || suspect.quarantined_at) continue;
+    std::erase_if(suspect.crashes, [request](const auto& entry) {
+      return entry.second.request == request;
+    });
+    if (!IsConvincing(key, suspect)) suspect.convincing_since.reset();
+  }
 }
 
 bool CrashQuarantine::IsForgotten(Time now, const Suspect& suspect) {
@@ -200,55 +266,74 @@
          !suspect.on_probation_until && !answered_lately;
 }
 
+Time CrashQuarantine::EndOf(const SuspectKey& key,
+                            const Suspect& suspect) const {
+  const Time since = *suspect.quarantined_at;
+  const Duration time = QuarantineTime(key, suspect.level);
+  if (key.kind == Kind::kPart) return since + time;
+  const double fraction = static_cast<double>(MixBits(seed_ ^ key.id) >> 11) /
+                          static_cast<double>(1ULL << 53);
+  return since + time + FromSeconds(ToSeconds(time) * kMaxDelay * fraction);
+}
+
 void CrashQuarantine::Update(Time now) {
-  for (auto& [part, suspect] : suspects_) {
-    if (suspect.quarantined_at && now - *suspect.quarantined_at > kQuarantine) {
+  for (auto& [key, suspect] : suspects_) {
+    if (suspect.quarantined_at && now > EndOf(key, suspect)) {
       suspect.quarantined_at.reset();
       suspect.on_probation_until = now + kProbation;
       suspect.crashes.clear();
+      suspect.own_crashes.clear();
     }
     if (suspect.on_probation_until && now > *suspect.on_probation_until) {
       suspect.on_probation_until.reset();
+      suspect.level = 0;
     }
     std::erase_if(suspect.crashes, [&](const auto& entry) {
       return now - entry.second.crashed_at > kEvidenceLifetime;
     });
-    Judge(now, part, suspect);
+    Judge(now, key, suspect);
+  }
+  for (auto it = suspects_.begin(); it != suspects_.end();) {
+    const auto suspect = it++;
+    if (IsForgotten(now, suspect->second)) Erase(suspect);
   }
-  std::erase_if(suspects_, [&](const auto& entry) {
-    return IsForgotten(now, entry.second);
-  });
 }
 
 std::optional<QuarantinedKey> CrashQuarantine::Find(
-    Time now, const Prompt& prompt) const {
+    Time now, const RequestSuspects& request) const {
   if (suspects_.empty()) return std::nullopt;
-  for (const PromptPart& part : JudgedParts(prompt)) {
-    const auto it = suspects_.find(part.id);
+  for (const SuspectKey& key : request.Keys()) {
+    const auto it = suspects_.find(key);
     if (it == suspects_.end() || !it->second.quarantined_at) continue;
-    const Time ends_at = *it->second.quarantined_at + kQuarantine;
-    if (now <= ends_at) return QuarantinedKey{part.id, ends_at};
+    const Time ends_at = EndOf(key, it->second);
+    if (now <= ends_at) return QuarantinedKey{key, ends_at};
   }
   return std::nullopt;
 }
 
-bool CrashQuarantine::IsSuspect(const Prompt& prompt) const {
+bool CrashQuarantine::IsSuspect(const RequestSuspects& request) const {
   if (suspects_.empty()) return false;
-  const std::span<const PromptPart> parts = JudgedParts(prompt);
-  return std::any_of(parts.begin(), parts.end(), [&](const PromptPart& part) {
-    const auto it = suspects_.find(part.id);
-    return it != suspects_.end() &&
-           (it->second.quarantined_at ||
-            it->second.crashes.size() >= kSuspectCrashes);
+  const std::vector<SuspectKey> keys = request.Keys();
+  return std::any_of(keys.begin(), keys.end(), [this](const SuspectKey& key) {
+    const auto it = suspects_.find(key);
+    if (it == suspects_.end()) return false;
+    // The attempt that has just failed is not counted yet.
+    const size_t crashes = key.kind == Kind::kPart ? kSuspectCrashes : 1;
+    return it->second.level > 0 || it->second.crashes.size() >= crashes;
   });
 }
 
 std::vector<SuspectReport> CrashQuarantine::Reports(Time now) const {
-  std::vector<SuspectReport> reports;
-  for (const auto& [part, suspect] : suspects_) {
+  struct Entry {
+    std::tuple<bool, size_t, Time> rank;
+    SuspectReport report;
+  };
+  std::vector<Entry> entries;
+  for (const auto& [key, suspect] : suspects_) {
     SuspectReport report;
-    report.part = part;
+    report.key = key;
     report.quarantined_at = suspect.quarantined_at;
+    report.level = suspect.level;
     if (suspect.own_answered_at &&
         now - *suspect.own_answered_at <= kAnswerLifetime) {
       report.answered_at = suspect.own_answered_at;
@@ -259,31 +344,31 @@
         report.crashes.push_back(crash);
       }
     }
-    const bool has_news =
+    const bool has_content =
         report.quarantined_at || report.answered_at || !report.crashes.empty();
-    if (has_news) reports.push_back(std::move(report));
+    if (!has_content) continue;
+    entries.push_back({{report.quarantined_at.has_value(),
+                        suspect.crashes.size(), suspect.last_crash_at},
+                       std::move(report)});
   }
-  // Under the bound, what keeps engines alive counts most.
-  std::stable_sort(reports.begin(), reports.end(),
-                   [](const SuspectReport& a, const SuspectReport& b) {
-                     const auto rank = [](const SuspectReport& report) {
-                       return std::pair(report.quarantined_at.has_value(),
-                                        report.crashes.size());
-                     };
-                     return rank(a) > rank(b);
-                   });
-  if (reports.size() > kMaxReports) reports.resize(kMaxReports);
+  // Under the bound, what keeps upstreams alive counts most.
+  std::stable_sort(
+      entries.begin(), entries.end(),
+      [](const Entry& a, const Entry& b) { return a.rank > b.rank; });
+  if (entries.size() > kMaxReports) entries.resize(kMaxReports);
+  std::vector<SuspectReport> reports;
+  for (Entry& entry : entries) reports.push_back(std::move(entry.report));
   return reports;
 }
 
 std::vector<QuarantinedKey> CrashQuarantine::Quarantined(Time now) const {
-  std::vector<QuarantinedKey> parts;
-  for (const auto& [part, suspect] : suspects_) {
+  std::vector<QuarantinedKey> keys;
+  for (const auto& [key, suspect] : suspects_) {
     if (!suspect.quarantined_at) continue;
-    const Time ends_at = *suspect.quarantined_at + kQuarantine;
-    if (now <= ends_at) parts.push_back({part, ends_at});
+    const Time ends_at = EndOf(key, suspect);
+    if (now <= ends_at) keys.push_back({key, ends_at});
   }
-  return parts;
+  return keys;
 }
 
 }  // namespace corianderlink
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <utility>
 
+#include "corianderlink/Support/hash.h"
 #include "corianderlink/Support/json_reader.h"
 #include "corianderlink/Support/log.h"
 
@@ -50,6 +51,7 @@
       pool_(loop),
       placer_(PlacerLimits{}, MakeEjectorLimits(), GatewayPeers::kPeerTimeout,
               settings_.zone),
+      quarantine_(Fnv1aHash(process_id_.value())),
       crash_check_(loop_, pool_, codecs_.orders),
       record_cache_(codecs_.records, placer_.directory(), metrics_),
       peers_(loop, settings_.store.ToString(), process_id_, settings_.peer,
@@ -220,8 +222,8 @@
                                   int64_t unix_now_ms) {
   const Time now = BootClock::now();
   for (const StoreRecord& record : records) {
-    const std::optional<uint64_t> part = ParsePartId(record.key);
-    if (!part || !record.value) continue;
+    const std::optional<SuspectKey> key = ParseSuspectKey(record.key);
+    if (!key || !record.value) continue;
     int64_t since_ms = 0;
     const std::string& text = *record.value;
     std::from_chars(text.data(), text.data() + text.size(), since_ms);
@@ -229,15 +231,15 @@
     // Clocks of instances may differ a little.
     const Duration age =
         milliseconds(std::max<int64_t>(unix_now_ms - since_ms, 0));
-    quarantine_.Restore(now, *part, age);
+    quarantine_.Restore(now, *key, age);
   }
 }
 
 void Gateway::SetQuarantineHandler(
     std::function<void(const std::string& key, bool quarantined)> handler) {
-  quarantine_.on_verdict = [handler = std::move(handler)](uint64_t part,
+  quarantine_.on_verdict = [handler = std::move(handler)](const SuspectKey& key,
                                                           bool quarantined) {
-    handler(FormatPartId(part), quarantined);
+    handler(ToString(key), quarantined);
   };
 }
 
@@ -483,9 +485,9 @@
     entry["rate_limit"] = {{"per_s", *limit->per_second},
                            {"age_ms", ToMillis(now - limit->received_at)}};
   }
-  for (const QuarantinedKey& part : quarantine_.Quarantined(now)) {
-    dump["quarantined_parts"][FormatPartId(part.part)] = {
-        {"ends_in_s", ToSeconds(part.ends_at - now)}};
+  for (const QuarantinedKey& entry : quarantine_.Quarantined(now)) {
+    dump["quarantined"][ToString(entry.key)] = {
+        {"ends_in_s", ToSeconds(entry.ends_at - now)}};
   }
   for (const GatewayPeer* peer : peers_.Live(now)) {
     dump["peers"][peer->process] = {
@@ -527,7 +529,7 @@
   metrics_.Set("gateway_upstream_connects",
                static_cast<double>(pool_.connections_opened()));
   metrics_.Set("gateway_peers", static_cast<double>(peers_.Live(now).size()));
-  metrics_.Set("gateway_quarantined_parts",
+  metrics_.Set("gateway_quarantined_keys",
                static_cast<double>(quarantine_.Quarantined(now).size()));
   metrics_.Set("gateway_rate_limited_upstreams",
                static_cast<double>(placer_.rate_limiter().limits().size()));
--- a/lib/Gateway/peer_codec.cc
+++ b/lib/Gateway/peer_codec.cc
@@ -54,13 +54,16 @@
 
 void EncodeSuspectReport(Time now, const SuspectReport& report,
                          wire::SuspectReport& out) {
-  out.set_part(report.part);
-  for (const EngineCrash& crash : report.crashes) {
-    wire::EngineCrash* entry = out.add_crashes();
-    entry->set_engine(crash.engine.value());
+  out.set_id(report.key.id);
+  out.set_is_request(report.key.kind == SuspectKey::Kind::kRequest);
+  out.set_level(report.level);
+  for (const UpstreamCrash& crash : report.crashes) {
+    wire::UpstreamCrash* entry = out.add_crashes();
+    entry->set_upstream(crash.upstream.value());
     entry->set_started_ms(crash.started_ms);
     entry->set_sent_age_ms(EncodeAge(now - crash.sent_at));
     entry->set_crash_age_ms(EncodeAge(now - crash.crashed_at));
+    entry->set_request(crash.request);
   }
   if (report.answered_at) {
     out.set_answered_age_ms(EncodeAge(now - *report.answered_at));
@@ -78,13 +81,15 @@
 
 SuspectReport DecodeSuspectReport(Time now, const wire::SuspectReport& in) {
   SuspectReport report;
-  report.part = in.part();
-  for (const wire::EngineCrash& crash : in.crashes()) {
+  report.key.id = in.id();
+  if (in.is_request()) report.key.kind = SuspectKey::Kind::kRequest;
+  report.level = in.level();
+  for (const wire::UpstreamCrash& crash : in.crashes()) {
     const auto sent_at = DecodeTime(now, crash.sent_age_ms());
     const auto crashed_at = DecodeTime(now, crash.crash_age_ms());
     if (!sent_at || !crashed_at) continue;
-    report.crashes.push_back({UpstreamId(crash.engine()), crash.started_ms(),
-                              *sent_at, *crashed_at});
+    report.crashes.push_back({UpstreamId(crash.upstream()), crash.started_ms(),
+                              *sent_at, *crashed_at, crash.request()});
   }
   report.answered_at = DecodeTime(now, in.answered_age_ms());
   report.quarantined_at = DecodeTime(now, in.quarantined_age_ms());
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -71,33 +71,46 @@
 }
 
 void RelayTask::CheckForCrash(const Outcome& outcome) {
-  if (!is_model_request() || placement_->prefill_only) return;
+  if (placement_->prefill_only) return;
   if (outcome.verdict == Verdict::kNotRun) return;
   if (events_received_ >= kAnsweringEvents) return;
-  const UpstreamRecord& engine = placement_->upstream;
-  const EngineCrash crash{engine.id, engine.started_ms, sent_at_,
-                          BootClock::now()};
+  const Placer& placer = context_.placer;
+  const UpstreamRecord* upstream =
+      placer.directory().Find(placement_->upstream.id);
+  // The end of an upstream that leaves is planned.
+  if (upstream == nullptr || upstream->draining) return;
+  if (placer.notices().IsLeaving(*upstream)) return;
+  RequestSuspects request = Suspects();
+  request.digest = RequestDigest();
+  const UpstreamCrash crash{upstream->id, upstream->started_ms, sent_at_,
+                            BootClock::now(), RequestDigest()};
   context_.crash_check.Start(
-      engine, [&quarantine = context_.quarantine, prompt = *request_.prompt,
-               crash] { quarantine.OnCrash(BootClock::now(), prompt, crash); });
+      *upstream, service_.health_path,
+      [&quarantine = context_.quarantine, request = std::move(request), crash] {
+        quarantine.OnCrash(BootClock::now(), request, crash);
+      });
+}
+
+RequestSuspects RelayTask::Suspects() {
+  RequestSuspects request;
+  if (is_model_request()) request = SuspectsOf(*request_.prompt);
+  if (context_.quarantine.HasRequests()) request.digest = RequestDigest();
+  return request;
 }
 
 void RelayTask::ReportAnswered() {
-  if (!is_model_request()) return;
-  context_.quarantine.OnAnswered(BootClock::now(), *request_.prompt);
+  context_.quarantine.OnAnswered(BootClock::now(), Suspects());
 }
 
 bool RelayTask::EndIfQuarantined(Time now) {
-  if (!is_model_request()) return false;
   // A verdict may have come due since the last periodic update.
   context_.quarantine.Update(now);
-  const auto part = context_.quarantine.Find(now, *request_.prompt);
-  if (!part) return false;
+  const auto quarantined = context_.quarantine.Find(now, Suspects());
+  if (!quarantined) return false;
   context_.metrics.Add("gateway_quarantine_refusals_total");
-  const std::string reason =
-      "prompt part " + FormatPartId(part->part) + " crashes engines";
+  const std::string reason = "crashes upstreams: " + ToString(quarantined->key);
   if (possible_runs_ == 0 && !exchange_->response_started()) {
-    Refuse(reason, part->ends_at - now);
+    Refuse(reason, quarantined->ends_at - now);
     return true;
   }
   ReleaseKvHandle();
@@ -114,6 +127,11 @@
     // The lengths keep the fields apart.
     text += std::to_string(field->size()) + ":" + *field;
   }
+  if (request_.prompt) {
+    for (const PromptPart& part : request_.prompt->parts) {
+      text += FormatPartId(part.id) + ",";
+    }
+  }
   text += exchange_->body();
   request_digest_ = StableHash(text);
   return *request_digest_;
@@ -143,14 +161,12 @@
   PlaceAndSend();
 }
 
-bool RelayTask::IsRetryAllowed(Time now, Verdict verdict) const {
+bool RelayTask::IsRetryAllowed(Time now, Verdict verdict) {
   if (sends_ >= kMaxSends) return false;
   if (DeadlineLeftMs(now) < kMinAttemptMs) return false;
   if (verdict != Verdict::kNotRun) {
     if (!route_.idempotent() || possible_runs_ >= route_.max_runs) return false;
-    if (is_model_request() && context_.quarantine.IsSuspect(*request_.prompt)) {
-      return false;
-    }
+    if (context_.quarantine.IsSuspect(Suspects())) return false;
   }
   return true;
 }
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -193,6 +193,8 @@
     return;
   }
   const bool server_error = response_->status >= 500;
+  // An upstream that answers with an error has survived the request.
+  if (server_error) ReportAnswered();
   if (server_error && !exchange_->response_started() &&
       TryClaimRetry(now, Verdict::kMayHaveRun)) {
     RetryOnOtherUpstream(now,
@@ -206,6 +208,7 @@
 
 void RelayTask::FinishBufferedResponse() {
   ReportFirstOutput();
+  ReportAnswered();
   EndDispatch();
   context_.placer.OnSuccess(placement_->upstream);
   if (exchange_->response_started()) {
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -1,7 +1,11 @@
 // Client side of HTTP/1.1 connections to upstreams.
 #include "upstream_connection.h"
 
+#include <event2/util.h>
+
+#include <cerrno>
 #include <charconv>
+#include <cstring>
 #include <utility>
 
 #include "corianderlink/Http1/upstream_pool.h"
@@ -185,11 +189,15 @@
     Close();
     return;
   }
-  Fail(connected_ ? "connection failed: " + reason
-                  : "connection refused: " + reason);
+  if (connected_) {
+    Fail("connection failed: " + reason);
+    return;
+  }
+  const bool refused = reason == evutil_socket_error_to_string(ECONNREFUSED);
+  Fail("connection refused: " + reason, refused);
 }
 
-void UpstreamConnection::Fail(const std::string& reason) {
+void UpstreamConnection::Fail(const std::string& reason, bool refused) {
   const auto self = shared_from_this();
   busy_ = false;
   const UpstreamHandlers handlers = std::exchange(handlers_, {});
@@ -197,8 +205,10 @@
   const bool sent = request_bytes_sent_;
   Close();
   if (!handlers.on_fail) return;
-  handlers.on_fail(sent ? Outcome::MayHaveRun(reason)
-                        : Outcome::NotRun(reason));
+  Outcome outcome =
+      sent ? Outcome::MayHaveRun(reason) : Outcome::NotRun(reason);
+  outcome.connection_refused = refused;
+  handlers.on_fail(outcome);
 }
 
 void UpstreamConnection::PauseReading() {
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -45,7 +45,7 @@
   void OnPeerClosed() override;
   void OnError(const std::string& reason) override;
 
-  void Fail(const std::string& reason);
+  void Fail(const std::string& reason, bool refused = false);
   void DeliverHead();
   void DeliverBody();
   void FinishResponse();
--- a/unittests/Gateway/crash_check_test.cc
+++ b/unittests/Gateway/crash_check_test.cc
@@ -8,6 +8,8 @@
 namespace corianderlink {
 namespace {
 
+constexpr char kHealthPath[] = "/healthz";
+
 class CrashCheckTest : public ::testing::Test {
  protected:
   CrashCheckTest() {
@@ -15,7 +17,7 @@
     record_.address = engine_->address;
   }
   void Check() {
-    check_.Start(record_, [this] { ++crashes_; });
+    check_.Start(record_, kHealthPath, [this] { ++crashes_; });
   }
   void RunFor(Duration time) {
     const EventHandle stop = loop_.After(time, [this] { loop_.Stop(); });
--- a/unittests/Gateway/crash_quarantine_test.cc
+++ b/unittests/Gateway/crash_quarantine_test.cc
@@ -10,15 +10,14 @@
 constexpr uint64_t kCommon = 1;
 constexpr uint64_t kBad = 2;
 
-/// A prompt with these shared parts, and one of its own.
-Prompt MakePrompt(const std::vector<uint64_t>& shared) {
-  static uint64_t own_part = 1'000'000;
-  Prompt prompt;
-  for (const uint64_t id : shared) prompt.parts.push_back({id, 100});
-  prompt.parts.push_back({++own_part, 100});
-  return prompt;
+/// A request of its own whose prompt has these shared parts.
+RequestSuspects MakeRequest(const std::vector<uint64_t>& shared) {
+  static uint64_t digest = 1'000'000;
+  return {++digest, shared};
 }
 
+SuspectKey Part(uint64_t id) { return {SuspectKey::Kind::kPart, id}; }
+
 /// Several gateways and the engines that crash under them.
 class CrashQuarantineTest : public ::testing::Test {
  protected:
@@ -31,12 +30,13 @@
   void CrashOf(const std::string& engine, size_t gateway,
                const std::vector<uint64_t>& parts,
                Duration after_sending = milliseconds(50)) {
+    const RequestSuspects request = MakeRequest(parts);
     gateways_[gateway].OnCrash(
-        now_, MakePrompt(parts),
-        {UpstreamId(engine), 7, now_ - after_sending, now_});
+        now_, request,
+        {UpstreamId(engine), 7, now_ - after_sending, now_, *request.digest});
   }
   void Answer(size_t gateway, const std::vector<uint64_t>& parts) {
-    gateways_[gateway].OnAnswered(now_, MakePrompt(parts));
+    gateways_[gateway].OnAnswered(now_, MakeRequest(parts));
   }
   /// All gateways hear each other once, then the time goes on.
   void Step(Duration time) {
@@ -57,7 +57,7 @@
     Step(time);
   }
   bool Quarantined(size_t gateway, const std::vector<uint64_t>& parts) const {
-    return gateways_[gateway].Find(now_, MakePrompt(parts)).has_value();
+    return gateways_[gateway].Find(now_, MakeRequest(parts)).has_value();
   }
 
   std::vector<CrashQuarantine> gateways_ = std::vector<CrashQuarantine>(1);
@@ -148,13 +148,15 @@
 TEST_F(CrashQuarantineTest, LastPartIsNeverJudged) {
   Prompt prompt;
   prompt.parts = {{kCommon, 100}, {kBad, 100}};
-  for (int i = 0; i < 6; ++i) {
-    gateways_[0].OnCrash(now_, prompt,
+  for (uint64_t i = 0; i < 6; ++i) {
+    RequestSuspects request = SuspectsOf(prompt);
+    request.digest = 500 + i;
+    gateways_[0].OnCrash(now_, request,
                          {UpstreamId("e" + std::to_string(i)), 7,
-                          now_ - milliseconds(50), now_});
+                          now_ - milliseconds(50), now_, *request.digest});
     StepWithAnswers(milliseconds(300));
   }
-  EXPECT_FALSE(gateways_[0].Find(now_, prompt));
+  EXPECT_FALSE(gateways_[0].Find(now_, SuspectsOf(prompt)));
   EXPECT_FALSE(Quarantined(0, {kBad}));
 }
 
@@ -181,12 +183,12 @@
 }
 
 TEST_F(CrashQuarantineTest, StoredQuarantineOutlivesAStopOfAllGateways) {
-  gateways_[0].Restore(now_, kBad, seconds(30));
+  gateways_[0].Restore(now_, Part(kBad), seconds(30));
   EXPECT_TRUE(Quarantined(0, {kCommon, kBad}));
   now_ += seconds(580);
   gateways_[0].Update(now_);
   EXPECT_FALSE(Quarantined(0, {kCommon, kBad}));
-  gateways_[0].Restore(now_, kBad + 1, seconds(700));
+  gateways_[0].Restore(now_, Part(kBad + 1), seconds(700));
   EXPECT_FALSE(Quarantined(0, {kBad + 1}));
 }
 
@@ -219,11 +221,11 @@
 
 TEST_F(CrashQuarantineTest, SuspectPartForbidsAnotherRun) {
   Crash(0, {kCommon, kBad});
-  EXPECT_FALSE(gateways_[0].IsSuspect(MakePrompt({kBad})));
+  EXPECT_FALSE(gateways_[0].IsSuspect(MakeRequest({kBad})));
   Crash(0, {kCommon, kBad});
-  EXPECT_TRUE(gateways_[0].IsSuspect(MakePrompt({kBad})));
+  EXPECT_TRUE(gateways_[0].IsSuspect(MakeRequest({kBad})));
   StepWithAnswers(milliseconds(10));
-  EXPECT_FALSE(gateways_[0].IsSuspect(MakePrompt({kCommon})));
+  EXPECT_FALSE(gateways_[0].IsSuspect(MakeRequest({kCommon})));
 }
 
 // A client invents parts and an engine crashes again and again.
