[Gateway] Blame no request that many clients send for crashes under others

Likewise a sound request that is sent again beside a bad one shares both crashes with it. Ruled out: more crashes before the verdict (a small service has none to spare). A verdict waits 100 ms, in which the request is held back, for what else the upstreams ran; it needs the request to be the only one under all of its crashes, or three crashes. Crashes under a condemned request count against no other, request or part, also those that are heard of later.

--- a/include/corianderlink/Gateway/crash_quarantine.h
+++ b/include/corianderlink/Gateway/crash_quarantine.h
@@ -58,13 +58,13 @@
 /// together, for a reason of their own, prove nothing: at least one crash must
 /// be of a request that was sent after another crash.
 ///
-/// A request under which two upstreams have crashed like this is quarantined
-/// for a short time, in which they come back.  Then one more crash renews the
-/// quarantine, each time for longer.
+/// A request under which two upstreams have crashed like this, and no other
+/// request under the same ones, is quarantined for a short time, in which they
+/// come back.  Then one more crash renews the quarantine, each time for longer.
 ///
 /// A part is quarantined after more crashes, those of different requests, while
-/// other prompts are answered.  Crashes that a quarantined request explains do
-/// not count against the parts that it shares with others.
+/// other prompts are answered.  Crashes that a quarantined request explains
+/// count against nothing else.
 ///
 /// Gateways share what they have seen, each of them only its own observations,
 /// so that five crashes at five gateways count as five.
@@ -130,16 +130,21 @@
   using Suspects = std::map<SuspectKey, Suspect>;
 
   static bool IsConvincing(const SuspectKey& key, const Suspect& suspect);
+  /// True if no other request can have caused the crashes as well.
+  bool IsOnlyCause(const SuspectKey& key, const Suspect& suspect) const;
   Time EndOf(const SuspectKey& key, const Suspect& suspect) const;
+  /// Until when requests with the key are held back, if they are.
+  std::optional<Time> HeldUntil(const SuspectKey& key,
+                                const Suspect& suspect) const;
   /// Adds the key, for which there is room.
   Suspects::iterator Insert(const SuspectKey& key);
   void Erase(Suspects::iterator suspect);
   void AddCrash(Time now, const SuspectKey& key, const UpstreamCrash& crash,
                 bool own);
-  /// True if the crash is explained by a quarantine of its whole request.
-  bool IsExplained(const UpstreamCrash& crash) const;
-  /// Drops the evidence against parts that the request explains.
-  void DropExplained(uint64_t request);
+  /// True if a quarantined request other than `key` has caused the crash.
+  bool IsExplained(const SuspectKey& key, const UpstreamCrash& crash) const;
+  /// Drops the evidence against others that the quarantined request explains.
+  void DropExplained(const SuspectKey& request, const Suspect& cause);
   /// If there are too many suspects, drops the one with the fewest and oldest
   /// crashes.
   void MakeRoom();
--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "corianderlink/Gateway/answered_requests.h"
 #include "corianderlink/Gateway/client_timeout_estimate.h"
 #include "corianderlink/Gateway/crash_check.h"
 #include "corianderlink/Gateway/crash_quarantine.h"
@@ -187,6 +188,7 @@
   Placer placer_;
   CrashQuarantine quarantine_;
   CrashCheck crash_check_;
+  AnsweredRequests answered_requests_;
   RecordCache record_cache_;
   StoreContact store_contact_;
   GatewayPeers peers_;
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 
+#include "corianderlink/Gateway/answered_requests.h"
 #include "corianderlink/Gateway/crash_check.h"
 #include "corianderlink/Gateway/crash_quarantine.h"
 #include "corianderlink/Gateway/event_splitter.h"
@@ -36,6 +37,7 @@
   RandomSource& random;
   CrashQuarantine& quarantine;
   CrashCheck& crash_check;
+  AnsweredRequests& answered_requests;
   /// Charges one retry to the retry budget of a service.  False if the budget
   /// is exhausted.
   std::function<bool(Time, const ServiceId&)> try_claim_retry;
@@ -137,6 +139,8 @@
   /// Identifies the request among all that clients repeat: digest of its
   /// method, target, credentials and body.
   uint64_t RequestDigest();
+  /// The same for this process only, and cheaper.
+  uint64_t RequestFingerprint() const;
   /// Ids of the prompt's shared parts, for the log.
   std::string SharedPartsText() const;
   void RetryOnOtherUpstream(Time now, const Outcome& outcome,
--- a/lib/Gateway/crash_quarantine.cc
+++ b/lib/Gateway/crash_quarantine.cc
@@ -24,6 +24,12 @@
 constexpr uint64_t kMinOtherAnswers = 3;
 // Time for an answer to clear a part that many prompts share.
 constexpr Duration kSettle = milliseconds(250);
+// Time for the other requests that an upstream ran to be known; meanwhile the
+// suspected one is held back.
+constexpr Duration kRequestSettle = milliseconds(100);
+// With so many crashes, two requests that share all of them are both
+// quarantined.
+constexpr size_t kAmbiguousCrashes = 3;
 constexpr Duration kEvidenceLifetime = seconds(300);
 constexpr Duration kProbation = seconds(600);
 // An answer is reported for this long, so that all peers hear of it.
@@ -78,14 +84,21 @@
   for (const SuspectKey& key : request.Keys()) AddCrash(now, key, crash, true);
 }
 
-bool CrashQuarantine::IsExplained(const UpstreamCrash& crash) const {
-  const auto it = suspects_.find({Kind::kRequest, crash.request});
-  return it != suspects_.end() && it->second.level > 0;
+bool CrashQuarantine::IsExplained(const SuspectKey& key,
+                                  const UpstreamCrash& crash) const {
+  const SuspectKey request{Kind::kRequest, crash.request};
+  const Incarnation incarnation{crash.upstream, crash.started_ms};
+  for (const auto& [other, suspect] : suspects_) {
+    if (other.kind != Kind::kRequest || other == key) continue;
+    if (suspect.level == 0) continue;
+    if (other == request || suspect.crashes.count(incarnation) > 0) return true;
+  }
+  return false;
 }
 
 void CrashQuarantine::AddCrash(Time now, const SuspectKey& key,
                                const UpstreamCrash& crash, bool own) {
-  if (key.kind == Kind::kPart && IsExplained(crash)) return;
+  if (IsExplained(key, crash)) return;
   Suspect& suspect = Insert(key)->second;
   if (suspect.answered_at && crash.crashed_at <= *suspect.answered_at) return;
   if (suspect.judged_until && crash.sent_at <= *suspect.judged_until) return;
@@ -200,6 +213,24 @@
       [&](const auto& entry) { return entry.second.sent_at > first; });
 }
 
+bool CrashQuarantine::IsOnlyCause(const SuspectKey& key,
+                                  const Suspect& suspect) const {
+  const size_t crashes = suspect.crashes.size();
+  for (const auto& [other, entry] : suspects_) {
+    if (other.kind != Kind::kRequest || other == key) continue;
+    const auto shared = std::count_if(
+        suspect.crashes.begin(), suspect.crashes.end(), [&](const auto& crash) {
+          return entry.crashes.count(crash.first) > 0;
+        });
+    if (static_cast<size_t>(shared) < crashes) continue;
+    // The same crashes: one more tells which of the two it was.
+    if (entry.crashes.size() > crashes || crashes < kAmbiguousCrashes) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void CrashQuarantine::Judge(Time now, const SuspectKey& key, Suspect& suspect) {
   if (suspect.quarantined_at) return;
   if (suspect.on_probation_until && !suspect.crashes.empty()) {
@@ -210,14 +241,15 @@
     suspect.convincing_since.reset();
     return;
   }
-  if (key.kind == Kind::kRequest) {
-    Quarantine(now, 1, key, suspect, kOwn);
-    return;
-  }
   if (!suspect.convincing_since) {
     suspect.convincing_since = now;
     suspect.answers_before = answers_;
   }
+  if (key.kind == Kind::kRequest) {
+    if (now - *suspect.convincing_since < kRequestSettle) return;
+    if (IsOnlyCause(key, suspect)) Quarantine(now, 1, key, suspect, kOwn);
+    return;
+  }
   if (now - *suspect.convincing_since < kSettle) return;
   // The part itself was not answered, or it would have been cleared.
   const bool service_works =
@@ -245,14 +277,16 @@
        {"level", static_cast<uint64_t>(suspect.level)},
        {"for_s", ToSeconds(QuarantineTime(key, suspect.level))}});
   if (own && on_verdict && IsKept(key, suspect.level)) on_verdict(key, true);
-  if (key.kind == Kind::kRequest) DropExplained(key.id);
+  if (key.kind == Kind::kRequest) DropExplained(key, suspect);
 }
 
-void CrashQuarantine::DropExplained(uint64_t request) {
+void CrashQuarantine::DropExplained(const SuspectKey& request,
+                                    const Suspect& cause) {
   for (auto& [key, suspect] : suspects_) {
-    if (key.kind != Kind::kPart || suspect.quarantined_at) continue;
-    std::erase_if(suspect.crashes, [request](const auto& entry) {
-      return entry.second.request == request;
+    if (key == request || suspect.quarantined_at) continue;
+    std::erase_if(suspect.crashes, [&](const auto& entry) {
+      return entry.second.request == request.id ||
+             cause.crashes.count(entry.first) > 0;
     });
     if (!IsConvincing(key, suspect)) suspect.convincing_since.reset();
   }
@@ -304,13 +338,22 @@
   if (suspects_.empty()) return std::nullopt;
   for (const SuspectKey& key : request.Keys()) {
     const auto it = suspects_.find(key);
-    if (it == suspects_.end() || !it->second.quarantined_at) continue;
-    const Time ends_at = EndOf(key, it->second);
-    if (now <= ends_at) return QuarantinedKey{key, ends_at};
+    if (it == suspects_.end()) continue;
+    const std::optional<Time> ends_at = HeldUntil(key, it->second);
+    if (ends_at && now <= *ends_at) return QuarantinedKey{key, *ends_at};
   }
   return std::nullopt;
 }
 
+std::optional<Time> CrashQuarantine::HeldUntil(const SuspectKey& key,
+                                               const Suspect& suspect) const {
+  if (suspect.quarantined_at) return EndOf(key, suspect);
+  if (key.kind == Kind::kPart || !suspect.convincing_since) {
+    return std::nullopt;
+  }
+  return *suspect.convincing_since + kRequestSettle;
+}
+
 bool CrashQuarantine::IsSuspect(const RequestSuspects& request) const {
   if (suspects_.empty()) return false;
   const std::vector<SuspectKey> keys = request.Keys();
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -80,10 +80,14 @@
   // The end of an upstream that leaves is planned.
   if (upstream == nullptr || upstream->draining) return;
   if (placer.notices().IsLeaving(*upstream)) return;
+  const Time now = BootClock::now();
   RequestSuspects request = Suspects();
   request.digest = RequestDigest();
-  const UpstreamCrash crash{upstream->id, upstream->started_ms, sent_at_,
-                            BootClock::now(), RequestDigest()};
+  if (context_.answered_requests.Contains(now, RequestFingerprint())) {
+    request.digest.reset();
+  }
+  const UpstreamCrash crash{upstream->id, upstream->started_ms, sent_at_, now,
+                            RequestDigest()};
   context_.crash_check.Start(
       *upstream, service_.health_path,
       [&quarantine = context_.quarantine, request = std::move(request), crash] {
@@ -99,7 +103,23 @@
 }
 
 void RelayTask::ReportAnswered() {
-  context_.quarantine.OnAnswered(BootClock::now(), Suspects());
+  const Time now = BootClock::now();
+  context_.answered_requests.Add(now, RequestFingerprint());
+  context_.quarantine.OnAnswered(now, Suspects());
+}
+
+uint64_t RelayTask::RequestFingerprint() const {
+  const RequestHead& head = exchange_->head();
+  uint64_t fingerprint = 0;
+  for (const std::string* text : {&head.method, &request_.host, &head.target,
+                                  &request_.credentials, &exchange_->body()}) {
+    fingerprint = MixBits(fingerprint ^ std::hash<std::string>()(*text));
+  }
+  if (!request_.prompt) return fingerprint;
+  for (const PromptPart& part : request_.prompt->parts) {
+    fingerprint = MixBits(fingerprint ^ part.id);
+  }
+  return fingerprint;
 }
 
 bool RelayTask::EndIfQuarantined(Time now) {
--- a/unittests/Gateway/crash_quarantine_test.cc
+++ b/unittests/Gateway/crash_quarantine_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace corianderlink {
 namespace {
 
@@ -228,6 +230,129 @@
   EXPECT_FALSE(gateways_[0].IsSuspect(MakeRequest({kCommon})));
 }
 
+/// The whole request with this digest.
+RequestSuspects Whole(uint64_t digest) { return {digest, {}}; }
+
+class CrashingRequestQuarantineTest : public CrashQuarantineTest {
+ protected:
+  /// An upstream crashes under requests that were sent 50 ms before.
+  void CrashUnder(const std::vector<uint64_t>& digests, size_t gateway = 0) {
+    const std::string upstream = "u" + std::to_string(++engines_);
+    for (const uint64_t digest : digests) {
+      gateways_[gateway].OnCrash(
+          now_, Whole(digest),
+          {UpstreamId(upstream), 7, now_ - milliseconds(50), now_, digest});
+    }
+  }
+  bool Held(uint64_t digest, size_t gateway = 0) const {
+    return gateways_[gateway].Find(now_, Whole(digest)).has_value();
+  }
+};
+
+TEST_F(CrashingRequestQuarantineTest, TwoCrashesInARowAreEnough) {
+  gateways_ = std::vector<CrashQuarantine>(117);
+  CrashUnder({kBad}, 3);
+  Step(milliseconds(400));
+  EXPECT_FALSE(Held(kBad, 3));
+  EXPECT_TRUE(gateways_[50].IsSuspect(Whole(kBad)));
+  CrashUnder({kBad}, 80);
+  Step(milliseconds(400));
+  for (size_t i = 0; i < gateways_.size(); ++i) EXPECT_TRUE(Held(kBad, i)) << i;
+}
+
+TEST_F(CrashingRequestQuarantineTest, EachRenewalIsLonger) {
+  CrashUnder({kBad});
+  Step(milliseconds(100));
+  CrashUnder({kBad});
+  Step(milliseconds(200));
+  for (const int quarantine_s : {15, 120, 600}) {
+    Step(seconds(quarantine_s - 1));
+    EXPECT_TRUE(Held(kBad)) << quarantine_s;
+    Step(seconds(quarantine_s / 4 + 2));
+    EXPECT_FALSE(Held(kBad)) << quarantine_s;
+    CrashUnder({kBad});
+    Step(milliseconds(1));
+    EXPECT_TRUE(Held(kBad)) << quarantine_s;
+  }
+}
+
+TEST_F(CrashingRequestQuarantineTest, GatewaysEndAQuarantineAtDifferentTimes) {
+  gateways_.clear();
+  for (uint64_t seed = 1; seed <= 8; ++seed) gateways_.emplace_back(seed * 977);
+  CrashUnder({kBad});
+  Step(milliseconds(100));
+  CrashUnder({kBad});
+  Step(milliseconds(200));
+  Step(milliseconds(200));
+  std::set<Time> ends;
+  for (const CrashQuarantine& gateway : gateways_) {
+    ends.insert(gateway.Find(now_, Whole(kBad))->ends_at);
+  }
+  EXPECT_EQ(ends.size(), 8U);
+  EXPECT_GT(*ends.rbegin() - *ends.begin(), seconds(1));
+}
+
+TEST_F(CrashingRequestQuarantineTest, OldEvidenceDoesNotRenewAQuarantine) {
+  gateways_.clear();
+  for (uint64_t seed = 1; seed <= 4; ++seed) gateways_.emplace_back(seed * 977);
+  CrashUnder({kBad});
+  Step(milliseconds(100));
+  CrashUnder({kBad}, 1);
+  for (int i = 0; i < 300; ++i) Step(milliseconds(100));
+  for (size_t i = 0; i < 4; ++i) EXPECT_FALSE(Held(kBad, i)) << i;
+}
+
+TEST_F(CrashingRequestQuarantineTest, AnswerEndsTheQuarantineEverywhere) {
+  gateways_ = std::vector<CrashQuarantine>(3);
+  CrashUnder({kBad});
+  Step(milliseconds(100));
+  CrashUnder({kBad});
+  Step(milliseconds(200));
+  ASSERT_TRUE(Held(kBad, 2));
+  gateways_[1].OnAnswered(now_, Whole(kBad));
+  Step(milliseconds(25));
+  Step(milliseconds(25));
+  for (size_t i = 0; i < 3; ++i) EXPECT_FALSE(Held(kBad, i)) << i;
+}
+
+TEST_F(CrashingRequestQuarantineTest, UpstreamsThatEndTogetherProveNothing) {
+  for (int i = 0; i < 10; ++i) CrashUnder({kBad, kBad + 1});
+  Step(seconds(1));
+  EXPECT_FALSE(Held(kBad));
+}
+
+TEST_F(CrashingRequestQuarantineTest, RequestBesideACrashingOneIsNotBlamed) {
+  constexpr uint64_t kSound = 77;
+  CrashUnder({kSound, kBad});
+  Step(milliseconds(60));
+  CrashUnder({kSound, kBad});
+  Step(milliseconds(300));
+  EXPECT_FALSE(Held(kSound));
+  CrashUnder({kBad});
+  Step(milliseconds(300));
+  EXPECT_TRUE(Held(kBad));
+  EXPECT_FALSE(Held(kSound));
+  // Evidence of the same crash that arrives later.
+  gateways_[0].OnCrash(now_, Whole(kSound),
+                       {UpstreamId("u3"), 7, now_ - milliseconds(350),
+                        now_ - milliseconds(300), kSound});
+  Step(milliseconds(300));
+  EXPECT_FALSE(Held(kSound));
+}
+
+TEST_F(CrashingRequestQuarantineTest, RepeatedRequestDoesNotBlameItsParts) {
+  for (int i = 0; i < 6; ++i) {
+    const RequestSuspects request{kBad, {kCommon}};
+    gateways_[0].OnCrash(now_, request,
+                         {UpstreamId("u" + std::to_string(i)), 7,
+                          now_ - milliseconds(50), now_, kBad});
+    for (int j = 0; j < 5; ++j) Answer(0, {kCommon + 1});
+    Step(milliseconds(300));
+  }
+  EXPECT_TRUE(Held(kBad));
+  EXPECT_FALSE(Quarantined(0, {kCommon}));
+}
+
 // A client invents parts and an engine crashes again and again.
 TEST_F(CrashQuarantineTest, MemoryAndReportsAreBounded) {
   for (uint64_t i = 0; i < 5000; ++i) {
--- a/unittests/Gateway/crashing_request_test.cc
+++ b/unittests/Gateway/crashing_request_test.cc
@@ -78,7 +78,7 @@
   }
 
   static bool IsBad(const Exchange& exchange) {
-    return exchange->head().target == kBadSafe ||
+    return exchange->head().target.starts_with(kBadSafe) ||
            (exchange->head().target == kBadUnsafe &&
             exchange->body() == kBadBody);
   }
@@ -135,7 +135,7 @@
   }
   /// Bad requests that reached upstreams later than `kContact` after the third
   /// crash.
-  long LateArrivals() const {
+  std::ptrdiff_t LateArrivals() const {
     if (crashes_.size() < 3) return 0;
     return std::count_if(
         bad_arrivals_.begin(), bad_arrivals_.end(),
@@ -239,5 +239,22 @@
   EXPECT_GE(ServedShare(sound_), 0.98);
 }
 
+TEST_F(CrashingRequestTest, RequestOfManyClientsSurvivesASeriesOfBadOnes) {
+  Start(3, 3);
+  // Each bad request is another one; the sound one is in progress at most
+  // crashes.
+  for (int i = 0; i < 200; ++i) {
+    if (i < 60 && i % 8 == 0) {
+      bad_.push_back(
+          Send("GET", std::string(kBadSafe) + std::to_string(i), ""));
+    }
+    for (int j = 0; j < 4; ++j) sound_.push_back(Send("GET", "/safe/same", ""));
+    harness_.RunFor(milliseconds(50));
+  }
+  harness_.RunFor(milliseconds(500));
+  // The last crash is long over.
+  EXPECT_GE(ServedShare(sound_, 520), 0.98);
+}
+
 }  // namespace
 }  // namespace corianderlink
--- a/utils/soak.py
+++ b/utils/soak.py
@@ -29,6 +29,11 @@
 FIRST_LATER_SEED = 1000
 # From here on also connections that go silent, and starts after a restore.
 FIRST_SILENT_SEED = 2000
+# From here on also upstreams that name a rate limit, and requests that end their
+# upstreams.
+FIRST_LIMIT_SEED = 3000
+# A rate limit is judged in windows of this length.
+WINDOW_S = 4.0
 # Time in which a change is in force; gateways answer for it again this long
 # after the loss of their connections.
 APPLY_S, CONTACT_S = 2.0, 3.0
@@ -39,8 +44,9 @@
 class Faults:
     """Draws and plays one seed's faults."""
 
-    def __init__(self, deployment, length_s, seed, only=None):
+    def __init__(self, deployment, callers, length_s, seed, only=None):
         self.world = deployment
+        self.callers = callers
         self.random = deployment.random
         self.spans = []
         self.log = []
@@ -56,6 +62,8 @@
             self.upstream_troubles += 2 * stand_ins.Upstream.later_troubles
         if seed >= FIRST_SILENT_SEED:
             kinds += 3 * [self.silence, self.start_after_restore]
+        if seed >= FIRST_LIMIT_SEED:
+            kinds += 3 * [self.limit, self.lethal]
         if only:
             kinds = [getattr(self, only)]
         self.broken = []
@@ -248,6 +256,44 @@
         await draining
         return "judged" if judged else "beside others"
 
+    async def limit(self, for_s):
+        """An upstream names a rate limit, which all gateways keep together."""
+        upstream = self.world.upstreams[self.some_upstream()]
+        if upstream.limit is not None:
+            return "twice"
+        began = time.monotonic()
+        upstream.limit = self.random.choice([0.5, 2.0, 5.0, 12.0])
+        upstream.limit_named_at = None
+        await asyncio.sleep(CONTACT_S + WINDOW_S + for_s)
+        limit, named_at = upstream.limit, upstream.limit_named_at
+        upstream.limit = None
+        if self.others_since(began - SETTLE_S):
+            return "beside others"
+        self.broken += checks.check_limit(self.world, upstream, limit,
+                                          (named_at or began) + CONTACT_S)
+        return "judged"
+
+    async def lethal(self, for_s):
+        """One request ends each upstream that runs it, and comes again."""
+        began = time.monotonic()
+        first_end = len(self.world.lethal_ends)
+        kind = self.random.choice(["safe", "unsafe"])
+        item = "%x-%s" % (self.random.getrandbits(32), stand_ins.LETHAL)
+        attempts = []
+        while time.monotonic() < began + CONTACT_S + 1 + for_s:
+            attempts.append(asyncio.ensure_future(
+                self.callers.attempt(kind, item)))
+            await asyncio.sleep(0.25)
+        requests = [await attempt for attempt in attempts]
+        for restart in self.world.restarts:
+            await restart
+        if self.others_since(began - SETTLE_S):
+            return "beside others"
+        self.broken += checks.check_lethal(
+            self.world, {request.identity for request in requests},
+            self.world.lethal_ends[first_end:], CONTACT_S)
+        return "judged"
+
     async def new_config(self, for_s):
         self.world.put_config(self.random.choice([0.8, 1.0, 1.2]))
         return str(self.world.config_version)
@@ -269,7 +315,7 @@
 async def play(seed, length_s, size, only=None):
     deployment = world.World(seed, *size)
     callers = clients.Clients(deployment)
-    faults = Faults(deployment, length_s, seed, only)
+    faults = Faults(deployment, callers, length_s, seed, only)
     peak = [0]
     try:
         await deployment.start()
--- a/utils/soak_lib/checks.py
+++ b/utils/soak_lib/checks.py
@@ -13,6 +13,7 @@
 MAX_RESIDENT_MB = 120
 # After its first pause, an upstream's wish is known to whoever asked it.
 PAUSE_KNOWN_S = 0.5
+LIMIT_WINDOW_S = 4.0
 
 
 def check(deployment, requests, troubled):
@@ -123,6 +124,32 @@
     return broken
 
 
+def check_limit(deployment, upstream, limit, since):
+    """In no window does an upstream get more than its limit allows."""
+    arrivals = sorted(at for at, identity, request in deployment.arrivals
+                      if identity == upstream.identity and request and
+                      at >= since)
+    most = max((sum(1 for at in arrivals if first <= at < first + LIMIT_WINDOW_S)
+                for first in arrivals), default=0)
+    allowed = 1.5 * limit * LIMIT_WINDOW_S + 5
+    if most <= allowed:
+        return []
+    return ["LIMIT %s got %d requests in %d s, allowed %d" %
+            (upstream.identity, most, LIMIT_WINDOW_S, allowed)]
+
+
+def check_lethal(deployment, identities, ends, contact_s):
+    """A request that ended three upstreams reaches few more after a time."""
+    if len(ends) < 3:
+        return []
+    late = [at for at, _, request in deployment.arrivals
+            if request in identities and at > ends[2] + contact_s]
+    if len(late) <= 3:
+        return []
+    return ["BUDGET a lethal request was sent %d times more; %d ended" %
+            (len(late), len(ends))]
+
+
 def check_store_followed(deployment):
     """Every gateway has the newest configuration and is registered, also after
     restores of the store."""
--- a/utils/soak_lib/clients.py
+++ b/utils/soak_lib/clients.py
@@ -78,13 +78,15 @@
         finally:
             writer.transport.abort()
 
-    async def attempt(self, kind):
+    async def attempt(self, kind, item="x"):
         self.count += 1
         identity = "%016x" % (self.count * 0x9e3779b97f4a7c15 % 2 ** 64)
         route = world.ROUTES[kind]
         method = "GET" if kind == "safe" else "POST"
         body = b"" if kind == "safe" else b"body of " + identity.encode()
-        request = Request(identity, kind, method, route["prefix"] + "x", body)
+        if item != "x":
+            body = b""
+        request = Request(identity, kind, method, route["prefix"] + item, body)
         port = await self.resolve()
         if port is None:
             return request
--- a/utils/soak_lib/stand_ins.py
+++ b/utils/soak_lib/stand_ins.py
@@ -233,6 +233,11 @@
         # When the first answer said that this upstream leaves.
         self.said_leaving = None
         self.pauses = []
+        # Requests a second that the answers name as the limit, and since when.
+        self.limit = None
+        self.limit_named_at = None
+        # Called for a request that ends the process; None if none does.
+        self.on_lethal = None
         self.busy = 0
         self.handles = set()
 
@@ -241,6 +246,10 @@
         if self.leaving:
             self.said_leaving = self.said_leaving or time.monotonic()
             head = head.replace(b"\r\n", b"\r\nServer-Leaving: 1\r\n", 1)
+        if self.limit is not None:
+            self.limit_named_at = self.limit_named_at or time.monotonic()
+            name = b"\r\nServer-Limit: %.2f\r\n" % self.limit
+            head = head.replace(b"\r\n", name, 1)
         writer.write(head)
 
     async def send_without_end(self, writer):
@@ -261,6 +270,9 @@
         if expected and expected != self.identity:
             self.send(writer, reply(421, Instance_Id=self.identity))
             return True
+        if target == "/healthz":
+            self.send(writer, reply(200, Instance_Id=self.identity))
+            return True
         if method == "DELETE" or target == "/report":
             self.send(writer, reply(200, b"{}"))
             return True
@@ -303,6 +315,10 @@
             gone.cancel()
 
     async def run(self, run, writer, fields, gone):
+        if self.on_lethal and run.target.endswith(LETHAL):
+            await asyncio.sleep(0.03)
+            self.on_lethal(self)
+            return False
         pace = 8 if self.trouble == "slow" else 1
         work_s = 0.02 * pace
         await asyncio.wait([gone], timeout=work_s)
@@ -368,6 +384,9 @@
         return False
 
 
+# End of the target of requests that end their upstream.
+LETHAL = "lethal"
+
 # Events of each stream, and the time between them.
 EVENTS = 8
 EVENT_PAUSE_S = 0.12
--- a/utils/soak_lib/world.py
+++ b/utils/soak_lib/world.py
@@ -16,6 +16,8 @@
 PROGRAM = os.path.join(ROOT, "build", "corianderlink-gateway")
 HOST = "soak.example"
 DRAIN_S = 2.0
+# From the end of an upstream under a lethal request until it is back.
+LETHAL_RESTART_S = 1.5
 ROUTES = {
     "unsafe": {"prefix": "/book/", "kind": "unsafe", "service": "shop",
                "attempts": 1, "timeout_ms": 2500, "slo_ms": 150},
@@ -136,6 +138,9 @@
         self.config = None
         self.config_version = 0
         self.next_id = 0
+        # When upstreams ended under a lethal request.
+        self.lethal_ends = []
+        self.restarts = []
 
     async def start(self):
         gateways, plain, engines = self.counts
@@ -210,6 +215,7 @@
         link = stand_ins.Link(inner)
         await link.listen(outer)
         upstream.port = outer
+        upstream.on_lethal = self.end_upstream
         self.upstreams[identity] = upstream
         self.all_upstreams.append(upstream)
         self.links[identity] = link
@@ -242,6 +248,22 @@
         upstream.close()
         link.close()
 
+    def end_upstream(self, upstream):
+        """The process ends by itself, and is back later under a new id."""
+        if self.upstreams.get(upstream.identity) is not upstream:
+            return
+        self.lethal_ends.append(asyncio.get_running_loop().time())
+        upstream.close()
+        self.links[upstream.identity].close()
+        self.restarts.append(asyncio.ensure_future(self.start_again(upstream)))
+
+    async def start_again(self, upstream):
+        await asyncio.sleep(LETHAL_RESTART_S)
+        if self.upstreams.pop(upstream.identity, None) is not None:
+            self.links.pop(upstream.identity)
+            self.store.remove("servers", upstream.identity)
+            await self.add_upstream(upstream.service, upstream.role)
+
     async def leave_by_answers(self, identity):
         """An upstream says in its answers only that it leaves."""
         upstream = self.upstreams.pop(identity)
