--- a/include/corianderlink/Gateway/crash_quarantine.h
+++ b/include/corianderlink/Gateway/crash_quarantine.h
@@ -161,9 +161,10 @@
 
   const uint64_t seed_;
   Suspects suspects_;
-  // Suspects that are whole requests, and those of them with a verdict.
+  // Suspects that are whole requests, and those of them that are quarantined
+  // or were so lately.
   size_t requests_ = 0;
-  std::set<SuspectKey> condemned_;
+  std::set<SuspectKey> quarantined_requests_;
   // The next time at which evidence that suffices has settled.
   Time verdict_due_ = Time::max();
   // Prompts answered through this gateway.
--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -123,7 +123,7 @@
   /// This gateway's record in the store's table of gateways.
   StoreRecord OwnRecord() const;
   /// True if the configuration and the list of upstreams are loaded, the peers
-  /// were heard, and the gateway is not shutting down.
+  /// have sent heartbeats, and the gateway is not shutting down.
   bool ready() const;
 
  private:
@@ -159,7 +159,7 @@
   /// Drops what was learned about routes that `config` does not contain.
   void ForgetRemovedRoutes(const GatewayConfig& config);
   /// True once the configuration and the upstreams are loaded and the peers
-  /// were heard.
+  /// have sent heartbeats.
   bool CanServe(Time now) const;
   /// Requests records from peers that know more than this gateway.
   void SyncFromPeers(Time now);
@@ -171,6 +171,7 @@
   /// Periodic work: synchronizes with peers, drops expired state, updates
   /// gauges.
   void Housekeeping();
+  void UpdateGauges(Time now);
   void CloseConnectionsToRemovedUpstreams();
   /// Next step of a shutdown, repeated until the loop is stopped.
   void ContinueShutdown();
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -44,7 +44,7 @@
   /// Digest of the known records and departures of upstreams.
   uint64_t upstreams_digest = 0;
   /// Time since the store last responded to this gateway itself, about the
-  /// table that was heard of longest ago.
+  /// table whose last response is the oldest.
   Duration store_age = Duration::max();
   /// Outstanding work that this gateway has sent to each upstream.
   std::map<UpstreamId, OutstandingLoad> shares;
@@ -79,7 +79,7 @@
   std::string process;
   /// When the last heartbeat arrived.
   Time last_heartbeat{};
-  /// When the present digest of the peer's upstreams was first heard.
+  /// When the present digest of the peer's upstreams was first received.
   Time digest_since{};
   GatewayStatus status;
 };
--- a/include/corianderlink/Gateway/initial_sync.h
+++ b/include/corianderlink/Gateway/initial_sync.h
@@ -1,4 +1,4 @@
-// When a started gateway has heard what its peers know.
+// When a started gateway has received what its peers know.
 #ifndef CORIANDERLINK_GATEWAY_INITIAL_SYNC_H_
 #define CORIANDERLINK_GATEWAY_INITIAL_SYNC_H_
 
@@ -26,12 +26,12 @@
   /// A peer sent its records.
   void OnRecords() { has_records_ = true; }
   /// True once a ready peer has sent its records, no listed peer is ready, or
-  /// the listed ones that are still silent have had time enough.
+  /// the listed ones without a heartbeat have had time enough.
   bool IsOver(Time now) const;
 
  private:
   std::optional<Time> began_at_;
-  std::set<Address> silent_;
+  std::set<Address> awaited_;
   // Ready peers whose records were requested.
   std::set<Address> requested_;
   bool has_records_ = false;
--- a/include/corianderlink/Gateway/store_contact.h
+++ b/include/corianderlink/Gateway/store_contact.h
@@ -1,4 +1,4 @@
-// When the store was last heard, by this gateway and by its peers.
+// When the store last responded to this gateway and to its peers.
 #ifndef CORIANDERLINK_GATEWAY_STORE_CONTACT_H_
 #define CORIANDERLINK_GATEWAY_STORE_CONTACT_H_
 
@@ -25,7 +25,7 @@
   Duration OwnAge(Time now, StoreTable table) const {
     return now - last_[static_cast<size_t>(table)];
   }
-  /// As above, of the table that was heard of longest ago.
+  /// As above, of the table whose last response is the oldest.
   Duration OwnAge(Time now) const {
     return std::max(OwnAge(now, StoreTable::kConfig),
                     OwnAge(now, StoreTable::kUpstreams));
--- a/include/corianderlink/Gateway/table_watcher.h
+++ b/include/corianderlink/Gateway/table_watcher.h
@@ -108,7 +108,7 @@
                  });
   }
 
-  // Reads the table on a new connection if that of the watch may be silent.
+  // Reads the table on a new connection if that of the watch may be half-open.
   void RenewIfStale() {
     if (!watching_) return;
     const Duration age = BootClock::now() - last_response_;
--- a/include/corianderlink/Gateway/upstream_notices.h
+++ b/include/corianderlink/Gateway/upstream_notices.h
@@ -20,7 +20,7 @@
 class UpstreamNotices {
  public:
   /// The incarnation that started at `started_ms` is leaving; this gateway or a
-  /// peer has received the notice.  Returns true if it is news.
+  /// peer has received the notice.  Returns true if it is new.
   bool OnLeaving(const UpstreamId& upstream, int64_t started_ms);
   /// The upstream asked for no requests during `pause`, which is bounded.
   /// Returns the end of the pause.
--- a/include/corianderlink/Gateway/watch_schedule.h
+++ b/include/corianderlink/Gateway/watch_schedule.h
@@ -10,8 +10,8 @@
 
 /// Place of a gateway among all that watch the same tables.  Answers three
 /// loads: a series of changes, of which each ends one watch of every gateway; a
-/// store that takes requests without answering; and connections that go silent
-/// without being closed.
+/// store that takes requests without answering; and connections that become
+/// half-open without being closed.
 struct WatchSchedule {
   /// Number of live gateways, including this one.
   size_t gateways = 1;
@@ -28,7 +28,7 @@
   /// Time after which a watch ends even if nothing changed.  Short at the
   /// gateways of the lowest ranks, which therefore notice soon that the store
   /// stopped answering; the others hear of changes from them, and watch shortly
-  /// themselves while no peer hears the store.
+  /// themselves while no peer gets responses of the store.
   Duration Wait() const;
   /// Longest time without a response of the store to some gateway, unless the
   /// store or connections fail.
--- a/lib/Gateway/crash_quarantine.cc
+++ b/lib/Gateway/crash_quarantine.cc
@@ -76,7 +76,7 @@
 
 void CrashQuarantine::Erase(Suspects::iterator suspect) {
   if (suspect->first.kind == Kind::kRequest) --requests_;
-  condemned_.erase(suspect->first);
+  quarantined_requests_.erase(suspect->first);
   suspects_.erase(suspect);
 }
 
@@ -89,12 +89,13 @@
                                   const UpstreamCrash& crash) const {
   const SuspectKey request{Kind::kRequest, crash.request};
   const Incarnation incarnation{crash.upstream, crash.started_ms};
-  return std::any_of(
-      condemned_.begin(), condemned_.end(), [&](const SuspectKey& other) {
-        if (other == key) return false;
-        return other == request ||
-               suspects_.at(other).crashes.count(incarnation) > 0;
-      });
+  return std::any_of(quarantined_requests_.begin(), quarantined_requests_.end(),
+                     [&](const SuspectKey& other) {
+                       if (other == key) return false;
+                       return other == request ||
+                              suspects_.at(other).crashes.count(incarnation) >
+                                  0;
+                     });
 }
 
 void CrashQuarantine::AddCrash(Time now, const SuspectKey& key,
@@ -161,7 +162,7 @@
   suspect.on_probation_until.reset();
   if (suspect.quarantined_at && *suspect.quarantined_at > answered_at) return;
   const uint32_t level = std::exchange(suspect.level, 0);
-  condemned_.erase(key);
+  quarantined_requests_.erase(key);
   if (!suspect.quarantined_at) return;
   suspect.quarantined_at.reset();
   Log(LogLevel::kWarning, "quarantine_lifted",
@@ -223,15 +224,17 @@
 bool CrashQuarantine::IsOnlyCause(const SuspectKey& key,
                                   const Suspect& suspect) const {
   const size_t crashes = suspect.crashes.size();
-  for (const auto& [other, entry] : suspects_) {
-    if (other.kind != Kind::kRequest || other == key) continue;
-    const auto shared = std::count_if(
-        suspect.crashes.begin(), suspect.crashes.end(), [&](const auto& crash) {
-          return entry.crashes.count(crash.first) > 0;
-        });
-    if (static_cast<size_t>(shared) < crashes) continue;
+  for (const auto& other : suspects_) {
+    if (other.first.kind != Kind::kRequest || other.first == key) continue;
+    const auto& others_crashes = other.second.crashes;
+    const bool shares_all =
+        std::all_of(suspect.crashes.begin(), suspect.crashes.end(),
+                    [&others_crashes](const auto& crash) {
+                      return others_crashes.count(crash.first) > 0;
+                    });
+    if (!shares_all) continue;
     // The same crashes: one more tells which of the two it was.
-    if (entry.crashes.size() > crashes || crashes < kAmbiguousCrashes) {
+    if (others_crashes.size() > crashes || crashes < kAmbiguousCrashes) {
       return false;
     }
   }
@@ -289,7 +292,7 @@
        {"for_s", ToSeconds(QuarantineTime(key, suspect.level))}});
   if (own && on_verdict && IsKept(key, suspect.level)) on_verdict(key, true);
   if (key.kind != Kind::kRequest) return;
-  condemned_.insert(key);
+  quarantined_requests_.insert(key);
   DropExplained(key, suspect);
 }
 
@@ -335,7 +338,7 @@
     if (suspect.on_probation_until && now > *suspect.on_probation_until) {
       suspect.on_probation_until.reset();
       suspect.level = 0;
-      condemned_.erase(key);
+      quarantined_requests_.erase(key);
     }
     std::erase_if(suspect.crashes, [&](const auto& entry) {
       return now - entry.second.crashed_at > kEvidenceLifetime;
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -53,7 +53,9 @@
   const Time now = BootClock::now();
   wire::Envelope message;
   *message.mutable_heartbeat() = EncodeHeartbeat(now, status_source_(now));
-  for (const auto& [address, heard] : receivers_) bus_.Send(address, message);
+  for (const auto& [address, last_heartbeat] : receivers_) {
+    bus_.Send(address, message);
+  }
 }
 
 void GatewayPeers::AddPeerAddress(const Address& address) {
--- a/lib/Gateway/initial_sync.cc
+++ b/lib/Gateway/initial_sync.cc
@@ -1,4 +1,4 @@
-// When a started gateway has heard what its peers know.
+// When a started gateway has received what its peers know.
 #include "corianderlink/Gateway/initial_sync.h"
 
 namespace corianderlink {
@@ -14,11 +14,11 @@
 void InitialSync::Begin(Time now, const std::set<Address>& peers) {
   if (began_at_) return;
   began_at_ = now;
-  silent_ = peers;
+  awaited_ = peers;
 }
 
 bool InitialSync::OnHeartbeat(const Address& peer, bool ready) {
-  silent_.erase(peer);
+  awaited_.erase(peer);
   if (!ready || has_records_ || requested_.size() >= kMaxRequests) return false;
   return requested_.insert(peer).second;
 }
@@ -27,7 +27,7 @@
   if (has_records_) return true;
   if (!began_at_) return false;
   if (now - *began_at_ >= kMaxWait) return true;
-  return silent_.empty() && requested_.empty();
+  return awaited_.empty() && requested_.empty();
 }
 
 }  // namespace corianderlink
