--- a/include/corianderlink/Gateway/answered_requests.h
+++ b/include/corianderlink/Gateway/answered_requests.h
@@ -10,8 +10,8 @@
 
 namespace corianderlink {
 
-/// Remembers a bounded number of answered requests.  An upstream survives such a
-/// request, so that its crash under the same one has another cause: requests
+/// Remembers a bounded number of answered requests.  An upstream survives such
+/// a request, so that its crash under the same one has another cause: requests
 /// that many callers send alike are in progress at most crashes.
 class AnsweredRequests {
  public:
