[Gateway] Let an answer that any gateway remembers excuse a request

Cause: found in review. Each gateway remembered the requests that it had seen answered for itself; one that had just started remembered none. Two crashes that it saw under a request that all clients send quarantined this request at all gateways, though the others had answered it seconds before. Ruled out: a start that waits for the memory of a peer (a copy of thousands of entries for a case that one report settles). Change: CrashQuarantine remembers answers by the digest. A gateway that hears of a suspected request which it remembers reports the answer, and an answer excuses the same request from crashes of the next 10 s, its own and those that peers report, and lifts a quarantine from this time. Before: AnswersThatPeersRememberClearARequest failed at 3 of 3 gateways.

--- a/include/corianderlink/Gateway/crash_quarantine.h
+++ b/include/corianderlink/Gateway/crash_quarantine.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "corianderlink/Gateway/answered_requests.h"
 #include "corianderlink/Gateway/suspect_key.h"
 #include "corianderlink/Gateway/upstream_record.h"
 #include "corianderlink/Support/time.h"
@@ -54,7 +55,9 @@
 /// among many sound ones.
 ///
 /// Suspects are the request itself and the shared parts of its prompt.  An
-/// answer to a request with the key ends the suspicion.  Upstreams that crash
+/// answer to a request with the key ends the suspicion; one to the same request
+/// also excuses it from crashes shortly after it, as a request that many
+/// clients send alike is in progress at most crashes.  Upstreams that crash
 /// together, for a reason of their own, prove nothing: at least one crash must
 /// be of a request that was sent after another crash.
 ///
@@ -97,8 +100,6 @@
   /// True if a further upstream may crash under the request, so that it is not
   /// sent again after it may have run.
   bool IsSuspect(const RequestSuspects& request) const;
-  /// True if the digest of a request has to be known to judge it.
-  bool HasRequests() const { return requests_ > 0; }
   /// Reports for the peers, of a bounded number of keys.
   std::vector<SuspectReport> Reports(Time now) const;
   /// Keys in quarantine.
@@ -140,8 +141,10 @@
   /// Until when requests with the key are held back, if they are.
   std::optional<Time> HeldUntil(const SuspectKey& key,
                                 const Suspect& suspect) const;
-  /// Adds the key, for which there is room.
+  /// Adds the key, with what this gateway remembers of answers.
   Suspects::iterator Insert(const SuspectKey& key);
+  /// Whether the last answer excuses the key from what happened at `at`.
+  static bool IsExcused(const SuspectKey& key, const Suspect& suspect, Time at);
   void Erase(Suspects::iterator suspect);
   void AddCrash(Time now, const SuspectKey& key, const UpstreamCrash& crash,
                 bool own);
@@ -161,10 +164,9 @@
 
   const uint64_t seed_;
   Suspects suspects_;
-  // Suspects that are whole requests, and those of them that are quarantined
-  // or were so lately.
-  size_t requests_ = 0;
+  // Requests that are quarantined or were so lately.
   std::set<SuspectKey> quarantined_requests_;
+  AnsweredRequests answered_requests_;
   // The next time at which evidence that suffices has settled.
   Time verdict_due_ = Time::max();
   // Prompts answered through this gateway.
--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -11,7 +11,6 @@
 #include <string>
 #include <vector>
 
-#include "corianderlink/Gateway/answered_requests.h"
 #include "corianderlink/Gateway/client_timeout_estimate.h"
 #include "corianderlink/Gateway/crash_check.h"
 #include "corianderlink/Gateway/crash_quarantine.h"
@@ -189,7 +188,6 @@
   Placer placer_;
   CrashQuarantine quarantine_;
   CrashCheck crash_check_;
-  AnsweredRequests answered_requests_;
   RecordCache record_cache_;
   StoreContact store_contact_;
   GatewayPeers peers_;
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -12,7 +12,6 @@
 #include <set>
 #include <string>
 
-#include "corianderlink/Gateway/answered_requests.h"
 #include "corianderlink/Gateway/crash_check.h"
 #include "corianderlink/Gateway/crash_quarantine.h"
 #include "corianderlink/Gateway/event_splitter.h"
@@ -37,7 +36,6 @@
   RandomSource& random;
   CrashQuarantine& quarantine;
   CrashCheck& crash_check;
-  AnsweredRequests& answered_requests;
   /// Charges one retry to the retry budget of a service.  False if the budget
   /// is exhausted.
   std::function<bool(Time, const ServiceId&)> try_claim_retry;
@@ -133,14 +131,11 @@
   void CheckForCrash(const Outcome& outcome);
   /// The upstream has answered enough to clear the request and its parts.
   void ReportAnswered();
-  /// What the request has that may crash upstreams, as far as anybody asks for
-  /// it.
+  /// What the request has that may crash upstreams.
   RequestSuspects Suspects();
   /// Identifies the request among all that clients repeat: digest of its
   /// method, target, credentials and body.
   uint64_t RequestDigest();
-  /// The same for this process only, and cheaper.
-  uint64_t RequestFingerprint();
   /// Ids of the prompt's shared parts, for the log.
   std::string SharedPartsText() const;
   void RetryOnOtherUpstream(Time now, const Outcome& outcome,
@@ -219,7 +214,6 @@
 
   // Computed when it is needed.
   std::optional<uint64_t> request_digest_;
-  std::optional<uint64_t> request_fingerprint_;
   // Id of the last event sent to the client.
   std::optional<uint64_t> last_event_id_;
   EventHandle deadline_timer_;
--- a/include/corianderlink/Gateway/suspect_key.h
+++ b/include/corianderlink/Gateway/suspect_key.h
@@ -32,7 +32,7 @@
 
 /// The keys of one request.
 struct RequestSuspects {
-  /// Digest of the whole request; empty if nobody asked for it.
+  /// Digest of the whole request, if it is judged as well.
   std::optional<uint64_t> digest;
   /// Shared parts of its prompt, in their order.
   std::vector<uint64_t> parts;
--- a/lib/Gateway/answered_requests.cc
+++ b/lib/Gateway/answered_requests.cc
@@ -2,19 +2,17 @@
 #include "corianderlink/Gateway/answered_requests.h"
 
 namespace corianderlink {
-namespace {
 
-constexpr Duration kMemory = seconds(60);
-
-}  // namespace
-
-void AnsweredRequests::Add(Time now, uint64_t fingerprint) {
-  entries_[fingerprint % kEntries] = {fingerprint, now};
+void AnsweredRequests::Add(Time now, uint64_t digest) {
+  entries_[digest % kEntries] = {digest, now};
 }
 
-bool AnsweredRequests::Contains(Time now, uint64_t fingerprint) const {
-  const Entry& entry = entries_[fingerprint % kEntries];
-  return entry.fingerprint == fingerprint && now - entry.answered_at <= kMemory;
+std::optional<Time> AnsweredRequests::Find(uint64_t digest) const {
+  const Entry& entry = entries_[digest % kEntries];
+  if (entry.digest != digest || entry.answered_at == Time{}) {
+    return std::nullopt;
+  }
+  return entry.answered_at;
 }
 
 }  // namespace corianderlink
--- a/lib/Gateway/crash_quarantine.cc
+++ b/lib/Gateway/crash_quarantine.cc
@@ -32,7 +32,8 @@
 constexpr size_t kAmbiguousCrashes = 3;
 constexpr Duration kEvidenceLifetime = seconds(300);
 constexpr Duration kProbation = seconds(600);
-// An answer is reported for this long, so that all peers hear of it.
+// An answer is reported to the peers for this long, and excuses the same
+// request from crashes for as long after it.
 constexpr Duration kAnswerLifetime = seconds(10);
 // Crashes under which a prompt's part counts as a suspect.
 constexpr size_t kSuspectCrashes = 2;
@@ -70,12 +71,23 @@
   const auto known = suspects_.find(key);
   if (known != suspects_.end()) return known;
   MakeRoom();
-  if (key.kind == Kind::kRequest) ++requests_;
-  return suspects_.try_emplace(key).first;
+  const auto added = suspects_.try_emplace(key).first;
+  if (key.kind == Kind::kRequest) {
+    added->second.own_answered_at = answered_requests_.Find(key.id);
+    added->second.answered_at = added->second.own_answered_at;
+  }
+  return added;
+}
+
+bool CrashQuarantine::IsExcused(const SuspectKey& key, const Suspect& suspect,
+                                Time at) {
+  if (!suspect.answered_at) return false;
+  const Duration after =
+      key.kind == Kind::kRequest ? kAnswerLifetime : Duration::zero();
+  return at <= *suspect.answered_at + after;
 }
 
 void CrashQuarantine::Erase(Suspects::iterator suspect) {
-  if (suspect->first.kind == Kind::kRequest) --requests_;
   quarantined_requests_.erase(suspect->first);
   suspects_.erase(suspect);
 }
@@ -108,7 +120,7 @@
   if (is_known && !own) return;
   if (IsExplained(key, crash)) return;
   Suspect& suspect = Insert(key)->second;
-  if (suspect.answered_at && crash.crashed_at <= *suspect.answered_at) return;
+  if (IsExcused(key, suspect, crash.crashed_at)) return;
   if (suspect.judged_until && crash.sent_at <= *suspect.judged_until) return;
   if (own) suspect.own_crashes.insert(incarnation);
   const bool is_new = suspect.crashes.try_emplace(incarnation, crash).second;
@@ -139,6 +151,7 @@
 
 void CrashQuarantine::OnAnswered(Time now, const RequestSuspects& request) {
   if (!request.parts.empty()) ++answers_;
+  if (request.digest) answered_requests_.Add(now, *request.digest);
   if (suspects_.empty()) return;
   for (const SuspectKey& key : request.Keys()) {
     const auto it = suspects_.find(key);
@@ -153,14 +166,17 @@
   if (suspect.answered_at && *suspect.answered_at >= answered_at) return;
   suspect.answered_at = answered_at;
   std::erase_if(suspect.crashes, [&](const auto& entry) {
-    return entry.second.crashed_at <= answered_at;
+    return IsExcused(key, suspect, entry.second.crashed_at);
   });
   std::erase_if(suspect.own_crashes, [&](const Incarnation& incarnation) {
     return suspect.crashes.count(incarnation) == 0;
   });
   suspect.convincing_since.reset();
   suspect.on_probation_until.reset();
-  if (suspect.quarantined_at && *suspect.quarantined_at > answered_at) return;
+  if (suspect.quarantined_at &&
+      !IsExcused(key, suspect, *suspect.quarantined_at)) {
+    return;
+  }
   const uint32_t level = std::exchange(suspect.level, 0);
   quarantined_requests_.erase(key);
   if (!suspect.quarantined_at) return;
@@ -194,7 +210,7 @@
     const bool outdated =
         report.level < suspect.level ||
         now - since > QuarantineTime(report.key, report.level) ||
-        (suspect.answered_at && *suspect.answered_at >= since);
+        IsExcused(report.key, suspect, since);
     if (outdated) continue;
     Quarantine(since, report.level, report.key, suspect, "peer");
   }
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -78,7 +78,6 @@
                      random_,
                      quarantine_,
                      crash_check_,
-                     answered_requests_,
                      [this](Time now, const ServiceId& service) {
                        return TryClaimRetry(now, service);
                      },
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -80,17 +80,11 @@
   // The end of an upstream that leaves is planned.
   if (upstream == nullptr || upstream->draining) return;
   if (placer.notices().IsLeaving(*upstream)) return;
-  const Time now = BootClock::now();
-  RequestSuspects request = Suspects();
-  request.digest = RequestDigest();
-  if (context_.answered_requests.Contains(now, RequestFingerprint())) {
-    request.digest.reset();
-  }
-  const UpstreamCrash crash{upstream->id, upstream->started_ms, sent_at_, now,
-                            RequestDigest()};
+  const UpstreamCrash crash{upstream->id, upstream->started_ms, sent_at_,
+                            BootClock::now(), RequestDigest()};
   context_.crash_check.Start(
       *upstream, service_.health_path,
-      [&quarantine = context_.quarantine, request = std::move(request), crash] {
+      [&quarantine = context_.quarantine, request = Suspects(), crash] {
         quarantine.OnCrash(BootClock::now(), request, crash);
       });
 }
@@ -98,31 +92,12 @@
 RequestSuspects RelayTask::Suspects() {
   RequestSuspects request;
   if (is_model_request()) request = SuspectsOf(*request_.prompt);
-  if (context_.quarantine.HasRequests()) request.digest = RequestDigest();
+  request.digest = RequestDigest();
   return request;
 }
 
 void RelayTask::ReportAnswered() {
-  const Time now = BootClock::now();
-  context_.answered_requests.Add(now, RequestFingerprint());
-  context_.quarantine.OnAnswered(now, Suspects());
-}
-
-uint64_t RelayTask::RequestFingerprint() {
-  if (request_fingerprint_) return *request_fingerprint_;
-  const RequestHead& head = exchange_->head();
-  uint64_t fingerprint = 0;
-  for (const std::string* text : {&head.method, &request_.host, &head.target,
-                                  &request_.credentials, &exchange_->body()}) {
-    fingerprint = MixBits(fingerprint ^ std::hash<std::string>()(*text));
-  }
-  if (request_.prompt) {
-    for (const PromptPart& part : request_.prompt->parts) {
-      fingerprint = MixBits(fingerprint ^ part.id);
-    }
-  }
-  request_fingerprint_ = fingerprint;
-  return fingerprint;
+  context_.quarantine.OnAnswered(BootClock::now(), Suspects());
 }
 
 bool RelayTask::EndIfQuarantined(Time now) {
--- a/unittests/Gateway/crash_quarantine_test.cc
+++ b/unittests/Gateway/crash_quarantine_test.cc
@@ -340,6 +340,26 @@
   EXPECT_FALSE(Held(kSound));
 }
 
+// A started gateway remembers no answers.
+TEST_F(CrashingRequestQuarantineTest, AnswersThatPeersRememberClearARequest) {
+  constexpr uint64_t kCommonRequest = 78;
+  gateways_ = std::vector<CrashQuarantine>(3);
+  gateways_[2].OnAnswered(now_, Whole(kCommonRequest));
+  Step(seconds(2));
+  CrashUnder({kCommonRequest}, 0);
+  Step(milliseconds(100));
+  CrashUnder({kCommonRequest}, 0);
+  for (int i = 0; i < 20; ++i) Step(milliseconds(50));
+  for (size_t i = 0; i < 3; ++i) EXPECT_FALSE(Held(kCommonRequest, i)) << i;
+  // An answer of long ago does not excuse later crashes.
+  Step(seconds(20));
+  CrashUnder({kCommonRequest}, 0);
+  Step(milliseconds(100));
+  CrashUnder({kCommonRequest}, 0);
+  for (int i = 0; i < 20; ++i) Step(milliseconds(50));
+  for (size_t i = 0; i < 3; ++i) EXPECT_TRUE(Held(kCommonRequest, i)) << i;
+}
+
 TEST_F(CrashingRequestQuarantineTest, RepeatedRequestDoesNotBlameItsParts) {
   for (int i = 0; i < 6; ++i) {
     const RequestSuspects request{kBad, {kCommon}};
