--- a/include/corianderlink/Gateway/relay_codec.h
+++ b/include/corianderlink/Gateway/relay_codec.h
@@ -27,6 +27,11 @@
   std::string host;
   /// Credentials that tell the client account; empty if the request has none.
   std::string credentials;
+  /// The client has part of the stream and wants the rest.
+  bool is_resumption = false;
+  /// Id of the client's attempt that began the stream that this one resumes;
+  /// empty if it names none.
+  RequestId resumes;
   /// Present if the request carries a prompt.
   std::optional<Prompt> prompt;
 };
--- a/include/corianderlink/Gateway/upstream_record.h
+++ b/include/corianderlink/Gateway/upstream_record.h
@@ -12,6 +12,7 @@
 namespace corianderlink {
 
 using UpstreamId = StrongId<struct UpstreamTag>;
+using SoftwareVersion = StrongId<struct SoftwareVersionTag>;
 
 /// The phases of a request that an upstream runs.
 enum class UpstreamRole {
@@ -30,6 +31,8 @@
   /// The upstream is shutting down and takes no new requests.
   bool draining = false;
   UpstreamRole role = UpstreamRole::kPlain;
+  /// Version of the upstream's software; empty if not given.
+  SoftwareVersion version;
   /// Start time of this incarnation, in Unix milliseconds; 0 if not given.
   int64_t started_ms = 0;
   /// Number of this record among those that the incarnation has written.
--- a/lib/Gateway/gateway_admin.cc
+++ b/lib/Gateway/gateway_admin.cc
@@ -25,6 +25,7 @@
     entry = {{"service", upstream.service.value()},
              {"address", upstream.address.ToString()},
              {"draining", upstream.draining},
+             {"version", upstream.version.value()},
              {"speed_factor", placer_.speed().Factor(upstream)},
              {"connections", pool_.ConnectionCount(upstream.address)}};
     const RateLimitNotice* limit =
--- a/lib/Gateway/record_cache.cc
+++ b/lib/Gateway/record_cache.cc
@@ -125,6 +125,7 @@
         {{"upstream", record.key},
          {"address", upstream->address.ToString()},
          {"draining", upstream->draining ? "yes" : "no"},
+         {"version", upstream->version.value()},
          {"store_version", record.version}});
   }
   directory_.Put(*upstream);
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -173,6 +173,8 @@
       {{"request", request_.id.value()},
        {"route", route_.id.value()},
        {"upstream", placement.upstream.id.value()},
+       {"version", placement.upstream.version.value()},
+       {"resumes", request_.resumes.value()},
        {"stage", placement.prefill_only ? "prefill" : "run"},
        {"tier", static_cast<int>(placement.tier)},
        {"prompt_tokens", PromptTokens()},
