--- a/unittests/Gateway/gateway_fleet.h
+++ b/unittests/Gateway/gateway_fleet.h
@@ -24,12 +24,7 @@
   /// heartbeats.
   void Start(size_t gateways) {
     for (size_t i = 0; i < gateways; ++i) Add("g" + std::to_string(i));
-    for (const auto& gateway : gateways_) {
-      gateway->OnGatewayRecords(gateway_records_);
-      gateway->OnConfigRecords({{"config", config_, 1}});
-    }
-    Publish();
-    harness_.RunFor(milliseconds(300));
+    Introduce();
   }
   /// Starts a gateway that knows one of the others only, and waits until it is
   /// ready: it gets configuration and upstreams from its peer.
@@ -55,6 +50,16 @@
     Publish();
     return upstream;
   }
+  /// All processes end at once and start again at the same addresses.
+  void RestartAll() {
+    std::vector<GatewaySettings> settings = std::move(settings_);
+    gateways_.clear();
+    settings_.clear();
+    fronts_.clear();
+    gateway_records_.clear();
+    for (const GatewaySettings& old : settings) Start(old);
+    Introduce();
+  }
   void RemoveUpstream(const std::string& id) {
     std::erase_if(upstream_records_, [&id](const StoreRecord& record) {
       return record.key == id;
@@ -74,6 +79,10 @@
     settings.front = FreeAddress();
     settings.ready = FreeAddress();
     settings.directory = FreeAddress();
+    return Start(settings);
+  }
+  Gateway& Start(const GatewaySettings& settings) {
+    settings_.push_back(settings);
     fronts_.push_back(settings.front);
     gateways_.push_back(std::make_unique<Gateway>(harness_.loop, settings,
                                                   platform::MakeCodecs()));
@@ -83,6 +92,15 @@
     gateway_records_.push_back(gateway.OwnRecord());
     return gateway;
   }
+  /// Tells the gateways of each other, the configuration and the upstreams.
+  void Introduce() {
+    for (const auto& gateway : gateways_) {
+      gateway->OnGatewayRecords(gateway_records_);
+      gateway->OnConfigRecords({{"config", config_, 1}});
+    }
+    Publish();
+    harness_.RunFor(milliseconds(300));
+  }
   void Publish() {
     ++version_;
     for (const auto& gateway : gateways_) {
@@ -93,6 +111,7 @@
   GatewayTestHarness& harness_;
   const std::string config_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
+  std::vector<GatewaySettings> settings_;
   std::vector<StoreRecord> gateway_records_;
   std::vector<Address> fronts_;
   std::vector<StoreRecord> upstream_records_;
--- /dev/null
+++ b/unittests/Gateway/stream_version_test.cc
@@ -0,0 +1,212 @@
+// Resumed streams while upstreams of several software versions serve.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <sstream>
+
+#include "Gateway/gateway_fleet.h"
+
+namespace corianderlink {
+namespace {
+
+using Exchange = FakeUpstream::Exchange;
+
+constexpr char kConfig[] =
+    R"({"version":4,"routes":[{"name":"r","host":"h.example","prefix":"/c/",)"
+    R"("kind":"stream","timeout_ms":5000,"slo_ms":200,"priority":1,)"
+    R"("service":"chat","attempts":3,"resumable":true,"gap_aim_ms":50}],)"
+    R"("services":[{"name":"chat","max_conns":50}]})";
+constexpr int kStreams = 12;
+constexpr int kEvents = 6;
+// A stream breaks off after so many events.
+constexpr int kEventsBeforeBreak = 3;
+
+/// How an upstream answers.
+enum class Behavior { kServe, kBreakOff, kStopInMidStream, kFail };
+
+class StreamVersionTest : public ::testing::Test {
+ protected:
+  void AddUpstream(const std::string& id, const std::string& version) {
+    auto upstream = fleet_.AddUpstream(
+        id, R"("service":"chat","slots":8,"version":")" + version + "\"");
+    upstream->on_request = [this, version](const Exchange& exchange) {
+      OnUpstreamRequest(version, exchange);
+    };
+    upstreams_[id] = std::move(upstream);
+  }
+  void RemoveUpstream(const std::string& id) {
+    fleet_.RemoveUpstream(id);
+    upstreams_.erase(id);
+  }
+
+  /// Each event names the version that wrote it.
+  void OnUpstreamRequest(const std::string& version, const Exchange& exchange) {
+    if (behavior_ == Behavior::kFail) {
+      exchange->SendResponse(500, FakeUpstream::Signed(exchange), "a failure");
+      return;
+    }
+    const std::string after = FakeUpstream::Field(exchange, "Last-Event-Id");
+    const int first = after.empty() ? 1 : std::stoi(after) + 1;
+    const bool whole = behavior_ == Behavior::kServe;
+    const int last = whole ? kEvents : kEventsBeforeBreak;
+    exchange->StartResponse(200, FakeUpstream::Signed(exchange), std::nullopt);
+    for (int i = first; i <= last; ++i) {
+      exchange->SendBody("id: " + std::to_string(i) + "\ndata: " + version +
+                         "\n\n");
+    }
+    if (whole) exchange->CompleteResponse();
+    if (behavior_ == Behavior::kBreakOff) {
+      behavior_ = after_break_;
+      pending_.push_back(harness_.loop.After(
+          milliseconds(20), [exchange] { exchange->Abort(); }));
+    }
+  }
+
+  std::shared_ptr<ClientResult> Send(size_t gateway, const std::string& id,
+                                     HeaderFields fields = {}) {
+    harness_.front = fleet_.fronts()[gateway];
+    return harness_.Send("POST", "/c/1", std::move(fields), "b", id);
+  }
+  /// Begins streams at gateway 0, all at once, so that they spread over the
+  /// upstreams, and leaves them after their first events.
+  std::map<std::string, std::shared_ptr<ClientResult>> BeginAndLeave(
+      const std::set<std::string>& ids) {
+    behavior_ = Behavior::kStopInMidStream;
+    std::map<std::string, std::shared_ptr<ClientResult>> results;
+    std::vector<std::shared_ptr<UpstreamCall>> calls;
+    for (const std::string& id : ids) {
+      results[id] = Send(0, id);
+      calls.push_back(harness_.call);
+    }
+    harness_.RunFor(milliseconds(100));
+    for (const auto& call : calls) call->Cancel();
+    harness_.RunFor(milliseconds(300));
+    behavior_ = Behavior::kServe;
+    return results;
+  }
+  /// Begins to take up the rest of the stream that the attempt `id` began.
+  std::shared_ptr<ClientResult> SendRest(size_t gateway,
+                                         const std::string& id) {
+    return Send(gateway, id + "-again",
+                {{"Resumes", id},
+                 {"Last-Event-Id", std::to_string(kEventsBeforeBreak)}});
+  }
+  int TakeUp(size_t gateway, const std::string& id) {
+    const auto result = SendRest(gateway, id);
+    harness_.Await(result);
+    return result->status;
+  }
+  /// Versions that wrote the events in these bodies.
+  static std::set<std::string> Versions(const std::string& body) {
+    std::set<std::string> versions;
+    std::istringstream lines(body);
+    for (std::string line; std::getline(lines, line);) {
+      if (line.rfind("data: ", 0) == 0) versions.insert(line.substr(6));
+    }
+    return versions;
+  }
+
+  /// Begins streams, restarts all gateways or not, takes the streams up at the
+  /// given gateway, and returns how many went on.  None may do so at another
+  /// version than its own.
+  int CountResumed(size_t gateway, bool restart_all) {
+    std::set<std::string> ids;
+    for (int i = 0; i < kStreams; ++i) ids.insert("s" + std::to_string(i));
+    const auto begun = BeginAndLeave(ids);
+    if (restart_all) fleet_.RestartAll();
+    std::map<std::string, std::shared_ptr<ClientResult>> rests;
+    // In the other order, so that they would go to other upstreams.
+    for (auto id = ids.rbegin(); id != ids.rend(); ++id) {
+      rests[*id] = SendRest(gateway, *id);
+    }
+    std::set<std::string> versions;
+    int resumed = 0;
+    for (const auto& [id, rest] : rests) {
+      harness_.Await(rest);
+      const std::string& body = begun.at(id)->body;
+      versions.merge(Versions(body));
+      if (rest->status != 200) continue;
+      ++resumed;
+      EXPECT_EQ(Versions(body + rest->body).size(), 1U) << id;
+    }
+    EXPECT_EQ(versions.size(), 2U);
+    return resumed;
+  }
+
+  GatewayTestHarness harness_;
+  std::map<std::string, std::unique_ptr<FakeUpstream>> upstreams_;
+  GatewayFleet fleet_{harness_, kConfig};
+  Behavior behavior_ = Behavior::kServe;
+  Behavior after_break_ = Behavior::kServe;
+  std::vector<EventHandle> pending_;
+};
+
+TEST_F(StreamVersionTest, StreamThatBreaksOffGoesOnAtItsVersion) {
+  for (const char* id : {"a1", "a2", "a3"}) AddUpstream(id, "v1");
+  for (const char* id : {"b1", "b2", "b3"}) AddUpstream(id, "v2");
+  fleet_.Start(1);
+  for (int i = 0; i < 12; ++i) {
+    behavior_ = Behavior::kBreakOff;
+    const auto result = Send(0, "r" + std::to_string(i));
+    harness_.Await(result);
+    EXPECT_TRUE(result->complete);
+    EXPECT_EQ(Versions(result->body).size(), 1U) << result->body;
+  }
+}
+
+TEST_F(StreamVersionTest, TakeUpAtAnotherGatewayStaysAtTheVersion) {
+  for (const char* id : {"a1", "a2"}) AddUpstream(id, "v1");
+  for (const char* id : {"b1", "b2"}) AddUpstream(id, "v2");
+  fleet_.Start(3);
+  EXPECT_EQ(CountResumed(1, false), kStreams);
+}
+
+TEST_F(StreamVersionTest, TakeUpAfterTheEndOfAllGatewaysStaysAtTheVersion) {
+  for (const char* id : {"a1", "a2"}) AddUpstream(id, "v1");
+  for (const char* id : {"b1", "b2"}) AddUpstream(id, "v2");
+  fleet_.Start(3);
+  EXPECT_EQ(CountResumed(1, true), kStreams);
+}
+
+TEST_F(StreamVersionTest, StreamOfAVersionThatHasLeftDoesNotGoOnAtAnother) {
+  for (const char* id : {"a1", "a2"}) AddUpstream(id, "v1");
+  fleet_.Start(3);
+  BeginAndLeave({"s1", "s2"});
+  AddUpstream("b1", "v2");
+  harness_.RunFor(milliseconds(300));
+  RemoveUpstream("a1");
+  RemoveUpstream("a2");
+  harness_.RunFor(milliseconds(300));
+  EXPECT_EQ(TakeUp(1, "s1"), 503);
+  EXPECT_EQ(TakeUp(1, "unknown"), 503);
+  fleet_.RestartAll();
+  EXPECT_EQ(TakeUp(1, "s2"), 503);
+  EXPECT_EQ(TakeUp(2, "unknown"), 503);
+  // New streams begin all the while.
+  const auto fresh = Send(2, "new");
+  harness_.Await(fresh);
+  EXPECT_EQ(fresh->status, 200);
+}
+
+TEST_F(StreamVersionTest, UnknownStreamGoesOnWhileOneVersionServes) {
+  for (const char* id : {"a1", "a2"}) AddUpstream(id, "v1");
+  fleet_.Start(2);
+  EXPECT_EQ(TakeUp(0, "unknown"), 200);
+  fleet_.RestartAll();
+  EXPECT_EQ(TakeUp(1, "unknown"), 200);
+}
+
+TEST_F(StreamVersionTest, FailureOfTheNextUpstreamDoesNotEndTheStreamAsWhole) {
+  for (const char* id : {"a1", "a2", "a3"}) AddUpstream(id, "v1");
+  fleet_.Start(1);
+  behavior_ = Behavior::kBreakOff;
+  after_break_ = Behavior::kFail;
+  const auto result = Send(0, "r1");
+  harness_.Await(result);
+  EXPECT_FALSE(result->complete);
+  EXPECT_EQ(result->body.find("failure"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace corianderlink
