[Gateway] Resume a stream only at the software version that began it

What callers saw: streams joined from two versions, answered 200. Cause: nothing bound a stream to a version. RelayTask resumed at any upstream, and a client's take-up went to any; no gateway knew where the stream had begun. A fault of the class "state of a session that lives in no process's memory".

A stream is bound when its first event goes to the client. Gateways tell each other by heartbeat where streams began, and two of them keep it in the store, in batches, while more than one version of a service serves or has served within a stream's lifetime; without recent contact to the store all origins are told. The versions of the lifetime are kept as well, so that a gateway that has just started does not take one version for the only one. A stream of unknown origin is resumed only if one version was possible. New versions get streams once all ready peers know of them, or after 5.5 s.

Ruled out: a row in the store before the first event (4 ms and more of the first-token time, and none begin in an outage of the store); versions by a hash of the request id (it binds placement to shares, and is in doubt at each change of them, that is, while workers are replaced).

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -30,6 +30,7 @@
 #include "corianderlink/Gateway/role_coordinator.h"
 #include "corianderlink/Gateway/route_table.h"
 #include "corianderlink/Gateway/store_contact.h"
+#include "corianderlink/Gateway/stream_versions.h"
 #include "corianderlink/Gateway/watch_schedule.h"
 #include "corianderlink/Http/event_loop.h"
 #include "corianderlink/Http/http_server.h"
@@ -103,6 +104,18 @@
   /// the value is left to the callee.
   void SetQuarantineHandler(
       std::function<void(const std::string& key, bool quarantined)> handler);
+  /// Takes over the records of software versions and streams that the store has
+  /// kept; `unix_now_ms` is the present time.
+  void OnStreamRecords(const std::vector<StoreRecord>& records,
+                       int64_t unix_now_ms) {
+    stream_versions_.Restore(BootClock::now(), records, unix_now_ms);
+  }
+  /// The next record of software versions or streams for the store, if this
+  /// gateway keeps them and there is something new.
+  std::optional<StoreRecord> NextStreamRecord(int64_t unix_now_ms);
+  void OnStreamRecordWritten(bool written) {
+    stream_versions_.OnRecordWritten(written);
+  }
   /// Handles the loss or return of access to the store's table of upstreams.
   void OnUpstreamTableReachable(bool reachable);
 
@@ -137,6 +150,20 @@
   /// Starts the relay task of a request, or refuses the request if it has no
   /// route or the configuration is not loaded.
   void OnRequest(const std::shared_ptr<InboundExchange>& exchange);
+  /// Where a stream may begin or go on; `service` is the one that was picked,
+  /// and is replaced by that of a stream that goes on.  Empty, with a reason,
+  /// if a stream must not go on.
+  std::optional<VersionConstraint> ConstrainStream(Time now,
+                                                   const RouteSpec& route,
+                                                   const ClientRequest& request,
+                                                   ServiceId& service,
+                                                   std::string& reason) const;
+  /// What the ready peers know of software versions.
+  std::vector<const StreamVersionReport*> PeerVersions(Time now) const;
+  /// Time since the store told this gateway or a peer of the upstreams.
+  Duration KnowledgeAge(Time now) const;
+  /// Number of ready gateways with a lower process id.
+  size_t Rank(Time now) const;
   /// Picks a service of the route at random, by weight; null if it has none.
   const WeightedService* PickService(const RouteSpec& route);
   /// Charges one retry to the service's budget; false if it is exhausted.
@@ -188,6 +215,7 @@
   Placer placer_;
   CrashQuarantine quarantine_;
   CrashCheck crash_check_;
+  StreamVersions stream_versions_;
   RecordCache record_cache_;
   StoreContact store_contact_;
   GatewayPeers peers_;
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -18,6 +18,7 @@
 #include "corianderlink/Gateway/prompt.h"
 #include "corianderlink/Gateway/record_store.h"
 #include "corianderlink/Gateway/role_planner.h"
+#include "corianderlink/Gateway/stream_versions.h"
 #include "corianderlink/Gateway/upstream_load.h"
 #include "corianderlink/Gateway/upstream_record.h"
 #include "corianderlink/Http/event_loop.h"
@@ -63,6 +64,8 @@
   std::vector<SuspectReport> suspect_reports;
   /// Rate limits that upstreams have named to the gateway.
   std::vector<RateLimitNotice> rate_limits;
+  /// What the gateway knows of software versions, and where streams began.
+  StreamVersionReport stream_versions;
 };
 
 /// Records of the store, passed on by a gateway that has read them.
--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -27,6 +27,7 @@
 #include "corianderlink/Gateway/upstream_directory.h"
 #include "corianderlink/Gateway/upstream_load.h"
 #include "corianderlink/Gateway/upstream_notices.h"
+#include "corianderlink/Gateway/version_constraint.h"
 #include "corianderlink/Routing/outlier_ejector.h"
 
 namespace corianderlink {
@@ -55,6 +56,8 @@
   uint64_t seed = 0;
   /// Upstreams that already failed or refused this request.
   const std::set<UpstreamId>* excluded = nullptr;
+  /// Versions of the upstreams that may answer.
+  VersionConstraint versions;
   RateLimitQuery rate_limit;
 };
 
@@ -103,7 +106,8 @@
   /// Chooses an upstream of a plain service, or refuses.
   PlacementResult PlacePlain(Time now, const ServiceId& service,
                              const std::set<UpstreamId>& excluded,
-                             const RateLimitQuery& rate_limit) const;
+                             const RateLimitQuery& rate_limit,
+                             const VersionConstraint& versions = {}) const;
   /// Chooses the upstream that computes a prompt, or refuses.
   PlacementResult PlacePrompt(Time now, const PlacementQuery& query);
   /// Chooses the decode engine for a prompt that was computed at `source`, or
@@ -228,6 +232,8 @@
   bool Ineligible(Time now, const UpstreamRecord& upstream,
                   const std::set<UpstreamId>* excluded,
                   const RateLimitQuery& rate_limit) const;
+  /// True if an engine that may answer the request is in service.
+  bool HasDecodeEngine(const PlacementQuery& query) const;
   /// The eligible ones of the `usable` upstreams.
   std::vector<Candidate> Candidates(
       Time now, const PlacementQuery& query,
--- a/include/corianderlink/Gateway/record_codec.h
+++ b/include/corianderlink/Gateway/record_codec.h
@@ -22,6 +22,9 @@
   /// Table of the parts of prompts that crash engines; not part of the
   /// platform.
   std::string quarantine_table;
+  /// Table of software versions and of the origins of streams; not part of the
+  /// platform.
+  std::string stream_table;
   std::function<std::optional<GatewayConfig>(const std::string& value,
                                              std::string& reason)>
       decode_config;
--- a/include/corianderlink/Gateway/relay_codec.h
+++ b/include/corianderlink/Gateway/relay_codec.h
@@ -10,8 +10,10 @@
 #include <string>
 
 #include "corianderlink/Gateway/prompt.h"
+#include "corianderlink/Gateway/stream_origins.h"
 #include "corianderlink/Gateway/upstream_record.h"
 #include "corianderlink/Http1/message_head.h"
+#include "corianderlink/Support/hash.h"
 #include "corianderlink/Support/strong_id.h"
 #include "corianderlink/Support/time.h"
 
@@ -36,6 +38,14 @@
   std::optional<Prompt> prompt;
 };
 
+/// Key of the stream that the attempt `id` of the request's client has begun.
+/// Another client that names the same id gets another key.
+inline StreamKey KeyOfStream(const RequestId& id,
+                             const ClientRequest& request) {
+  return {Fnv1aHash(std::to_string(id.value().size()) + ":" + id.value() +
+                    request.host + " " + request.credentials)};
+}
+
 /// Reference to the KV cache of a prefilled prompt.
 struct KvHandle {
   /// The prefill engine that holds the cache.
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -18,6 +18,8 @@
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/placer.h"
 #include "corianderlink/Gateway/relay_codec.h"
+#include "corianderlink/Gateway/stream_origins.h"
+#include "corianderlink/Gateway/version_constraint.h"
 #include "corianderlink/Http1/inbound_exchange.h"
 #include "corianderlink/Http1/upstream_pool.h"
 #include "corianderlink/Support/metrics.h"
@@ -39,6 +41,11 @@
   /// Charges one retry to the retry budget of a service.  False if the budget
   /// is exhausted.
   std::function<bool(Time, const ServiceId&)> try_claim_retry;
+  /// Remembers at which version a stream has begun.
+  std::function<void(Time, const StreamOrigin&)> on_stream_begun;
+  /// True if an upstream of that version is registered.
+  std::function<bool(const ServiceId&, const SoftwareVersion&)>
+      is_version_registered;
   /// Estimates how long a client waited in earlier attempts at the same
   /// request, given the timeout of the present attempt.  The timeout is added
   /// to the history of the route.
@@ -52,7 +59,7 @@
  public:
   RelayTask(RelayContext& context, std::shared_ptr<InboundExchange> exchange,
             RouteSpec route, ServicePoolSpec service, ClientRequest request,
-            uint64_t config_version);
+            VersionConstraint versions, uint64_t config_version);
 
   /// Arms the deadline and sends the request to the first upstream, or refuses
   /// it.  The task keeps itself alive until the response has ended.
@@ -78,7 +85,8 @@
   /// request is refused or failed, or, if its stream has started, tried again
   /// later.
   void PlaceAndSend();
-  /// Schedules another search for an upstream that can resume a started stream.
+  /// Schedules another search for an upstream that can resume a started stream,
+  /// or ends the stream if none is left.
   void ScheduleResume();
   /// Sends the request to the upstream once it has a permit, if the upstream
   /// has a rate limit.  Without one, calls `place_again`.
@@ -108,6 +116,11 @@
   void ReportFirstOutput();
   /// An event of the stream is about to be sent to the client.
   void RecordEventGap();
+  /// The first event is about to be sent: binds the stream to the version of
+  /// its upstream.
+  void BindToVersion(Time now);
+  /// True if the upstreams of the only version that may answer have all left.
+  bool HasVersionLeft() const;
   /// Passes on what the upstream said about itself in its response head.
   void ApplyNotices();
   /// Passes on the rate limit that the response head names, or its end.
@@ -151,6 +164,8 @@
   void FailRequest(const Outcome& outcome);
   /// Responds 503 and tells the client when to retry.  The request did not run.
   void Refuse(const std::string& reason, std::optional<Duration> retry_after);
+  /// Responds 503 to a request that has not run and never can.
+  void RefuseForGood(const std::string& reason);
   void OnDeadline();
   /// Moves an idempotent request whose upstream makes no progress to another
   /// upstream.
@@ -170,6 +185,8 @@
   const ServicePoolSpec service_;
   const ClientRequest request_;
   const uint64_t config_version_;
+  // Once a stream has begun, only the version that began it is permitted.
+  VersionConstraint versions_;
   // Breaks ties between upstreams that are predicted to be equally fast.
   const uint64_t seed_;
   Time deadline_{};
--- a/include/corianderlink/Gateway/store_sync.h
+++ b/include/corianderlink/Gateway/store_sync.h
@@ -72,6 +72,9 @@
         [this](const std::string& part, bool quarantined) {
           KeepQuarantine(part, quarantined ? std::to_string(UnixNowMs()) : "0");
         });
+    ReadStreams();
+    streams_write_timer_ =
+        loop_.Every(kStreamsWriteInterval, [this] { KeepStreams(); });
   }
 
  private:
@@ -80,6 +83,10 @@
   // received each other's heartbeats connect after a partition.
   static constexpr Duration kGatewayReadInterval = seconds(60);
 
+  static constexpr Duration kStreamsWriteInterval = milliseconds(100);
+  // Streams of unknown origin are not resumed before the table is read.
+  static constexpr Duration kStreamsReadRetryDelay = milliseconds(200);
+
   static void LogReachability(const std::string& table, bool reachable,
                               const std::string& reason) {
     Log(reachable ? LogLevel::kInfo : LogLevel::kWarning,
@@ -158,6 +165,32 @@
                });
   }
 
+  void ReadStreams() {
+    store_.ReadAll(codec_.stream_table, [this](const StoreReadResult& result) {
+      if (result.status != StoreReadResult::Status::kOk) {
+        streams_read_timer_ =
+            loop_.After(kStreamsReadRetryDelay, [this] { ReadStreams(); });
+        return;
+      }
+      gateway_.OnStreamRecords(result.records, UnixNowMs());
+    });
+  }
+
+  // A record that was not written is written again with what has come since.
+  void KeepStreams() {
+    if (writing_streams_) return;
+    const auto record = gateway_.NextStreamRecord(UnixNowMs());
+    if (!record) return;
+    writing_streams_ = true;
+    store_.Put(codec_.stream_table, record->key, *record->value,
+               [this](bool written, const std::string& reason) {
+                 writing_streams_ = false;
+                 gateway_.OnStreamRecordWritten(written);
+                 if (written) return;
+                 Log(LogLevel::kInfo, "streams_not_kept", {{"reason", reason}});
+               });
+  }
+
   EventLoop& loop_;
   Store& store_;
   Gateway& gateway_;
@@ -167,6 +200,9 @@
   EventHandle registration_timer_;
   EventHandle gateways_timer_;
   EventHandle quarantine_timer_;
+  EventHandle streams_read_timer_;
+  EventHandle streams_write_timer_;
+  bool writing_streams_ = false;
   uint64_t restored_era_ = 0;
 };
 
--- /dev/null
+++ b/include/corianderlink/Gateway/stream_versions.h
@@ -0,0 +1,127 @@
+// Keeps each stream at the software version that began it.
+//
+// What two versions of an upstream's software write does not fit together, so
+// a stream may only be resumed at the version that began it, also when the
+// client comes back through another gateway.  Gateways tell each other where
+// streams began, and keep it in the store, while several versions of a service
+// serve or have just served.  A stream of unknown beginning is resumed only if
+// no other version can have begun it.
+#ifndef CORIANDERLINK_GATEWAY_STREAM_VERSIONS_H_
+#define CORIANDERLINK_GATEWAY_STREAM_VERSIONS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "corianderlink/Gateway/record_store.h"
+#include "corianderlink/Gateway/stream_origins.h"
+#include "corianderlink/Gateway/upstream_directory.h"
+#include "corianderlink/Gateway/version_constraint.h"
+#include "corianderlink/Gateway/version_history.h"
+#include "corianderlink/Support/json_reader.h"
+#include "corianderlink/Support/random.h"
+#include "corianderlink/Support/strong_id.h"
+#include "corianderlink/Support/time.h"
+
+namespace corianderlink {
+
+/// What gateways tell each other of software versions and streams.
+struct StreamVersionReport {
+  /// The sender knows all versions of the lifetime of a stream.
+  bool is_complete = false;
+  std::vector<VersionSighting> sightings;
+  /// Streams that have begun since the last report.
+  std::vector<StreamOrigin> origins;
+};
+
+/// Whether and where a stream may be resumed.
+struct ResumptionDecision {
+  /// Empty if the stream must not be resumed by this gateway now.
+  std::optional<SoftwareVersion> version;
+  /// Service at which the stream began; empty if its origin is not known.
+  ServiceId service;
+  /// If the stream must not be resumed: the reason, for the log.
+  std::string reason;
+};
+
+/// Knowledge of this gateway about versions and streams.
+class StreamVersions {
+ public:
+  /// A gateway that knows the upstreams as they were this long ago, or longer,
+  /// may not know of a version that its peers use.
+  static constexpr Duration kMaxKnowledgeAge = seconds(5);
+
+  StreamVersions(const UpstreamDirectory& directory, RandomSource& random)
+      : directory_(directory), random_(random) {}
+
+  VersionHistory& history() { return history_; }
+  const VersionHistory& history() const { return history_; }
+  StreamOrigins& origins() { return origins_; }
+  const StreamOrigins& origins() const { return origins_; }
+
+  /// Takes over changes of upstreams and drops what is outdated.
+  void Update(Time now);
+
+  /// Decides on the resumption of a stream by a client.  `service` is the one
+  /// that the request would get; `knowledge_age` is the time since the store's
+  /// last response about upstreams, to this gateway or a peer.
+  ResumptionDecision Resolve(Time now, StreamKey key, const ServiceId& service,
+                             Duration knowledge_age) const;
+  /// The version that a new stream must not begin at: one that not all gateways
+  /// know, while another one serves.
+  VersionConstraint ForNewStream(
+      Time now, const ServiceId& service,
+      const std::vector<const StreamVersionReport*>& peers) const;
+
+  /// This gateway's part of the next heartbeat.  Without recent knowledge of
+  /// the upstreams, the origins of all streams are passed on.
+  StreamVersionReport NextReport(Duration knowledge_age);
+  void OnReport(Time now, const StreamVersionReport& report);
+
+  /// Takes over the records that the store has kept; their values have Unix
+  /// times in milliseconds, of which `unix_now_ms` is the present one.
+  void Restore(Time now, const std::vector<StoreRecord>& records,
+               int64_t unix_now_ms);
+  /// The next record for the store, if there is something new.  `writer` is
+  /// this gateway's number among those that keep records, from 0 on.
+  std::optional<StoreRecord> NextRecord(Time now, int64_t unix_now_ms,
+                                        size_t writer);
+  /// The last record was written, or not.
+  void OnRecordWritten(bool written);
+  /// The store has lost writes.
+  void OnStoreRestored() { stored_versions_.clear(); }
+
+ private:
+  using RegisteredVersions = std::map<SoftwareVersion, bool>;
+
+  std::optional<StoreRecord> NextVersionsRecord(Time now, int64_t unix_now_ms);
+  std::optional<StoreRecord> NextOriginsRecord(Time now, int64_t unix_now_ms,
+                                               size_t writer);
+  /// Takes over one entry of a record.
+  void RestoreEntry(Time now, const Json& entry, int64_t unix_now_ms);
+
+  const UpstreamDirectory& directory_;
+  RandomSource& random_;
+  VersionHistory history_;
+  StreamOrigins origins_;
+  std::optional<Time> started_at_;
+  // All versions of the lifetime of a stream are known.
+  bool is_complete_ = false;
+  // Versions of each service, and whether they are registered, as the store
+  // has them.
+  std::map<ServiceId, RegisteredVersions> stored_versions_;
+  // The record of versions that is being written.
+  std::optional<ServiceId> written_service_;
+  RegisteredVersions written_versions_;
+  // Contents of the record of origins that is being filled, and its number.
+  std::vector<StreamOrigin> open_record_;
+  std::optional<uint64_t> open_record_number_;
+  // The last write of this record has failed.
+  bool open_record_failed_ = false;
+};
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_GATEWAY_STREAM_VERSIONS_H_
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -24,6 +24,8 @@
 constexpr Duration kShutdownMargin = milliseconds(700);
 // Retry-After time sent to clients until the configuration is loaded.
 constexpr Duration kNotReadyRetryAfter = milliseconds(300);
+// Gateways that keep records of streams; two, as one may not reach the store.
+constexpr size_t kStreamRecordWriters = 2;
 
 // Shortens the longest ejection, so that a recovered upstream is used again
 // sooner than with the default limits.
@@ -33,6 +35,16 @@
   return limits;
 }
 
+// Clients resume a stream within the timeout of its route; theirs may be
+// longer.
+Duration StreamLifetime(const GatewayConfig& config) {
+  Duration longest = seconds(30);
+  for (const RouteSpec& route : config.routes) {
+    if (route.resumable) longest = std::max(longest, route.timeout);
+  }
+  return 2 * std::min<Duration>(longest, seconds(300));
+}
+
 // Leaves at least half of the descriptors to client connections.
 size_t MaxClientConnections(int max_descriptors) {
   return static_cast<size_t>(
@@ -52,6 +64,7 @@
               settings_.zone),
       quarantine_(Fnv1aHash(process_id_.value())),
       crash_check_(loop_, pool_, codecs_.orders),
+      stream_versions_(placer_.directory(), random_),
       record_cache_(codecs_.records, placer_.directory(), metrics_),
       peers_(loop, settings_.store.ToString(), process_id_, settings_.peer,
              [this](Time now) { return CurrentStatus(now); }),
@@ -70,20 +83,27 @@
           loop, {}, [this](const auto& exchange) { OnDirectory(exchange); }),
       admin_server_(loop, {},
                     [this](const auto& exchange) { OnAdmin(exchange); }),
-      relay_context_{loop_,
-                     pool_,
-                     placer_,
-                     codecs_.relay,
-                     metrics_,
-                     random_,
-                     quarantine_,
-                     crash_check_,
-                     [this](Time now, const ServiceId& service) {
-                       return TryClaimRetry(now, service);
-                     },
-                     [this](const RouteSpec& route, Duration client_timeout) {
-                       return EstimatePriorWait(route, client_timeout);
-                     }} {
+      relay_context_{
+          loop_,
+          pool_,
+          placer_,
+          codecs_.relay,
+          metrics_,
+          random_,
+          quarantine_,
+          crash_check_,
+          [this](Time now, const ServiceId& service) {
+            return TryClaimRetry(now, service);
+          },
+          [this](Time /*now*/, const StreamOrigin& origin) {
+            stream_versions_.origins().Add(origin);
+          },
+          [this](const ServiceId& service, const SoftwareVersion& version) {
+            return stream_versions_.history().IsRegistered(service, version);
+          },
+          [this](const RouteSpec& route, Duration client_timeout) {
+            return EstimatePriorWait(route, client_timeout);
+          }} {
   client_server_.on_request_rejected = [this](const std::string& reason) {
     metrics_.Add("gateway_malformed_requests_total");
     Log(LogLevel::kWarning, "request_malformed", {{"reason", reason}});
@@ -109,6 +129,7 @@
     highest_fencing_ = std::max(highest_fencing_, peer.status.highest_fencing);
     quarantine_.OnPeerReports(now, peer.status.suspect_reports);
     placer_.rate_limiter().limits().OnPeerNotices(peer.status.rate_limits);
+    stream_versions_.OnReport(now, peer.status.stream_versions);
   };
   peers_.on_member_change = [this](Time now) { UpdateFleetView(now); };
   peers_.on_permit_request = [this](Time now, const PermitRequest& request) {
@@ -197,6 +218,7 @@
   status.leaving_upstreams = placer_.notices().leaving();
   status.highest_fencing = highest_fencing_;
   status.suspect_reports = quarantine_.Reports(now);
+  status.stream_versions = stream_versions_.NextReport(KnowledgeAge(now));
   status.rate_limits = placer_.rate_limiter().limits().OwnNotices(now);
   return status;
 }
@@ -248,8 +270,9 @@
 
 void Gateway::OnPeerRecords(const PeerRecords& records) {
   initial_sync_.OnRecords();
-  ApplyConfig(record_cache_.ApplyPeerRecords(BootClock::now(), records),
-              "peer");
+  const Time now = BootClock::now();
+  ApplyConfig(record_cache_.ApplyPeerRecords(now, records), "peer");
+  stream_versions_.Update(now);
 }
 
 void Gateway::ApplyConfig(const std::shared_ptr<const GatewayConfig>& config,
@@ -263,6 +286,7 @@
   route_table_ = RouteTable(config);
   client_server_.SetLimits(config->limits);
   ForgetRemovedRoutes(*config);
+  stream_versions_.history().SetStreamLifetime(StreamLifetime(*config));
   for (const auto& [id, service] : config->services) {
     placer_.SetMaxConnections(id, service.max_connections);
   }
@@ -280,12 +304,16 @@
 
 void Gateway::OnAllUpstreams(const std::vector<StoreRecord>& records,
                              StorePosition position) {
-  record_cache_.ReplaceUpstreams(BootClock::now(), records, position);
+  const Time now = BootClock::now();
+  record_cache_.ReplaceUpstreams(now, records, position);
+  stream_versions_.Update(now);
 }
 
 void Gateway::OnUpstreamChanges(const std::vector<StoreRecord>& records,
                                 StorePosition position) {
-  record_cache_.ApplyUpstreamChanges(BootClock::now(), records, position);
+  const Time now = BootClock::now();
+  record_cache_.ApplyUpstreamChanges(now, records, position);
+  stream_versions_.Update(now);
 }
 
 WatchSchedule Gateway::CurrentWatchSchedule() const {
@@ -301,6 +329,7 @@
 
 void Gateway::OnStoreRestored() {
   placer_.directory().OnStoreRestored(BootClock::now());
+  stream_versions_.OnStoreRestored();
 }
 
 void Gateway::OnUpstreamTableReachable(bool reachable) {
@@ -343,11 +372,27 @@
 }
 
 bool Gateway::IsCoordinatorCandidate(Time now) const {
-  if (!ready()) return false;
+  return ready() && Rank(now) == 0;
+}
+
+size_t Gateway::Rank(Time now) const {
+  size_t rank = 0;
   for (const GatewayPeer* peer : peers_.Live(now)) {
-    if (peer->status.ready && peer->process < process_id_.value()) return false;
+    if (peer->status.ready && peer->process < process_id_.value()) ++rank;
   }
-  return true;
+  return rank;
+}
+
+std::optional<StoreRecord> Gateway::NextStreamRecord(int64_t unix_now_ms) {
+  const Time now = BootClock::now();
+  const size_t rank = Rank(now);
+  if (!ready() || rank >= kStreamRecordWriters) return std::nullopt;
+  return stream_versions_.NextRecord(now, unix_now_ms, rank);
+}
+
+Duration Gateway::KnowledgeAge(Time now) const {
+  return std::min(store_contact_.OwnAge(now, StoreTable::kUpstreams),
+                  peers_.StoreAge(now));
 }
 
 std::vector<RoleChange> Gateway::PlanRoleChanges(Time now) {
@@ -407,9 +452,16 @@
     return;
   }
   const WeightedService* target = PickService(*route);
-  const auto service = target == nullptr
-                           ? config->services.end()
-                           : config->services.find(target->service);
+  ServiceId service_id = target == nullptr ? ServiceId() : target->service;
+  std::string reason;
+  const auto versions =
+      ConstrainStream(BootClock::now(), *route, request, service_id, reason);
+  if (!versions) {
+    metrics_.Add("gateway_refused_resumptions_total");
+    refuse(503, reason.c_str());
+    return;
+  }
+  const auto service = config->services.find(service_id);
   if (service == config->services.end()) {
     refuse(503, "route has no configured service");
     return;
@@ -417,10 +469,41 @@
   retry_windows_.try_emplace(service->first, settings_.retries)
       .first->second.OnRequest(BootClock::now());
   std::make_shared<RelayTask>(relay_context_, exchange, *route, service->second,
-                              std::move(request), config->version)
+                              std::move(request), *versions, config->version)
       ->Start();
 }
 
+std::optional<VersionConstraint> Gateway::ConstrainStream(
+    Time now, const RouteSpec& route, const ClientRequest& request,
+    ServiceId& service, std::string& reason) const {
+  VersionConstraint constraint;
+  if (!route.resumable) return constraint;
+  if (!request.is_resumption) {
+    return stream_versions_.ForNewStream(now, service, PeerVersions(now));
+  }
+  const ResumptionDecision decision = stream_versions_.Resolve(
+      now, KeyOfStream(request.resumes, request), service, KnowledgeAge(now));
+  reason = decision.reason;
+  if (!decision.version) return std::nullopt;
+  constraint.required = decision.version;
+  if (decision.service.empty()) return constraint;
+  service = decision.service;
+  const bool is_routed = std::any_of(
+      route.services.begin(), route.services.end(),
+      [&](const WeightedService& other) { return other.service == service; });
+  if (is_routed) return constraint;
+  reason = "route no longer leads to the service of the stream";
+  return std::nullopt;
+}
+
+std::vector<const StreamVersionReport*> Gateway::PeerVersions(Time now) const {
+  std::vector<const StreamVersionReport*> reports;
+  for (const GatewayPeer* peer : peers_.Live(now)) {
+    if (peer->status.ready) reports.push_back(&peer->status.stream_versions);
+  }
+  return reports;
+}
+
 bool Gateway::TryClaimRetry(Time now, const ServiceId& service) {
   return retry_windows_.try_emplace(service, settings_.retries)
       .first->second.TryRetry(now, peers_.LiveGatewayCount(now));
@@ -477,6 +560,7 @@
   UpdateFleetView(now);
   if (!shutting_down_) SyncFromPeers(now);
   placer_.directory().Expire(now);
+  stream_versions_.Update(now);
   quarantine_.Update(now);
   placer_.load().ExpirePeers(now);
   placer_.Prune();
--- a/lib/Gateway/gateway_admin.cc
+++ b/lib/Gateway/gateway_admin.cc
@@ -34,6 +34,11 @@
     entry["rate_limit"] = {{"per_s", *limit->per_second},
                            {"age_ms", ToMillis(now - limit->received_at)}};
   }
+  for (const VersionSighting& sighting :
+       stream_versions_.history().Sightings()) {
+    dump["versions"][sighting.service.value()][sighting.version.value()] = {
+        {"last_seen_ms", ToMillis(now - sighting.last_seen)}};
+  }
   for (const QuarantinedKey& entry : quarantine_.Quarantined(now)) {
     dump["quarantined"][ToString(entry.key)] = {
         {"ends_in_s", ToSeconds(entry.ends_at - now)}};
@@ -59,6 +64,8 @@
                static_cast<double>(placer_.rate_limiter().limits().size()));
   metrics_.Set("gateway_denied_permits",
                static_cast<double>(placer_.rate_limiter().denials()));
+  metrics_.Set("gateway_known_streams",
+               static_cast<double>(stream_versions_.origins().size()));
   metrics_.Set("gateway_store_age_seconds",
                ToSeconds(store_contact_.OwnAge(now)));
 }
--- a/lib/Gateway/peer_codec.cc
+++ b/lib/Gateway/peer_codec.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <utility>
 
 namespace corianderlink {
@@ -105,6 +106,52 @@
   out.set_received_age_ms(EncodeAge(now - notice.received_at));
 }
 
+void EncodeStreamVersions(Time now, const StreamVersionReport& report,
+                          wire::StreamVersionReport& out) {
+  out.set_is_complete(report.is_complete);
+  for (const VersionSighting& sighting : report.sightings) {
+    wire::VersionSighting* entry = out.add_sightings();
+    entry->set_service(sighting.service.value());
+    entry->set_version(sighting.version.value());
+    entry->set_age_ms(EncodeAge(now - sighting.last_seen));
+  }
+  std::map<std::pair<ServiceId, SoftwareVersion>, wire::StreamOrigins*> groups;
+  for (const StreamOrigin& origin : report.origins) {
+    wire::StreamOrigins*& group = groups[{origin.service, origin.version}];
+    if (group == nullptr) {
+      group = out.add_origins();
+      group->set_service(origin.service.value());
+      group->set_version(origin.version.value());
+    }
+    group->add_keys(origin.key.value);
+    group->add_ages_ms(static_cast<uint32_t>(EncodeAge(now - origin.begun_at)));
+  }
+}
+
+StreamVersionReport DecodeStreamVersions(Time now,
+                                         const wire::StreamVersionReport& in) {
+  StreamVersionReport report;
+  report.is_complete = in.is_complete();
+  for (const wire::VersionSighting& entry : in.sightings()) {
+    const auto last_seen = DecodeTime(now, entry.age_ms());
+    if (!last_seen) continue;
+    report.sightings.push_back({ServiceId(entry.service()),
+                                SoftwareVersion(entry.version()), *last_seen});
+  }
+  for (const wire::StreamOrigins& group : in.origins()) {
+    const ServiceId service(group.service());
+    const SoftwareVersion version(group.version());
+    const int streams = std::min(group.keys_size(), group.ages_ms_size());
+    for (int i = 0; i < streams; ++i) {
+      const auto begun_at = DecodeTime(now, group.ages_ms(i));
+      if (!begun_at) continue;
+      report.origins.push_back(
+          {StreamKey{group.keys(i)}, service, version, *begun_at});
+    }
+  }
+  return report;
+}
+
 // Empty if the ages are unknown or the limit is not a number in range.
 std::optional<RateLimitNotice> DecodeRateLimit(
     Time now, const wire::RateLimitNotice& in) {
@@ -189,6 +236,8 @@
   for (const RateLimitNotice& notice : status.rate_limits) {
     EncodeRateLimit(now, notice, *heartbeat.add_rate_limits());
   }
+  EncodeStreamVersions(now, status.stream_versions,
+                       *heartbeat.mutable_stream_versions());
   heartbeat.set_leaving(status.leaving);
   heartbeat.set_ready(status.ready);
   heartbeat.set_entry_address(status.client_address.ToString());
@@ -244,6 +293,8 @@
     const auto notice = DecodeRateLimit(now, in);
     if (notice) status.rate_limits.push_back(*notice);
   }
+  status.stream_versions =
+      DecodeStreamVersions(now, heartbeat.stream_versions());
   status.leaving = heartbeat.leaving();
   status.ready = heartbeat.ready();
   status.client_address =
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -144,11 +144,13 @@
 
 PlacementResult Placer::PlacePlain(Time now, const ServiceId& service,
                                    const std::set<UpstreamId>& excluded,
-                                   const RateLimitQuery& rate_limit) const {
+                                   const RateLimitQuery& rate_limit,
+                                   const VersionConstraint& versions) const {
   const UpstreamRecord* best = nullptr;
   double best_load = 0;
   const std::vector<const UpstreamRecord*> usable = directory_.Usable(service);
   for (const UpstreamRecord* upstream : usable) {
+    if (!versions.Permits(*upstream)) continue;
     if (Ineligible(now, *upstream, &excluded, rate_limit)) continue;
     const uint32_t requests = load_.Requests(now, upstream->id);
     const auto slots = static_cast<uint32_t>(std::max(upstream->slots, 1));
--- a/lib/Gateway/placer_scoring.cc
+++ b/lib/Gateway/placer_scoring.cc
@@ -96,7 +96,11 @@
     const std::vector<const UpstreamRecord*>& usable) const {
   std::vector<Candidate> candidates;
   const Duration peer_age = load_.PeerAge(now);
+  if (!query.versions.empty() && !HasDecodeEngine(query)) return candidates;
   for (const UpstreamRecord* upstream : usable) {
+    // What a prefill engine computes goes to an engine of a permitted version.
+    const bool answers = upstream->role != UpstreamRole::kPrefill;
+    if (answers && !query.versions.Permits(*upstream)) continue;
     if (Ineligible(now, *upstream, query.excluded, query.rate_limit)) {
       continue;
     }
@@ -115,6 +119,14 @@
   return candidates;
 }
 
+bool Placer::HasDecodeEngine(const PlacementQuery& query) const {
+  const auto usable = directory_.Usable(query.service);
+  return std::any_of(usable.begin(), usable.end(), [&](const auto* upstream) {
+    return upstream->role != UpstreamRole::kPrefill &&
+           query.versions.Permits(*upstream);
+  });
+}
+
 void Placer::AddEvictionPenalty(const Prompt& prompt,
                                 std::vector<Candidate>& candidates) const {
   const std::optional<uint64_t> key = SharedPrefixKey(prompt);
@@ -241,6 +253,7 @@
   const Duration peer_age = load_.PeerAge(now);
   for (const UpstreamRecord* upstream : directory_.Usable(query.service)) {
     if (upstream->role != UpstreamRole::kDecode) continue;
+    if (!query.versions.Permits(*upstream)) continue;
     if (query.excluded->count(upstream->id) > 0) continue;
     if (notices_.Blocks(now, *upstream)) continue;
     if (rate_limiter_.Blocks(now, *upstream, query.rate_limit)) continue;
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -27,13 +27,14 @@
 RelayTask::RelayTask(RelayContext& context,
                      std::shared_ptr<InboundExchange> exchange, RouteSpec route,
                      ServicePoolSpec service, ClientRequest request,
-                     uint64_t config_version)
+                     VersionConstraint versions, uint64_t config_version)
     : context_(context),
       exchange_(std::move(exchange)),
       route_(std::move(route)),
       service_(std::move(service)),
       request_(std::move(request)),
       config_version_(config_version),
+      versions_(std::move(versions)),
       seed_(context.random.Bits()) {}
 
 void RelayTask::Start() {
@@ -73,11 +74,14 @@
   query.deadline_left_ms = DeadlineLeftMs(now);
   query.event_gap_ms =
       ToMillis(route_.event_gap_objective.value_or(Duration::zero()));
-  query.resumed = exchange_->response_started();
+  // A client that resumes would lose what it has already received.
+  query.resumed =
+      exchange_->response_started() || versions_.required.has_value();
   query.first_attempt = sends_ == 0 && denied_permits_ == 0;
   query.single_engine_only = single_engine_only_;
   query.seed = seed_;
   query.excluded = &excluded_;
+  query.versions = versions_;
   query.rate_limit = MakeRateLimitQuery();
   return query;
 }
@@ -90,7 +94,7 @@
   return is_model_request()
              ? context_.placer.PlacePrompt(now, MakePlacementQuery(now))
              : context_.placer.PlacePlain(now, service_.id, excluded_,
-                                          MakeRateLimitQuery());
+                                          MakeRateLimitQuery(), versions_);
 }
 
 void RelayTask::PlaceAndSend() {
@@ -114,6 +118,10 @@
          {"left_ms", DeadlineLeftMs(now)},
          {"peers_age_ms", ToMillis(context_.placer.load().PeerAge(now))},
          {"config", config_version_}});
+    if (HasVersionLeft()) {
+      RefuseForGood("upstreams of the stream's software version have left");
+      return;
+    }
     Refuse(result.reason, result.retry_after);
     return;
   }
@@ -140,7 +148,17 @@
                                          route_.priority, on_decision);
 }
 
+bool RelayTask::HasVersionLeft() const {
+  return versions_.required &&
+         !context_.is_version_registered(service_.id, *versions_.required);
+}
+
 void RelayTask::ScheduleResume() {
+  if (HasVersionLeft()) {
+    FailRequest(Outcome::MayHaveRun(
+        "upstreams of the stream's software version have left"));
+    return;
+  }
   // Part of the response was delivered, so any upstream may resume it, even one
   // that already failed this request.
   excluded_.clear();
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -211,6 +211,14 @@
   Finish("refused", 503, reason);
 }
 
+void RelayTask::RefuseForGood(const std::string& reason) {
+  ReleaseKvHandle();
+  exchange_->SendResponse(
+      503, context_.codec.encode_error_fields(request_.id, {}), "");
+  context_.metrics.Add("gateway_refusals_total");
+  Finish("refused", 503, reason);
+}
+
 void RelayTask::OnDeadline() {
   if (finished_) return;
   if (call_) call_->Cancel();
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -123,6 +123,7 @@
       // The first event shows that the KV cache was fetched, which consumes the
       // handle.
       kv_handle_.reset();
+      BindToVersion(BootClock::now());
       exchange_->StartResponse(response_->status,
                                EndToEndFields(response_->fields), std::nullopt);
     }
@@ -137,6 +138,14 @@
   ArmStallTimer();
 }
 
+void RelayTask::BindToVersion(Time now) {
+  if (!route_.resumable || versions_.required) return;
+  const UpstreamRecord& upstream = placement_->upstream;
+  versions_.required = upstream.version;
+  context_.on_stream_begun(now, {KeyOfStream(request_.id, request_),
+                                 upstream.service, upstream.version, now});
+}
+
 void RelayTask::RecordEventGap() {
   const Time now = BootClock::now();
   if (last_event_at_) {
--- /dev/null
+++ b/lib/Gateway/stream_versions.cc
@@ -0,0 +1,101 @@
+// Keeps each stream at the software version that began it: decisions.
+#include "corianderlink/Gateway/stream_versions.h"
+
+#include <algorithm>
+
+namespace corianderlink {
+namespace {
+
+constexpr size_t kMaxOriginsPerReport = 512;
+// Without a response of the store for this long, what peers know may differ.
+constexpr Duration kDoubtfulKnowledgeAge = seconds(2);
+// Longer than the knowledge of a gateway that resumes unknown streams can be
+// old, so that such a gateway knows of the version by then.
+constexpr Duration kAnnouncementTime =
+    StreamVersions::kMaxKnowledgeAge + milliseconds(500);
+
+bool Contains(const StreamVersionReport& report, const ServiceId& service,
+              const SoftwareVersion& version) {
+  return std::any_of(report.sightings.begin(), report.sightings.end(),
+                     [&](const VersionSighting& sighting) {
+                       return sighting.service == service &&
+                              sighting.version == version;
+                     });
+}
+
+}  // namespace
+
+void StreamVersions::Update(Time now) {
+  if (!started_at_) started_at_ = now;
+  if (now - *started_at_ > history_.stream_lifetime()) is_complete_ = true;
+  history_.Update(now, directory_);
+  origins_.Forget(now - history_.stream_lifetime());
+}
+
+ResumptionDecision StreamVersions::Resolve(Time now, StreamKey key,
+                                           const ServiceId& service,
+                                           Duration knowledge_age) const {
+  const auto origin = origins_.Find(key);
+  if (origin && now - origin->begun_at <= history_.stream_lifetime()) {
+    return {origin->version, origin->service, ""};
+  }
+  const std::set<SoftwareVersion> possible = history_.Possible(service);
+  if (possible.empty()) return {{}, {}, "no upstream is known"};
+  if (possible.size() > 1) {
+    return {{}, {}, "stream may have begun at several software versions"};
+  }
+  if (!is_complete_) {
+    return {{}, {}, "software versions of recent streams are not known yet"};
+  }
+  if (knowledge_age > kMaxKnowledgeAge) {
+    return {{}, {}, "list of upstreams is too old for a stream not known"};
+  }
+  return {*possible.begin(), {}, ""};
+}
+
+VersionConstraint StreamVersions::ForNewStream(
+    Time now, const ServiceId& service,
+    const std::vector<const StreamVersionReport*>& peers) const {
+  VersionConstraint constraint;
+  const std::set<SoftwareVersion> recent =
+      history_.SeenFirstAfter(service, now - kAnnouncementTime);
+  for (const SoftwareVersion& version : recent) {
+    const bool announced =
+        std::all_of(peers.begin(), peers.end(), [&](const auto* report) {
+          return Contains(*report, service, version);
+        });
+    if (!announced) constraint.avoided.insert(version);
+  }
+  if (constraint.avoided.empty()) return constraint;
+  for (const UpstreamRecord* upstream : directory_.Usable(service)) {
+    const bool answers = upstream->role != UpstreamRole::kPrefill;
+    if (answers && constraint.Permits(*upstream)) return constraint;
+  }
+  return {};
+}
+
+StreamVersionReport StreamVersions::NextReport(Duration knowledge_age) {
+  const bool doubtful = knowledge_age > kDoubtfulKnowledgeAge;
+  StreamVersionReport report;
+  report.is_complete = is_complete_;
+  report.sightings = history_.Sightings();
+  const std::set<ServiceId> mixed = history_.MixedServices();
+  if (!doubtful && mixed.empty()) return report;
+  report.origins = origins_.TakeUnsent(
+      kMaxOriginsPerReport, [&mixed, doubtful](const ServiceId& service) {
+        return doubtful || mixed.count(service) > 0;
+      });
+  return report;
+}
+
+void StreamVersions::OnReport(Time now, const StreamVersionReport& report) {
+  for (const VersionSighting& sighting : report.sightings) {
+    history_.OnSighting(now, sighting);
+  }
+  if (report.is_complete) is_complete_ = true;
+  for (const StreamOrigin& origin : report.origins) {
+    origins_.AddKnown(origin, false);
+  }
+}
+
+}  // namespace corianderlink
--- a/unittests/Gateway/gateway_fleet.h
+++ b/unittests/Gateway/gateway_fleet.h
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -97,10 +98,31 @@
     for (const auto& gateway : gateways_) {
       gateway->OnGatewayRecords(gateway_records_);
       gateway->OnConfigRecords({{"config", config_, 1}});
+      gateway->OnStreamRecords(StreamRecords(), kUnixNowMs);
     }
+    store_timer_ =
+        harness_.loop.Every(milliseconds(100), [this] { ServeStore(); });
     Publish();
     harness_.RunFor(milliseconds(300));
   }
+  std::vector<StoreRecord> StreamRecords() const {
+    std::vector<StoreRecord> records;
+    for (const auto& [key, value] : stream_records_) {
+      records.push_back({key, value, 1});
+    }
+    return records;
+  }
+  /// The store answers, and keeps what gateways write.
+  void ServeStore() {
+    for (const auto& gateway : gateways_) {
+      gateway->OnStoreResponse(StoreTable::kConfig);
+      gateway->OnStoreResponse(StoreTable::kUpstreams);
+      const auto record = gateway->NextStreamRecord(kUnixNowMs);
+      if (!record) continue;
+      stream_records_[record->key] = *record->value;
+      gateway->OnStreamRecordWritten(true);
+    }
+  }
   void Publish() {
     ++version_;
     for (const auto& gateway : gateways_) {
@@ -112,6 +134,10 @@
   const std::string config_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
   std::vector<GatewaySettings> settings_;
+  static constexpr int64_t kUnixNowMs = 1'700'000'000'000;
+
+  std::map<std::string, std::string> stream_records_;
+  EventHandle store_timer_;
   std::vector<StoreRecord> gateway_records_;
   std::vector<Address> fronts_;
   std::vector<StoreRecord> upstream_records_;
