[Gateway] Trust "has not run" only from a response that names the request

Reported by another operator: an upstream writes an earlier refusal once more on a kept connection. A repeated refusal that names its request was discarded already (first test, green before). One without a request id was taken for the answer to the present request: the client of a call that may run once got 503 while the upstream ran it (second test, red before: 503; now 502). A response that names no request says nothing about it any more.

--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -28,6 +28,8 @@
   response_ = head;
   response_info_ =
       context_.codec.decode_response(head, placement_->upstream.id);
+  // Bytes that name no request may be those of an earlier one.
+  response_info_.not_run &= response_info_.request == request_.id;
   ApplyNotices();
   const bool is_event_stream = is_stream() && head.status == 200 &&
                                IsSignedResponseTo(response_info_, request_.id);
