[Tests] Decisions on streams and versions, without sockets, in virtual time

Unknown beginnings after a start, with old knowledge and over a change of versions; when a new version begins streams; what the store keeps, with failed writes, garbage and records that are too old; the bound of memory.

--- /dev/null
+++ b/unittests/Gateway/stream_versions_test.cc
@@ -0,0 +1,173 @@
+// Where streams may begin and go on, by what a gateway knows.
+#include "corianderlink/Gateway/stream_versions.h"
+
+#include <gtest/gtest.h>
+
+namespace corianderlink {
+namespace {
+
+const ServiceId kService("chat");
+const SoftwareVersion kOld("v1");
+const SoftwareVersion kNew("v2");
+constexpr int64_t kUnixNowMs = 1'700'000'000'000;
+
+class StreamVersionsTest : public ::testing::Test {
+ protected:
+  void Register(const std::string& id, const SoftwareVersion& version) {
+    UpstreamRecord record;
+    record.id = UpstreamId(id);
+    record.service = kService;
+    record.version = version;
+    record.started_ms = 1;
+    record.sequence = ++sequence_;
+    directory_.Put(record);
+    versions_.Update(now_);
+  }
+  void Leave(const std::string& id) {
+    directory_.Remove(now_, UpstreamId(id), {1, 1});
+    versions_.Update(now_);
+  }
+  void Pass(Duration time) {
+    now_ += time;
+    versions_.Update(now_);
+  }
+  /// The version at which a stream that no gateway knows goes on.
+  std::optional<SoftwareVersion> Unknown(Duration knowledge_age = {}) {
+    return versions_.Resolve(now_, {999}, kService, knowledge_age).version;
+  }
+  void Begin(uint64_t key, const SoftwareVersion& version) {
+    versions_.origins().Add({{key}, kService, version, now_});
+  }
+  std::optional<SoftwareVersion> Find(StreamVersions& versions, uint64_t key) {
+    return versions.Resolve(now_, {key}, kService, {}).version;
+  }
+  std::set<SoftwareVersion> Avoided(
+      const std::vector<const StreamVersionReport*>& peers) {
+    return versions_.ForNewStream(now_, kService, peers).avoided;
+  }
+
+  Time now_ = Time(seconds(1000));
+  UpstreamDirectory directory_{seconds(2)};
+  RandomSource random_{1};
+  StreamVersions versions_{directory_, random_};
+  uint64_t sequence_ = 0;
+};
+
+TEST_F(StreamVersionsTest, UnknownStreamNeedsASingleVersionOfItsLifetime) {
+  versions_.Restore(now_, {}, kUnixNowMs);
+  EXPECT_FALSE(Unknown());
+  Register("a", kOld);
+  EXPECT_EQ(Unknown(), kOld);
+  Register("b", kNew);
+  EXPECT_FALSE(Unknown());
+  Leave("a");
+  EXPECT_FALSE(Unknown());
+  Pass(versions_.history().stream_lifetime() - seconds(1));
+  EXPECT_FALSE(Unknown());
+  Pass(seconds(2));
+  EXPECT_EQ(Unknown(), kNew);
+}
+
+TEST_F(StreamVersionsTest, UnknownStreamWaitsForTheHistoryAfterAStart) {
+  Register("b", kNew);
+  EXPECT_FALSE(Unknown());
+  versions_.OnReport(now_, {false, {}, {}});
+  EXPECT_FALSE(Unknown());
+  versions_.OnReport(now_, {true, {}, {}});
+  EXPECT_EQ(Unknown(), kNew);
+}
+
+TEST_F(StreamVersionsTest, UnknownStreamIsNotResumedByOldKnowledge) {
+  versions_.Restore(now_, {}, kUnixNowMs);
+  Register("a", kOld);
+  EXPECT_FALSE(Unknown(StreamVersions::kMaxKnowledgeAge + seconds(1)));
+  Begin(1, kOld);
+  EXPECT_EQ(versions_.Resolve(now_, {1}, kService, seconds(60)).version, kOld);
+}
+
+TEST_F(StreamVersionsTest, NewVersionBeginsStreamsOnceAllPeersKnowIt) {
+  Register("a", kOld);
+  Pass(seconds(10));
+  Register("b", kNew);
+  const StreamVersionReport ignorant;
+  const StreamVersionReport informed{true, {{kService, kNew, now_}}, {}};
+  EXPECT_EQ(Avoided({&ignorant, &informed}).count(kNew), 1U);
+  EXPECT_TRUE(Avoided({&informed}).empty());
+  // A peer that says nothing of versions does not hold it up for long.
+  Pass(seconds(6));
+  EXPECT_TRUE(Avoided({&ignorant}).empty());
+}
+
+TEST_F(StreamVersionsTest, NewVersionBeginsStreamsIfNoOtherServes) {
+  Register("a", kOld);
+  Pass(seconds(10));
+  Register("b", kNew);
+  Leave("a");
+  const StreamVersionReport ignorant;
+  EXPECT_TRUE(Avoided({&ignorant}).empty());
+}
+
+TEST_F(StreamVersionsTest, OriginsAreToldWhileSeveralVersionsServe) {
+  Register("a", kOld);
+  Begin(1, kOld);
+  EXPECT_TRUE(versions_.NextReport({}).origins.empty());
+  Register("b", kNew);
+  Begin(2, kNew);
+  EXPECT_EQ(versions_.NextReport({}).origins.size(), 2U);
+  EXPECT_TRUE(versions_.NextReport({}).origins.empty());
+}
+
+TEST_F(StreamVersionsTest, OriginsAreToldWhileTheStoreIsAway) {
+  Register("a", kOld);
+  Begin(1, kOld);
+  EXPECT_EQ(versions_.NextReport(seconds(4)).origins.size(), 1U);
+}
+
+TEST_F(StreamVersionsTest, StoreKeepsWhatAStartOfAllGatewaysNeeds) {
+  Register("a", kOld);
+  Register("b", kNew);
+  std::map<std::string, std::string> store;
+  const auto write = [&](bool written) {
+    while (const auto record = versions_.NextRecord(now_, kUnixNowMs, 0)) {
+      if (written) store[record->key] = *record->value;
+      versions_.OnRecordWritten(written);
+      if (!written) return;
+    }
+  };
+  for (uint64_t key = 1; key <= 500; ++key) {
+    Begin(key, key % 2 == 0 ? kNew : kOld);
+    // Some writes fail.
+    if (key % 10 == 0) write(key % 30 != 0);
+  }
+  Leave("a");
+  write(true);
+  UpstreamDirectory empty(seconds(2));
+  StreamVersions restarted(empty, random_);
+  std::vector<StoreRecord> records = {{"origins/0/9", "garbage", 1},
+                                      {"origins/1/9", R"([{"keys":7},3])", 1}};
+  for (const auto& [key, value] : store) records.push_back({key, value, 1});
+  restarted.Restore(now_, records, kUnixNowMs + 2000);
+  for (uint64_t key = 1; key <= 500; ++key) {
+    EXPECT_EQ(Find(restarted, key), key % 2 == 0 ? kNew : kOld) << key;
+  }
+  EXPECT_FALSE(restarted.Resolve(now_, {999}, kService, {}).version);
+  StreamVersions later(empty, random_);
+  later.Restore(now_, records, kUnixNowMs + 3'600'000);
+  EXPECT_EQ(later.origins().size(), 0U);
+}
+
+TEST_F(StreamVersionsTest, MemoryIsBounded) {
+  Register("a", kOld);
+  Register("b", kNew);
+  for (uint64_t key = 0; key < 3 * StreamOrigins::kMaxOrigins; ++key) {
+    Begin(key, kOld);
+  }
+  EXPECT_EQ(versions_.origins().size(), StreamOrigins::kMaxOrigins);
+  EXPECT_FALSE(Find(versions_, 0));
+  EXPECT_EQ(Find(versions_, 3 * StreamOrigins::kMaxOrigins - 1), kOld);
+  Pass(2 * versions_.history().stream_lifetime());
+  EXPECT_EQ(versions_.origins().size(), 0U);
+}
+
+}  // namespace
+}  // namespace corianderlink
