[Gateway] Keep a decode engine of each software version

Streams go on at their own version only. While a service is replaced, the last engines of a version could all be prefill engines, and its streams had nowhere to go. The planner leaves each version its last decode engine, and gives one to a version of several engines that has none. Test red before (a version of two prefill engines stays so), green after.

--- a/include/corianderlink/Gateway/role_planner.h
+++ b/include/corianderlink/Gateway/role_planner.h
@@ -34,6 +34,7 @@
   UpstreamId id;
   UpstreamRole role = UpstreamRole::kDecode;
   ZoneId zone;
+  SoftwareVersion version;
   int slots = 1;
   uint32_t requests = 0;
   /// Ejected or stalled, and therefore unavailable for now.
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -119,8 +119,8 @@
     if (record.service != service || record.draining) continue;
     const bool unhealthy = ejector_.IsEjected(now, record.address) ||
                            load_.Stalled(now, id, limits_.stall);
-    engines.push_back({id, record.role, record.zone, record.slots,
-                       load_.Requests(now, id), unhealthy});
+    engines.push_back({id, record.role, record.zone, record.version,
+                       record.slots, load_.Requests(now, id), unhealthy});
   }
   return engines;
 }
--- a/lib/Gateway/role_planner.cc
+++ b/lib/Gateway/role_planner.cc
@@ -15,6 +15,34 @@
 // With fewer engines, each role needs those that it has.
 constexpr size_t kMinEngines = 4;
 
+// Streams go on at their version only, so each version keeps a decode engine.
+bool IsLastDecodeEngine(const EngineSnapshot& engine,
+                        const std::vector<EngineSnapshot>& engines) {
+  if (engine.role != UpstreamRole::kDecode) return false;
+  return std::none_of(engines.begin(), engines.end(), [&](const auto& other) {
+    return other.id != engine.id && other.version == engine.version &&
+           other.role == UpstreamRole::kDecode;
+  });
+}
+
+// A prefill engine of a version that has several engines, none of them for
+// decoding; null if there is none.
+const EngineSnapshot* EngineOfVersionWithoutDecode(
+    const std::vector<EngineSnapshot>& engines) {
+  std::map<SoftwareVersion, int> decode_counts;
+  std::map<SoftwareVersion, const EngineSnapshot*> candidates;
+  std::map<SoftwareVersion, int> counts;
+  for (const EngineSnapshot& engine : engines) {
+    ++counts[engine.version];
+    if (engine.role == UpstreamRole::kDecode) ++decode_counts[engine.version];
+    if (!engine.unhealthy) candidates[engine.version] = &engine;
+  }
+  for (const auto& [version, engine] : candidates) {
+    if (decode_counts[version] == 0 && counts[version] > 1) return engine;
+  }
+  return nullptr;
+}
+
 // The engine of role `from` whose reassignment costs least: one of the zone
 // with the most engines of this role, with the fewest requests.  Null if there
 // is no healthy one.
@@ -27,6 +55,7 @@
   const EngineSnapshot* best = nullptr;
   for (const EngineSnapshot& engine : engines) {
     if (engine.role != from || engine.unhealthy) continue;
+    if (IsLastDecodeEngine(engine, engines)) continue;
     if (best == nullptr) {
       best = &engine;
       continue;
@@ -81,6 +110,9 @@
   const size_t count = engines.size();
   if (count < kMinEngines) return {};
   if (now - *first_demand_at_ < limits_.warm_up) return {};
+  if (const auto* engine = EngineOfVersionWithoutDecode(engines)) {
+    return {{engine->id, UpstreamRole::kDecode}};
+  }
   if (now - stable_since_ < limits_.stable_time) return {};
 
   double slots = 0;
@@ -135,9 +167,9 @@
     const EngineSnapshot* engine = CheapestToReassign(engines, from);
     if (engine == nullptr) break;
     changes.push_back({engine->id, to});
-    std::erase_if(engines, [id = engine->id](const EngineSnapshot& other) {
-      return other.id == id;
-    });
+    for (EngineSnapshot& other : engines) {
+      if (other.id == changes.back().engine) other.role = to;
+    }
   }
   return changes;
 }
--- a/unittests/Gateway/role_planner_test.cc
+++ b/unittests/Gateway/role_planner_test.cc
@@ -187,5 +187,37 @@
   EXPECT_EQ(settled(0), 14);
 }
 
+TEST(RolePlannerTest, EachVersionKeepsADecodeEngine) {
+  std::vector<EngineSnapshot> engines = Fleet(2, 8);
+  for (size_t i = 0; i < engines.size(); ++i) {
+    engines[i].version = SoftwareVersion(i == 9 ? "v1" : "v2");
+  }
+  const auto demand = [](int) {
+    ServiceDemand demand;
+    demand.prefill_ms_per_s = 6000;
+    demand.decode_prefill = 0;
+    return demand;
+  };
+  Simulate(engines, 60, demand);
+  EXPECT_GT(PrefillCount(engines), 2);
+  EXPECT_EQ(engines[9].role, UpstreamRole::kDecode);
+}
+
+TEST(RolePlannerTest, VersionWithoutADecodeEngineGetsOne) {
+  std::vector<EngineSnapshot> engines = Fleet(4, 4);
+  for (size_t i = 0; i < engines.size(); ++i) {
+    engines[i].version = SoftwareVersion(i < 2 ? "v1" : "v2");
+  }
+  const auto demand = [](int) {
+    ServiceDemand demand;
+    demand.prefill_ms_per_s = 2000;
+    return demand;
+  };
+  Simulate(engines, 10, demand);
+  const bool has_decode = engines[0].role == UpstreamRole::kDecode ||
+                          engines[1].role == UpstreamRole::kDecode;
+  EXPECT_TRUE(has_decode);
+}
+
 }  // namespace
 }  // namespace corianderlink
