--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -167,6 +167,13 @@
   /// State of a service's engines for the role planner.
   std::vector<EngineSnapshot> EngineSnapshots(Time now,
                                               const ServiceId& service) const;
+  /// Upstreams of the service that take requests, and those of them that are
+  /// ejected for failures seen by this gateway.
+  struct ServiceHealth {
+    size_t usable = 0;
+    size_t ejected = 0;
+  };
+  ServiceHealth HealthOf(Time now, const ServiceId& service) const;
   /// Drops the state of upstreams that left the directory.
   void Prune();
   /// Drops the state of the routes for which `gone` returns true.
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -125,6 +125,16 @@
   return engines;
 }
 
+Placer::ServiceHealth Placer::HealthOf(Time now,
+                                       const ServiceId& service) const {
+  ServiceHealth health;
+  for (const UpstreamRecord* upstream : directory_.Usable(service)) {
+    ++health.usable;
+    if (ejector_.IsEjected(now, upstream->address)) ++health.ejected;
+  }
+  return health;
+}
+
 std::optional<Duration> Placer::TimeUntilPauseEnds(
     Time now, const std::vector<const UpstreamRecord*>& usable,
     const RateLimitQuery& rate_limit) const {
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -110,9 +110,14 @@
       FailRequest(Outcome::MayHaveRun(result.reason));
       return;
     }
+    const Placer::ServiceHealth health =
+        context_.placer.HealthOf(now, service_.id);
     Log(LogLevel::kInfo, "no_placement",
         {{"request", request_.id.value()},
          {"reason", result.reason},
+         {"service", service_.id.value()},
+         {"usable", static_cast<uint64_t>(health.usable)},
+         {"ejected", static_cast<uint64_t>(health.ejected)},
          {"prompt_tokens", PromptTokens()},
          {"objective_left_ms", ToMillis(objective_deadline_ - now)},
          {"left_ms", DeadlineLeftMs(now)},
