--- a/unittests/Gateway/gateway_fleet.h
+++ b/unittests/Gateway/gateway_fleet.h
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -68,6 +69,27 @@
     Publish();
   }
 
+  /// The gateway finds the upstreams at the addresses that `other_address`
+  /// returns.
+  void PartitionFromUpstreams(size_t gateway,
+                              const std::function<Address()>& other_address) {
+    std::vector<StoreRecord>& records = partitioned_[gateway];
+    records.clear();
+    for (const StoreRecord& record : upstream_records_) {
+      const std::string& value = *record.value;
+      const std::string begin = R"({"addr":")";
+      const size_t end = value.find('"', begin.size());
+      records.push_back({record.key,
+                         begin + other_address().ToString() + value.substr(end),
+                         1});
+    }
+    Publish();
+  }
+  void EndPartition(size_t gateway) {
+    partitioned_.erase(gateway);
+    Publish();
+  }
+
   /// Client addresses of the gateways.
   const std::vector<Address>& fronts() const { return fronts_; }
   Gateway& gateway(size_t i) { return *gateways_[i]; }
@@ -125,8 +147,12 @@
   }
   void Publish() {
     ++version_;
-    for (const auto& gateway : gateways_) {
-      gateway->OnAllUpstreams(upstream_records_, {1, version_});
+    for (size_t i = 0; i < gateways_.size(); ++i) {
+      const auto partitioned = partitioned_.find(i);
+      gateways_[i]->OnAllUpstreams(partitioned == partitioned_.end()
+                                       ? upstream_records_
+                                       : partitioned->second,
+                                   {1, version_});
     }
   }
 
@@ -141,6 +167,8 @@
   std::vector<StoreRecord> gateway_records_;
   std::vector<Address> fronts_;
   std::vector<StoreRecord> upstream_records_;
+  // Records that partitioned gateways get instead.
+  std::map<size_t, std::vector<StoreRecord>> partitioned_;
   uint64_t version_ = 100;
 };
 
--- /dev/null
+++ b/unittests/Gateway/partitioned_gateway_test.cc
@@ -0,0 +1,173 @@
+// Gateways that cannot reach the upstreams, beside others that can.
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "Common/hanging_address.h"
+#include "Gateway/gateway_fleet.h"
+
+namespace corianderlink {
+namespace {
+
+using Exchange = FakeUpstream::Exchange;
+
+constexpr char kConfig[] =
+    R"({"version":4,"routes":[{"name":"s","host":"h.example","prefix":"/s/",)"
+    R"("kind":"safe","timeout_ms":2500,"slo_ms":150,"priority":1,)"
+    R"("service":"shop","attempts":2},)"
+    R"({"name":"u","host":"h.example","prefix":"/u/",)"
+    R"("kind":"unsafe","timeout_ms":2500,"slo_ms":150,"priority":1,)"
+    R"("service":"shop","attempts":1},)"
+    R"({"name":"c","host":"h.example","prefix":"/c/",)"
+    R"("kind":"stream","timeout_ms":5000,"slo_ms":200,"priority":1,)"
+    R"("service":"chat","attempts":3,"resumable":true,"gap_aim_ms":50}],)"
+    R"("services":[{"name":"shop","max_conns":50,"health_path":"/health"},)"
+    R"({"name":"chat","max_conns":50,"health_path":"/health"}]})";
+constexpr int kUpstreams = 3;
+constexpr int kEvents = 20;
+
+/// What becomes of new connections from a partitioned gateway.
+enum class Cut { kHang, kRefuse };
+
+class PartitionedGatewayTest : public ::testing::Test {
+ protected:
+  void Start(size_t gateways) {
+    for (int i = 0; i < kUpstreams; ++i) {
+      Add("shop" + std::to_string(i), "shop");
+      Add("chat" + std::to_string(i), "chat");
+    }
+    fleet_.Start(gateways);
+  }
+  void Add(const std::string& id, const std::string& service) {
+    auto upstream = fleet_.AddUpstream(
+        id, R"("service":")" + service + R"(","version":"v1","slots":30)");
+    upstream->on_request = [this, service](const Exchange& exchange) {
+      if (exchange->head().target == "/health") {
+        exchange->SendResponse(200, {}, "");
+        return;
+      }
+      ++runs_[FakeUpstream::Field(exchange, "Request-Id")];
+      if (service == "chat") {
+        Stream(exchange);
+        return;
+      }
+      exchange->SendResponse(200, FakeUpstream::Signed(exchange), "ok");
+    };
+    upstreams_.push_back(std::move(upstream));
+  }
+  /// Sends an event every ten milliseconds.
+  void Stream(const Exchange& exchange) {
+    const std::string after = FakeUpstream::Field(exchange, "Last-Event-Id");
+    const int next = after.empty() ? 1 : std::stoi(after) + 1;
+    exchange->StartResponse(200, FakeUpstream::Signed(exchange), std::nullopt);
+    SendEvents(exchange, next);
+  }
+  void SendEvents(const Exchange& exchange, int next) {
+    if (!exchange->open()) return;
+    if (next > kEvents) {
+      exchange->CompleteResponse();
+      return;
+    }
+    exchange->SendBody("id: " + std::to_string(next) + "\ndata: x\n\n");
+    timers_.push_back(harness_.loop.After(
+        milliseconds(10),
+        [this, exchange, next] { SendEvents(exchange, next + 1); }));
+  }
+
+  /// Cuts the gateway off from all upstreams: it knows them at addresses where
+  /// nothing answers.
+  void Partition(size_t gateway, Cut cut) {
+    fleet_.PartitionFromUpstreams(gateway, [this, cut] {
+      if (cut == Cut::kRefuse) return FreeAddress();
+      hanging_.push_back(std::make_unique<HangingAddress>());
+      return hanging_.back()->address;
+    });
+  }
+  std::shared_ptr<ClientResult> Send(size_t gateway,
+                                     const std::string& target) {
+    harness_.front = fleet_.fronts()[gateway];
+    return harness_.Send("POST", target, {{"Deadline-Ms", "2500"}}, "b",
+                         "r" + std::to_string(++requests_));
+  }
+  /// Sends a request every 25 ms and returns the share that is served.
+  double ServedShare(size_t gateway, const std::string& target, int count) {
+    std::vector<std::shared_ptr<ClientResult>> results;
+    for (int i = 0; i < count; ++i) {
+      results.push_back(Send(gateway, target));
+      harness_.RunFor(milliseconds(25));
+    }
+    int served = 0;
+    for (const auto& result : results) {
+      harness_.Await(result);
+      if (result->status == 200 && result->complete) ++served;
+    }
+    return static_cast<double>(served) / count;
+  }
+  /// No request of this test may run more than once.
+  void ExpectRunOnce() {
+    for (const auto& [id, runs] : runs_) EXPECT_EQ(runs, 1) << id;
+  }
+
+  GatewayTestHarness harness_;
+  GatewayFleet fleet_{harness_, kConfig};
+  std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
+  std::vector<std::unique_ptr<HangingAddress>> hanging_;
+  std::map<std::string, int> runs_;
+  std::vector<EventHandle> timers_;
+  int requests_ = 0;
+};
+
+TEST_F(PartitionedGatewayTest, ServesThroughOthersWhileConnectionsHang) {
+  Start(3);
+  Partition(0, Cut::kHang);
+  ServedShare(0, "/s/1", 40);
+  EXPECT_GE(ServedShare(0, "/s/1", 40), 0.95);
+  EXPECT_GE(ServedShare(0, "/u/1", 40), 0.95);
+  EXPECT_GE(ServedShare(0, "/c/1", 40), 0.95);
+  ExpectRunOnce();
+}
+
+TEST_F(PartitionedGatewayTest, ServesThroughOthersWhileConnectionsAreRefused) {
+  Start(3);
+  Partition(0, Cut::kRefuse);
+  ServedShare(0, "/u/1", 20);
+  EXPECT_GE(ServedShare(0, "/u/1", 40), 0.95);
+  EXPECT_GE(ServedShare(0, "/c/1", 40), 0.95);
+  ExpectRunOnce();
+}
+
+TEST_F(PartitionedGatewayTest, OneGatewayServesForTwo) {
+  Start(3);
+  Partition(0, Cut::kHang);
+  Partition(1, Cut::kRefuse);
+  ServedShare(0, "/u/1", 40);
+  ServedShare(1, "/u/1", 40);
+  EXPECT_GE(ServedShare(0, "/u/1", 40), 0.95);
+  EXPECT_GE(ServedShare(1, "/u/1", 40), 0.95);
+  ExpectRunOnce();
+}
+
+TEST_F(PartitionedGatewayTest, RefusesAtOnceWhenNoGatewayReachesUpstreams) {
+  Start(2);
+  Partition(0, Cut::kRefuse);
+  Partition(1, Cut::kRefuse);
+  ServedShare(0, "/u/1", 40);
+  const auto refused = Send(0, "/u/1");
+  harness_.RunFor(milliseconds(300));
+  EXPECT_EQ(refused->status, 503);
+  EXPECT_FALSE(refused->Field("Retry-After").empty());
+}
+
+TEST_F(PartitionedGatewayTest, ServesByItselfAgainAfterThePartition) {
+  Start(2);
+  Partition(0, Cut::kHang);
+  ServedShare(0, "/s/1", 40);
+  fleet_.EndPartition(0);
+  harness_.RunFor(milliseconds(2500));
+  // The other gateway could not help any more.
+  Partition(1, Cut::kRefuse);
+  EXPECT_GE(ServedShare(0, "/u/1", 40), 0.95);
+}
+
+}  // namespace
+}  // namespace corianderlink
