[Gateway] Trust a refusal without a request id on a new connection

On a connection that no other request has used, such a refusal can only be meant for this one, so it counts there again.

--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -215,6 +215,8 @@
   int events_received_ = 0;
   // False if the request certainly did not reach the upstream.
   bool reached_upstream_ = true;
+  // No other request has used the connection.
+  bool on_new_connection_ = false;
   Time first_output_at_{};
   std::optional<Time> last_event_at_;
   Duration longest_event_gap_{};
--- a/include/corianderlink/Http1/upstream_call.h
+++ b/include/corianderlink/Http1/upstream_call.h
@@ -34,6 +34,8 @@
 
 /// Callbacks for the response.  The last one is either on_end or on_fail.
 struct UpstreamHandlers {
+  /// A new connection for the request was established.
+  std::function<void()> on_connected;
   std::function<void(const ResponseHead&)> on_head;
   std::function<void(std::string data)> on_body;
   std::function<void()> on_end;
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -180,6 +180,7 @@
   first_output_seen_ = false;
   events_received_ = 0;
   reached_upstream_ = true;
+  on_new_connection_ = false;
   response_.reset();
   buffered_.clear();
   event_splitter_.Clear();
@@ -249,6 +250,7 @@
 UpstreamHandlers RelayTask::BuildHandlers() {
   const auto self = shared_from_this();
   UpstreamHandlers handlers;
+  handlers.on_connected = [self] { self->on_new_connection_ = true; };
   handlers.on_head = [self](const ResponseHead& head) {
     self->OnResponseHead(head);
   };
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -28,8 +28,9 @@
   response_ = head;
   response_info_ =
       context_.codec.decode_response(head, placement_->upstream.id);
-  // Bytes that name no request may be those of an earlier one.
-  response_info_.not_run &= response_info_.request == request_.id;
+  // Bytes that name no request may belong to an earlier one of the connection.
+  const bool names_request = response_info_.request == request_.id;
+  response_info_.not_run &= names_request || on_new_connection_;
   ApplyNotices();
   const bool is_event_stream = is_stream() && head.status == 200 &&
                                IsSignedResponseTo(response_info_, request_.id);
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -63,7 +63,11 @@
 void UpstreamConnection::OnConnected() {
   connected_ = true;
   connect_timer_.Reset();
-  if (busy_) request_bytes_sent_ = true;
+  if (!busy_) return;
+  request_bytes_sent_ = true;
+  // Copied, as the handler may cancel the call, which clears handlers_.
+  const auto on_connected = handlers_.on_connected;
+  if (on_connected) on_connected();
 }
 
 void UpstreamConnection::OnReadable() {
