[Gateway] Serve through peers while no upstream of a service can be reached

What callers saw: gateways without a link to the upstreams refused all that came to them (0 of 251 first attempts; the others 901 of 910). Cause: the own link was the only way to an upstream, and a gateway could not tell its own partition from the failure of upstreams. Class: a node that is healthy to its clients and cut off from what it needs.

UpstreamReachability: a connection that is not established, or failures of two upstreams within a second, raise a suspicion; a sample of up to six new connections decides, in 250 ms. If none is established the gateway is partitioned from the service; the others of the configuration are sampled at once. Requests, also those that wait or whose streams have started, go to a peer that is not partitioned (ForwardTask, on an address of its own): one hop, verdict kept, time left passed on, cancelled with its client. A retry is charged once. A partitioned gateway blames no upstream for crashes if a peer had an answer since, does not coordinate roles, and readmits what it had ejected.

Ruled out: leaving the directory (clients keep addresses for three times their time to live; ready means that requests are served); most of the sample as the criterion (a service of three, two of which have crashed, looked partitioned: CrashingRequestTest.SmallServiceKeepsAnUpstream was red).

Before: 3 of PartitionedGatewayTest red, 0 of 40 served.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -14,13 +14,16 @@
 #include "corianderlink/Gateway/client_timeout_estimate.h"
 #include "corianderlink/Gateway/crash_check.h"
 #include "corianderlink/Gateway/crash_quarantine.h"
+#include "corianderlink/Gateway/forward_task.h"
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/gateway_peers.h"
 #include "corianderlink/Gateway/gateway_settings.h"
 #include "corianderlink/Gateway/initial_sync.h"
 #include "corianderlink/Gateway/order_codec.h"
+#include "corianderlink/Gateway/peer_selection.h"
 #include "corianderlink/Gateway/peer_sync.h"
 #include "corianderlink/Gateway/placer.h"
+#include "corianderlink/Gateway/reachability_sampler.h"
 #include "corianderlink/Gateway/record_cache.h"
 #include "corianderlink/Gateway/record_codec.h"
 #include "corianderlink/Gateway/record_store.h"
@@ -31,6 +34,7 @@
 #include "corianderlink/Gateway/route_table.h"
 #include "corianderlink/Gateway/store_contact.h"
 #include "corianderlink/Gateway/stream_versions.h"
+#include "corianderlink/Gateway/upstream_reachability.h"
 #include "corianderlink/Gateway/watch_schedule.h"
 #include "corianderlink/Http/event_loop.h"
 #include "corianderlink/Http/http_server.h"
@@ -149,7 +153,27 @@
   std::vector<RoleChange> PlanRoleChanges(Time now);
   /// Starts the relay task of a request, or refuses the request if it has no
   /// route or the configuration is not loaded.
-  void OnRequest(const std::shared_ptr<InboundExchange>& exchange);
+  /// `from_peer` says that a peer has forwarded the request, which is then not
+  /// forwarded again.
+  void OnRequest(const std::shared_ptr<InboundExchange>& exchange,
+                 bool from_peer);
+  /// True if only a peer can serve the service, and one can.
+  bool MustForward(Time now, const ServiceId& service) const;
+  RelayContext MakeRelayContext();
+  ForwardContext MakeForwardContext();
+  /// Counts a crash against the request, unless this gateway's own link is at
+  /// fault.
+  void ReportCrash(const ServiceId& service, const RequestSuspects& request,
+                   const UpstreamCrash& crash);
+  /// True if a peer has had responses of the service's upstreams since this
+  /// gateway could not reach them.
+  bool IsOwnLinkBroken(Time now, const ServiceId& service) const;
+  void OnSuspectFailure(Time now, const UpstreamRecord& upstream,
+                        const Outcome& outcome);
+  /// Takes the samples of connections that are due.
+  void SampleReachability(Time now);
+  void SampleReachability(Time now, const ServiceId& service);
+  void OnReachabilitySample(const ServiceId& service, ConnectionSample sample);
   /// Where a stream may begin or go on; `service` is the one that was picked,
   /// and is replaced by that of a stream that goes on.  Empty, with a reason,
   /// if a stream must not go on.
@@ -221,10 +245,19 @@
   GatewayPeers peers_;
   InitialSync initial_sync_;
   PeerSync peer_sync_;
+  UpstreamReachability reachability_;
+  ReachabilitySampler reachability_sampler_;
+  PeerSelection peer_selection_;
+  // Reports of crashes that wait, by number.
+  std::map<uint64_t, EventHandle> crash_reports_;
+  uint64_t last_crash_report_ = 0;
   InboundServer client_server_;
+  // Requests that peers forward.
+  InboundServer forward_server_;
   HttpServer ready_server_;
   HttpServer directory_server_;
   HttpServer admin_server_;
+  ForwardContext forward_context_;
   RelayContext relay_context_;
   RouteTable route_table_;
   std::map<ServiceId, RetryWindow> retry_windows_;
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -36,6 +36,12 @@
   Address client_address;
   /// Address that receives messages from peers.
   Address peer_address;
+  /// Address that takes forwarded requests; port 0 if there is none.
+  Address forward_address;
+  /// Services whose upstreams the gateway cannot reach.
+  std::set<ServiceId> partitioned_services;
+  /// When upstreams of each service last responded to the gateway.
+  std::map<ServiceId, Time> upstream_responses;
   bool ready = false;
   /// A planned stop has begun.
   bool leaving = false;
--- a/include/corianderlink/Gateway/gateway_settings.h
+++ b/include/corianderlink/Gateway/gateway_settings.h
@@ -31,6 +31,9 @@
   Address directory;
   /// Listening address for messages of other gateways.
   Address peer;
+  /// Listening address for requests that other gateways forward; port 0 if they
+  /// cannot.
+  Address forward;
   /// Listening address for metrics and the state dump.
   Address admin;
   /// Address of the store that holds the configuration and the upstreams.
--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -134,6 +134,13 @@
   void OnFailure(Time now, const UpstreamRecord& upstream);
   /// No connection could be made to the upstream.
   void OnUnreachable(Time now, const UpstreamRecord& upstream);
+  /// This gateway reaches the service's upstreams again: its earlier failures
+  /// do not count against them.
+  void OnPartitionEnded(const ServiceId& service) {
+    for (const UpstreamRecord* upstream : directory_.Usable(service)) {
+      ejector_.Readmit(upstream->address);
+    }
+  }
   /// Another upstream uses this one's address now, so this one is gone although
   /// the directory still has its record.
   void OnReplaced(const UpstreamId& id) { replaced_.insert(id); }
--- a/include/corianderlink/Gateway/relay_codec.h
+++ b/include/corianderlink/Gateway/relay_codec.h
@@ -57,7 +57,7 @@
 /// Parameters that the relay adds to a request for an upstream.
 struct UpstreamRequestOptions {
   /// The upstream that the request is meant for; another one at the same
-  /// address refuses it.
+  /// address refuses it.  Empty if the request goes to another gateway.
   UpstreamId expected_upstream;
   /// Time until the deadline of the request.
   std::optional<Duration> time_left;
@@ -69,6 +69,9 @@
   std::optional<KvHandle> kv_handle;
   /// Id of the last event that the client has; the stream resumes after it.
   std::optional<uint64_t> resume_after_event_id;
+  /// Id of the attempt that began the stream, if a gateway resumes it through
+  /// another one.
+  RequestId resumes;
 };
 
 /// Properties of a response, decoded from its head.
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -15,6 +15,7 @@
 #include "corianderlink/Gateway/crash_check.h"
 #include "corianderlink/Gateway/crash_quarantine.h"
 #include "corianderlink/Gateway/event_splitter.h"
+#include "corianderlink/Gateway/forward_task.h"
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/placer.h"
 #include "corianderlink/Gateway/relay_codec.h"
@@ -40,16 +41,31 @@
   CrashCheck& crash_check;
   /// Charges one retry to the retry budget of a service.  False if the budget
   /// is exhausted.
-  std::function<bool(Time, const ServiceId&)> try_claim_retry;
+  std::function<bool(Time, const ServiceId&)> try_claim_retry = {};
+  /// An attempt at an upstream has failed or stalled.
+  std::function<void(Time, const UpstreamRecord&, const Outcome&)>
+      on_suspect_failure = {};
+  /// An upstream has responded.
+  std::function<void(Time, const ServiceId&)> on_upstream_response = {};
+  /// The upstream of a request has ended before it answered.
+  std::function<void(const ServiceId&, const RequestSuspects&,
+                     const UpstreamCrash&)>
+      report_crash = {};
+  /// True until it is found out whether this gateway can reach the service.
+  std::function<bool(const ServiceId&)> is_reachability_unknown = {};
+  /// True if the service can be served by a peer only.
+  std::function<bool(Time, const ServiceId&)> must_forward = {};
+  /// Hands a request over to a peer.
+  std::function<void(ForwardedRequest)> forward = {};
   /// Remembers at which version a stream has begun.
-  std::function<void(Time, const StreamOrigin&)> on_stream_begun;
+  std::function<void(const StreamOrigin&)> on_stream_begun = {};
   /// True if an upstream of that version is registered.
   std::function<bool(const ServiceId&, const SoftwareVersion&)>
-      is_version_registered;
+      is_version_registered = {};
   /// Estimates how long a client waited in earlier attempts at the same
   /// request, given the timeout of the present attempt.  The timeout is added
   /// to the history of the route.
-  std::function<Duration(const RouteSpec&, Duration)> estimate_prior_wait;
+  std::function<Duration(const RouteSpec&, Duration)> estimate_prior_wait = {};
 };
 
 /// Handles a request from its arrival to the end of its response.  A request
@@ -59,7 +75,8 @@
  public:
   RelayTask(RelayContext& context, std::shared_ptr<InboundExchange> exchange,
             RouteSpec route, ServicePoolSpec service, ClientRequest request,
-            VersionConstraint versions, uint64_t config_version);
+            VersionConstraint versions, bool from_peer,
+            uint64_t config_version);
 
   /// Arms the deadline and sends the request to the first upstream, or refuses
   /// it.  The task keeps itself alive until the response has ended.
@@ -85,6 +102,10 @@
   /// request is refused or failed, or, if its stream has started, tried again
   /// later.
   void PlaceAndSend();
+  /// Calls PlaceAndSend a moment later.
+  void PlaceLater();
+  /// Hands the request over to a peer if this gateway cannot serve it.
+  bool ForwardIfPartitioned(Time now);
   /// Schedules another search for an upstream that can resume a started stream,
   /// or ends the stream if none is left.
   void ScheduleResume();
@@ -176,7 +197,9 @@
   void EndDispatch();
   /// Tells the prefill engine that its KV cache will not be fetched.
   void ReleaseKvHandle();
-  /// Stops all timers, then logs and counts the result.
+  /// Stops all timers and gives up the exchange.
+  void Detach();
+  /// Detaches, then logs and counts the result.
   void Finish(const char* result, int status, const std::string& reason);
 
   RelayContext& context_;
@@ -185,6 +208,8 @@
   const ServicePoolSpec service_;
   const ClientRequest request_;
   const uint64_t config_version_;
+  // A peer has forwarded the request.
+  const bool from_peer_;
   // Once a stream has begun, only the version that began it is permitted.
   VersionConstraint versions_;
   // Breaks ties between upstreams that are predicted to be equally fast.
@@ -237,7 +262,7 @@
   std::optional<uint64_t> last_event_id_;
   EventHandle deadline_timer_;
   EventHandle stall_timer_;
-  EventHandle resume_timer_;
+  EventHandle placement_timer_;
 };
 
 }  // namespace corianderlink
--- /dev/null
+++ b/include/corianderlink/Gateway/upstream_reachability.h
@@ -0,0 +1,84 @@
+// Whether this gateway is partitioned from the upstreams of a service.
+//
+// Single upstreams that fail are ejected.  If none of a service can be reached
+// at the same time, the fault may be this gateway's own link, and a peer may
+// still reach them.  Failures of requests only raise the suspicion; a
+// sample of new connections decides, so that neither an upstream that does not
+// respond for a second nor a single crash is taken for a partition.
+#ifndef CORIANDERLINK_GATEWAY_UPSTREAM_REACHABILITY_H_
+#define CORIANDERLINK_GATEWAY_UPSTREAM_REACHABILITY_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "corianderlink/Gateway/upstream_record.h"
+#include "corianderlink/Support/strong_id.h"
+#include "corianderlink/Support/time.h"
+
+namespace corianderlink {
+
+/// Results of a sample of connections to upstreams of one service.
+struct ConnectionSample {
+  size_t established = 0;
+  size_t failed = 0;
+};
+
+/// Decides by service, without I/O.
+class UpstreamReachability {
+ public:
+  /// A request to the upstream lost its connection, was refused one, or has no
+  /// response for a suspiciously long time.  `usable` is the number of the
+  /// service's upstreams.
+  void OnSuspectFailure(Time now, const UpstreamRecord& upstream,
+                        size_t usable);
+  /// There is reason to take a sample of the service's connections.
+  void Suspect(const ServiceId& service) {
+    services_[service].suspected = true;
+  }
+  /// An upstream of the service has responded to this gateway.
+  void OnResponse(Time now, const ServiceId& service) {
+    services_[service].last_response_at = now;
+  }
+  /// True if a sample of the service's connections is to be taken now.
+  bool IsSampleDue(Time now, const ServiceId& service) const;
+  void OnSampleBegun(Time now, const ServiceId& service);
+  void OnSample(Time now, const ServiceId& service, ConnectionSample sample);
+
+  bool IsPartitioned(const ServiceId& service) const;
+  /// True while the sample is taken that follows a suspicion.
+  bool IsUnknown(const ServiceId& service) const;
+  /// When the sample began that has found the partition; empty if there is
+  /// none.
+  std::optional<Time> PartitionedSince(const ServiceId& service) const;
+  /// When upstreams of each service last responded.
+  std::map<ServiceId, Time> LastResponses() const;
+  /// Services that this gateway is partitioned from.
+  std::set<ServiceId> PartitionedServices() const;
+  /// Services of which something is to be found out.
+  std::set<ServiceId> WatchedServices() const;
+  /// Drops the state of all services for which `gone` returns true.
+  template <typename Predicate>
+  void ForgetIf(Predicate gone) {
+    std::erase_if(services_,
+                  [&](const auto& entry) { return gone(entry.first); });
+  }
+
+ private:
+  struct State {
+    // Upstreams with a recent failure, and when it was.
+    std::map<UpstreamId, Time> failures;
+    bool suspected = false;
+    bool sampling = false;
+    std::optional<Time> last_sample_at;
+    std::optional<Time> partitioned_since;
+    std::optional<Time> last_response_at;
+  };
+
+  std::map<ServiceId, State> services_;
+};
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_GATEWAY_UPSTREAM_REACHABILITY_H_
--- a/include/corianderlink/Routing/outlier_ejector.h
+++ b/include/corianderlink/Routing/outlier_ejector.h
@@ -38,6 +38,8 @@
   /// Records that nothing listens at the upstream's address.  Ejects it at
   /// once, whatever share of the upstreams is ejected already.
   void OnUnreachable(Time now, const Address& upstream);
+  /// Ends an ejection, whose cause was not the upstream.
+  void Readmit(const Address& upstream) { states_.erase(upstream); }
   bool IsEjected(Time now, const Address& upstream) const;
   /// Returns the share of its normal load that `upstream` may get: 0 while it
   /// is ejected, growing from 0.1 to 1 during the slow start, otherwise 1.
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -68,10 +68,16 @@
       record_cache_(codecs_.records, placer_.directory(), metrics_),
       peers_(loop, settings_.store.ToString(), process_id_, settings_.peer,
              [this](Time now) { return CurrentStatus(now); }),
+      reachability_sampler_(loop, pool_, random_, codecs_.orders),
+      peer_selection_(settings_.zone, random_),
       client_server_(loop, MaxClientConnections(settings_.max_descriptors),
                      [this](const std::shared_ptr<InboundExchange>& exchange) {
-                       OnRequest(exchange);
+                       OnRequest(exchange, false);
                      }),
+      forward_server_(loop, MaxClientConnections(settings_.max_descriptors),
+                      [this](const std::shared_ptr<InboundExchange>& exchange) {
+                        OnRequest(exchange, true);
+                      }),
       ready_server_(
           loop, {},
           [this](const auto& exchange) {
@@ -83,27 +89,8 @@
           loop, {}, [this](const auto& exchange) { OnDirectory(exchange); }),
       admin_server_(loop, {},
                     [this](const auto& exchange) { OnAdmin(exchange); }),
-      relay_context_{
-          loop_,
-          pool_,
-          placer_,
-          codecs_.relay,
-          metrics_,
-          random_,
-          quarantine_,
-          crash_check_,
-          [this](Time now, const ServiceId& service) {
-            return TryClaimRetry(now, service);
-          },
-          [this](Time /*now*/, const StreamOrigin& origin) {
-            stream_versions_.origins().Add(origin);
-          },
-          [this](const ServiceId& service, const SoftwareVersion& version) {
-            return stream_versions_.history().IsRegistered(service, version);
-          },
-          [this](const RouteSpec& route, Duration client_timeout) {
-            return EstimatePriorWait(route, client_timeout);
-          }} {
+      forward_context_(MakeForwardContext()),
+      relay_context_(MakeRelayContext()) {
   client_server_.on_request_rejected = [this](const std::string& reason) {
     metrics_.Add("gateway_malformed_requests_total");
     Log(LogLevel::kWarning, "request_malformed", {{"reason", reason}});
@@ -172,6 +159,10 @@
   bound &= check_bound(directory_server_.Listen(settings_.directory),
                        settings_.directory);
   bound &= check_bound(peers_.Listen(settings_.peer), settings_.peer);
+  if (settings_.forward.port != 0) {
+    bound &= check_bound(forward_server_.Listen(settings_.forward),
+                         settings_.forward);
+  }
   bound &= check_bound(admin_server_.Listen(settings_.admin), settings_.admin);
   if (!bound) return false;
   peers_.Start();
@@ -205,6 +196,9 @@
   status.zone = settings_.zone;
   status.client_address = settings_.front;
   status.peer_address = settings_.peer;
+  status.forward_address = settings_.forward;
+  status.partitioned_services = reachability_.PartitionedServices();
+  status.upstream_responses = reachability_.LastResponses();
   status.ready = ready();
   status.leaving = shutting_down_;
   status.config_version = record_cache_.config_version();
@@ -285,6 +279,7 @@
        {"last_store_response_ms", ToMillis(StoreAge(StoreTable::kConfig))}});
   route_table_ = RouteTable(config);
   client_server_.SetLimits(config->limits);
+  forward_server_.SetLimits(config->limits);
   ForgetRemovedRoutes(*config);
   stream_versions_.history().SetStreamLifetime(StreamLifetime(*config));
   for (const auto& [id, service] : config->services) {
@@ -372,13 +367,16 @@
 }
 
 bool Gateway::IsCoordinatorCandidate(Time now) const {
-  return ready() && Rank(now) == 0;
+  return ready() && reachability_.PartitionedServices().empty() &&
+         Rank(now) == 0;
 }
 
 size_t Gateway::Rank(Time now) const {
   size_t rank = 0;
   for (const GatewayPeer* peer : peers_.Live(now)) {
-    if (peer->status.ready && peer->process < process_id_.value()) ++rank;
+    const GatewayStatus& status = peer->status;
+    if (!status.ready || !status.partitioned_services.empty()) continue;
+    if (peer->process < process_id_.value()) ++rank;
   }
   return rank;
 }
@@ -425,7 +423,8 @@
   return route.services.empty() ? nullptr : &route.services.back();
 }
 
-void Gateway::OnRequest(const std::shared_ptr<InboundExchange>& exchange) {
+void Gateway::OnRequest(const std::shared_ptr<InboundExchange>& exchange,
+                        bool from_peer) {
   ClientRequest request = codecs_.relay.decode_request(exchange->head());
   const auto refuse = [&](int status, const char* reason) {
     std::optional<Duration> retry_after;
@@ -466,10 +465,14 @@
     refuse(503, "route has no configured service");
     return;
   }
-  retry_windows_.try_emplace(service->first, settings_.retries)
-      .first->second.OnRequest(BootClock::now());
+  // The peer that serves a forwarded request counts it.
+  if (from_peer || !MustForward(BootClock::now(), service->first)) {
+    retry_windows_.try_emplace(service->first, settings_.retries)
+        .first->second.OnRequest(BootClock::now());
+  }
   std::make_shared<RelayTask>(relay_context_, exchange, *route, service->second,
-                              std::move(request), *versions, config->version)
+                              std::move(request), *versions, from_peer,
+                              config->version)
       ->Start();
 }
 
@@ -565,6 +568,7 @@
   placer_.load().ExpirePeers(now);
   placer_.Prune();
   CloseConnectionsToRemovedUpstreams();
+  SampleReachability(now);
   UpdateGauges(now);
 }
 
@@ -586,6 +590,7 @@
   UpdateFleetView(shutdown_began_at_);
   peers_.SendHeartbeat();
   client_server_.CloseAfterResponses();
+  forward_server_.CloseAfterResponses();
   ContinueShutdown();
 }
 
@@ -598,7 +603,11 @@
   if (elapsed >= std::min(directory_cache_time, time_limit / 2)) {
     client_server_.StopListening();
     client_server_.CloseIdleConnections();
-    if (client_server_.connections() == 0 || elapsed >= time_limit) {
+    forward_server_.StopListening();
+    forward_server_.CloseIdleConnections();
+    const size_t connections =
+        client_server_.connections() + forward_server_.connections();
+    if (connections == 0 || elapsed >= time_limit) {
       loop_.Stop();
       return;
     }
--- a/lib/Gateway/gateway_admin.cc
+++ b/lib/Gateway/gateway_admin.cc
@@ -34,6 +34,9 @@
     entry["rate_limit"] = {{"per_s", *limit->per_second},
                            {"age_ms", ToMillis(now - limit->received_at)}};
   }
+  for (const ServiceId& service : reachability_.PartitionedServices()) {
+    dump["partitioned_services"].push_back(service.value());
+  }
   for (const VersionSighting& sighting :
        stream_versions_.history().Sightings()) {
     dump["versions"][sighting.service.value()][sighting.version.value()] = {
@@ -64,6 +67,8 @@
                static_cast<double>(placer_.rate_limiter().limits().size()));
   metrics_.Set("gateway_denied_permits",
                static_cast<double>(placer_.rate_limiter().denials()));
+  metrics_.Set("gateway_partitioned_services",
+               static_cast<double>(reachability_.PartitionedServices().size()));
   metrics_.Set("gateway_known_streams",
                static_cast<double>(stream_versions_.origins().size()));
   metrics_.Set("gateway_store_age_seconds",
--- a/lib/Gateway/gateway_settings.cc
+++ b/lib/Gateway/gateway_settings.cc
@@ -31,6 +31,9 @@
   settings.directory = reader.RequiredAddress("directory");
   settings.peer = reader.RequiredAddress("peer");
   settings.admin = reader.RequiredAddress("admin");
+  if (json->contains("forward")) {
+    settings.forward = reader.RequiredAddress("forward");
+  }
   reader.RejectUnknown();
 }
 
--- a/lib/Gateway/peer_codec.cc
+++ b/lib/Gateway/peer_codec.cc
@@ -236,6 +236,15 @@
   for (const RateLimitNotice& notice : status.rate_limits) {
     EncodeRateLimit(now, notice, *heartbeat.add_rate_limits());
   }
+  heartbeat.set_forward_address(status.forward_address.ToString());
+  for (const ServiceId& service : status.partitioned_services) {
+    heartbeat.add_partitioned_services(service.value());
+  }
+  for (const auto& [service, response_at] : status.upstream_responses) {
+    wire::UpstreamResponse* out = heartbeat.add_upstream_responses();
+    out->set_service(service.value());
+    out->set_age_ms(EncodeAge(now - response_at));
+  }
   EncodeStreamVersions(now, status.stream_versions,
                        *heartbeat.mutable_stream_versions());
   heartbeat.set_leaving(status.leaving);
@@ -293,6 +302,16 @@
     const auto notice = DecodeRateLimit(now, in);
     if (notice) status.rate_limits.push_back(*notice);
   }
+  status.forward_address =
+      Address::Parse(heartbeat.forward_address()).value_or(Address{});
+  for (const std::string& service : heartbeat.partitioned_services()) {
+    status.partitioned_services.insert(ServiceId(service));
+  }
+  for (const wire::UpstreamResponse& in : heartbeat.upstream_responses()) {
+    const auto response_at = DecodeTime(now, in.age_ms());
+    if (!response_at) continue;
+    status.upstream_responses[ServiceId(in.service())] = *response_at;
+  }
   status.stream_versions =
       DecodeStreamVersions(now, heartbeat.stream_versions());
   status.leaving = heartbeat.leaving();
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -17,8 +17,8 @@
 constexpr Duration kConnectTimeout = milliseconds(250);
 // A request that was denied so many permits goes to unlimited upstreams only.
 constexpr int kMaxDeniedPermits = 4;
-// Interval between searches for an upstream that can resume a stream.
-constexpr Duration kResumePollInterval = milliseconds(50);
+// Interval between searches for an upstream, while none can take the request.
+constexpr Duration kPlacementPollInterval = milliseconds(50);
 // Priority of a request in the engine's queue, by work tier; 0 is the highest.
 constexpr int kEnginePriorityByTier[kPriorityTiers] = {2, 4, 7};
 
@@ -27,13 +27,15 @@
 RelayTask::RelayTask(RelayContext& context,
                      std::shared_ptr<InboundExchange> exchange, RouteSpec route,
                      ServicePoolSpec service, ClientRequest request,
-                     VersionConstraint versions, uint64_t config_version)
+                     VersionConstraint versions, bool from_peer,
+                     uint64_t config_version)
     : context_(context),
       exchange_(std::move(exchange)),
       route_(std::move(route)),
       service_(std::move(service)),
       request_(std::move(request)),
       config_version_(config_version),
+      from_peer_(from_peer),
       versions_(std::move(versions)),
       seed_(context.random.Bits()) {}
 
@@ -100,12 +102,17 @@
 void RelayTask::PlaceAndSend() {
   const Time now = BootClock::now();
   if (EndIfQuarantined(now)) return;
+  if (ForwardIfPartitioned(now)) return;
   const PlacementResult result = ChoosePlacement(now);
   if (!result.placement) {
     if (exchange_->response_started()) {
       ScheduleResume();
       return;
     }
+    if (!from_peer_ && context_.is_reachability_unknown(service_.id)) {
+      PlaceLater();
+      return;
+    }
     if (possible_runs_ > 0) {
       FailRequest(Outcome::MayHaveRun(result.reason));
       return;
@@ -133,6 +140,15 @@
   SendWithPermit(*result.placement, &RelayTask::PlaceAndSend);
 }
 
+bool RelayTask::ForwardIfPartitioned(Time now) {
+  if (from_peer_ || !context_.must_forward(now, service_.id)) return false;
+  ReleaseKvHandle();
+  Detach();
+  context_.forward({exchange_, route_, service_.id, request_, deadline_,
+                    possible_runs_ > 0, last_event_id_});
+  return true;
+}
+
 void RelayTask::SendWithPermit(const Placement& placement,
                                void (RelayTask::*place_again)()) {
   const auto on_decision = [self = shared_from_this(), placement,
@@ -167,8 +183,12 @@
   // Part of the response was delivered, so any upstream may resume it, even one
   // that already failed this request.
   excluded_.clear();
-  resume_timer_ =
-      context_.loop.After(kResumePollInterval, [self = shared_from_this()] {
+  PlaceLater();
+}
+
+void RelayTask::PlaceLater() {
+  placement_timer_ =
+      context_.loop.After(kPlacementPollInterval, [self = shared_from_this()] {
         if (!self->finished_) self->PlaceAndSend();
       });
 }
@@ -283,6 +303,7 @@
 void RelayTask::SendDecodeStage() {
   const Time now = BootClock::now();
   if (EndIfQuarantined(now)) return;
+  if (ForwardIfPartitioned(now)) return;
   const PlacementResult result = context_.placer.PlaceGeneration(
       now, MakePlacementQuery(now), kv_handle_->source);
   if (!result.placement) {
@@ -329,14 +350,18 @@
   context_.pool.Start(std::move(request), {});
 }
 
-void RelayTask::Finish(const char* result, int status,
-                       const std::string& reason) {
+void RelayTask::Detach() {
   finished_ = true;
   deadline_timer_.Reset();
   stall_timer_.Reset();
-  resume_timer_.Reset();
+  placement_timer_.Reset();
   exchange_->on_client_disconnected = nullptr;
   exchange_->on_drained = nullptr;
+}
+
+void RelayTask::Finish(const char* result, int status,
+                       const std::string& reason) {
+  Detach();
   const Time now = BootClock::now();
   const double elapsed_ms = ToMillis(now - exchange_->received_at());
   Log(LogLevel::kInfo, "request_done",
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -29,6 +29,7 @@
   if (finished_) return;
   reached_upstream_ = outcome.verdict != Verdict::kNotRun;
   call_.reset();
+  context_.on_suspect_failure(BootClock::now(), placement_->upstream, outcome);
   CheckForCrash(outcome);
   OnAttemptFailed(outcome, true);
 }
@@ -83,11 +84,11 @@
   if (placer.notices().IsLeaving(*upstream)) return;
   const UpstreamCrash crash{upstream->id, upstream->started_ms, sent_at_,
                             BootClock::now(), RequestDigest()};
-  context_.crash_check.Start(
-      *upstream, service_.health_path,
-      [&quarantine = context_.quarantine, request = Suspects(), crash] {
-        quarantine.OnCrash(BootClock::now(), request, crash);
-      });
+  const auto on_crashed = [&context = context_, service = service_.id,
+                           request = Suspects(), crash] {
+    context.report_crash(service, request, crash);
+  };
+  context_.crash_check.Start(*upstream, service_.health_path, on_crashed);
 }
 
 RequestSuspects RelayTask::Suspects() {
@@ -263,7 +264,10 @@
   const Time now = BootClock::now();
   const UpstreamId stalled_upstream = placement_->upstream.id;
   excluded_.insert(stalled_upstream);
-  const bool has_other = ChoosePlacement(now).placement.has_value();
+  context_.on_suspect_failure(now, placement_->upstream,
+                              Outcome::MayHaveRun("upstream stalled"));
+  const bool has_other = context_.must_forward(now, service_.id) ||
+                         ChoosePlacement(now).placement.has_value();
   if (!has_other || !TryClaimRetry(now, Verdict::kMayHaveRun)) {
     // Without a retry, the request keeps waiting for this upstream.
     excluded_.erase(stalled_upstream);
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -31,6 +31,7 @@
   // Bytes that name no request may belong to an earlier one of the connection.
   const bool names_request = response_info_.request == request_.id;
   response_info_.not_run &= names_request || on_new_connection_;
+  context_.on_upstream_response(BootClock::now(), service_.id);
   ApplyNotices();
   const bool is_event_stream = is_stream() && head.status == 200 &&
                                IsSignedResponseTo(response_info_, request_.id);
@@ -145,8 +146,8 @@
   if (!route_.resumable || versions_.required) return;
   const UpstreamRecord& upstream = placement_->upstream;
   versions_.required = upstream.version;
-  context_.on_stream_begun(now, {KeyOfStream(request_.id, request_),
-                                 upstream.service, upstream.version, now});
+  context_.on_stream_begun({KeyOfStream(request_.id, request_),
+                            upstream.service, upstream.version, now});
 }
 
 void RelayTask::RecordEventGap() {
--- a/unittests/Gateway/gateway_fleet.h
+++ b/unittests/Gateway/gateway_fleet.h
@@ -69,6 +69,10 @@
     Publish();
   }
 
+  /// Ends a gateway with all its connections.
+  void Kill(size_t gateway) {
+    gateways_.erase(gateways_.begin() + static_cast<ptrdiff_t>(gateway));
+  }
   /// The gateway finds the upstreams at the addresses that `other_address`
   /// returns.
   void PartitionFromUpstreams(size_t gateway,
@@ -102,6 +106,7 @@
     settings.front = FreeAddress();
     settings.ready = FreeAddress();
     settings.directory = FreeAddress();
+    settings.forward = FreeAddress();
     return Start(settings);
   }
   Gateway& Start(const GatewaySettings& settings) {
--- a/unittests/Gateway/gateway_settings_test.cc
+++ b/unittests/Gateway/gateway_settings_test.cc
@@ -31,6 +31,15 @@
   EXPECT_DOUBLE_EQ(settings->retries.slack, 58);
 }
 
+TEST(GatewaySettingsTest, ForwardAddressIsOptional) {
+  std::vector<std::string> errors;
+  std::string text = kValidSettings;
+  EXPECT_EQ(ParseGatewaySettings(text, errors)->forward.port, 0);
+  const std::string peer = R"("peer": "127.0.0.1:4",)";
+  text.insert(text.find(peer), R"("forward": "127.0.0.1:7",)");
+  EXPECT_EQ(ParseGatewaySettings(text, errors)->forward.port, 7);
+}
+
 TEST(GatewaySettingsTest, ReportsEveryErrorWithItsPath) {
   std::vector<std::string> errors;
   EXPECT_FALSE(ParseGatewaySettings(
--- a/unittests/Gateway/partitioned_gateway_test.cc
+++ b/unittests/Gateway/partitioned_gateway_test.cc
@@ -46,11 +46,13 @@
         exchange->SendResponse(200, {}, "");
         return;
       }
+      exchanges_.push_back(exchange);
       ++runs_[FakeUpstream::Field(exchange, "Request-Id")];
       if (service == "chat") {
         Stream(exchange);
         return;
       }
+      if (is_mute_) return;
       exchange->SendResponse(200, FakeUpstream::Signed(exchange), "ok");
     };
     upstreams_.push_back(std::move(upstream));
@@ -64,6 +66,7 @@
   }
   void SendEvents(const Exchange& exchange, int next) {
     if (!exchange->open()) return;
+    if (next == stop_before_event_) return;
     if (next > kEvents) {
       exchange->CompleteResponse();
       return;
@@ -114,6 +117,11 @@
   std::vector<std::unique_ptr<HangingAddress>> hanging_;
   std::map<std::string, int> runs_;
   std::vector<EventHandle> timers_;
+  std::vector<Exchange> exchanges_;
+  // Upstreams run requests and do not answer.
+  bool is_mute_ = false;
+  // Streams get no further than this event; 0 if they do.
+  int stop_before_event_ = 0;
   int requests_ = 0;
 };
 
@@ -147,6 +155,50 @@
   ExpectRunOnce();
 }
 
+TEST_F(PartitionedGatewayTest, StartedStreamGoesOnThroughAPeer) {
+  Start(2);
+  stop_before_event_ = 4;
+  const auto stream = Send(0, "/c/1");
+  harness_.RunFor(milliseconds(100));
+  Partition(0, Cut::kHang);
+  stop_before_event_ = 0;
+  harness_.Await(stream);
+  EXPECT_TRUE(stream->complete);
+  std::string whole;
+  for (int i = 1; i <= kEvents; ++i) {
+    whole += "id: " + std::to_string(i) + "\ndata: x\n\n";
+  }
+  EXPECT_EQ(stream->body, whole);
+}
+
+TEST_F(PartitionedGatewayTest, ClientThatLeavesEndsTheRequestAtThePeer) {
+  Start(2);
+  Partition(0, Cut::kRefuse);
+  ServedShare(0, "/c/1", 10);
+  stop_before_event_ = 4;
+  const size_t before = exchanges_.size();
+  Send(0, "/c/1");
+  harness_.RunFor(milliseconds(150));
+  ASSERT_EQ(exchanges_.size(), before + 1);
+  EXPECT_TRUE(exchanges_.back()->open());
+  harness_.call->Cancel();
+  harness_.RunFor(milliseconds(200));
+  EXPECT_FALSE(exchanges_.back()->open());
+}
+
+TEST_F(PartitionedGatewayTest, EndOfThePeerIsNotTakenForNotRun) {
+  Start(2);
+  Partition(0, Cut::kRefuse);
+  ServedShare(0, "/u/1", 20);
+  is_mute_ = true;
+  const auto result = Send(0, "/u/1");
+  harness_.RunFor(milliseconds(150));
+  fleet_.Kill(1);
+  harness_.Await(result);
+  EXPECT_EQ(result->status, 502);
+  ExpectRunOnce();
+}
+
 TEST_F(PartitionedGatewayTest, RefusesAtOnceWhenNoGatewayReachesUpstreams) {
   Start(2);
   Partition(0, Cut::kRefuse);
