[Soak] Play two software versions side by side, and clients that resume streams

From seed 4000 on each upstream has one of two versions, gateways are killed more often, also all at once, and clients take streams up again. Each event names the version that wrote it; a stream of two versions is a broken promise, within one answer or over a client's attempts.

The stand-in wrote the version as a number, which the protocol has as a text. A partition of single gateways from the upstreams is not played by the soak: its links are shared by all gateways.

--- a/utils/soak.py
+++ b/utils/soak.py
@@ -32,6 +32,9 @@
 # From here on also upstreams that name a rate limit, and requests that end their
 # upstreams.
 FIRST_LIMIT_SEED = 3000
+# From here on also upstreams of two software versions, and clients that resume
+# streams.
+FIRST_VERSION_SEED = 4000
 # A rate limit is judged in windows of this length.
 WINDOW_S = 4.0
 # Time in which a change is in force; gateways answer for it again this long
@@ -64,6 +67,8 @@
             kinds += 3 * [self.silence, self.start_after_restore]
         if seed >= FIRST_LIMIT_SEED:
             kinds += 3 * [self.limit, self.lethal]
+        if seed >= FIRST_VERSION_SEED:
+            kinds += 3 * [self.kill, self.kill_all, self.crash, self.drain]
         if only:
             kinds = [getattr(self, only)]
         self.broken = []
@@ -314,6 +319,7 @@
 
 async def play(seed, length_s, size, only=None):
     deployment = world.World(seed, *size)
+    deployment.mixed = seed >= FIRST_VERSION_SEED
     callers = clients.Clients(deployment)
     faults = Faults(deployment, callers, length_s, seed, only)
     peak = [0]
--- a/utils/soak_lib/checks.py
+++ b/utils/soak_lib/checks.py
@@ -28,6 +28,7 @@
             broken.append("UNASKED %s" % identity)
     for request in requests.values():
         broken += check_request(request, runs[request.identity], troubled)
+        broken += check_versions(request)
     broken += check_draining(deployment, troubled)
     broken += check_pauses(deployment)
     for gateway in deployment.gateways:
@@ -75,7 +76,7 @@
         whole = stand_ins.body_of(request.identity)
         rule = "MIXED"
     else:
-        whole = clients.whole_stream(request.identity)
+        whole = clients.whole_stream(request)
         rule = "ORDER"
     if request.complete and request.answer != whole:
         return ["%s %s: complete, but not the whole answer" % (rule, name)]
@@ -84,6 +85,17 @@
     return []
 
 
+def check_versions(request):
+    """A stream that the client has resumed is by one software version."""
+    if request.begun_by is None or request.status != 200:
+        return []
+    versions = stand_ins.versions_of(request.begun_by.answer + request.answer)
+    if len(versions) <= 1:
+        return []
+    return ["ORDER %s, resumed by %s, holds events of %s" %
+            (request.begun_by.identity, request.identity, sorted(versions))]
+
+
 def check_left(name, request, runs, troubled):
     late = request.left_at + FREE_S
     if late > time.monotonic() or troubled(request.began, late):
--- a/utils/soak_lib/clients.py
+++ b/utils/soak_lib/clients.py
@@ -7,6 +7,7 @@
 from . import http1, stand_ins, world
 
 KINDS = list(world.ROUTES)
+MAX_RESUMPTIONS = 3
 
 
 class Request:
@@ -23,6 +24,13 @@
         self.complete = False
         self.left_at = None
         self.refused_for_s = None
+        # The attempt that began this stream, if this one resumes it, and the
+        # last event that the client has.
+        self.begun_by, self.after = None, 0
+
+    def events(self):
+        """Number of the last whole event of the stream that has arrived."""
+        return self.after + self.answer.count(b"\n\n")
 
 
 class Clients:
@@ -47,12 +55,28 @@
         """A request, repeated once as clients may."""
         kind = self.random.choice(KINDS)
         request = await self.attempt(kind)
+        if self.world.mixed and kind == "stream":
+            await self.resume(request)
+            return
         again = request.status in (429, 503)
         if not again or request.left_at is not None:
             return
         await asyncio.sleep(min(request.refused_for_s or 0.1, 1.0))
         await self.attempt(kind)
 
+    async def resume(self, request):
+        """Takes a stream up again, as often as it breaks off."""
+        begun_by, after = request, request.events()
+        for _ in range(MAX_RESUMPTIONS):
+            if request.complete and request.status == 200:
+                return
+            if request.left_at is not None or after == 0:
+                return
+            await asyncio.sleep(min(request.refused_for_s or 0.05, 0.5))
+            request = await self.attempt("stream", begun_by=begun_by,
+                                         after=after)
+            after = max(after, request.events())
+
     async def resolve(self):
         for gateway in self.random.sample(self.world.gateways,
                                           len(self.world.gateways))[:3]:
@@ -78,7 +102,7 @@
         finally:
             writer.transport.abort()
 
-    async def attempt(self, kind, item="x"):
+    async def attempt(self, kind, item="x", begun_by=None, after=0):
         self.count += 1
         identity = "%016x" % (self.count * 0x9e3779b97f4a7c15 % 2 ** 64)
         route = world.ROUTES[kind]
@@ -87,6 +111,7 @@
         if item != "x":
             body = b""
         request = Request(identity, kind, method, route["prefix"] + item, body)
+        request.begun_by, request.after = begun_by, after
         port = await self.resolve()
         if port is None:
             return request
@@ -114,6 +139,9 @@
                 own = "%x" % self.random.getrandbits(32)
                 fields.update({"Model": "m", "Token-Count": "220,80",
                                "Prompt-Prefix": "9:80,%s:140" % own})
+            if request.begun_by is not None:
+                fields.update({"Resumes": request.begun_by.identity,
+                               "Last-Event-Id": str(request.after)})
             writer.write(http1.message(
                 "%s %s HTTP/1.1" % (request.method, request.target), fields,
                 request.body))
@@ -136,6 +164,10 @@
             writer.transport.abort()
 
 
-def whole_stream(identity):
-    return b"".join(stand_ins.event_of(identity, event)
-                    for event in range(1, stand_ins.EVENTS + 1))
+def whole_stream(request):
+    """The rest of a stream, by the version that wrote its first event."""
+    versions = stand_ins.versions_of(request.answer)
+    version = min(versions).decode() if versions else "v1"
+    return b"".join(
+        stand_ins.event_of(request.identity, event, version)
+        for event in range(request.after + 1, stand_ins.EVENTS + 1))
--- a/utils/soak_lib/stand_ins.py
+++ b/utils/soak_lib/stand_ins.py
@@ -7,6 +7,7 @@
 import asyncio
 import base64
 import json
+import re
 import random
 import time
 from urllib.parse import parse_qs, urlsplit
@@ -226,6 +227,8 @@
         self.runs, self.arrivals = runs, arrivals
         self.trouble = None
         self.slots = 32 if role else 6
+        # Version of the software; only streams show it.
+        self.version = "v1"
         self.born = int(time.time() * 1000)
         self.seq = 0
         self.state = "ready"
@@ -359,7 +362,7 @@
     async def stream(self, run, writer, fields, gone, pause_s):
         first = int(fields.get("last-event-id", 0)) + 1
         for event in range(first, EVENTS + 1):
-            data = event_of(run.request, event)
+            data = event_of(run.request, event, self.version)
             if self.trouble == "cut" and event > 1:
                 writer.write(http1.chunk(data[:9]))
                 await writer.drain()
@@ -396,8 +399,14 @@
     return ("answer to %s\n" % request).encode() * 20
 
 
-def event_of(request, event):
-    return ("id: %d\ndata: %s %d\n\n" % (event, request, event)).encode()
+def event_of(request, event, version):
+    return ("id: %d\ndata: %s %d %s\n\n" %
+            (event, request, event, version)).encode()
+
+
+def versions_of(events):
+    """Software versions that wrote these bytes of a stream."""
+    return set(re.findall(rb" (v\d+)\n\n", events))
 
 
 class Link(Server):
--- a/utils/soak_lib/world.py
+++ b/utils/soak_lib/world.py
@@ -140,6 +140,8 @@
         self.config = None
         self.config_version = 0
         self.next_id = 0
+        # Upstreams of two software versions serve side by side.
+        self.mixed = False
         # When upstreams ended under a lethal request.
         self.lethal_ends = []
         self.restarts = []
@@ -212,6 +214,8 @@
             identity = "i-%04x" % self.next_id
         upstream = stand_ins.Upstream(identity, service, role, self.runs,
                                       self.arrivals)
+        if self.mixed:
+            upstream.version = self.random.choice(["v1", "v2"])
         inner, outer = free_ports(2)
         await upstream.listen(inner)
         link = stand_ins.Link(inner)
@@ -228,8 +232,8 @@
     def put_upstream(self, upstream, state="ready"):
         upstream.seq += 1
         upstream.state = state
-        row = {"service": upstream.service, "zone": "zone-a", "version": 1,
-               "addr": "127.0.0.1:%d" % upstream.port, "state": state,
+        row = {"service": upstream.service, "zone": "zone-a",
+               "version": upstream.version, "addr": "127.0.0.1:%d" % upstream.port, "state": state,
                "slots": upstream.slots, "cold_left_ms": 0,
                "seq": upstream.seq, "born": upstream.born}
         if upstream.role:
