--- a/include/corianderlink/Gateway/crash_quarantine.h
+++ b/include/corianderlink/Gateway/crash_quarantine.h
@@ -1,4 +1,4 @@
-// Finds what crashes upstreams, and keeps it away from them.
+// Finds requests that crash upstreams, and refuses them.
 #ifndef CORIANDERLINK_GATEWAY_CRASH_QUARANTINE_H_
 #define CORIANDERLINK_GATEWAY_CRASH_QUARANTINE_H_
 
@@ -134,6 +134,16 @@
   };
   using Suspects = std::map<SuspectKey, Suspect>;
 
+  // Quarantines of requests from this level on are kept by the store.
+  static constexpr uint32_t kKeptLevel = 2;
+  // An answer is reported to the peers for this long, and excuses the same
+  // request from crashes for as long after it.
+  static constexpr Duration kAnswerLifetime = seconds(10);
+
+  /// True if the store keeps such a quarantine.
+  static bool IsKept(const SuspectKey& key, uint32_t level);
+  /// Length of a quarantine, without the delay of a single gateway.
+  static Duration QuarantineTime(const SuspectKey& key, uint32_t level);
   static bool IsConvincing(const SuspectKey& key, const Suspect& suspect);
   /// True if no other request can have caused the crashes as well.
   bool IsOnlyCause(const SuspectKey& key, const Suspect& suspect) const;
--- a/include/corianderlink/Gateway/fleet_rate_limiter.h
+++ b/include/corianderlink/Gateway/fleet_rate_limiter.h
@@ -22,7 +22,7 @@
   Address self;
   /// Gateways that serve and are not leaving, this one included.
   std::vector<Address> members;
-  /// Gateways that were there lately, this one included, without those that
+  /// Gateways with a recent heartbeat, this one included, without those that
   /// have said that they are leaving.
   size_t known = 1;
   /// Time in which all gateways learn of a change.
@@ -54,6 +54,8 @@
   bool avoid_limited = false;
 };
 
+/// Answers the load of many gateways on an upstream that takes few requests.
+///
 /// Each request to a rate-limited upstream needs a permit.  For each upstream
 /// one gateway, which all compute alike from the members, has the token bucket
 /// and grants permits; the others ask it when they have a request.  So any
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -66,7 +66,8 @@
   FencingToken highest_fencing = 0;
   /// Start times of upstreams that have said that they are leaving.
   std::map<UpstreamId, int64_t> leaving_upstreams;
-  /// What the gateway knows of parts of prompts that crash engines.
+  /// What the gateway knows of requests and parts of prompts that crash
+  /// upstreams.
   std::vector<SuspectReport> suspect_reports;
   /// Rate limits that upstreams have named to the gateway.
   std::vector<RateLimitNotice> rate_limits;
--- a/lib/Gateway/crash_quarantine.cc
+++ b/lib/Gateway/crash_quarantine.cc
@@ -1,4 +1,4 @@
-// Finds what crashes upstreams, and keeps it away from them.
+// Finds requests that crash upstreams, and refuses them: evidence and verdicts.
 #include "corianderlink/Gateway/crash_quarantine.h"
 
 #include <algorithm>
@@ -32,9 +32,6 @@
 constexpr size_t kAmbiguousCrashes = 3;
 constexpr Duration kEvidenceLifetime = seconds(300);
 constexpr Duration kProbation = seconds(600);
-// An answer is reported to the peers for this long, and excuses the same
-// request from crashes for as long after it.
-constexpr Duration kAnswerLifetime = seconds(10);
 // Crashes under which a prompt's part counts as a suspect.
 constexpr size_t kSuspectCrashes = 2;
 // Quarantines of a part and, in a row, of a request.
@@ -42,8 +39,6 @@
 constexpr Duration kRequestQuarantines[] = {seconds(15), seconds(120),
                                             seconds(600)};
 constexpr uint32_t kMaxLevel = std::size(kRequestQuarantines);
-// Quarantines of requests from this level on are kept by the store.
-constexpr uint32_t kKeptLevel = 2;
 // A gateway ends a request's quarantine later by up to this fraction.
 constexpr double kMaxDelay = 0.25;
 
@@ -51,21 +46,19 @@
 constexpr char kOwn[] = "own";
 
 constexpr size_t kMaxSuspects = 256;
-constexpr size_t kMaxReports = 32;
-constexpr size_t kMaxCrashesPerReport = 6;
 
-bool IsKept(const SuspectKey& key, uint32_t level) {
+}  // namespace
+
+bool CrashQuarantine::IsKept(const SuspectKey& key, uint32_t level) {
   return key.kind == Kind::kPart || level >= kKeptLevel;
 }
 
-// Length of a quarantine, without the delay of a single gateway.
-Duration QuarantineTime(const SuspectKey& key, uint32_t level) {
+Duration CrashQuarantine::QuarantineTime(const SuspectKey& key,
+                                         uint32_t level) {
   if (key.kind == Kind::kPart) return kPartQuarantine;
   return kRequestQuarantines[std::clamp(level, 1U, kMaxLevel) - 1];
 }
 
-}  // namespace
-
 CrashQuarantine::Suspects::iterator CrashQuarantine::Insert(
     const SuspectKey& key) {
   const auto known = suspects_.find(key);
@@ -186,36 +179,6 @@
   if (on_verdict && IsKept(key, level)) on_verdict(key, false);
 }
 
-void CrashQuarantine::Restore(Time now, const SuspectKey& key, Duration age) {
-  if (age < Duration::zero() || age > QuarantineTime(key, kKeptLevel)) return;
-  if (suspects_.count(key) > 0) return;
-  Quarantine(now - age, kKeptLevel, key, Insert(key)->second, "store");
-}
-
-void CrashQuarantine::OnPeerReports(Time now,
-                                    const std::vector<SuspectReport>& reports) {
-  for (const SuspectReport& report : reports) {
-    for (const UpstreamCrash& crash : report.crashes) {
-      AddCrash(now, report.key, crash, false);
-    }
-    if (report.quarantined_at) Insert(report.key);
-    const auto it = suspects_.find(report.key);
-    if (it == suspects_.end()) continue;
-    Suspect& suspect = it->second;
-    if (report.answered_at) Clear(report.key, suspect, *report.answered_at);
-    if (!report.quarantined_at) continue;
-    // The times of a verdict that passes from peer to peer are not exact.
-    if (suspect.quarantined_at && report.level <= suspect.level) continue;
-    const Time since = *report.quarantined_at;
-    const bool outdated =
-        report.level < suspect.level ||
-        now - since > QuarantineTime(report.key, report.level) ||
-        IsExcused(report.key, suspect, since);
-    if (outdated) continue;
-    Quarantine(since, report.level, report.key, suspect, "peer");
-  }
-}
-
 bool CrashQuarantine::IsConvincing(const SuspectKey& key,
                                    const Suspect& suspect) {
   const bool is_part = key.kind == Kind::kPart;
@@ -399,44 +362,6 @@
   });
 }
 
-std::vector<SuspectReport> CrashQuarantine::Reports(Time now) const {
-  struct Entry {
-    std::tuple<bool, size_t, Time> rank;
-    SuspectReport report;
-  };
-  std::vector<Entry> entries;
-  for (const auto& [key, suspect] : suspects_) {
-    SuspectReport report;
-    report.key = key;
-    report.quarantined_at = suspect.quarantined_at;
-    report.level = suspect.level;
-    if (suspect.own_answered_at &&
-        now - *suspect.own_answered_at <= kAnswerLifetime) {
-      report.answered_at = suspect.own_answered_at;
-    }
-    for (const auto& [incarnation, crash] : suspect.crashes) {
-      if (suspect.own_crashes.count(incarnation) == 0) continue;
-      if (report.crashes.size() < kMaxCrashesPerReport) {
-        report.crashes.push_back(crash);
-      }
-    }
-    const bool has_content =
-        report.quarantined_at || report.answered_at || !report.crashes.empty();
-    if (!has_content) continue;
-    entries.push_back({{report.quarantined_at.has_value(),
-                        suspect.crashes.size(), suspect.last_crash_at},
-                       std::move(report)});
-  }
-  // Under the bound, what keeps upstreams alive counts most.
-  std::stable_sort(
-      entries.begin(), entries.end(),
-      [](const Entry& a, const Entry& b) { return a.rank > b.rank; });
-  if (entries.size() > kMaxReports) entries.resize(kMaxReports);
-  std::vector<SuspectReport> reports;
-  for (Entry& entry : entries) reports.push_back(std::move(entry.report));
-  return reports;
-}
-
 std::vector<QuarantinedKey> CrashQuarantine::Quarantined(Time now) const {
   std::vector<QuarantinedKey> keys;
   for (const auto& [key, suspect] : suspects_) {
--- a/unittests/Gateway/crash_check_test.cc
+++ b/unittests/Gateway/crash_check_test.cc
@@ -52,7 +52,8 @@
   EXPECT_EQ(pool_.connections_opened(), 1U);
 }
 
-// The first check meets an engine that takes the connection and stays silent.
+// The first check meets an engine that accepts the connection and does not
+// answer.
 TEST_F(CrashCheckTest, SilentEngineDoesNotHideItsLaterCrash) {
   Check();
   RunFor(milliseconds(1500));
--- a/unittests/Gateway/crashing_prompt_test.cc
+++ b/unittests/Gateway/crashing_prompt_test.cc
@@ -72,7 +72,7 @@
   std::shared_ptr<ClientResult> SendBad(size_t gateway) {
     return SendParts(gateway, std::string(kCommonPart) + "," + kBadPart);
   }
-  /// Plays a series of bad prompts, each beside a few sound ones.
+  /// Sends bad prompts one after the other, each with a few sound ones.
   void PlayBadPrompts(int count) {
     for (int i = 0; i < count; ++i) {
       const auto gateway = static_cast<size_t>(i);
