--- a/unittests/Http/http_client_test.cc
+++ b/unittests/Http/http_client_test.cc
@@ -137,5 +137,9 @@
   EXPECT_FALSE(Post(peer.address).ok());
 }
 
+TEST(DeadPeerDetectionTest, PeerThatDoesNotRespondForASecondIsNotDead) {
+  EXPECT_GT(kTcpUserTimeout, kTcpKeepAliveIdle + kTcpKeepAliveInterval);
+}
+
 }  // namespace
 }  // namespace corianderlink
