--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -24,8 +24,6 @@
 constexpr Duration kShutdownMargin = milliseconds(700);
 // Retry-After time sent to clients until the configuration is loaded.
 constexpr Duration kNotReadyRetryAfter = milliseconds(300);
-// Gateways that keep records of streams; two, as one may not reach the store.
-constexpr size_t kStreamRecordWriters = 2;
 
 // Shortens the longest ejection, so that a recovered upstream is used again
 // sooner than with the default limits.
@@ -381,18 +379,6 @@
   return rank;
 }
 
-std::optional<StoreRecord> Gateway::NextStreamRecord(int64_t unix_now_ms) {
-  const Time now = BootClock::now();
-  const size_t rank = Rank(now);
-  if (!ready() || rank >= kStreamRecordWriters) return std::nullopt;
-  return stream_versions_.NextRecord(now, unix_now_ms, rank);
-}
-
-Duration Gateway::KnowledgeAge(Time now) const {
-  return std::min(store_contact_.OwnAge(now, StoreTable::kUpstreams),
-                  peers_.StoreAge(now));
-}
-
 std::vector<RoleChange> Gateway::PlanRoleChanges(Time now) {
   std::map<ServiceId, ServiceDemand> demands = placer_.Demands(now);
   for (const GatewayPeer* peer : peers_.Live(now)) {
@@ -476,37 +462,6 @@
       ->Start();
 }
 
-std::optional<VersionConstraint> Gateway::ConstrainStream(
-    Time now, const RouteSpec& route, const ClientRequest& request,
-    ServiceId& service, std::string& reason) const {
-  VersionConstraint constraint;
-  if (!route.resumable) return constraint;
-  if (!request.is_resumption) {
-    return stream_versions_.ForNewStream(now, service, PeerVersions(now));
-  }
-  const ResumptionDecision decision = stream_versions_.Resolve(
-      now, KeyOfStream(request.resumes, request), service, KnowledgeAge(now));
-  reason = decision.reason;
-  if (!decision.version) return std::nullopt;
-  constraint.required = decision.version;
-  if (decision.service.empty()) return constraint;
-  service = decision.service;
-  const bool is_routed = std::any_of(
-      route.services.begin(), route.services.end(),
-      [&](const WeightedService& other) { return other.service == service; });
-  if (is_routed) return constraint;
-  reason = "route no longer leads to the service of the stream";
-  return std::nullopt;
-}
-
-std::vector<const StreamVersionReport*> Gateway::PeerVersions(Time now) const {
-  std::vector<const StreamVersionReport*> reports;
-  for (const GatewayPeer* peer : peers_.Live(now)) {
-    if (peer->status.ready) reports.push_back(&peer->status.stream_versions);
-  }
-  return reports;
-}
-
 bool Gateway::TryClaimRetry(Time now, const ServiceId& service) {
   return retry_windows_.try_emplace(service, settings_.retries)
       .first->second.TryRetry(now, peers_.LiveGatewayCount(now));
--- a/unittests/Common/raw_tcp_server.h
+++ b/unittests/Common/raw_tcp_server.h
@@ -8,12 +8,26 @@
 
 #include <atomic>
 #include <functional>
+#include <string>
 #include <thread>
 
 #include "corianderlink/Support/address.h"
 
 namespace corianderlink {
 
+/// Reads a request with its body "b", so that closing does not reset the
+/// connection; false if none comes.
+inline bool ReadRequest(int fd) {
+  std::string received;
+  char buffer[4096];
+  while (received.find("\r\n\r\nb") == std::string::npos) {
+    const ssize_t n = read(fd, buffer, sizeof(buffer));
+    if (n <= 0) return false;
+    received.append(buffer, static_cast<size_t>(n));
+  }
+  return true;
+}
+
 /// Listens on a loopback port and calls `serve` for one connection after the
 /// other on a background thread; closes each connection when `serve` returns.
 class RawTcpServer {
--- a/unittests/Gateway/repeated_refusal_test.cc
+++ b/unittests/Gateway/repeated_refusal_test.cc
@@ -7,18 +7,6 @@
 namespace corianderlink {
 namespace {
 
-/// Reads a request with its body "b"; false at the end of the connection.
-bool ReadRequest(int fd) {
-  std::string received;
-  char buffer[4096];
-  while (received.find("\r\n\r\nb") == std::string::npos) {
-    const ssize_t n = read(fd, buffer, sizeof(buffer));
-    if (n <= 0) return false;
-    received.append(buffer, static_cast<size_t>(n));
-  }
-  return true;
-}
-
 void Write(int fd, const std::string& text) {
   EXPECT_EQ(write(fd, text.data(), text.size()),
             static_cast<ssize_t>(text.size()));
--- a/unittests/Gateway/unframed_answer_test.cc
+++ b/unittests/Gateway/unframed_answer_test.cc
@@ -10,19 +10,6 @@
 constexpr char kHead[] =
     "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: 1.2.3\r\n\r\n";
 
-/// Reads a request with its body "b", so that closing does not reset the
-/// connection; false if none comes.
-bool ReadRequest(int fd) {
-  std::string received;
-  char buffer[4096];
-  while (received.find("\r\n\r\nb") == std::string::npos) {
-    const ssize_t n = read(fd, buffer, sizeof(buffer));
-    if (n <= 0) return false;
-    received.append(buffer, static_cast<size_t>(n));
-  }
-  return true;
-}
-
 class UnframedAnswerTest : public ::testing::Test {
  protected:
   UnframedAnswerTest() { harness_.Configure(); }
