[Gateway] Take no repeated response of a kept connection for the present one

Two holes were left: - A second copy that names no request ended the call with 502, though the answer of the upstream, which ran the request, came right behind it. - A stream that is resumed may come to an upstream that has refused it before, over the same connection; a second copy of that refusal names the request, so it counted as "not run" and the request ran once more.

Cause: a response was matched by the id alone, or by nothing if it had none. Class: a message is taken for the answer to a question that was asked later. Ruled out: responses of other requests, which their id tells apart; forwarded requests, which peers send over connections of their own.

Change: on a connection that another request has used, a response without an id is discarded and the next one awaited; a request goes to the same upstream again only over a new connection.

Before: the two new tests fail (502 for 200; 2 runs for 1). After: they pass, and all 260 tests of GatewayTests.

--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -116,8 +116,10 @@
   void SendTo(const Placement& placement);
   /// Sends a prefilled prompt to a decode engine.
   void SendDecodeStage();
-  UpstreamRequest BuildUpstreamRequest(Time now,
-                                       const Placement& placement) const;
+  UpstreamRequest BuildUpstreamRequest(Time now, const Placement& placement);
+  /// Longest idle time of a pooled connection to the upstream that the request
+  /// may use.
+  Duration MaxIdleTime(const UpstreamId& upstream) const;
   UpstreamHandlers BuildHandlers();
 
   void OnResponseHead(const ResponseHead& head);
@@ -220,6 +222,8 @@
 
   // Upstreams that failed or refused this request.
   std::set<UpstreamId> excluded_;
+  // Upstreams that were sent this request.
+  std::set<UpstreamId> sent_to_;
   // Attempts; prefill and decode together count as one.
   int sends_ = 0;
   // Permits for rate-limited upstreams that were denied.
--- a/include/corianderlink/Http1/upstream_call.h
+++ b/include/corianderlink/Http1/upstream_call.h
@@ -12,6 +12,9 @@
 
 namespace corianderlink {
 
+/// As UpstreamRequest::max_idle: no pooled connection is young enough.
+constexpr Duration kNoReuse = milliseconds(-1);
+
 /// A request to an upstream.  `fields` contains neither hop-by-hop fields nor
 /// Content-Length; the connection adds the latter.
 struct UpstreamRequest {
--- a/lib/Gateway/crash_check.cc
+++ b/lib/Gateway/crash_check.cc
@@ -8,8 +8,6 @@
 
 constexpr Duration kConnectTimeout = milliseconds(250);
 constexpr Duration kTimeout = milliseconds(1000);
-// No pooled connection is young enough: it may break like the first one.
-constexpr Duration kNoReuse = milliseconds(-1);
 // Status of an upstream that the request was not meant for.
 constexpr int kMisdirected = 421;
 
@@ -27,6 +25,7 @@
   UpstreamRequest request =
       is_engine ? codec_.encode_status_request(upstream)
                 : codec_.encode_health_check(upstream, health_path);
+  // A pooled connection may break like the first one.
   request.max_idle = kNoReuse;
   request.connect_timeout = kConnectTimeout;
   const auto reassigned = std::make_shared<bool>(false);
--- a/lib/Gateway/reachability_sampler.cc
+++ b/lib/Gateway/reachability_sampler.cc
@@ -9,8 +9,6 @@
 
 constexpr size_t kSampleSize = 6;
 constexpr Duration kConnectTimeout = milliseconds(250);
-// Pooled connections may live on while new ones fail.
-constexpr Duration kNoReuse = milliseconds(-1);
 
 }  // namespace
 
@@ -43,6 +41,7 @@
   UpstreamRequest request =
       is_engine ? codec_.encode_status_request(upstream)
                 : codec_.encode_health_check(upstream, health_path);
+  // Pooled connections may live on while new ones fail.
   request.max_idle = kNoReuse;
   request.connect_timeout = kConnectTimeout;
   // Both handlers may be called; the first one counts.
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -231,11 +231,12 @@
        {"send", sends_}});
   call_ = context_.pool.Start(BuildUpstreamRequest(now, placement),
                               BuildHandlers());
+  sent_to_.insert(placement.upstream.id);
   ArmStallTimer();
 }
 
-UpstreamRequest RelayTask::BuildUpstreamRequest(
-    Time now, const Placement& placement) const {
+UpstreamRequest RelayTask::BuildUpstreamRequest(Time now,
+                                                const Placement& placement) {
   UpstreamRequestOptions options;
   options.expected_upstream = placement.upstream.id;
   if (request_.time_left) {
@@ -255,18 +256,28 @@
   request.target = exchange_->head().target;
   request.fields = context_.codec.encode_request(exchange_->head(), options);
   request.body = exchange_->body();
-  request.max_idle = route_.idempotent() ? kMaxIdle : kMaxIdleNonIdempotent;
+  request.max_idle = MaxIdleTime(placement.upstream.id);
   request.max_connections = context_.placer.ConnectionQuota(service_.id);
   request.connect_timeout = kConnectTimeout;
-  request.matches_request = [codec = &context_.codec, id = request_.id,
-                             upstream = placement.upstream.id](
-                                const ResponseHead& head) {
-    const UpstreamResponseInfo info = codec->decode_response(head, upstream);
-    return info.request.empty() || info.request == id;
-  };
+  request.matches_request =
+      [self = shared_from_this(),
+       upstream = placement.upstream.id](const ResponseHead& head) {
+        const UpstreamResponseInfo info =
+            self->context_.codec.decode_response(head, upstream);
+        // On a connection that others have used, bytes that name no request may
+        // belong to one of them.
+        if (info.request.empty()) return self->on_new_connection_;
+        return info.request == self->request_.id;
+      };
   return request;
 }
 
+Duration RelayTask::MaxIdleTime(const UpstreamId& upstream) const {
+  // What the upstream repeats of its earlier response would name this request.
+  if (sent_to_.count(upstream) > 0) return kNoReuse;
+  return route_.idempotent() ? kMaxIdle : kMaxIdleNonIdempotent;
+}
+
 UpstreamHandlers RelayTask::BuildHandlers() {
   const auto self = shared_from_this();
   UpstreamHandlers handlers;
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -28,9 +28,6 @@
   response_ = head;
   response_info_ =
       context_.codec.decode_response(head, placement_->upstream.id);
-  // Bytes that name no request may belong to an earlier one of the connection.
-  const bool names_request = response_info_.request == request_.id;
-  response_info_.not_run &= names_request || on_new_connection_;
   context_.on_upstream_response(BootClock::now(), service_.id);
   ApplyNotices();
   const bool is_event_stream = is_stream() && head.status == 200 &&
