[Gateway] Count runs and requests once when a peer takes a request over

Cause: the hop passed on whether the request may have run, to the forwarding gateway itself only. Ruled out: retries between peers, which are charged.

Change: gateways tell the peer how many runs are left and whether the request is counted, in a field of their own that is dropped from clients' requests and counts on the listening address for peers only.

Before: RunsBeforeAndAfterForwardingCountTogether has 3 runs of 2. After: 2; the other tests of partitioned gateways, refusals, codecs and the gateway pass (35 and 20).

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -157,6 +157,8 @@
   /// forwarded again.
   void OnRequest(const std::shared_ptr<InboundExchange>& exchange,
                  bool from_peer);
+  /// Counts the request once over all gateways, and starts its task.
+  void StartRelay(RelayedRequest relayed);
   /// True if only a peer can serve the service, and one can.
   bool MustForward(Time now, const ServiceId& service) const;
   RelayContext MakeRelayContext();
--- a/include/corianderlink/Gateway/relay_codec.h
+++ b/include/corianderlink/Gateway/relay_codec.h
@@ -19,6 +19,14 @@
 
 namespace corianderlink {
 
+/// What a gateway tells the peer to which it forwards a request.
+struct ForwardingState {
+  /// Upstreams at which the request may still run.
+  int runs_left = 0;
+  /// The request is counted in the forwarding gateway's retry budget.
+  bool is_counted = false;
+};
+
 /// Properties of a request, decoded from its head.
 struct ClientRequest {
   /// Id of the client's attempt; empty if the client sent none.
@@ -36,6 +44,9 @@
   RequestId resumes;
   /// Present if the request carries a prompt.
   std::optional<Prompt> prompt;
+  /// Present if a gateway has forwarded the request.  Clients may send anything
+  /// here, so it counts on connections from gateways only.
+  std::optional<ForwardingState> forwarding;
 };
 
 /// Key of the stream that the attempt `id` of the request's client has begun.
@@ -72,6 +83,8 @@
   /// Id of the attempt that began the stream, if a gateway resumes it through
   /// another one.
   RequestId resumes;
+  /// Set if the request goes to another gateway.
+  std::optional<ForwardingState> forwarding;
 };
 
 /// Properties of a response, decoded from its head.
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -68,15 +68,27 @@
   std::function<Duration(const RouteSpec&, Duration)> estimate_prior_wait = {};
 };
 
+/// A client's request, and how it is to be served.
+struct RelayedRequest {
+  std::shared_ptr<InboundExchange> exchange;
+  RouteSpec route;
+  ServicePoolSpec service;
+  ClientRequest request;
+  VersionConstraint versions;
+  /// A peer has forwarded the request; it is not forwarded again.
+  bool from_peer = false;
+  /// The request is counted in this gateway's retry budget.
+  bool is_counted = true;
+  /// Version of the configuration that has the route.
+  uint64_t config_version = 0;
+};
+
 /// Handles a request from its arrival to the end of its response.  A request
 /// that is not idempotent is retried only if the upstream declared that it did
 /// not run, or if it certainly did not reach the upstream.
 class RelayTask : public std::enable_shared_from_this<RelayTask> {
  public:
-  RelayTask(RelayContext& context, std::shared_ptr<InboundExchange> exchange,
-            RouteSpec route, ServicePoolSpec service, ClientRequest request,
-            VersionConstraint versions, bool from_peer,
-            uint64_t config_version);
+  RelayTask(RelayContext& context, RelayedRequest relayed);
 
   /// Arms the deadline and sends the request to the first upstream, or refuses
   /// it.  The task keeps itself alive until the response has ended.
@@ -210,8 +222,8 @@
   const ServicePoolSpec service_;
   const ClientRequest request_;
   const uint64_t config_version_;
-  // A peer has forwarded the request.
   const bool from_peer_;
+  const bool is_counted_;
   // Once a stream has begun, only the version that began it is permitted.
   VersionConstraint versions_;
   // Breaks ties between upstreams that are predicted to be equally fast.
--- a/lib/Gateway/forward_task.cc
+++ b/lib/Gateway/forward_task.cc
@@ -75,6 +75,7 @@
   const ClientRequest& client = forwarded_.request;
   UpstreamRequestOptions options;
   options.time_left = std::max(Duration::zero(), forwarded_.deadline - now);
+  options.forwarding = forwarded_.state;
   if (forwarded_.last_event_id) {
     options.resume_after_event_id = forwarded_.last_event_id;
     options.resumes = client.resumes.empty() ? client.id : client.resumes;
@@ -225,14 +226,18 @@
 void ForwardTask::OnFailure(const Outcome& outcome) {
   if (finished_) return;
   EndCall();
-  if (outcome.verdict != Verdict::kNotRun) forwarded_.may_have_run = true;
+  if (outcome.verdict != Verdict::kNotRun) {
+    forwarded_.may_have_run = true;
+    --forwarded_.state.runs_left;
+  }
   const InboundExchange& exchange = *forwarded_.exchange;
   const Time now = BootClock::now();
   const RouteSpec& route = forwarded_.route;
   const bool has_time = now < forwarded_.deadline;
   const bool may_repeat =
       !forwarded_.may_have_run ||
-      (route.idempotent() && context_.try_claim_retry(now, forwarded_.service));
+      (route.idempotent() && forwarded_.state.runs_left > 0 &&
+       context_.try_claim_retry(now, forwarded_.service));
   const bool partial_body =
       exchange.response_started() && route.kind != RouteKind::kStream;
   Log(LogLevel::kInfo, "forward_failed",
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -451,15 +451,11 @@
     refuse(503, "route has no configured service");
     return;
   }
-  // The peer that serves a forwarded request counts it.
-  if (from_peer || !MustForward(BootClock::now(), service->first)) {
-    retry_windows_.try_emplace(service->first, settings_.retries)
-        .first->second.OnRequest(BootClock::now());
-  }
-  std::make_shared<RelayTask>(relay_context_, exchange, *route, service->second,
-                              std::move(request), *versions, from_peer,
-                              config->version)
-      ->Start();
+  RelayedRequest relayed{exchange, *route, service->second, std::move(request),
+                         *versions};
+  relayed.from_peer = from_peer;
+  relayed.config_version = config->version;
+  StartRelay(std::move(relayed));
 }
 
 bool Gateway::TryClaimRetry(Time now, const ServiceId& service) {
--- a/lib/Gateway/gateway_relaying.cc
+++ b/lib/Gateway/gateway_relaying.cc
@@ -72,6 +72,24 @@
   return context;
 }
 
+void Gateway::StartRelay(RelayedRequest relayed) {
+  const Time now = BootClock::now();
+  const ServiceId& service = relayed.service.id;
+  const std::optional<ForwardingState>& state = relayed.request.forwarding;
+  bool is_new = true;
+  if (relayed.from_peer && state) {
+    relayed.route.max_runs = std::min(relayed.route.max_runs, state->runs_left);
+    is_new = !state->is_counted;
+  }
+  // The peer that serves a forwarded request counts it.
+  relayed.is_counted = relayed.from_peer || !MustForward(now, service);
+  if (relayed.is_counted && is_new) {
+    retry_windows_.try_emplace(service, settings_.retries)
+        .first->second.OnRequest(now);
+  }
+  std::make_shared<RelayTask>(relay_context_, std::move(relayed))->Start();
+}
+
 bool Gateway::MustForward(Time now, const ServiceId& service) const {
   if (!reachability_.IsPartitioned(service)) return false;
   const auto live = peers_.Live(now);
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -24,19 +24,16 @@
 
 }  // namespace
 
-RelayTask::RelayTask(RelayContext& context,
-                     std::shared_ptr<InboundExchange> exchange, RouteSpec route,
-                     ServicePoolSpec service, ClientRequest request,
-                     VersionConstraint versions, bool from_peer,
-                     uint64_t config_version)
+RelayTask::RelayTask(RelayContext& context, RelayedRequest relayed)
     : context_(context),
-      exchange_(std::move(exchange)),
-      route_(std::move(route)),
-      service_(std::move(service)),
-      request_(std::move(request)),
-      config_version_(config_version),
-      from_peer_(from_peer),
-      versions_(std::move(versions)),
+      exchange_(std::move(relayed.exchange)),
+      route_(std::move(relayed.route)),
+      service_(std::move(relayed.service)),
+      request_(std::move(relayed.request)),
+      config_version_(relayed.config_version),
+      from_peer_(relayed.from_peer),
+      is_counted_(relayed.is_counted),
+      versions_(std::move(relayed.versions)),
       seed_(context.random.Bits()) {}
 
 void RelayTask::Start() {
@@ -144,8 +141,14 @@
   if (from_peer_ || !context_.must_forward(now, service_.id)) return false;
   ReleaseKvHandle();
   Detach();
-  context_.forward({exchange_, route_, service_.id, request_, deadline_,
-                    possible_runs_ > 0, last_event_id_});
+  context_.forward({exchange_,
+                    route_,
+                    service_.id,
+                    request_,
+                    deadline_,
+                    possible_runs_ > 0,
+                    {route_.max_runs - possible_runs_, is_counted_},
+                    last_event_id_});
   return true;
 }
 
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -71,6 +71,20 @@
   EXPECT_LE(std::stoi(FakeUpstream::Field(received, "Deadline-Ms")), 900);
 }
 
+TEST_F(GatewayTest, ClientCannotPassItsRequestOffAsForwarded) {
+  FakeUpstream& first = harness_.AddUpstream("s1", "shop");
+  FakeUpstream& second = harness_.AddUpstream("s2", "shop");
+  const auto fail = [](const Exchange& exchange) {
+    exchange->SendResponse(500, FakeUpstream::Signed(exchange), "");
+  };
+  first.on_request = fail;
+  second.on_request = fail;
+  harness_.Await(
+      harness_.Send("POST", "/safe/1", {{"Gateway-Forwarding", "0"}}, "b"));
+  ASSERT_EQ(first.requests.size() + second.requests.size(), 2U);
+  EXPECT_EQ(FakeUpstream::Field(first.requests[0], "Gateway-Forwarding"), "");
+}
+
 TEST_F(GatewayTest, RefusesWithRetryAfterWithoutAConfiguration) {
   GatewayTestHarness unconfigured;
   const auto result = unconfigured.Send("GET", "/safe/1");
--- a/unittests/Gateway/partitioned_gateway_test.cc
+++ b/unittests/Gateway/partitioned_gateway_test.cc
@@ -53,7 +53,7 @@
         return;
       }
       if (is_mute_) return;
-      exchange->SendResponse(200, FakeUpstream::Signed(exchange), "ok");
+      exchange->SendResponse(status_, FakeUpstream::Signed(exchange), "ok");
     };
     upstreams_.push_back(std::move(upstream));
   }
@@ -120,6 +120,8 @@
   std::vector<Exchange> exchanges_;
   // Upstreams run requests and do not answer.
   bool is_mute_ = false;
+  // Status of the upstreams' responses.
+  int status_ = 200;
   // Streams get no further than this event; 0 if they do.
   int stop_before_event_ = 0;
   int requests_ = 0;
@@ -199,6 +201,23 @@
   ExpectRunOnce();
 }
 
+TEST_F(PartitionedGatewayTest, RunsBeforeAndAfterForwardingCountTogether) {
+  Start(2);
+  is_mute_ = true;
+  const auto result = Send(0, "/s/1");
+  harness_.RunFor(milliseconds(50));
+  ASSERT_EQ(exchanges_.size(), 1u);
+  Partition(0, Cut::kRefuse);
+  is_mute_ = false;
+  ServedShare(0, "/u/1", 8);
+  status_ = 500;
+  exchanges_.front()->SendResponse(
+      status_, FakeUpstream::Signed(exchanges_.front()), "");
+  harness_.Await(result);
+  EXPECT_EQ(result->status, 500);
+  EXPECT_EQ(runs_["r1"], 2);
+}
+
 TEST_F(PartitionedGatewayTest, RefusesAtOnceWhenNoGatewayReachesUpstreams) {
   Start(2);
   Partition(0, Cut::kRefuse);
--- a/unittests/PlatformAdapter/codecs_test.cc
+++ b/unittests/PlatformAdapter/codecs_test.cc
@@ -99,6 +99,22 @@
   EXPECT_EQ(Field(fields, "X-End"), "2");
 }
 
+TEST(RelayCodecTest, TellsAPeerTheStateOfAForwardedRequest) {
+  UpstreamRequestOptions directions;
+  directions.forwarding = ForwardingState{2, true};
+  const HeaderFields fields = MakeRelayCodec().encode_request(
+      MakeHead({{"Gateway-Forwarding", "9"}}), directions);
+  const auto decoded =
+      MakeRelayCodec().decode_request(MakeHead(fields)).forwarding;
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->runs_left, 2);
+  EXPECT_TRUE(decoded->is_counted);
+  for (const char* text : {"", "x", ";counted", "1;other", "99999999999"}) {
+    const RequestHead head = MakeHead({{"Gateway-Forwarding", text}});
+    EXPECT_FALSE(MakeRelayCodec().decode_request(head).forwarding) << text;
+  }
+}
+
 TEST(RelayCodecTest, ForwardsTheClientsLastEventId) {
   const HeaderFields fields = MakeRelayCodec().encode_request(
       MakeHead({{"Last-Event-Id", "3"}}), UpstreamRequestOptions{});
