[Gateway] Pass an upstream's error on if nobody else can run the request

Found in the logs of the cut gateways: 26 lookups whose upstream had answered 500 got a 502 of the gateway, as the retry found no other upstream with room and the response was dropped by then.

Cause: a retry was claimed before it was known whether there is an upstream for it. Ruled out: retries within the budget that find an upstream, as before.

Change: after an error the request is only retried if another upstream, or a peer, can take it now; the check is the one that stalled requests had, now in one place, and a forwarded request is not expected to be forwarded again.

Before: ServerErrorArrivesIfNoOtherUpstreamCanRun has 502 for 500.

--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -197,6 +197,8 @@
   /// True if the deadline, the limit of attempts and idempotence permit
   /// another attempt.
   bool IsRetryAllowed(Time now, Verdict verdict);
+  /// True if another upstream, or a peer, can take the request now.
+  bool HasAlternative(Time now);
   /// Like IsRetryAllowed, and charges the retry to the retry budget unless the
   /// failed attempt did not reach its upstream.
   bool TryClaimRetry(Time now, Verdict verdict);
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -171,6 +171,17 @@
   return true;
 }
 
+bool RelayTask::HasAlternative(Time now) {
+  const bool can_forward =
+      !from_peer_ && (context_.must_forward(now, service_.id) ||
+                      context_.can_peer_serve_better(now, service_.id));
+  if (can_forward) return true;
+  const auto [excluded, is_new] = excluded_.insert(placement_->upstream.id);
+  const bool is_placeable = ChoosePlacement(now).placement.has_value();
+  if (is_new) excluded_.erase(excluded);
+  return is_placeable;
+}
+
 bool RelayTask::TryClaimRetry(Time now, Verdict verdict) {
   if (!IsRetryAllowed(now, verdict)) return false;
   // The budget limits additional requests that reach upstreams.  A request that
@@ -262,16 +273,10 @@
   // Reading from the upstream is paused because the client is slow.
   if (exchange_->PendingBytes() > 0) return;
   const Time now = BootClock::now();
-  const UpstreamId stalled_upstream = placement_->upstream.id;
-  excluded_.insert(stalled_upstream);
   context_.on_suspect_failure(now, placement_->upstream,
                               Outcome::MayHaveRun("upstream stalled"));
-  const bool has_other = context_.must_forward(now, service_.id) ||
-                         context_.can_peer_serve_better(now, service_.id) ||
-                         ChoosePlacement(now).placement.has_value();
-  if (!has_other || !TryClaimRetry(now, Verdict::kMayHaveRun)) {
+  if (!HasAlternative(now) || !TryClaimRetry(now, Verdict::kMayHaveRun)) {
     // Without a retry, the request keeps waiting for this upstream.
-    excluded_.erase(stalled_upstream);
     ArmStallTimer();
     return;
   }
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -205,7 +205,7 @@
   const bool server_error = response_->status >= 500;
   // An upstream that answers with an error has survived the request.
   if (server_error) ReportAnswered();
-  if (server_error && !exchange_->response_started() &&
+  if (server_error && !exchange_->response_started() && HasAlternative(now) &&
       TryClaimRetry(now, Verdict::kMayHaveRun)) {
     RetryOnOtherUpstream(now,
                          Outcome::MayHaveRun("upstream answered with status " +
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -71,6 +71,18 @@
   EXPECT_LE(std::stoi(FakeUpstream::Field(received, "Deadline-Ms")), 900);
 }
 
+TEST_F(GatewayTest, ServerErrorArrivesIfNoOtherUpstreamCanRun) {
+  FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
+  upstream.on_request = [](const Exchange& exchange) {
+    exchange->SendResponse(500, FakeUpstream::Signed(exchange), "why");
+  };
+  const auto result = harness_.Send("GET", "/safe/1");
+  harness_.Await(result);
+  EXPECT_EQ(result->status, 500);
+  EXPECT_EQ(result->body, "why");
+  EXPECT_EQ(result->Field("Server-Stamp"), "1.2.3");
+}
+
 TEST_F(GatewayTest, ClientCannotPassItsRequestOffAsForwarded) {
   FakeUpstream& first = harness_.AddUpstream("s1", "shop");
   FakeUpstream& second = harness_.AddUpstream("s2", "shop");
