--- a/unittests/Gateway/partitioned_gateway_test.cc
+++ b/unittests/Gateway/partitioned_gateway_test.cc
@@ -66,6 +66,10 @@
   }
   /// Sends an event every ten milliseconds.
   void Stream(const Exchange& exchange) {
+    if (status_ != 200) {
+      exchange->SendResponse(status_, FakeUpstream::Signed(exchange), "error");
+      return;
+    }
     const std::string after = FakeUpstream::Field(exchange, "Last-Event-Id");
     const int next = after.empty() ? 1 : std::stoi(after) + 1;
     exchange->StartResponse(200, FakeUpstream::Signed(exchange), std::nullopt);
@@ -224,6 +228,20 @@
   EXPECT_EQ(stream->body, whole);
 }
 
+TEST_F(PartitionedGatewayTest, ErrorThroughAPeerDoesNotEndTheStreamAsWhole) {
+  Start(2);
+  stop_before_event_ = 4;
+  const auto stream = Send(0, "/c/1");
+  harness_.RunFor(milliseconds(100));
+  status_ = 500;
+  Partition(0, Cut::kHang);
+  harness_.Await(stream);
+  EXPECT_TRUE(stream->failed);
+  EXPECT_FALSE(stream->complete);
+  EXPECT_EQ(stream->body,
+            "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n");
+}
+
 TEST_F(PartitionedGatewayTest, ClientThatLeavesEndsTheRequestAtThePeer) {
   Start(2);
   Partition(0, Cut::kRefuse);
