[Gateway] Sample all upstreams once a link is found impaired

Streams that stalled were resumed 0.3 s later on silent connections to others that were not, stalled once more, and the clients left.

Cause: the sample that shows that something is wrong is too small to say what. Change: while a link is not up, samples have up to 24 upstreams, and the first one follows at once.

AllUpstreamsAreSampledOnceTheLinkIsNotUp does not compile on the code before.

--- a/include/corianderlink/Gateway/reachability_sampler.h
+++ b/include/corianderlink/Gateway/reachability_sampler.h
@@ -31,10 +31,11 @@
   ReachabilitySampler(const ReachabilitySampler&) = delete;
   ReachabilitySampler& operator=(const ReachabilitySampler&) = delete;
 
-  /// Takes a sample of the service's `upstreams`, which are not empty; `done`
-  /// is called later, from the event loop.  One sample of a service at a time.
+  /// Takes a sample of `most` of the service's `upstreams`, which are not
+  /// empty; `done` is called later, from the event loop.  One sample of a
+  /// service at a time.
   void Start(const ServiceId& service,
-             std::vector<const UpstreamRecord*> upstreams,
+             std::vector<const UpstreamRecord*> upstreams, size_t most,
              const std::string& health_path, Done done);
 
  private:
--- a/include/corianderlink/Gateway/upstream_reachability.h
+++ b/include/corianderlink/Gateway/upstream_reachability.h
@@ -58,6 +58,8 @@
   }
   /// True if a sample of the service's connections is to be taken now.
   bool IsSampleDue(Time now, const ServiceId& service) const;
+  /// Most upstreams of the service to which connections are sampled now.
+  size_t SampleSize(const ServiceId& service) const;
   void OnSampleBegun(Time now, const ServiceId& service);
   void OnSample(Time now, const ServiceId& service,
                 const ConnectionSample& sample);
@@ -91,6 +93,8 @@
     bool suspected = false;
     bool sampling = false;
     std::optional<Time> last_sample_at;
+    // Some upstreams have just been found not to be reached, by a small sample.
+    bool must_sample_again = false;
     UpstreamLink link = UpstreamLink::kUp;
     std::optional<Time> partitioned_since;
     std::optional<Time> last_response_at;
--- a/lib/Gateway/gateway_relaying.cc
+++ b/lib/Gateway/gateway_relaying.cc
@@ -164,8 +164,10 @@
   if (upstreams.empty() || config == nullptr) return;
   const auto spec = config->services.find(service);
   if (spec == config->services.end()) return;
+  const size_t most = reachability_.SampleSize(service);
   reachability_.OnSampleBegun(now, service);
-  reachability_sampler_.Start(service, upstreams, spec->second.health_path,
+  reachability_sampler_.Start(service, upstreams, most,
+                              spec->second.health_path,
                               [this, service](const ConnectionSample& sample) {
                                 OnReachabilitySample(service, sample);
                               });
--- a/lib/Gateway/reachability_sampler.cc
+++ b/lib/Gateway/reachability_sampler.cc
@@ -7,7 +7,6 @@
 namespace corianderlink {
 namespace {
 
-constexpr size_t kSampleSize = 6;
 constexpr Duration kConnectTimeout = milliseconds(250);
 
 }  // namespace
@@ -20,12 +19,13 @@
 
 void ReachabilitySampler::Start(const ServiceId& service,
                                 std::vector<const UpstreamRecord*> upstreams,
-                                const std::string& health_path, Done done) {
+                                size_t most, const std::string& health_path,
+                                Done done) {
   for (size_t i = 0; i + 1 < upstreams.size(); ++i) {
     std::swap(upstreams[i],
               upstreams[i + random_.Bits() % (upstreams.size() - i)]);
   }
-  upstreams.resize(std::min(upstreams.size(), kSampleSize));
+  upstreams.resize(std::min(upstreams.size(), most));
   Sample& sample = samples_[service];
   sample.done = std::move(done);
   sample.awaited = upstreams.size();
--- a/lib/Gateway/upstream_reachability.cc
+++ b/lib/Gateway/upstream_reachability.cc
@@ -14,6 +14,10 @@
 constexpr Duration kSuspicionWindow = seconds(1);
 // Time between the beginnings of two samples.
 constexpr Duration kSampleInterval = milliseconds(400);
+// A few upstreams show that something is wrong; which ones this gateway does
+// not reach is found out by larger samples.
+constexpr size_t kFirstSampleSize = 6;
+constexpr size_t kSampleSize = 24;
 
 UpstreamLink LinkOf(const ConnectionSample& sample) {
   const size_t established = sample.established.size();
@@ -54,13 +58,19 @@
   const auto it = services_.find(service);
   if (it == services_.end() || it->second.sampling) return false;
   const State& state = it->second;
+  if (state.must_sample_again) return true;
   if (!state.suspected && state.link == UpstreamLink::kUp) return false;
   return !state.last_sample_at ||
          now - *state.last_sample_at >= kSampleInterval;
 }
 
+size_t UpstreamReachability::SampleSize(const ServiceId& service) const {
+  return LinkTo(service) == UpstreamLink::kUp ? kFirstSampleSize : kSampleSize;
+}
+
 void UpstreamReachability::OnSampleBegun(Time now, const ServiceId& service) {
   State& state = services_[service];
+  state.must_sample_again = false;
   state.sampling = true;
   state.last_sample_at = now;
 }
@@ -73,6 +83,8 @@
   state.failures.clear();
   const UpstreamLink before = std::exchange(state.link, LinkOf(sample));
   if (before == state.link) return;
+  state.must_sample_again = before == UpstreamLink::kUp &&
+                            state.link == UpstreamLink::kImpaired;
   state.partitioned_since.reset();
   if (state.link == UpstreamLink::kPartitioned) {
     state.partitioned_since = state.last_sample_at;
--- a/unittests/Gateway/upstream_reachability_test.cc
+++ b/unittests/Gateway/upstream_reachability_test.cc
@@ -92,6 +92,21 @@
   EXPECT_FALSE(IsPartitioned());
 }
 
+TEST_F(UpstreamReachabilityTest, AllUpstreamsAreSampledOnceTheLinkIsNotUp) {
+  reachability_.Suspect(kService);
+  const size_t first = reachability_.SampleSize(kService);
+  EXPECT_LE(first, 8U);
+  Sample(1, 5);
+  EXPECT_TRUE(IsDue());
+  EXPECT_GE(reachability_.SampleSize(kService), 2 * first);
+  // From then on at intervals, also while the link goes on changing.
+  Sample(0, 12);
+  EXPECT_FALSE(IsDue());
+  now_ += milliseconds(400);
+  Sample(1, 11);
+  EXPECT_FALSE(IsDue());
+}
+
 TEST_F(UpstreamReachabilityTest, SamplesAreBoundedUnderManyFailures) {
   int samples = 0;
   const Time start = now_;
