[Gateway] Move a stalled prefill stage, whatever the request

Cause: the stall timer was armed for idempotent requests only; the prefill stage generates no output and can always be repeated. It was also left armed by the prefill stage of a request whose decode stage has none.

Before: StalledPrefillMovesThoughTheStreamMayRunOnlyOnce is refused after 3 s. After: it passes, and the 34 tests of gateway, prefill and upstream troubles.

--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -256,7 +256,9 @@
 }
 
 void RelayTask::ArmStallTimer() {
-  if (!route_.idempotent() || finished_) return;
+  stall_timer_.Reset();
+  const bool is_repeatable = route_.idempotent() || placement_->prefill_only;
+  if (!is_repeatable || finished_) return;
   Duration limit = is_stream() ? kMinStreamStallTimeout : kMinStallTimeout;
   if (exchange_->response_started()) {
     limit = std::max(limit, 4 * route_.event_gap_objective.value_or(limit));
@@ -273,9 +275,13 @@
   // Reading from the upstream is paused because the client is slow.
   if (exchange_->PendingBytes() > 0) return;
   const Time now = BootClock::now();
+  const char* reason = "upstream stalled";
   context_.on_suspect_failure(now, placement_->upstream,
-                              Outcome::MayHaveRun("upstream stalled"));
-  if (!HasAlternative(now) || !TryClaimRetry(now, Verdict::kMayHaveRun)) {
+                              Outcome::MayHaveRun(reason));
+  const Outcome outcome = placement_->prefill_only
+                              ? Outcome::NotRun(reason)
+                              : Outcome::MayHaveRun(reason);
+  if (!HasAlternative(now) || !TryClaimRetry(now, outcome.verdict)) {
     // Without a retry, the request keeps waiting for this upstream.
     ArmStallTimer();
     return;
@@ -283,7 +289,7 @@
   call_->Cancel();
   call_.reset();
   kv_handle_.reset();
-  RetryOnOtherUpstream(now, Outcome::MayHaveRun("upstream stalled"), true);
+  RetryOnOtherUpstream(now, outcome, true);
 }
 
 }  // namespace corianderlink
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -429,6 +429,26 @@
   EXPECT_EQ(result->body, MakeEvent(1) + MakeEvent(2) + MakeEvent(3));
 }
 
+TEST_F(PrefillDecodeTest, StalledPrefillMovesThoughTheStreamMayRunOnlyOnce) {
+  FakeUpstream& other = harness_.AddUpstream("p2", "model", "prefill");
+  other.on_request = [this, answer = prefill_.on_request,
+                      &other](const Exchange& exchange) {
+    if (prefill_.requests.size() + other.requests.size() > 1) answer(exchange);
+  };
+  prefill_.on_request = other.on_request;
+  decode_.on_request = [](const Exchange& exchange) {
+    SendEvents(exchange, 2);
+    exchange->CompleteResponse();
+  };
+  const auto result = SendPrompt();
+  harness_.Await(result);
+  EXPECT_TRUE(result->complete);
+  EXPECT_EQ(result->body, MakeEvent(1) + MakeEvent(2));
+  EXPECT_EQ(prefill_.requests.size(), 1U);
+  EXPECT_EQ(other.requests.size(), 1U);
+  EXPECT_EQ(decode_.requests.size(), 1U);
+}
+
 TEST_F(PrefillDecodeTest, RefusedFetchFallsBackToASingleEngine) {
   decode_.on_request = [&](const Exchange& exchange) {
     if (!FakeUpstream::Field(exchange, "Kv-From").empty()) {
