--- a/include/corianderlink/Gateway/forward_task.h
+++ b/include/corianderlink/Gateway/forward_task.h
@@ -47,6 +47,7 @@
   Time deadline{};
   /// An upstream may have run the request already.
   bool may_have_run = false;
+  /// What the peer has to know of the attempts so far.
   ForwardingState state;
   /// Id of the last event that the client has, if its stream has started here.
   std::optional<uint64_t> last_event_id;
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -128,9 +128,10 @@
   void SendWithPermit(const Placement& placement,
                       void (RelayTask::*place_again)());
   void SendTo(const Placement& placement);
-  /// Gives a request that finds no upstream to a peer that reaches more of
-  /// them. False if there is none.
+  /// Hands a request that finds no upstream over to a peer that reaches more of
+  /// them; false if there is no such peer.
   bool ForwardForLackOfUpstreams(Time now);
+  /// Hands the request over to a peer, which ends this task.
   void Forward();
   /// Sends a prefilled prompt to a decode engine.
   void SendDecodeStage();
--- a/lib/Gateway/upstream_reachability.cc
+++ b/lib/Gateway/upstream_reachability.cc
@@ -83,8 +83,8 @@
   state.failures.clear();
   const UpstreamLink before = std::exchange(state.link, LinkOf(sample));
   if (before == state.link) return;
-  state.must_sample_again = before == UpstreamLink::kUp &&
-                            state.link == UpstreamLink::kImpaired;
+  state.must_sample_again =
+      before == UpstreamLink::kUp && state.link == UpstreamLink::kImpaired;
   state.partitioned_since.reset();
   if (state.link == UpstreamLink::kPartitioned) {
     state.partitioned_since = state.last_sample_at;
