[Gateway] Bound a record of stream origins while the store takes none

Found reading the change: while writes fail, each 100 ms up to 1,000 more origins were added to the same record. Its memory had no bound, and once its value was over what the store takes for a row it could never be written, so that after a stop of all gateways every stream since then was unknown and refused.

Cause: the retry of a record also took what had come since. Ruled out: the queue of what is not logged, which is bounded and drops the oldest.

Change: a record that failed is written again as it is; what comes meanwhile waits in that queue.

--- a/include/corianderlink/Gateway/store_sync.h
+++ b/include/corianderlink/Gateway/store_sync.h
@@ -176,7 +176,7 @@
     });
   }
 
-  // A record that was not written is written again with what has come since.
+  // A record that was not written is written again before the next one.
   void KeepStreams() {
     if (writing_streams_) return;
     const auto record = gateway_.NextStreamRecord(UnixNowMs());
--- a/include/corianderlink/Gateway/stream_versions.h
+++ b/include/corianderlink/Gateway/stream_versions.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -99,6 +100,9 @@
   std::optional<StoreRecord> NextVersionsRecord(Time now, int64_t unix_now_ms);
   std::optional<StoreRecord> NextOriginsRecord(Time now, int64_t unix_now_ms,
                                                size_t writer);
+  /// Adds origins that the store does not have to the record that is being
+  /// filled, or begins the next one; false if there are none.
+  bool ExtendOpenRecord(const std::set<ServiceId>& mixed);
   /// Takes over one entry of a record.
   void RestoreEntry(Time now, const Json& entry, int64_t unix_now_ms);
 
--- a/lib/Gateway/stream_version_records.cc
+++ b/lib/Gateway/stream_version_records.cc
@@ -79,20 +79,26 @@
   return std::nullopt;
 }
 
-std::optional<StoreRecord> StreamVersions::NextOriginsRecord(
-    Time now, int64_t unix_now_ms, size_t writer) {
-  const std::set<ServiceId> mixed = history_.MixedServices();
-  if (mixed.empty()) return std::nullopt;
+bool StreamVersions::ExtendOpenRecord(const std::set<ServiceId>& mixed) {
   auto fresh = origins_.TakeUnlogged(
       kMaxOriginsPerWrite,
       [&mixed](const ServiceId& service) { return mixed.count(service) > 0; });
-  if (fresh.empty() && !open_record_failed_) return std::nullopt;
+  if (fresh.empty()) return false;
   if (!open_record_number_) open_record_number_ = random_.Bits();
-  if (!open_record_failed_ && open_record_.size() > kFullRecord) {
+  if (open_record_.size() > kFullRecord) {
     open_record_.clear();
     ++*open_record_number_;
   }
   std::move(fresh.begin(), fresh.end(), std::back_inserter(open_record_));
+  return true;
+}
+
+std::optional<StoreRecord> StreamVersions::NextOriginsRecord(
+    Time now, int64_t unix_now_ms, size_t writer) {
+  const std::set<ServiceId> mixed = history_.MixedServices();
+  if (mixed.empty()) return std::nullopt;
+  // A record that was not written is not added to, which bounds its size.
+  if (!open_record_failed_ && !ExtendOpenRecord(mixed)) return std::nullopt;
   open_record_failed_ = false;
   std::map<std::pair<ServiceId, SoftwareVersion>, Json> groups;
   for (const StreamOrigin& origin : open_record_) {
--- a/unittests/Gateway/stream_versions_test.cc
+++ b/unittests/Gateway/stream_versions_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include "corianderlink/Gateway/prompt.h"
+
 namespace corianderlink {
 namespace {
 
@@ -10,6 +12,8 @@
 const SoftwareVersion kOld("v1");
 const SoftwareVersion kNew("v2");
 constexpr int64_t kUnixNowMs = 1'700'000'000'000;
+// Stores may take no larger values.
+constexpr size_t kMaxRecordBytes = 65536;
 
 class StreamVersionsTest : public ::testing::Test {
  protected:
@@ -156,6 +160,32 @@
   EXPECT_EQ(later.origins().size(), 0U);
 }
 
+TEST_F(StreamVersionsTest, RecordsStayWritableAfterTheStoreWasAway) {
+  Register("a", kOld);
+  Register("b", kNew);
+  // Digests have all their digits.
+  constexpr uint64_t kFirstKey = 0xF000'0000'0000'0000;
+  uint64_t streams = 0;
+  for (int write = 0; write < 60; ++write) {
+    for (int i = 0; i < 100; ++i) Begin(kFirstKey + ++streams, kOld);
+    Pass(milliseconds(100));
+    const auto record = versions_.NextRecord(now_, kUnixNowMs, 1);
+    ASSERT_TRUE(record);
+    EXPECT_LE(record->value->size(), kMaxRecordBytes);
+    versions_.OnRecordWritten(false);
+  }
+  std::string stored;
+  while (const auto record = versions_.NextRecord(now_, kUnixNowMs, 1)) {
+    EXPECT_LE(record->value->size(), kMaxRecordBytes);
+    versions_.OnRecordWritten(true);
+    stored += *record->value;
+  }
+  // None is lost.
+  for (uint64_t key = 1; key <= streams; ++key) {
+    EXPECT_NE(stored.find(FormatPartId(kFirstKey + key)), std::string::npos);
+  }
+}
+
 TEST_F(StreamVersionsTest, MemoryIsBounded) {
   Register("a", kOld);
   Register("b", kNew);
