[Gateway] Forget the link to a service that has no upstreams any more

Found reading the change: a gateway that was partitioned from a service stayed so after the last upstream of the service had left, as no sample could be taken any more. It then coordinated no roles, and its peers left it out of their order, for good; the state of services that are gone was never dropped (ForgetIf had no caller).

Change: such services are forgotten, but while a sample is under way.

Before: ServiceWhoseUpstreamsAreGoneIsNoPartition finds "partitioned" in the dump 4 s after. After: it passes, and the tests of UpstreamReachability (8).

--- a/include/corianderlink/Gateway/upstream_reachability.h
+++ b/include/corianderlink/Gateway/upstream_reachability.h
@@ -79,11 +79,13 @@
   std::set<ServiceId> ServicesWith(UpstreamLink link) const;
   /// Services of which something is to be found out.
   std::set<ServiceId> WatchedServices() const;
-  /// Drops the state of all services for which `gone` returns true.
+  /// Drops the state of all services for which `gone` returns true, but for
+  /// those of which a sample is being taken.
   template <typename Predicate>
   void ForgetIf(Predicate gone) {
-    std::erase_if(services_,
-                  [&](const auto& entry) { return gone(entry.first); });
+    std::erase_if(services_, [&](const auto& entry) {
+      return !entry.second.sampling && gone(entry.first);
+    });
   }
 
  private:
--- a/lib/Gateway/gateway_relaying.cc
+++ b/lib/Gateway/gateway_relaying.cc
@@ -152,6 +152,10 @@
 }
 
 void Gateway::SampleReachability(Time now) {
+  // No link can be told of a service without upstreams.
+  reachability_.ForgetIf([this](const ServiceId& service) {
+    return placer_.directory().Usable(service).empty();
+  });
   for (const ServiceId& service : reachability_.WatchedServices()) {
     SampleReachability(now, service);
   }
--- a/unittests/Gateway/gateway_fleet.h
+++ b/unittests/Gateway/gateway_fleet.h
@@ -104,6 +104,7 @@
   /// Client addresses of the gateways.
   const std::vector<Address>& fronts() const { return fronts_; }
   Gateway& gateway(size_t i) { return *gateways_[i]; }
+  const GatewaySettings& settings(size_t i) const { return settings_[i]; }
 
  private:
   /// Starts a gateway that knows nothing.
--- a/unittests/Gateway/partitioned_gateway_test.cc
+++ b/unittests/Gateway/partitioned_gateway_test.cc
@@ -298,6 +298,26 @@
   EXPECT_FALSE(refused->Field("Retry-After").empty());
 }
 
+TEST_F(PartitionedGatewayTest, ServiceWhoseUpstreamsAreGoneIsNoPartition) {
+  Start(2);
+  const auto dump = [this] {
+    harness_.front = fleet_.settings(0).admin;
+    const auto result = harness_.Send("GET", "/dump");
+    harness_.Await(result);
+    return result->body;
+  };
+  Partition(0, Cut::kRefuse);
+  ServedShare(0, "/u/1", 10);
+  EXPECT_NE(dump().find("partitioned"), std::string::npos);
+  for (int i = 0; i < kUpstreams; ++i) {
+    fleet_.RemoveUpstream("shop" + std::to_string(i));
+    fleet_.RemoveUpstream("chat" + std::to_string(i));
+  }
+  fleet_.EndPartition(0);
+  harness_.RunFor(seconds(4));
+  EXPECT_EQ(dump().find("partitioned"), std::string::npos);
+}
+
 TEST_F(PartitionedGatewayTest, ServesByItselfAgainAfterThePartition) {
   Start(2);
   Partition(0, Cut::kHang);
