[Tests] Choose ports in one place, outside those given to connections

The mended test of PeerBus and the gateway's harness chose ports twice, the latter still from the range that the system gives to connections: free when chosen, taken by another test program when bound.

FreeAddress() is in unittests/Common now and begins at another port in each process. No check changes.

--- a/unittests/Gateway/gateway_test_harness.h
+++ b/unittests/Gateway/gateway_test_harness.h
@@ -3,11 +3,6 @@
 #ifndef CORIANDERLINK_UNITTESTS_GATEWAY_GATEWAY_TEST_HARNESS_H_
 #define CORIANDERLINK_UNITTESTS_GATEWAY_GATEWAY_TEST_HARNESS_H_
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <deque>
 #include <memory>
 #include <optional>
@@ -15,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "Common/free_address.h"
 #include "corianderlink/Gateway/gateway.h"
 #include "corianderlink/Http1/inbound_server.h"
 #include "corianderlink/Http1/upstream_pool.h"
@@ -22,20 +18,6 @@
 
 namespace corianderlink {
 
-/// Returns a loopback address with an unused port.  The port is not reserved,
-/// so another process can take it before it is bound.
-inline Address FreeAddress() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  bind(fd, reinterpret_cast<sockaddr*>(&address), size);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return {"127.0.0.1", ntohs(address.sin_port)};
-}
-
 /// An upstream that records its requests and leaves the responses to the test.
 class FakeUpstream {
  public:
--- a/unittests/Wire/peer_bus_test.cc
+++ b/unittests/Wire/peer_bus_test.cc
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include "Common/free_address.h"
 #include "Common/raw_tcp_server.h"
 #include "Common/socket_inspection.h"
 #include "corianderlink/Http/dead_peer_detection.h"
@@ -52,28 +53,9 @@
   EXPECT_GE(silent.connections, 2);
 }
 
-// A port on which nothing listens.  It is below those that the system gives to
-// connections, so that no other process gets it before it is used.
-Address UnusedAddress() {
-  constexpr int kFirstPort = 20000;
-  constexpr int kPorts = 10000;
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  int port = kFirstPort + getpid() % kPorts;
-  bool is_free = false;
-  while (!is_free) {
-    name.sin_port = htons(static_cast<uint16_t>(++port));
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
-    is_free = bind(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0;
-    close(fd);
-  }
-  return {"127.0.0.1", static_cast<uint16_t>(port)};
-}
-
 // The reconnect delay has grown to a second when the process starts again.
 TEST_F(PeerBusTest, ReachesAStartedProcessWithoutReconnectDelay) {
-  const Address address = UnusedAddress();
+  const Address address = FreeAddress();
   PeerBus sender(loop_, "d", ProcessId("s"), std::nullopt);
   sender.Send(address, wire::Envelope());
   RunFor(milliseconds(1700));
