--- a/include/corianderlink/Gateway/forward_task.h
+++ b/include/corianderlink/Gateway/forward_task.h
@@ -1,7 +1,7 @@
 // Forwards one client request to another gateway, which serves it.
 //
-// Used while this gateway is partitioned from the upstreams.  A forwarded
-// request is never forwarded again.
+// Used for requests that this gateway cannot serve, as it reaches none or too few
+// of the upstreams.  A forwarded request is never forwarded again.
 #ifndef CORIANDERLINK_GATEWAY_FORWARD_TASK_H_
 #define CORIANDERLINK_GATEWAY_FORWARD_TASK_H_
 
--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -192,7 +192,8 @@
   std::vector<const StreamVersionReport*> PeerVersions(Time now) const;
   /// Time since the store told this gateway or a peer of the upstreams.
   Duration KnowledgeAge(Time now) const;
-  /// Number of ready gateways with a lower process id.
+  /// Number of ready gateways with a lower process id that are not partitioned
+  /// from a service.
   size_t Rank(Time now) const;
   /// Picks a service of the route at random, by weight; null if it has none.
   const WeightedService* PickService(const RouteSpec& route);
--- a/lib/Gateway/crash_quarantine_exchange.cc
+++ b/lib/Gateway/crash_quarantine_exchange.cc
@@ -71,7 +71,7 @@
                         suspect.crashes.size(), suspect.last_crash_at},
                        std::move(report)});
   }
-  // Under the bound, what keeps upstreams alive counts most.
+  // Under the bound, verdicts go first, then the evidence of most crashes.
   std::stable_sort(
       entries.begin(), entries.end(),
       [](const Entry& a, const Entry& b) { return a.rank > b.rank; });
--- a/unittests/Gateway/partitioned_gateway_test.cc
+++ b/unittests/Gateway/partitioned_gateway_test.cc
@@ -1,4 +1,4 @@
-// Gateways that cannot reach the upstreams, beside others that can.
+// Gateways that cannot reach the upstreams, while their peers can.
 #include <gtest/gtest.h>
 
 #include <map>
--- a/unittests/Gateway/repeated_refusal_test.cc
+++ b/unittests/Gateway/repeated_refusal_test.cc
@@ -19,6 +19,19 @@
   return poll(&readable, 1, static_cast<int>(time.count())) == 1;
 }
 
+/// Makes the server the only upstream, of this service.
+void Serve(GatewayTestHarness& harness, const std::string& service,
+           const RawTcpServer& server) {
+  harness.Configure();
+  harness.gateway().OnAllUpstreams(
+      {{"u1",
+        R"({"service":")" + service + R"(","addr":")" +
+            server.address.ToString() +
+            R"(","zone":"z","slots":4,"state":"ready"})",
+        1}},
+      {1, 1});
+}
+
 class RepeatedRefusalTest : public ::testing::Test {
  protected:
   /// Sends two requests that may run only once.  The first is refused with
@@ -37,13 +50,7 @@
             "Content-Length: 2\r\n\r\nok");
     });
     GatewayTestHarness harness;
-    harness.Configure();
-    harness.gateway().OnAllUpstreams(
-        {{"s1",
-          R"({"service":"shop","addr":")" + server.address.ToString() +
-              R"(","zone":"z","slots":4,"state":"ready"})",
-          1}},
-        {1, 1});
+    Serve(harness, "shop", server);
     harness.Await(harness.Send("POST", "/unsafe/1", {}, "b", "r1"));
     auto second = harness.Send("POST", "/unsafe/1", {}, "b", "r2");
     harness.Await(second);
@@ -102,13 +109,7 @@
     HasInputWithin(fd, milliseconds(300));
   });
   GatewayTestHarness harness;
-  harness.Configure();
-  harness.gateway().OnAllUpstreams(
-      {{"c1",
-        R"({"service":"chat","addr":")" + server.address.ToString() +
-            R"(","zone":"z","slots":4,"state":"ready"})",
-        1}},
-      {1, 1});
+  Serve(harness, "chat", server);
   const auto result = harness.Send("POST", "/chat/1", {}, "b", "r1");
   harness.Await(result);
   EXPECT_EQ(runs_, 1);
--- a/unittests/Gateway/stream_version_test.cc
+++ b/unittests/Gateway/stream_version_test.cc
@@ -85,14 +85,15 @@
     behavior_ = Behavior::kServe;
     return results;
   }
-  /// Begins to take up the rest of the stream that the attempt `id` began.
+  /// Begins to resume the stream that the attempt `id` began.
   std::shared_ptr<ClientResult> SendRest(size_t gateway,
                                          const std::string& id) {
     return Send(gateway, id + "-again",
                 {{"Resumes", id},
                  {"Last-Event-Id", std::to_string(kEventsBeforeBreak)}});
   }
-  int TakeUp(size_t gateway, const std::string& id) {
+  /// Resumes the stream and returns the status of the response.
+  int Resume(size_t gateway, const std::string& id) {
     const auto result = SendRest(gateway, id);
     harness_.Await(result);
     return result->status;
@@ -107,7 +108,7 @@
     return versions;
   }
 
-  /// Begins streams, restarts all gateways or not, takes the streams up at the
+  /// Begins streams, restarts all gateways or not, resumes the streams at the
   /// given gateway, and returns how many went on.  None may do so at another
   /// version than its own.
   int CountResumed(size_t gateway, bool restart_all) {
@@ -155,14 +156,14 @@
   }
 }
 
-TEST_F(StreamVersionTest, TakeUpAtAnotherGatewayStaysAtTheVersion) {
+TEST_F(StreamVersionTest, ResumptionAtAnotherGatewayStaysAtTheVersion) {
   for (const char* id : {"a1", "a2"}) AddUpstream(id, "v1");
   for (const char* id : {"b1", "b2"}) AddUpstream(id, "v2");
   fleet_.Start(3);
   EXPECT_EQ(CountResumed(1, false), kStreams);
 }
 
-TEST_F(StreamVersionTest, TakeUpAfterTheEndOfAllGatewaysStaysAtTheVersion) {
+TEST_F(StreamVersionTest, ResumptionAfterTheEndOfAllGatewaysStaysAtTheVersion) {
   for (const char* id : {"a1", "a2"}) AddUpstream(id, "v1");
   for (const char* id : {"b1", "b2"}) AddUpstream(id, "v2");
   fleet_.Start(3);
@@ -178,11 +179,11 @@
   RemoveUpstream("a1");
   RemoveUpstream("a2");
   harness_.RunFor(milliseconds(300));
-  EXPECT_EQ(TakeUp(1, "s1"), 503);
-  EXPECT_EQ(TakeUp(1, "unknown"), 503);
+  EXPECT_EQ(Resume(1, "s1"), 503);
+  EXPECT_EQ(Resume(1, "unknown"), 503);
   fleet_.RestartAll();
-  EXPECT_EQ(TakeUp(1, "s2"), 503);
-  EXPECT_EQ(TakeUp(2, "unknown"), 503);
+  EXPECT_EQ(Resume(1, "s2"), 503);
+  EXPECT_EQ(Resume(2, "unknown"), 503);
   // New streams begin all the while.
   const auto fresh = Send(2, "new");
   harness_.Await(fresh);
@@ -192,9 +193,9 @@
 TEST_F(StreamVersionTest, UnknownStreamGoesOnWhileOneVersionServes) {
   for (const char* id : {"a1", "a2"}) AddUpstream(id, "v1");
   fleet_.Start(2);
-  EXPECT_EQ(TakeUp(0, "unknown"), 200);
+  EXPECT_EQ(Resume(0, "unknown"), 200);
   fleet_.RestartAll();
-  EXPECT_EQ(TakeUp(1, "unknown"), 200);
+  EXPECT_EQ(Resume(1, "unknown"), 200);
 }
 
 TEST_F(StreamVersionTest, FailureOfTheNextUpstreamDoesNotEndTheStreamAsWhole) {
