[Gateway] Spread the return of clients that no peer serves

Found reading the change: a request that was to be forwarded and finds no peer is refused with 0.3 s to come back, the same for all, so that all clients of the gateway return together. RelayTask spreads them, by logic of its own.

Change: RefusalDelay decides for both, without I/O.

Before: ClientsThatNoPeerServesDoNotReturnTogether, 1 delay for 20 clients.

--- a/include/corianderlink/Gateway/forward_task.h
+++ b/include/corianderlink/Gateway/forward_task.h
@@ -1,7 +1,7 @@
 // Forwards one client request to another gateway, which serves it.
 //
-// Used for requests that this gateway cannot serve, as it reaches none or too few
-// of the upstreams.  A forwarded request is never forwarded again.
+// Used for requests that this gateway cannot serve, as it reaches none or too
+// few of the upstreams.  A forwarded request is never forwarded again.
 #ifndef CORIANDERLINK_GATEWAY_FORWARD_TASK_H_
 #define CORIANDERLINK_GATEWAY_FORWARD_TASK_H_
 
@@ -17,6 +17,7 @@
 #include "corianderlink/Http1/inbound_exchange.h"
 #include "corianderlink/Http1/upstream_pool.h"
 #include "corianderlink/Support/metrics.h"
+#include "corianderlink/Support/random.h"
 #include "corianderlink/Support/verdict.h"
 
 namespace corianderlink {
@@ -27,6 +28,7 @@
   UpstreamPool& pool;
   const RelayCodec& codec;
   Metrics& metrics;
+  RandomSource& random;
   /// Chooses a peer that can serve the service, without the given ones.
   std::function<std::optional<Address>(Time, const ServiceId&,
                                        const std::set<Address>&)>
--- a/lib/Gateway/forward_task.cc
+++ b/lib/Gateway/forward_task.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "corianderlink/Gateway/refusal_delay.h"
 #include "corianderlink/Support/log.h"
 
 namespace corianderlink {
@@ -19,7 +20,6 @@
 constexpr size_t kMaxBufferedBytes = 256 * 1024;
 constexpr size_t kMaxEventBytes = 1024 * 1024;
 constexpr size_t kMaxPendingBytes = 1024 * 1024;
-constexpr Duration kRetryAfter = milliseconds(300);
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
 
@@ -261,8 +261,11 @@
   }
   const RequestId& id = forwarded_.request.id;
   if (!forwarded_.may_have_run) {
-    exchange.SendResponse(
-        kUnavailable, context_.codec.encode_error_fields(id, kRetryAfter), "");
+    const Duration delay =
+        RefusalDelay(forwarded_.deadline - exchange.received_at(),
+                     Duration::zero(), context_.random);
+    exchange.SendResponse(kUnavailable,
+                          context_.codec.encode_error_fields(id, delay), "");
     context_.metrics.Add("gateway_refusals_total");
     Finish("refused", kUnavailable, reason);
     return;
--- a/lib/Gateway/gateway_relaying.cc
+++ b/lib/Gateway/gateway_relaying.cc
@@ -60,7 +60,7 @@
 }
 
 ForwardContext Gateway::MakeForwardContext() {
-  ForwardContext context{loop_, pool_, codecs_.relay, metrics_};
+  ForwardContext context{loop_, pool_, codecs_.relay, metrics_, random_};
   context.choose_peer = [this](Time now, const ServiceId& service,
                                const std::set<Address>& excluded) {
     return peer_selection_.Choose(peers_.Live(now), service, excluded);
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "corianderlink/Gateway/refusal_delay.h"
 #include "corianderlink/Gateway/relay_task.h"
 #include "corianderlink/Support/hash.h"
 #include "corianderlink/Support/log.h"
@@ -9,10 +10,6 @@
 namespace corianderlink {
 namespace {
 
-// Bounds of the Retry-After time of a refused request, as a share of the time
-// from its arrival to its deadline.
-constexpr double kMinRetryAfterShare = 0.15;
-constexpr double kMaxRetryAfterShare = 0.32;
 // Maximum number of attempts per request, including those that an upstream
 // refused.
 constexpr int kMaxSends = 4;
@@ -208,15 +205,9 @@
 void RelayTask::Refuse(const std::string& reason,
                        std::optional<Duration> retry_after) {
   ReleaseKvHandle();
-  // A retry after a refusal has missed its latency objective anyway.  So the
-  // client is asked to wait for a considerable part of its time, of random
-  // length, so that the retries of many clients are spread out.
-  const Duration total_time = deadline_ - exchange_->received_at();
-  const double share =
-      kMinRetryAfterShare +
-      (kMaxRetryAfterShare - kMinRetryAfterShare) * context_.random.Uniform();
-  const Duration delay = std::max(retry_after.value_or(Duration::zero()),
-                                  FromSeconds(ToSeconds(total_time) * share));
+  const Duration delay =
+      RefusalDelay(deadline_ - exchange_->received_at(),
+                   retry_after.value_or(Duration::zero()), context_.random);
   exchange_->SendResponse(
       503, context_.codec.encode_error_fields(request_.id, delay), "");
   context_.metrics.Add("gateway_refusals_total");
--- a/unittests/Gateway/partitioned_gateway_test.cc
+++ b/unittests/Gateway/partitioned_gateway_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <set>
 
 #include "Common/hanging_address.h"
 #include "Gateway/gateway_fleet.h"
@@ -298,6 +299,22 @@
   EXPECT_FALSE(refused->Field("Retry-After").empty());
 }
 
+TEST_F(PartitionedGatewayTest, ClientsThatNoPeerServesDoNotReturnTogether) {
+  Start(2);
+  Partition(0, Cut::kRefuse);
+  ServedShare(0, "/u/1", 10);
+  fleet_.Kill(1);
+  std::vector<std::shared_ptr<ClientResult>> results;
+  for (int i = 0; i < 20; ++i) results.push_back(Send(0, "/u/1"));
+  harness_.RunFor(milliseconds(100));
+  std::set<std::string> delays;
+  for (const auto& result : results) {
+    EXPECT_EQ(result->status, 503);
+    delays.insert(result->Field("Retry-After"));
+  }
+  EXPECT_GE(delays.size(), 10U);
+}
+
 TEST_F(PartitionedGatewayTest, ServiceWhoseUpstreamsAreGoneIsNoPartition) {
   Start(2);
   const auto dump = [this] {
