[Http1] Call no request "not run" whose bytes the kernel has accepted

What callers saw: requests that must run once ran twice, on real processes.

Cause: the verdict of a failed attempt on a new connection depended on whether OnConnected had been called. libevent writes the request as soon as the connection is established and defers that call. A process that stood still, or got no processor time, from the attempt to connect until its timeout finds both ready in one turn of the loop: the request is written, then the connect timer runs before the deferred call, the attempt counts as "not run", and the request is sent to another upstream, also if it is not idempotent. ForwardTask relies on the same verdict.

Ruled out: a write after the failure. Close() frees the stream later, but in the same turn; it now stops the stream at once, so that nothing depends on that order.

Change: the verdict is what the kernel has accepted for sending (ByteStream::bytes_sent); the connect timer leaves a connection alone whose request is on its way.

Evidence: UpstreamPoolTest.RequestThatReachedItsUpstreamIsNeverCalledNotRun, real sockets, the process standing still for 60 ms around a connect timeout of 30 ms: before, the upstream received the request and the verdict was "not run"; now the request is answered.

--- a/lib/Http1/byte_stream.cc
+++ b/lib/Http1/byte_stream.cc
@@ -116,6 +116,8 @@
 
 void ByteStream::ResumeReading() { bufferevent_enable(bev_, EV_READ); }
 
+void ByteStream::Stop() { bufferevent_disable(bev_, EV_READ | EV_WRITE); }
+
 void ByteStream::ResetOnClose() {
   const linger reset{1, 0};
   setsockopt(bufferevent_getfd(bev_), SOL_SOCKET, SO_LINGER, &reset,
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -40,7 +40,6 @@
   handlers_ = std::move(handlers);
   matches_request_ = std::move(request.matches_request);
   busy_ = true;
-  request_bytes_sent_ = false;
   head_delivered_ = false;
   discarding_response_ = false;
   parser_ = std::make_unique<ResponseParser>(kResponseLimits);
@@ -51,20 +50,21 @@
   }
   head += "\r\n";
   stream_->Write(head + request.body);
-  if (connected_) {
-    request_bytes_sent_ = true;
-    return;
-  }
-  connect_timer_ = loop_.After(request.connect_timeout, [this] {
-    Fail("connection not established in time");
-  });
+  if (connected_) return;
+  connect_timer_ =
+      loop_.After(request.connect_timeout, [this] { OnConnectTimeout(); });
+}
+
+void UpstreamConnection::OnConnectTimeout() {
+  // The connection may be established, with OnConnected yet to be called.
+  if (stream_->bytes_sent()) return;
+  Fail("connection not established in time");
 }
 
 void UpstreamConnection::OnConnected() {
   connected_ = true;
   connect_timer_.Reset();
   if (!busy_) return;
-  request_bytes_sent_ = true;
   // Copied, as the handler may cancel the call, which clears handlers_.
   const auto on_connected = handlers_.on_connected;
   if (on_connected) on_connected();
@@ -206,7 +206,9 @@
   busy_ = false;
   const UpstreamHandlers handlers = std::exchange(handlers_, {});
   matches_request_ = nullptr;
-  const bool sent = request_bytes_sent_;
+  // What the kernel has accepted may reach the upstream, whatever happens to
+  // the connection.
+  const bool sent = stream_->bytes_sent();
   Close();
   if (!handlers.on_fail) return;
   Outcome outcome =
@@ -237,6 +239,7 @@
   if (closed_) return;
   closed_ = true;
   connect_timer_.Reset();
+  stream_->Stop();
   const auto self = shared_from_this();
   pool_->RemoveConnection(this);
   // The stream or the parser may be on the call stack, so the loop frees the
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -45,6 +45,7 @@
   void OnPeerClosed() override;
   void OnError(const std::string& reason) override;
 
+  void OnConnectTimeout();
   void Fail(const std::string& reason, bool refused = false);
   void DeliverHead();
   void DeliverBody();
@@ -67,7 +68,6 @@
   bool connected_ = false;
   bool busy_ = false;
   bool closed_ = false;
-  bool request_bytes_sent_ = false;
   bool head_delivered_ = false;
   // The current response is interim or belongs to another request.
   bool discarding_response_ = false;
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <thread>
 
 #include "Common/raw_tcp_server.h"
 
@@ -52,6 +53,7 @@
     request.body = body;
     request.max_idle = max_idle_;
     request.max_connections = max_connections_;
+    request.connect_timeout = connect_timeout_;
     request.matches_request = [id](const ResponseHead& head) {
       const std::string* got = FindField(head.fields, "Id");
       return got != nullptr && *got == id;
@@ -68,6 +70,7 @@
     };
     const EventHandle timeout = loop_.After(seconds(2), [&] { loop_.Stop(); });
     call_ = pool_.Start(request, handlers);
+    std::this_thread::sleep_for(standstill_);
     loop_.Run();
     return result;
   }
@@ -78,6 +81,9 @@
 
   Duration max_idle_ = seconds(60);
   size_t max_connections_ = 100;
+  Duration connect_timeout_ = milliseconds(300);
+  // The process stands still for that long after it began to connect.
+  Duration standstill_ = Duration::zero();
   EventLoop loop_;
   UpstreamPool pool_{loop_};
   std::shared_ptr<UpstreamCall> call_;
@@ -155,6 +161,25 @@
   EXPECT_EQ(result.failure->verdict, Verdict::kMayHaveRun);
 }
 
+TEST_F(UpstreamPoolTest, RequestThatReachedItsUpstreamIsNeverCalledNotRun) {
+  std::atomic<int> received{0};
+  RawTcpServer peer([&](int fd) {
+    if (!ReadUntil(fd, "\r\n\r\n")) return;
+    ++received;
+    Write(fd, MakeResponse("1", "x"));
+    ReadUntil(fd, "never");
+  });
+  connect_timeout_ = milliseconds(30);
+  standstill_ = milliseconds(60);
+  const CallResult result = Call(peer.address, "1");
+  pool_.CloseIdleConnections(peer.address);
+  RunFor(milliseconds(50));
+  const bool not_run =
+      result.failure && result.failure->verdict == Verdict::kNotRun;
+  EXPECT_TRUE(result.ended);
+  EXPECT_FALSE(not_run && received > 0);
+}
+
 TEST_F(UpstreamPoolTest, BodyWithoutLengthEndsAtEof) {
   RawTcpServer peer([](int fd) {
     ReadUntil(fd, "\r\n\r\n");
