[Http] After a standstill, handle what has arrived before timers judge

What callers saw: requests that had arrived ended without an answer.

Cause: a process that is stopped, or gets no processor time, finds its timers due and data readable in one turn of the loop. libevent reads the data first but defers the callbacks of its streams, so the timers run before them: an idle timer closes a connection whose next request has been read, and timers of stalled or late attempts cancel calls whose answers have arrived.

Ruled out: a lower priority for timers; under steady load they would not run at all.

Change: a timer that is 50 ms late and more gives way once, for 5 ms.

Evidence: InboundConnectionTest.RequestThatArrivedInAStandstillIsNotLost, the process standing still beyond the idle timeout with a request in the socket: before, the connection was closed without an answer; now the request is dispatched.

--- a/include/corianderlink/Http/event_loop.h
+++ b/include/corianderlink/Http/event_loop.h
@@ -51,7 +51,8 @@
   void Run();
   void Stop();
 
-  /// Calls `callback` once after `delay`.
+  /// Calls `callback` once after `delay`.  If the process has stood still until
+  /// later, what has arrived on sockets meanwhile is handled first.
   [[nodiscard]] EventHandle After(Duration delay,
                                   std::function<void()> callback);
   /// Calls `callback` every `interval`.
--- a/lib/Http/event_loop.cc
+++ b/lib/Http/event_loop.cc
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 
 #include <csignal>
+#include <optional>
 #include <utility>
 
 namespace corianderlink {
@@ -11,6 +12,8 @@
 struct EventHandle::Impl {
   event* ev = nullptr;
   std::function<void()> callback;
+  // When a timer that runs once is due; empty once it was put off.
+  std::optional<Time> due;
 
   ~Impl() {
     if (ev != nullptr) event_free(ev);
@@ -33,6 +36,11 @@
   return tv;
 }
 
+// A timer that is late by this much shows that the process has stood still.
+constexpr Duration kStandstill = milliseconds(50);
+// Time after a standstill for the events that have arrived meanwhile.
+constexpr Duration kCatchUpTime = milliseconds(5);
+
 // libevent gives events the middle priority unless another one is set.
 constexpr int kPriorityLevels = 4;
 static_assert(kDefaultPriority == kPriorityLevels / 2);
@@ -69,8 +77,15 @@
   handle.impl_ = std::make_unique<EventHandle::Impl>();
   handle.impl_->callback = std::move(callback);
   const auto run = [](evutil_socket_t, int16_t, void* arg) {
+    auto* timer = static_cast<EventHandle::Impl*>(arg);
+    if (timer->due && BootClock::now() - *timer->due > kStandstill) {
+      timer->due.reset();
+      const timeval tv = ToTimeval(kCatchUpTime);
+      event_add(timer->ev, &tv);
+      return;
+    }
     // The callback may destroy its own handle, so a copy is called.
-    const auto copy = static_cast<EventHandle::Impl*>(arg)->callback;
+    const auto copy = timer->callback;
     copy();
   };
   handle.impl_->ev = event_new(base_, fd, flags, run, handle.impl_.get());
@@ -78,6 +93,7 @@
     event_add(handle.impl_->ev, nullptr);
     return handle;
   }
+  if ((flags & EV_PERSIST) == 0) handle.impl_->due = BootClock::now() + *delay;
   const timeval tv = ToTimeval(*delay);
   event_add(handle.impl_->ev, &tv);
   return handle;
--- a/unittests/Http1/inbound_connection_test.cc
+++ b/unittests/Http1/inbound_connection_test.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace corianderlink {
@@ -187,5 +188,13 @@
   EXPECT_TRUE(closed_);
 }
 
+TEST_F(InboundConnectionTest, RequestThatArrivedInAStandstillIsNotLost) {
+  Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  std::this_thread::sleep_for(limits_.idle_timeout + milliseconds(100));
+  RunFor(milliseconds(30));
+  EXPECT_EQ(requests_.size(), 1U);
+  EXPECT_FALSE(closed_);
+}
+
 }  // namespace
 }  // namespace corianderlink
