[Gateway] Move a silent stream only once its upstream works or is gone

What callers saw: streams that ran at two upstreams at a time, on real processes whose upstreams fell silent for a second.

Cause: after a second without an event a resumable stream was cancelled and sent to another upstream. A process that stands still reads no reset: its kernel goes on accepting connections and acknowledging bytes, and the run goes on with the process. The class: silence, a close or a reset taken for the end of a run.

Ruled out: a longer timeout. It moves the limit and shows nothing; an upstream that is gone would cost its streams.

Change: a stalled stream's upstream is asked for its status on a new connection (UpstreamProbe, which CrashCheck becomes). If it cannot be reached or is gone, the stream moves at once; if it answers, the stream gets 200 ms more, since a process that works sees the cancellation; if its host accepts the connection and nothing answers, the stream stays. The question comes 200 ms before the old limit, so that a stream that hangs at a working upstream moves no later than before. A prefill stage and plain idempotent requests move as before: they may run twice.

Evidence: GatewayTest.StreamIsNotRunTwiceWhileItsUpstreamStandsStill, real sockets, an upstream that stands still for 1.5 s: before, the stream was run at the second upstream; now it ends at the first. GatewayTest.StalledStreamMovesIfItsEngineAnswers keeps the other side. The three tests of CrashCheck name all results now.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -12,7 +12,6 @@
 #include <vector>
 
 #include "corianderlink/Gateway/client_timeout_estimate.h"
-#include "corianderlink/Gateway/crash_check.h"
 #include "corianderlink/Gateway/crash_quarantine.h"
 #include "corianderlink/Gateway/forward_task.h"
 #include "corianderlink/Gateway/gateway_config.h"
@@ -34,6 +33,7 @@
 #include "corianderlink/Gateway/route_table.h"
 #include "corianderlink/Gateway/store_contact.h"
 #include "corianderlink/Gateway/stream_versions.h"
+#include "corianderlink/Gateway/upstream_probe.h"
 #include "corianderlink/Gateway/upstream_reachability.h"
 #include "corianderlink/Gateway/watch_schedule.h"
 #include "corianderlink/Http/event_loop.h"
@@ -245,7 +245,7 @@
   UpstreamPool pool_;
   Placer placer_;
   CrashQuarantine quarantine_;
-  CrashCheck crash_check_;
+  UpstreamProbe upstream_probe_;
   StreamVersions stream_versions_;
   RecordCache record_cache_;
   StoreContact store_contact_;
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -12,7 +12,6 @@
 #include <set>
 #include <string>
 
-#include "corianderlink/Gateway/crash_check.h"
 #include "corianderlink/Gateway/crash_quarantine.h"
 #include "corianderlink/Gateway/event_splitter.h"
 #include "corianderlink/Gateway/forward_task.h"
@@ -20,6 +19,7 @@
 #include "corianderlink/Gateway/placer.h"
 #include "corianderlink/Gateway/relay_codec.h"
 #include "corianderlink/Gateway/stream_origins.h"
+#include "corianderlink/Gateway/upstream_probe.h"
 #include "corianderlink/Gateway/version_constraint.h"
 #include "corianderlink/Http1/inbound_exchange.h"
 #include "corianderlink/Http1/upstream_pool.h"
@@ -38,7 +38,7 @@
   Metrics& metrics;
   RandomSource& random;
   CrashQuarantine& quarantine;
-  CrashCheck& crash_check;
+  UpstreamProbe& upstream_probe;
   /// Charges one retry to the retry budget of a service.  False if the budget
   /// is exhausted.
   std::function<bool(Time, const ServiceId&)> try_claim_retry = {};
@@ -212,8 +212,20 @@
   void RefuseForGood(const std::string& reason);
   void OnDeadline();
   /// Moves an idempotent request whose upstream makes no progress to another
-  /// upstream.
+  /// upstream.  A stream is moved only once its upstream is known to work or to
+  /// be gone.
   void OnStallTimeout();
+  /// True if the present attempt must not be repeated while it may go on.
+  bool MustNotOverlap() const {
+    return is_stream() && !placement_->prefill_only;
+  }
+  /// Asks the upstream of a stalled stream for a sign of life; false if it
+  /// cannot be asked.
+  bool ProbeStalledUpstream();
+  void OnStalledUpstreamProbed(ProbeResult result);
+  /// Cancels a stalled attempt and sends the request to another upstream, if
+  /// that is permitted.
+  void MoveStalledRequest();
   void OnClientDisconnected();
   void ArmStallTimer();
   /// Ends the load accounting of the present attempt.
--- /dev/null
+++ b/include/corianderlink/Gateway/upstream_probe.h
@@ -0,0 +1,65 @@
+// Asks an upstream for a sign of life.
+#ifndef CORIANDERLINK_GATEWAY_UPSTREAM_PROBE_H_
+#define CORIANDERLINK_GATEWAY_UPSTREAM_PROBE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "corianderlink/Gateway/order_codec.h"
+#include "corianderlink/Gateway/upstream_record.h"
+#include "corianderlink/Http1/upstream_pool.h"
+
+namespace corianderlink {
+
+/// What a new connection to an upstream has shown.
+enum class ProbeResult {
+  kAnswers,      ///< Its process works: it answered, or closed the connection.
+  kSilent,       ///< Its host accepts connections, its process does nothing.
+  kUnreachable,  ///< No connection: it has ended, or the link is cut.
+  kGone,         ///< Its host refuses, or another upstream has the address.
+};
+
+/// Returns the name of the result, for logs.
+const char* ToString(ProbeResult result);
+
+/// Asks upstreams for their status on new connections.  Requests that ask for
+/// the same upstream at a time share one probe.
+class UpstreamProbe {
+ public:
+  using Done = std::function<void(ProbeResult)>;
+
+  UpstreamProbe(EventLoop& loop, UpstreamPool& pool, const OrderCodec& codec)
+      : loop_(loop), pool_(pool), codec_(codec) {}
+
+  /// Calls `done` later.  Upstreams other than engines are asked at
+  /// `health_path`; without one, returns false and asks nothing.
+  bool Start(const UpstreamRecord& upstream, const std::string& health_path,
+             Done done);
+
+ private:
+  using Incarnation = std::pair<UpstreamId, int64_t>;
+
+  struct Probe {
+    std::shared_ptr<UpstreamCall> call;
+    EventHandle timeout;
+    bool connected = false;
+    std::vector<Done> waiting;
+  };
+
+  UpstreamHandlers MakeHandlers(const Incarnation& incarnation);
+  void OnFailure(const Incarnation& incarnation, const Outcome& outcome);
+  void OnTimeout(const Incarnation& incarnation);
+  void OnResult(const Incarnation& incarnation, ProbeResult result);
+
+  EventLoop& loop_;
+  UpstreamPool& pool_;
+  const OrderCodec& codec_;
+  std::map<Incarnation, Probe> pending_;
+};
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_GATEWAY_UPSTREAM_PROBE_H_
--- a/lib/Gateway/gateway_relaying.cc
+++ b/lib/Gateway/gateway_relaying.cc
@@ -16,7 +16,7 @@
 
 RelayContext Gateway::MakeRelayContext() {
   RelayContext context{loop_,    pool_,   placer_,     codecs_.relay,
-                       metrics_, random_, quarantine_, crash_check_};
+                       metrics_, random_, quarantine_, upstream_probe_};
   context.try_claim_retry = [this](Time now, const ServiceId& service) {
     return TryClaimRetry(now, service);
   };
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -19,6 +19,9 @@
 // is retried on another upstream.
 constexpr Duration kMinStallTimeout = milliseconds(400);
 constexpr Duration kMinStreamStallTimeout = milliseconds(1000);
+// Time in which a stalled stream makes progress if its upstream works.
+constexpr Duration kProgressTime = milliseconds(200);
+constexpr char kStalled[] = "upstream stalled";
 
 }  // namespace
 
@@ -81,11 +84,13 @@
   if (placer.notices().IsLeaving(*upstream)) return;
   const UpstreamCrash crash{upstream->id, upstream->started_ms, sent_at_,
                             BootClock::now(), RequestDigest()};
-  const auto on_crashed = [&context = context_, service = service_.id,
-                           request = Suspects(), crash] {
+  const auto on_probed = [&context = context_, service = service_.id,
+                          request = Suspects(), crash](ProbeResult result) {
+    // An upstream that cannot be reached may be behind a cut link.
+    if (result != ProbeResult::kGone) return;
     context.report_crash(service, request, crash);
   };
-  context_.crash_check.Start(*upstream, service_.health_path, on_crashed);
+  context_.upstream_probe.Start(*upstream, service_.health_path, on_probed);
 }
 
 RequestSuspects RelayTask::Suspects() {
@@ -257,6 +262,8 @@
     limit = std::max(limit, 2 * route_.objective) +
             FromSeconds(2 * std::max(0.0, placement_->predicted_ms) / 1000);
   }
+  // What remains is for the upstream's sign of life.
+  if (MustNotOverlap()) limit -= kProgressTime;
   stall_timer_ = context_.loop.After(
       limit, [self = shared_from_this()] { self->OnStallTimeout(); });
 }
@@ -266,12 +273,55 @@
   // Reading from the upstream is paused because the client is slow.
   if (exchange_->PendingBytes() > 0) return;
   const Time now = BootClock::now();
-  const char* reason = "upstream stalled";
   context_.on_suspect_failure(now, placement_->upstream,
-                              Outcome::MayHaveRun(reason));
+                              Outcome::MayHaveRun(kStalled));
+  if (!HasAlternative(now)) {
+    ArmStallTimer();
+    return;
+  }
+  if (MustNotOverlap() && ProbeStalledUpstream()) return;
+  MoveStalledRequest();
+}
+
+bool RelayTask::ProbeStalledUpstream() {
+  const auto on_probed = [self = shared_from_this(), call = call_,
+                          events = events_received_](ProbeResult result) {
+    const bool goes_on = self->events_received_ != events;
+    if (self->finished_ || self->call_ != call || goes_on) return;
+    self->OnStalledUpstreamProbed(result);
+  };
+  return context_.upstream_probe.Start(placement_->upstream,
+                                       service_.health_path, on_probed);
+}
+
+void RelayTask::OnStalledUpstreamProbed(ProbeResult result) {
+  Log(LogLevel::kInfo, "stalled_upstream_probed",
+      {{"request", request_.id.value()},
+       {"upstream", placement_->upstream.id.value()},
+       {"result", ToString(result)},
+       {"events", events_received_},
+       {"elapsed_ms", ToMillis(BootClock::now() - sent_at_)}});
+  if (result == ProbeResult::kSilent) {
+    // Its process stands still.  It would not notice that the attempt is
+    // cancelled, and would run it beside the next one.
+    ProbeStalledUpstream();
+    return;
+  }
+  if (result != ProbeResult::kAnswers) {
+    MoveStalledRequest();
+    return;
+  }
+  stall_timer_ =
+      context_.loop.After(kProgressTime, [self = shared_from_this()] {
+        if (!self->finished_ && self->call_) self->MoveStalledRequest();
+      });
+}
+
+void RelayTask::MoveStalledRequest() {
+  const Time now = BootClock::now();
   const Outcome outcome = placement_->prefill_only
-                              ? Outcome::NotRun(reason)
-                              : Outcome::MayHaveRun(reason);
+                              ? Outcome::NotRun(kStalled)
+                              : Outcome::MayHaveRun(kStalled);
   if (!HasAlternative(now) || !TryClaimRetry(now, outcome.verdict)) {
     // Without a retry, the request keeps waiting for this upstream.
     ArmStallTimer();
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -3,6 +3,9 @@
 // shutdown.
 #include <gtest/gtest.h>
 
+#include <thread>
+
+#include "Common/raw_tcp_server.h"
 #include "Gateway/gateway_test_harness.h"
 
 namespace corianderlink {
@@ -17,6 +20,10 @@
 void RefuseNotRun(const Exchange& exchange) {
   exchange->SendResponse(503, {{"Not-Run", "1"}}, "");
 }
+void WriteText(int fd, const std::string& text) {
+  const ssize_t n = write(fd, text.data(), text.size());
+  (void)n;
+}
 std::string MakeEvent(int id) {
   return "id: " + std::to_string(id) + "\ndata: x\n\n";
 }
@@ -338,6 +345,53 @@
   EXPECT_EQ(result->body, MakeEvent(1) + MakeEvent(2) + MakeEvent(3));
 }
 
+TEST_F(GatewayTest, StreamIsNotRunTwiceWhileItsUpstreamStandsStill) {
+  // Serves one connection at a time, so that no other one gets an answer while
+  // it stands still.
+  RawTcpServer still([](int fd) {
+    char buffer[4096];
+    const ssize_t n = read(fd, buffer, sizeof(buffer));
+    if (n <= 0 || buffer[0] == 'G') return;
+    WriteText(fd,
+              "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: 1\r\n\r\n" +
+                  MakeEvent(1));
+    std::this_thread::sleep_for(milliseconds(1500));
+    WriteText(fd, MakeEvent(2));
+  });
+  harness_.RegisterUpstream("d1", "model", "decode", still.address);
+  const auto result =
+      harness_.Send("POST", "/long/1", {{"Token-Count", "100,10"}}, "b");
+  harness_.RunFor(milliseconds(100));
+  EXPECT_EQ(result->body, MakeEvent(1));
+  FakeUpstream& other = harness_.AddUpstream("d2", "model", "decode");
+  harness_.Await(result);
+  EXPECT_TRUE(result->complete);
+  EXPECT_EQ(result->body, MakeEvent(1) + MakeEvent(2));
+  EXPECT_TRUE(other.requests.empty());
+}
+
+TEST_F(GatewayTest, StalledStreamMovesIfItsEngineAnswers) {
+  FakeUpstream& first = harness_.AddUpstream("d1", "model", "decode");
+  first.on_request = [](const Exchange& exchange) {
+    if (exchange->head().method == "GET") {
+      exchange->SendResponse(200, {}, "{}");
+      return;
+    }
+    SendEvents(exchange, 1);
+  };
+  const auto result =
+      harness_.Send("POST", "/long/1", {{"Token-Count", "100,10"}}, "b");
+  harness_.RunFor(milliseconds(100));
+  FakeUpstream& other = harness_.AddUpstream("d2", "model", "decode");
+  other.on_request = [](const Exchange& exchange) {
+    SendEvents(exchange, 2);
+    exchange->CompleteResponse();
+  };
+  harness_.RunFor(milliseconds(1500));
+  EXPECT_TRUE(result->complete);
+  EXPECT_EQ(result->body, MakeEvent(1) + MakeEvent(2));
+}
+
 TEST_F(GatewayTest, NonResumableStreamIsTruncatedOnFailure) {
   EventHandle timer;
   harness_.AddUpstream("m1", "model", "decode").on_request =
--- a/unittests/Gateway/gateway_test_harness.h
+++ b/unittests/Gateway/gateway_test_harness.h
@@ -118,15 +118,20 @@
   FakeUpstream& AddUpstream(const std::string& id, const std::string& service,
                             const std::string& phase = "") {
     upstreams_.push_back(std::make_unique<FakeUpstream>(loop, id));
+    RegisterUpstream(id, service, phase, upstreams_.back()->address);
+    return *upstreams_.back();
+  }
+
+  /// Adds an upstream at `address` to the gateway's list.
+  void RegisterUpstream(const std::string& id, const std::string& service,
+                        const std::string& phase, const Address& address) {
     const std::string record =
-        R"({"service":")" + service + R"(","addr":")" +
-        upstreams_.back()->address.ToString() +
+        R"({"service":")" + service + R"(","addr":")" + address.ToString() +
         R"(","zone":"z","slots":4,"state":"ready")" +
         (phase.empty() ? "" : R"(,"phase":")" + phase + "\"") + "}";
     gateway_.OnAllUpstreams(records_, {1, ++store_version_});
     records_.push_back({id, record, 1});
     gateway_.OnAllUpstreams(records_, {1, ++store_version_});
-    return *upstreams_.back();
   }
 
   /// Sends a request of the client; the result is filled in as it arrives.
--- a/unittests/Gateway/crash_check_test.cc
+++ b/unittests/Gateway/upstream_probe_test.cc
@@ -1,5 +1,5 @@
-// Telling a crashed engine from a broken connection.
-#include "corianderlink/Gateway/crash_check.h"
+// Tests of signs of life from upstreams.
+#include "corianderlink/Gateway/upstream_probe.h"
 
 #include <gtest/gtest.h>
 
@@ -10,14 +10,15 @@
 
 constexpr char kHealthPath[] = "/healthz";
 
-class CrashCheckTest : public ::testing::Test {
+class UpstreamProbeTest : public ::testing::Test {
  protected:
-  CrashCheckTest() {
+  UpstreamProbeTest() {
     record_.id = UpstreamId("e1");
     record_.address = engine_->address;
   }
-  void Check() {
-    check_.Start(record_, kHealthPath, [this] { ++crashes_; });
+  void Probe() {
+    probe_.Start(record_, kHealthPath,
+                 [this](ProbeResult result) { results_.push_back(result); });
   }
   void RunFor(Duration time) {
     const EventHandle stop = loop_.After(time, [this] { loop_.Stop(); });
@@ -27,40 +28,42 @@
   EventLoop loop_;
   UpstreamPool pool_{loop_};
   const OrderCodec codec_ = platform::MakeCodecs().orders;
-  CrashCheck check_{loop_, pool_, codec_};
+  UpstreamProbe probe_{loop_, pool_, codec_};
   std::unique_ptr<FakeUpstream> engine_ =
       std::make_unique<FakeUpstream>(loop_, "e1");
   UpstreamRecord record_;
-  int crashes_ = 0;
+  std::vector<ProbeResult> results_;
 };
 
-TEST_F(CrashCheckTest, EngineThatAnswersHasNotCrashed) {
+TEST_F(UpstreamProbeTest, EngineThatAnswersIsNotGone) {
   engine_->on_request = [](const FakeUpstream::Exchange& exchange) {
     exchange->SendResponse(200, {}, "{}");
   };
-  Check();
+  Probe();
   RunFor(milliseconds(300));
-  EXPECT_EQ(crashes_, 0);
+  EXPECT_EQ(results_, std::vector{ProbeResult::kAnswers});
 }
 
-TEST_F(CrashCheckTest, RequestsThatBrokeTogetherShareOneCheck) {
+TEST_F(UpstreamProbeTest, RequestsThatAskTogetherShareOneProbe) {
   engine_.reset();
-  Check();
-  Check();
+  Probe();
+  Probe();
   RunFor(milliseconds(500));
-  EXPECT_EQ(crashes_, 2);
+  const std::vector gone{ProbeResult::kGone, ProbeResult::kGone};
+  EXPECT_EQ(results_, gone);
   EXPECT_EQ(pool_.connections_opened(), 1U);
 }
 
-// The first check meets an engine that accepts the connection and does not
+// The first probe meets an engine that accepts the connection and does not
 // answer.
-TEST_F(CrashCheckTest, SilentEngineDoesNotHideItsLaterCrash) {
-  Check();
+TEST_F(UpstreamProbeTest, SilentEngineDoesNotHideItsLaterEnd) {
+  Probe();
   RunFor(milliseconds(1500));
   engine_.reset();
-  Check();
+  Probe();
   RunFor(milliseconds(500));
-  EXPECT_EQ(crashes_, 1);
+  const std::vector expected{ProbeResult::kSilent, ProbeResult::kGone};
+  EXPECT_EQ(results_, expected);
 }
 
 }  // namespace
