[Gateway] Keep a started stream while upstreams refuse to resume it

What callers saw: streams that had begun ended without an answer seconds before their time was up, on real processes beside upstreams that had fallen silent.

Cause: a started stream that lost its upstream was cut as soon as one attempt to resume it could not be repeated at once: after four sends, or without room in the retry budget, though the upstream had said "not run" and time was left. Upstreams that catch up after a standstill refuse for some hundred milliseconds.

Ruled out: more sends per request in general; a request that has not started is refused with Retry-After, which serves its client better.

Change: while deadline, runs and idempotence permit it, a started stream waits and tries again, at 50 ms doubling to 400 ms, each attempt charged to the retry budget when it is made; the upstream that refused last is tried only if there is no other.

Evidence: GatewayTest.StartedStreamIsNotCutWhileUpstreamsRefuseToResumeIt, eight refusals: before, the stream was cut after four sends with 2.9 s left, now it is complete.

--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -116,8 +116,8 @@
   /// request is refused or failed, or, if its stream has started, tried again
   /// later.
   void PlaceAndSend();
-  /// Calls PlaceAndSend a moment later.
-  void PlaceLater();
+  /// Calls PlaceAndSend after `delay`.
+  void PlaceLater(Duration delay);
   /// Hands the request over to a peer if this gateway cannot serve it.
   bool ForwardIfPartitioned(Time now);
   /// Schedules another search for an upstream that can resume a started stream,
@@ -195,9 +195,13 @@
   std::string SharedPartsText() const;
   void RetryOnOtherUpstream(Time now, const Outcome& outcome,
                             bool upstream_failed);
-  /// True if the deadline, the limit of attempts and idempotence permit
-  /// another attempt.
+  /// True if the deadline, the limit of runs and idempotence permit another
+  /// attempt.
+  bool IsRunAllowed(Time now, Verdict verdict);
+  /// Like IsRunAllowed, within the limit of attempts.
   bool IsRetryAllowed(Time now, Verdict verdict);
+  /// True if a started stream may wait for an upstream that resumes it.
+  bool CanResumeLater(Time now, Verdict verdict);
   /// True if another upstream, or a peer, can take the request now.
   bool HasAlternative(Time now);
   /// Like IsRetryAllowed, and charges the retry to the retry budget unless the
@@ -264,6 +268,10 @@
   // Attempts in which the request may have run.
   int possible_runs_ = 0;
   bool finished_ = false;
+  // The next attempt is still to be charged to the retry budget.
+  bool is_retry_unclaimed_ = false;
+  // Searches for an upstream that resumes the stream, since the last event.
+  int resume_searches_ = 0;
   // Prefill and decode have to run on the same engine.
   bool single_engine_only_ = false;
 
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -19,6 +19,8 @@
 constexpr int kMaxDeniedPermits = 4;
 // Interval between searches for an upstream, while none can take the request.
 constexpr Duration kPlacementPollInterval = milliseconds(50);
+// The interval doubles so often while a started stream waits.
+constexpr int kMaxResumeDoublings = 3;
 // Priority of a request in the engine's queue, by work tier; 0 is the highest.
 constexpr int kEnginePriorityByTier[kPriorityTiers] = {2, 4, 7};
 
@@ -108,7 +110,7 @@
       return;
     }
     if (!from_peer_ && context_.is_reachability_unknown(service_.id)) {
-      PlaceLater();
+      PlaceLater(kPlacementPollInterval);
       return;
     }
     if (possible_runs_ > 0) {
@@ -135,6 +137,11 @@
     Refuse(result.reason, result.retry_after);
     return;
   }
+  if (is_retry_unclaimed_ && !context_.try_claim_retry(now, service_.id)) {
+    ScheduleResume();
+    return;
+  }
+  is_retry_unclaimed_ = false;
   SendWithPermit(*result.placement, &RelayTask::PlaceAndSend);
 }
 
@@ -197,16 +204,18 @@
     return;
   }
   // Part of the response was delivered, so any upstream may resume it, even one
-  // that already failed this request.
+  // that already failed this request; the last one if there is no other.
+  const bool has_other = excluded_.size() > 1;
   excluded_.clear();
-  PlaceLater();
+  if (has_other) excluded_.insert(placement_->upstream.id);
+  const int doublings = std::min(resume_searches_++, kMaxResumeDoublings);
+  PlaceLater(kPlacementPollInterval * (1 << doublings));
 }
 
-void RelayTask::PlaceLater() {
-  placement_timer_ =
-      context_.loop.After(kPlacementPollInterval, [self = shared_from_this()] {
-        if (!self->finished_) self->PlaceAndSend();
-      });
+void RelayTask::PlaceLater(Duration delay) {
+  placement_timer_ = context_.loop.After(delay, [self = shared_from_this()] {
+    if (!self->finished_) self->PlaceAndSend();
+  });
 }
 
 void RelayTask::SendTo(const Placement& placement) {
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -46,6 +46,13 @@
     RetryOnOtherUpstream(now, final_outcome, upstream_failed);
     return;
   }
+  if (CanResumeLater(now, final_outcome.verdict)) {
+    RecordFailedAttempt(now, final_outcome, upstream_failed, "later");
+    kv_handle_.reset();
+    is_retry_unclaimed_ = true;
+    ScheduleResume();
+    return;
+  }
   RecordFailedAttempt(now, final_outcome, upstream_failed, "no");
   FailRequest(final_outcome);
 }
@@ -163,8 +170,16 @@
   PlaceAndSend();
 }
 
+bool RelayTask::CanResumeLater(Time now, Verdict verdict) {
+  return exchange_->response_started() && is_stream() && route_.idempotent() &&
+         IsRunAllowed(now, verdict);
+}
+
 bool RelayTask::IsRetryAllowed(Time now, Verdict verdict) {
-  if (sends_ >= kMaxSends) return false;
+  return sends_ < kMaxSends && IsRunAllowed(now, verdict);
+}
+
+bool RelayTask::IsRunAllowed(Time now, Verdict verdict) {
   if (DeadlineLeftMs(now) < kMinAttemptMs) return false;
   if (verdict != Verdict::kNotRun) {
     if (!route_.idempotent() || possible_runs_ >= route_.max_runs) return false;
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -120,6 +120,7 @@
     // A resumed stream may repeat events that the client already has.
     if (event->id && last_event_id_ && *event->id <= *last_event_id_) continue;
     if (event->id) last_event_id_ = event->id;
+    resume_searches_ = 0;
     if (!exchange_->response_started()) {
       // The first event shows that the KV cache was fetched, which consumes the
       // handle.
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -392,6 +392,35 @@
   EXPECT_EQ(result->body, MakeEvent(1) + MakeEvent(2));
 }
 
+TEST_F(GatewayTest, StartedStreamIsNotCutWhileUpstreamsRefuseToResumeIt) {
+  constexpr size_t kRefusals = 8;
+  FakeUpstream& first = harness_.AddUpstream("c1", "chat");
+  EventHandle timer;
+  first.on_request = [&](const Exchange& exchange) {
+    if (first.requests.size() > 1) {
+      RefuseNotRun(exchange);
+      return;
+    }
+    SendEvents(exchange, 1);
+    timer = harness_.loop.After(milliseconds(30),
+                                [exchange] { exchange->Abort(); });
+  };
+  const auto result = harness_.Send("POST", "/chat/1", {}, "b");
+  harness_.RunFor(milliseconds(20));
+  FakeUpstream& other = harness_.AddUpstream("c2", "chat");
+  other.on_request = [&](const Exchange& exchange) {
+    if (first.requests.size() + other.requests.size() <= 1 + kRefusals) {
+      RefuseNotRun(exchange);
+      return;
+    }
+    SendEvents(exchange, 2);
+    exchange->CompleteResponse();
+  };
+  harness_.Await(result);
+  EXPECT_FALSE(result->failed);
+  EXPECT_EQ(result->body, MakeEvent(1) + MakeEvent(2));
+}
+
 TEST_F(GatewayTest, NonResumableStreamIsTruncatedOnFailure) {
   EventHandle timer;
   harness_.AddUpstream("m1", "model", "decode").on_request =
