[Gateway] Give idle client connections the longer limit of a new configuration

What callers saw: kept connections that closed under a request after a change of the idle limit.

Cause: an idle connection was closed at the limit that held when it became idle. Clients that know of a longer one already go on using it.

Ruled out: closing without reading makes a client on Linux lose a rejection: a client that reads late still gets it (InboundServerTest.RejectionOfALargeBodyReachesAClientThatIsStillSending passes before and after; it stays as a guard).

Change: a longer limit holds for idle connections at once; a shorter one from the next idle time on, as before. config_applied names the limit.

Evidence: InboundConnectionTest.IdleConnectionGetsALongerTimeoutOfTheSettings: at 0.5 s the connection closed before, now at 1.5 s.

--- a/include/corianderlink/Http1/byte_stream.h
+++ b/include/corianderlink/Http1/byte_stream.h
@@ -55,8 +55,8 @@
   void SetReadLimit(size_t bytes);
   void PauseReading();
   void ResumeReading();
-  /// Neither reads from the socket nor writes to it from now on; buffered output
-  /// is not sent.
+  /// Neither reads from the socket nor writes to it from now on; buffered
+  /// output is not sent.
   void Stop();
   /// Makes the destructor reset the connection (TCP RST) instead of closing
   /// it in order.
--- a/include/corianderlink/Http1/inbound_connection.h
+++ b/include/corianderlink/Http1/inbound_connection.h
@@ -48,6 +48,9 @@
 
   /// True while no request is being received or handled.
   bool idle() const;
+  /// Lets an idle connection stay open for the present idle timeout, if that is
+  /// longer than the one that it was given.
+  void ExtendIdleTime(Time now);
   /// Closes the connection immediately, also during a response.
   void Close();
 
@@ -65,6 +68,7 @@
   void ArmTimer(Duration delay);
   void OnTimer();
   void OnResponseComplete();
+  void BecomeIdle();
   void WriteHead(int status, const HeaderFields& fields,
                  std::optional<uint64_t> content_length);
 
@@ -75,6 +79,8 @@
   std::shared_ptr<InboundExchange> exchange_;
   bool close_after_response_ = false;
   bool closed_ = false;
+  Time idle_since_{};
+  Duration idle_timeout_{};
   EventHandle timer_;
 };
 
--- a/include/corianderlink/Http1/inbound_server.h
+++ b/include/corianderlink/Http1/inbound_server.h
@@ -27,8 +27,9 @@
 
   /// Binds the address.  Returns false if it cannot be bound.
   bool Listen(const Address& address);
-  /// Limits for requests that start after this call.
-  void SetLimits(const InboundLimits& limits) { limits_ = limits; }
+  /// Limits for requests that start after this call.  A longer idle timeout
+  /// holds for connections that are idle now, too.
+  void SetLimits(Time now, const InboundLimits& limits);
   /// Makes every response that starts after this call close its connection.
   void CloseAfterResponses() { shutting_down_ = true; }
   void StopListening();
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -276,11 +276,13 @@
   Log(LogLevel::kInfo, "config_applied",
       {{"version", config->version},
        {"routes", static_cast<uint64_t>(config->routes.size())},
+       {"idle_timeout_ms", ToMillis(config->limits.idle_timeout)},
        {"source", source},
        {"last_store_response_ms", ToMillis(StoreAge(StoreTable::kConfig))}});
   route_table_ = RouteTable(config);
-  client_server_.SetLimits(config->limits);
-  forward_server_.SetLimits(config->limits);
+  const Time now = BootClock::now();
+  client_server_.SetLimits(now, config->limits);
+  forward_server_.SetLimits(now, config->limits);
   ForgetRemovedRoutes(*config);
   stream_versions_.history().SetStreamLifetime(StreamLifetime(*config));
   for (const auto& [id, service] : config->services) {
--- a/lib/Http1/inbound_connection.cc
+++ b/lib/Http1/inbound_connection.cc
@@ -1,6 +1,7 @@
 // Server side of HTTP/1.1 client connections.
 #include "corianderlink/Http1/inbound_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace corianderlink {
@@ -46,7 +47,7 @@
 
 InboundConnection::InboundConnection(const InboundContext& context, int fd)
     : context_(context), stream_(context.loop, fd, *this) {
-  ArmTimer(context_.limits.idle_timeout);
+  BecomeIdle();
 }
 
 InboundConnection::~InboundConnection() {
@@ -57,6 +58,20 @@
   return exchange_ == nullptr && !request_started_;
 }
 
+void InboundConnection::BecomeIdle() {
+  idle_since_ = BootClock::now();
+  idle_timeout_ = context_.limits.idle_timeout;
+  ArmTimer(idle_timeout_);
+}
+
+void InboundConnection::ExtendIdleTime(Time now) {
+  // Input that is not parsed yet is about to become a request.
+  if (!idle() || !stream_.Input().empty()) return;
+  if (context_.limits.idle_timeout <= idle_timeout_) return;
+  idle_timeout_ = context_.limits.idle_timeout;
+  ArmTimer(std::max(Duration::zero(), idle_since_ + idle_timeout_ - now));
+}
+
 void InboundConnection::ArmTimer(Duration delay) {
   timer_ = context_.loop.After(delay, [this] { OnTimer(); });
 }
@@ -164,7 +179,7 @@
     if (stream_.PendingBytes() == 0) Close();
     return;
   }
-  ArmTimer(context_.limits.idle_timeout);
+  BecomeIdle();
   // A pipelined request is parsed from the loop, as the caller may still be
   // using the exchange.
   if (!stream_.Input().empty()) {
--- a/lib/Http1/inbound_server.cc
+++ b/lib/Http1/inbound_server.cc
@@ -72,6 +72,13 @@
   loop_.Post([owned] {});
 }
 
+void InboundServer::SetLimits(Time now, const InboundLimits& limits) {
+  limits_ = limits;
+  for (const auto& [key, connection] : connections_) {
+    connection->ExtendIdleTime(now);
+  }
+}
+
 void InboundServer::CloseIdleConnections() {
   std::vector<InboundConnection*> idle;
   for (const auto& [key, connection] : connections_) {
--- a/unittests/Http1/inbound_connection_test.cc
+++ b/unittests/Http1/inbound_connection_test.cc
@@ -196,5 +196,14 @@
   EXPECT_FALSE(closed_);
 }
 
+TEST_F(InboundConnectionTest, IdleConnectionGetsALongerTimeoutOfTheSettings) {
+  limits_.idle_timeout = milliseconds(1500);
+  connection_->ExtendIdleTime(BootClock::now());
+  RunFor(milliseconds(1000));
+  EXPECT_FALSE(closed_);
+  RunFor(milliseconds(700));
+  EXPECT_TRUE(closed_);
+}
+
 }  // namespace
 }  // namespace corianderlink
--- /dev/null
+++ b/unittests/Http1/inbound_server_test.cc
@@ -0,0 +1,69 @@
+// Tests of InboundServer over TCP.
+#include "corianderlink/Http1/inbound_server.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+#include "Common/free_address.h"
+
+namespace corianderlink {
+namespace {
+
+int ConnectTo(const Address& address) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(address.port);
+  inet_pton(AF_INET, address.ip.c_str(), &to.sin_addr);
+  connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to));
+  return fd;
+}
+
+std::string ReadToEnd(int fd) {
+  std::string text;
+  char buffer[4096];
+  ssize_t n = 0;
+  while ((n = read(fd, buffer, sizeof(buffer))) > 0) {
+    text.append(buffer, static_cast<size_t>(n));
+  }
+  return text;
+}
+
+TEST(InboundServerTest, RejectionOfALargeBodyReachesAClientThatIsStillSending) {
+  EventLoop loop;
+  const Address address = FreeAddress();
+  InboundServer server(loop, 10, [](const auto&) {});
+  ASSERT_TRUE(server.Listen(address));
+  std::string response;
+  std::atomic<bool> ended{false};
+  std::thread client([&] {
+    const int fd = ConnectTo(address);
+    std::string text =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 90000000\r\n\r\n";
+    text += std::string(200000, 'x');
+    for (int i = 0; i < 5; ++i) {
+      send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+      text.assign(200000, 'x');
+      usleep(20000);
+    }
+    // The client reads only now.
+    response = ReadToEnd(fd);
+    close(fd);
+    ended = true;
+  });
+  const EventHandle stop = loop.Every(milliseconds(10), [&] {
+    if (ended) loop.Stop();
+  });
+  loop.Run();
+  client.join();
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 413 ")) << response;
+}
+
+}  // namespace
+}  // namespace corianderlink
