[Http] Stop a call's connection at its verdict

What callers saw: nothing; this makes a verdict independent of an order of callbacks.

Cause: HttpClient reports "not run" from the bytes the kernel has accepted, and frees the connection in a callback posted after that. Until then evhttp writes the request if it learns that the connection is established. libevent runs the posted callback before it polls again, so this was not seen to happen.

Change: the connection is stopped at once, and evhttp gets no more events of it. Disabling writes alone is not enough, as evhttp enables them once it is connected.

Evidence: HttpClientTest.RequestThatReachedItsUpstreamIsNeverCalledNotRun, the process standing still for 30 and 100 ms around a deadline of 10 ms: green before and after. Retries by evhttp itself stay off (CloseBeforeReadingMayHaveRunAndIsNotRetried).

--- a/lib/Http/http_client.cc
+++ b/lib/Http/http_client.cc
@@ -3,6 +3,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
@@ -176,6 +177,7 @@
   // evhttp does not allow a connection to be freed within its own callback.
   void FreeConnectionLater() {
     timer_.Reset();
+    StopConnection();
     loop_.Post([self = keep_alive_self_] {
       if (self->connection_ != nullptr) {
         evhttp_connection_free(self->connection_);
@@ -185,6 +187,15 @@
     });
   }
 
+  // Without callbacks, evhttp does not learn that the connection is established
+  // and writes no request to it.
+  void StopConnection() {
+    if (connection_ == nullptr) return;
+    bufferevent* stream = evhttp_connection_get_bufferevent(connection_);
+    bufferevent_setcb(stream, nullptr, nullptr, nullptr, nullptr);
+    bufferevent_disable(stream, EV_READ | EV_WRITE);
+  }
+
   EventLoop& loop_;
   HttpClient::DoneCallback done_;
   HttpClient::ChunkCallback on_chunk_;
--- a/unittests/Http/http_client_test.cc
+++ b/unittests/Http/http_client_test.cc
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <thread>
+
 #include "Common/raw_tcp_server.h"
 #include "Common/socket_inspection.h"
 #include "corianderlink/Http/dead_peer_detection.h"
@@ -31,8 +33,10 @@
   (void)n;
 }
 
-HttpResponse Post(const Address& address,
-                  Duration timeout = milliseconds(2000)) {
+/// If `standstill` is given, the process stands still for that long after the
+/// call was started, and the loop goes on for a while after its end.
+HttpResponse Post(const Address& address, Duration timeout = milliseconds(2000),
+                  Duration standstill = Duration::zero()) {
   EventLoop loop;
   HttpClient client(loop);
   HttpRequest request;
@@ -41,10 +45,12 @@
   request.body = "payload";
   request.timeout = timeout;
   HttpResponse result;
+  EventHandle stop;
   client.Start(request, [&](const HttpResponse& response) {
     result = response;
-    loop.Post([&loop] { loop.Post([&loop] { loop.Stop(); }); });
+    stop = loop.After(standstill, [&loop] { loop.Stop(); });
   });
+  std::this_thread::sleep_for(standstill);
   loop.Run();
   return result;
 }
@@ -117,6 +123,18 @@
             Verdict::kMayHaveRun);
 }
 
+TEST(HttpClientTest, RequestThatReachedItsUpstreamIsNeverCalledNotRun) {
+  // Below and above the delay from which a timer lets arrived events go first.
+  for (const Duration standstill : {milliseconds(30), milliseconds(100)}) {
+    std::atomic<int> received{0};
+    RawTcpServer peer([&](int fd) { received += ReadRequest(fd) ? 1 : 0; });
+    const HttpResponse response =
+        Post(peer.address, milliseconds(10), standstill);
+    const bool not_run = response.outcome.verdict == Verdict::kNotRun;
+    EXPECT_FALSE(not_run && received > 0);
+  }
+}
+
 TEST(HttpClientTest, CompleteResponseMeansRan) {
   RawTcpServer peer([](int fd) {
     ReadRequest(fd);
