[Serving] Do not count moves of a stream as failures

What callers saw: a model stream that had been moved or preempted seven times ended with 502 at the first failure of an engine, though other engines were free.

Cause: the limit of attempts counted every start, also those after a preemption, for a hold or from a prefill engine to a decode engine, which are no failures.

Change: only failed and refused attempts count.

Tests: an entry's node, scheduler and tasks with scripted engines and a platform in memory, on real sockets (entry_harness.h).

Evidence: ChatTaskTest.MovesOfAStreamDoNotCountAsFailures, nine moves and one failure: before "Which is: 502", "answer ended without its end mark", 10 starts; now 200, 11.

--- a/include/corianderlink/Serving/chat_task.h
+++ b/include/corianderlink/Serving/chat_task.h
@@ -139,6 +139,7 @@
   std::string final_event_;
   AttemptHistory history_;
   int attempts_ = 0;
+  int failures_ = 0;
   bool delivered_first_token_ = false;
   Time last_token_{};
   bool ended_ = false;
--- a/lib/Serving/chat_task.cc
+++ b/lib/Serving/chat_task.cc
@@ -12,9 +12,9 @@
 namespace corianderlink {
 namespace {
 
-// Maximum number of attempts of one request, including those that engines
-// rejected.
-constexpr int kMaxAttempts = 8;
+// Maximum number of failed attempts of one request, including those that
+// engines rejected.
+constexpr int kMaxFailures = 8;
 // Timeout for the first token, after which the engine counts as failed, as a
 // multiple of the idle timeout between tokens.
 constexpr int kFirstTokenIdleFactor = 6;
@@ -313,7 +313,7 @@
   // A rejected request costs the engine almost nothing, so retrying it does not
   // count against the retry budget.
   const bool in_budget = !engine_failed || scheduler_.retry_budget().TryRetry();
-  if (attempts_ < kMaxAttempts && in_budget) {
+  if (++failures_ < kMaxFailures && in_budget) {
     scheduler_.node().metrics().Add("retries_total");
     if (!engine_failed) query_.excluded.clear();
     idle_timer_ =
--- /dev/null
+++ b/unittests/Serving/chat_task_test.cc
@@ -0,0 +1,37 @@
+// Tests of model requests whose engines refuse, fall silent or fail.
+#include "corianderlink/Serving/chat_task.h"
+
+#include <gtest/gtest.h>
+
+#include "Serving/entry_harness.h"
+
+namespace corianderlink {
+namespace {
+
+constexpr seconds kLimit{8};
+
+TEST(ChatTaskTest, MovesOfAStreamDoNotCountAsFailures) {
+  EntryHarness entry;
+  int starts = 0;
+  const auto script = [&](const Node::Exchange& exchange, const Json& body) {
+    const uint64_t at = body.value("continue_at", uint64_t{0});
+    if (++starts > 10) return ScriptedEngine::Complete(*exchange, body);
+    ScriptedEngine::SendTokens(*exchange, at, at + 1);
+    if (starts == 10) exchange->EndStream();
+  };
+  entry.AddEngine(script);
+  entry.AddEngine(script);
+  ClientView view;
+  const auto task = entry.StartChat(view, 20);
+  for (uint64_t moved = 0; moved < 9; ++moved) {
+    ASSERT_TRUE(entry.RunUntil(
+        kLimit, [&] { return task->delivered_tokens() == moved + 1; }));
+    task->Preempt();
+  }
+  ASSERT_TRUE(entry.RunUntil(kLimit, [&] { return view.result.has_value(); }));
+  EXPECT_EQ(view.result->status, 200) << view.result->outcome.reason;
+  EXPECT_EQ(starts, 11);
+}
+
+}  // namespace
+}  // namespace corianderlink
