[Serving] Give no started stream up because it is refused

What callers saw: a stream that had begun ended with 502 in the middle, with time and engines left: when engines refused it for 0.4 s, as engines do that catch up after a standstill, or when more than 20 streams lost their engine at once.

Cause: a refusal by an engine counted as a failed attempt, eight of them 50 ms apart ended the request, and a request without retry budget ended at once. A move that began cannot be taken back, so a refusal by the next engine says nothing about the stream.

Ruled out: letting started streams pass the retry budget; while engines fail, that would add their whole load to the others.

Change: a started stream waits for engines and for the retry budget, at most 10 min without a token, and tries every 0.5 s after eight rejections. Requests that have not started are refused as before.

Evidence: ChatTaskTest.StartedStreamIsNotCutWhileEnginesRefuseIt (twelve 503): before "Which is: 502", text "0 1 " of "0 1 2 3 4 ", "engine refused with status 503"; StartedStreamIsNotCutForLackOfRetryBudget: before 502 after 14 ms. Both are whole now.

--- a/include/corianderlink/Serving/chat_task.h
+++ b/include/corianderlink/Serving/chat_task.h
@@ -118,6 +118,13 @@
   /// `engine_failed` is false if the engine rejected the request before
   /// starting it.
   void RetryOrFail(const Outcome& outcome, bool engine_failed);
+  /// Waits for the retry budget if the stream has started.
+  void RetryWithinBudget(const Outcome& outcome);
+  void RequeueLater();
+  /// True if a refusal is no reason to end the request: the client already has
+  /// a part of the response.
+  bool CanWait(Time now) const;
+  void Fail(const Outcome& outcome);
   void ReleaseEngine(bool failed);
   void CancelOnEngine(const Address& engine);
   void ArmIdleTimer();
@@ -140,8 +147,12 @@
   AttemptHistory history_;
   int attempts_ = 0;
   int failures_ = 0;
+  // Since the last token.
+  int rejections_ = 0;
   bool delivered_first_token_ = false;
+  // Last token or start of an attempt.
   Time last_token_{};
+  Time last_delivery_{};
   bool ended_ = false;
 };
 
--- a/lib/Serving/chat_task.cc
+++ b/lib/Serving/chat_task.cc
@@ -12,13 +12,18 @@
 namespace corianderlink {
 namespace {
 
-// Maximum number of failed attempts of one request, including those that
-// engines rejected.
+// Maximum number of failed attempts of one request, and of attempts that
+// engines rejected before it started.
 constexpr int kMaxFailures = 8;
+constexpr int kMaxRejections = 8;
 // Timeout for the first token, after which the engine counts as failed, as a
 // multiple of the idle timeout between tokens.
 constexpr int kFirstTokenIdleFactor = 6;
 constexpr milliseconds kRequeueDelay{50};
+// Delay of a started stream after kMaxRejections in a row.
+constexpr milliseconds kLongRequeueDelay{500};
+// Maximum time that a started stream waits without a token while it is refused.
+constexpr std::chrono::minutes kMaxRefusedTime{10};
 constexpr seconds kMaxAttemptDuration{3600};
 constexpr seconds kCancelTimeout{2};
 // Delivered events are buffered unparsed up to this size and then reduced to
@@ -250,6 +255,8 @@
   }
   query_.phase = RoutePhase::kContinue;
   last_token_ = now;
+  last_delivery_ = now;
+  rejections_ = 0;
   unparsed_events_ += data;
   unparsed_events_ += '\n';
   if (unparsed_events_.size() > kMaxUnparsedEventBytes) {
@@ -310,16 +317,39 @@
        {"offset", assembler_.next_offset()}});
   history_.Add(outcome.verdict);
   query_.excluded.insert(attempt_.choice.address);
+  if (engine_failed) {
+    if (++failures_ >= kMaxFailures) return Fail(outcome);
+    return RetryWithinBudget(outcome);
+  }
   // A rejected request costs the engine almost nothing, so retrying it does not
   // count against the retry budget.
-  const bool in_budget = !engine_failed || scheduler_.retry_budget().TryRetry();
-  if (++failures_ < kMaxFailures && in_budget) {
-    scheduler_.node().metrics().Add("retries_total");
-    if (!engine_failed) query_.excluded.clear();
-    idle_timer_ =
-        scheduler_.node().loop().After(kRequeueDelay, [this] { Requeue(); });
-    return;
+  ++rejections_;
+  if (rejections_ >= kMaxRejections && !CanWait(BootClock::now())) {
+    return Fail(outcome);
   }
+  query_.excluded.clear();
+  RequeueLater();
+}
+
+void ChatTask::RetryWithinBudget(const Outcome& outcome) {
+  if (scheduler_.retry_budget().TryRetry()) return RequeueLater();
+  if (!CanWait(BootClock::now())) return Fail(outcome);
+  idle_timer_ = scheduler_.node().loop().After(
+      kLongRequeueDelay, [this, outcome] { RetryWithinBudget(outcome); });
+}
+
+void ChatTask::RequeueLater() {
+  scheduler_.node().metrics().Add("retries_total");
+  const milliseconds delay =
+      rejections_ < kMaxRejections ? kRequeueDelay : kLongRequeueDelay;
+  idle_timer_ = scheduler_.node().loop().After(delay, [this] { Requeue(); });
+}
+
+bool ChatTask::CanWait(Time now) const {
+  return delivered_first_token_ && now - last_delivery_ < kMaxRefusedTime;
+}
+
+void ChatTask::Fail(const Outcome& outcome) {
   ChatResult result;
   result.outcome = history_.CombinedOutcome(outcome);
   result.status = 502;
--- a/unittests/Serving/chat_task_test.cc
+++ b/unittests/Serving/chat_task_test.cc
@@ -10,6 +10,48 @@
 
 constexpr seconds kLimit{8};
 
+TEST(ChatTaskTest, StartedStreamIsNotCutWhileEnginesRefuseIt) {
+  EntryHarness entry;
+  int refusals = 0;
+  const auto script = [&](const Node::Exchange& exchange, const Json& body) {
+    if (!body.contains("continue_at")) {
+      ScriptedEngine::SendTokens(*exchange, 0, 2);
+      return exchange->EndStream();
+    }
+    if (++refusals <= 12) return ScriptedEngine::Refuse(*exchange);
+    ScriptedEngine::Complete(*exchange, body);
+  };
+  entry.AddEngine(script);
+  entry.AddEngine(script);
+  ClientView view;
+  entry.StartChat(view, 5);
+  ASSERT_TRUE(entry.RunUntil(kLimit, [&] { return view.result.has_value(); }));
+  EXPECT_EQ(view.result->status, 200) << view.result->outcome.reason;
+  EXPECT_EQ(view.text, ScriptedEngine::Text(5));
+}
+
+TEST(ChatTaskTest, StartedStreamIsNotCutForLackOfRetryBudget) {
+  EntryHarness entry;
+  while (entry.scheduler.retry_budget().TryRetry()) {
+  }
+  const auto script = [&](const Node::Exchange& exchange, const Json& body) {
+    if (body.contains("continue_at")) {
+      return ScriptedEngine::Complete(*exchange, body);
+    }
+    ScriptedEngine::SendTokens(*exchange, 0, 2);
+    exchange->EndStream();
+  };
+  entry.AddEngine(script);
+  entry.AddEngine(script);
+  ClientView view;
+  entry.StartChat(view, 5);
+  EXPECT_FALSE(entry.RunUntil(milliseconds(300),
+                              [&] { return view.result.has_value(); }));
+  for (int i = 0; i < 20; ++i) entry.scheduler.retry_budget().OnSuccess();
+  ASSERT_TRUE(entry.RunUntil(kLimit, [&] { return view.result.has_value(); }));
+  EXPECT_EQ(view.result->status, 200) << view.result->outcome.reason;
+}
+
 TEST(ChatTaskTest, MovesOfAStreamDoNotCountAsFailures) {
   EntryHarness entry;
   int starts = 0;
