[Serving] Let a stream go on at an engine that stood still

What callers saw: a stream whose only engine stood still beyond the idle timeout hung, for up to an hour, though the engine worked again; the same with several engines that all stood still, as each of them was tried once.

Cause: silence was taken for the end of an engine. An engine that fell silent under a request, or failed it, was excluded for the rest of that request, and a request without an engine waits in the queue for an hour.

Change: a request waits 1 s for another engine, then those that failed it count again. The limit of failures and the ejection of failing engines bound the repeats.

--- a/lib/Serving/chat_task.cc
+++ b/lib/Serving/chat_task.cc
@@ -20,6 +20,8 @@
 // multiple of the idle timeout between tokens.
 constexpr int kFirstTokenIdleFactor = 6;
 constexpr milliseconds kRequeueDelay{50};
+// Time for which a request waits for another engine than those that failed it.
+constexpr seconds kExclusionTime{1};
 // Delay of a started stream after kMaxRejections in a row.
 constexpr milliseconds kLongRequeueDelay{500};
 // Maximum time that a started stream waits without a token while it is refused.
@@ -79,8 +81,16 @@
 void ChatTask::Requeue() {
   const bool first_time = attempts_ == 0;
   const auto refusal = scheduler_.Enqueue(shared_from_this(), first_time);
-  if (!refusal) return;
-  Refuse(429, "Too many requests", refusal->reason, refusal->retry_after);
+  if (refusal) {
+    return Refuse(429, "Too many requests", refusal->reason,
+                  refusal->retry_after);
+  }
+  if (query_.excluded.empty()) return;
+  // An engine that was silent or failed may work again, and be the only one.
+  idle_timer_ = scheduler_.node().loop().After(kExclusionTime, [this] {
+    query_.excluded.clear();
+    scheduler_.ScheduleDispatch();
+  });
 }
 
 void ChatTask::Resume(const ResumeMarker& marker) {
--- a/unittests/Serving/chat_task_test.cc
+++ b/unittests/Serving/chat_task_test.cc
@@ -10,6 +10,12 @@
 
 constexpr seconds kLimit{8};
 
+RequestSettings ShortIdle() {
+  RequestSettings requests;
+  requests.stream_idle = milliseconds(100);
+  return requests;
+}
+
 TEST(ChatTaskTest, StartedStreamIsNotCutWhileEnginesRefuseIt) {
   EntryHarness entry;
   int refusals = 0;
@@ -30,6 +36,21 @@
   EXPECT_EQ(view.text, ScriptedEngine::Text(5));
 }
 
+TEST(ChatTaskTest, StreamGoesOnAtItsOnlyEngineAfterAStandstill) {
+  EntryHarness entry(ShortIdle());
+  entry.AddEngine([&](const Node::Exchange& exchange, const Json& body) {
+    if (body.contains("continue_at")) {
+      return ScriptedEngine::Complete(*exchange, body);
+    }
+    ScriptedEngine::SendTokens(*exchange, 0, 2);
+  });
+  ClientView view;
+  entry.StartChat(view, 5);
+  ASSERT_TRUE(entry.RunUntil(kLimit, [&] { return view.result.has_value(); }));
+  EXPECT_EQ(view.result->status, 200) << view.result->outcome.reason;
+  EXPECT_EQ(view.text, ScriptedEngine::Text(5));
+}
+
 TEST(ChatTaskTest, StartedStreamIsNotCutForLackOfRetryBudget) {
   EntryHarness entry;
   while (entry.scheduler.retry_budget().TryRetry()) {
