[Serving] Give no started stream up because the queue is full

What callers saw: a stream that had begun ended with 429 when its engine failed, or when it was preempted, while the entry's queue was full.

Cause: a request that goes on elsewhere is offered to the admission queue again, which exempts it from the deadline but not from the limits of length.

Change: a started stream offers itself again until there is room.

Evidence: ChatTaskTest.StartedStreamIsNotCutByAFullQueue: before "Which is: 429", "queue of this model is full"; now the stream is whole.

--- a/lib/Serving/chat_task.cc
+++ b/lib/Serving/chat_task.cc
@@ -81,6 +81,7 @@
 void ChatTask::Requeue() {
   const bool first_time = attempts_ == 0;
   const auto refusal = scheduler_.Enqueue(shared_from_this(), first_time);
+  if (refusal && CanWait(BootClock::now())) return RequeueLater();
   if (refusal) {
     return Refuse(429, "Too many requests", refusal->reason,
                   refusal->retry_after);
--- a/unittests/Serving/chat_task_test.cc
+++ b/unittests/Serving/chat_task_test.cc
@@ -51,6 +51,38 @@
   EXPECT_EQ(view.text, ScriptedEngine::Text(5));
 }
 
+TEST(ChatTaskTest, StartedStreamIsNotCutByAFullQueue) {
+  LimitSettings limits;
+  limits.max_queued_requests = 2;
+  EntryHarness entry({}, limits);
+  std::vector<Node::Exchange> held;
+  const auto script = [&](const Node::Exchange& exchange, const Json& body) {
+    if (body.contains("continue_at")) {
+      return ScriptedEngine::Complete(*exchange, body);
+    }
+    ScriptedEngine::SendTokens(*exchange, 0, 2);
+    held.push_back(exchange);
+  };
+  // An engine takes two requests beyond a full batch.
+  entry.AddEngine(script, /*max_batch=*/1);
+  ClientView started;
+  ClientView others[3];
+  entry.StartChat(started, 5);
+  for (size_t i = 0; i < 3; ++i) {
+    ASSERT_TRUE(entry.RunUntil(kLimit, [&] { return held.size() == i + 1; }));
+    entry.StartChat(others[i], 5);
+  }
+  held[0]->EndStream();
+  ASSERT_TRUE(entry.RunUntil(kLimit, [&] { return held.size() == 4; }));
+  ClientView last;
+  entry.StartChat(last, 5);
+  entry.RunUntil(milliseconds(200), [] { return false; });
+  for (size_t i = 1; i < held.size(); ++i) held[i]->EndStream();
+  ASSERT_TRUE(
+      entry.RunUntil(kLimit, [&] { return started.result.has_value(); }));
+  EXPECT_EQ(started.result->status, 200) << started.result->outcome.reason;
+}
+
 TEST(ChatTaskTest, StartedStreamIsNotCutForLackOfRetryBudget) {
   EntryHarness entry;
   while (entry.scheduler.retry_budget().TryRetry()) {
