[Serving] Call no model request "not run" that reached an engine

What callers saw: "not run" ("it certainly had no effect") for requests that an engine had taken: preempted before their first token and then refused; silent at an engine and then without another one in time; answered by an engine with 500.

Cause: the verdict of a refusal depended on whether a token had been delivered, not on what earlier attempts may have done. A preempted or moved attempt left no trace. Every status of an engine counted as a refusal, though the engine API names those that are.

--- a/lib/Serving/chat_task.cc
+++ b/lib/Serving/chat_task.cc
@@ -301,9 +301,11 @@
   }
   if (response.outcome.ran() && response.status >= 400) {
     ReleaseEngine(/*failed=*/false);
+    const std::string reason = "engine answered: " + response.body;
     ChatResult result;
     result.outcome = history_.CombinedOutcome(
-        Outcome::NotRun("engine answered: " + response.body));
+        response.status < 500 ? Outcome::NotRun(reason)
+                              : Outcome::MayHaveRun(reason));
     result.status = response.status < 500 ? response.status : 502;
     result.title = "Engine refused the request";
     return Finish(result);
@@ -392,10 +394,8 @@
 void ChatTask::Refuse(int status, const std::string& title,
                       const std::string& reason,
                       std::optional<Duration> retry_after) {
-  // A stream that delivered tokens has run in part.
-  const Outcome outcome = delivered_first_token_ ? Outcome::MayHaveRun(reason)
-                                                 : Outcome::NotRun(reason);
-  Finish({outcome, status, title, retry_after});
+  Finish({history_.CombinedOutcome(Outcome::NotRun(reason)), status, title,
+          retry_after});
 }
 
 void ChatTask::Cancel() {
@@ -412,6 +412,7 @@
 void ChatTask::Preempt() {
   assert(running());
   scheduler_.node().metrics().Add("parked_total");
+  if (attempt_.call->bytes_sent()) history_.Add(Verdict::kMayHaveRun);
   CancelOnEngine(attempt_.choice.address);
   ReleaseEngine(/*failed=*/false);
   Requeue();
@@ -434,6 +435,7 @@
        {"to", choice->engine.value()},
        {"offset", assembler_.next_offset()}});
   const Address source = attempt_.choice.address;
+  if (attempt_.call->bytes_sent()) history_.Add(Verdict::kMayHaveRun);
   ReleaseEngine(/*failed=*/false);
   attempt_.kv_source = source;
   Dispatch(*choice);
--- a/unittests/Serving/chat_task_test.cc
+++ b/unittests/Serving/chat_task_test.cc
@@ -128,5 +128,29 @@
   EXPECT_EQ(starts, 11);
 }
 
+TEST(ChatTaskTest, RequestThatReachedAnEngineIsNeverCalledNotRun) {
+  EntryHarness entry;
+  ScriptedEngine& engine =
+      entry.AddEngine([](const Node::Exchange&, const Json&) {});
+  ClientView view;
+  const auto task = entry.StartChat(view, 5);
+  ASSERT_TRUE(entry.RunUntil(kLimit, [&] { return engine.requests == 1; }));
+  task->Preempt();
+  task->Refuse(503, "No engine in time", "", std::nullopt);
+  ASSERT_TRUE(view.result.has_value());
+  EXPECT_EQ(view.result->outcome.verdict, Verdict::kMayHaveRun);
+}
+
+TEST(ChatTaskTest, ErrorOfAnEngineIsNeverCalledNotRun) {
+  EntryHarness entry;
+  entry.AddEngine([](const Node::Exchange& exchange, const Json&) {
+    exchange->Reply(500, "application/json", "{}");
+  });
+  ClientView view;
+  entry.StartChat(view, 5);
+  ASSERT_TRUE(entry.RunUntil(kLimit, [&] { return view.result.has_value(); }));
+  EXPECT_EQ(view.result->outcome.verdict, Verdict::kMayHaveRun);
+}
+
 }  // namespace
 }  // namespace corianderlink
