[Serving] Fail no accepted job because it is refused

What callers saw: a durable job that had been accepted (202) was stored as failed after some 20 s in which engines or the entry's own queue refused it. The page for callers promises that it runs until its result is stored.

Cause: every start of a job counted towards the limit of 20, which is there for jobs that end their engines; starts after a refusal and after a change of the owner, too.

Change: only attempts in which an engine failed count, and only such a one can be the last.

Evidence: JobRunnerTest.AcceptedJobIsNotFailedByRefusals, a job at its 19th start that is refused ten times: before "failed", "engine refused with status 503"; now "done".

--- a/lib/Serving/job_runner.cc
+++ b/lib/Serving/job_runner.cc
@@ -18,6 +18,7 @@
 // A job is taken over once its owner has not been live for this long.
 constexpr seconds kOrphanTimeout{3};
 constexpr seconds kRetryDelay{1};
+// Attempts in which engines failed, after which the job counts as their cause.
 constexpr uint32_t kMaxAttempts = 20;
 constexpr std::chrono::hours kJobDeadline{24};
 
@@ -323,10 +324,15 @@
   }
   const bool bad_request =
       result.status >= 400 && result.status < 500 && result.status != 429;
-  if (bad_request || it->second.attempts >= kMaxAttempts) {
+  // A refusal, by engines or by this entry, is not the job's fault.
+  const bool engine_failed =
+      result.status == 502 && result.outcome.verdict != Verdict::kNotRun;
+  const bool given_up = engine_failed && it->second.attempts >= kMaxAttempts;
+  if (bad_request || given_up) {
     return StoreFinalState(id, JobState::kFailed, result.outcome.reason);
   }
   // Generation is idempotent, so the job is retried until it is done.
+  if (engine_failed) ++it->second.attempts;
   RetryLater(id);
 }
 
@@ -334,7 +340,6 @@
   const auto it = running_.find(id);
   if (it == running_.end()) return;
   if (draining_) return Release(id);
-  ++it->second.attempts;
   it->second.timer =
       node_.loop().After(kRetryDelay, [this, id] { RunJob(id); });
 }
