[Serving] Stop running a job that another process has taken over

What callers saw: nothing wrong in the result, which is stored once; a job's work was done twice at the same time.

Cause: an owner that is silent for 3 s counts as gone, and another process takes its job over. If it only stood still, it went on running the job to the end, as its poll of the open rows skipped the jobs it ran without looking at their owner.

Change: a job whose open row was written by another process since is dropped, unless its result is being stored, which is bound to the rows' versions.

Evidence: JobRunnerTest.JobThatAnotherProcessTookOverIsNotRunOn: before, the engine's request was not cancelled within 2 s and one job was running; now it is, at the next poll.

--- a/include/corianderlink/Serving/job_runner.h
+++ b/include/corianderlink/Serving/job_runner.h
@@ -75,6 +75,11 @@
   void PollOpenJobs();
   void OnOpenJobRows(Time now, const std::vector<TableRow>& rows);
   bool CanAcquire(Time now, const TableRow& row) const;
+  /// True if another process became the owner, as this one was silent.
+  static bool IsTakenOver(const RunningJob& running, const TableRow& row);
+  /// Stops a job that this process need not run any more, unless its result is
+  /// being stored.
+  void Abandon(const JobId& id);
   void Acquire(const JobId& id, const TableRow& row);
   void LoadJob(const JobId& id, RowVersion open_version, uint32_t attempts);
   void LoadRequest(const JobId& id);
--- a/lib/Serving/job_runner.cc
+++ b/lib/Serving/job_runner.cc
@@ -189,7 +189,10 @@
     const JobId id(row.key.substr(std::string(kOpenJobsPrefix).size()));
     open.insert(id);
     const auto running = running_.find(id);
-    if (running != running_.end()) continue;
+    if (running != running_.end()) {
+      if (IsTakenOver(running->second, row)) Abandon(id);
+      continue;
+    }
     const auto record = DecodeOpenJobRecord(row.value);
     // A row that names this process but is not running here was left by a
     // commit whose response was lost.
@@ -205,15 +208,22 @@
   // Stops running jobs that were cancelled or finished by another process.
   std::vector<JobId> gone;
   for (const auto& [id, running] : running_) {
-    if (open.count(id) == 0 && running.task && !running.finishing) {
-      gone.push_back(id);
-    }
-  }
-  for (const JobId& id : gone) {
-    const auto task = running_[id].task;
-    running_.erase(id);
-    if (!task->ended()) task->Cancel();
+    if (open.count(id) == 0 && running.task) gone.push_back(id);
   }
+  for (const JobId& id : gone) Abandon(id);
+}
+
+bool JobRunner::IsTakenOver(const RunningJob& running, const TableRow& row) {
+  // The row may have been read before this process wrote it.
+  return running.open_version != 0 && row.version > running.open_version;
+}
+
+void JobRunner::Abandon(const JobId& id) {
+  const auto it = running_.find(id);
+  if (it->second.finishing) return;
+  const auto task = it->second.task;
+  running_.erase(it);
+  if (task && !task->ended()) task->Cancel();
 }
 
 bool JobRunner::CanAcquire(Time now, const TableRow& row) const {
--- a/unittests/Serving/job_runner_test.cc
+++ b/unittests/Serving/job_runner_test.cc
@@ -57,5 +57,17 @@
   EXPECT_EQ(Stored()->result, ScriptedEngine::Text(3));
 }
 
+TEST_F(JobRunnerTest, JobThatAnotherProcessTookOverIsNotRunOn) {
+  const ScriptedEngine& engine =
+      entry_.AddEngine([](const Node::Exchange& exchange, const Json&) {
+        ScriptedEngine::SendTokens(*exchange, 0, 1);
+      });
+  entry_.platform.table.Apply(InsertJob(MakeJob(EntryHarness::Body(3))));
+  ASSERT_TRUE(entry_.RunUntil(kLimit, [&] { return engine.requests == 1; }));
+  WriteOpenRow("entry-other", 2);
+  EXPECT_TRUE(entry_.RunUntil(seconds(2), [&] { return engine.cut == 1; }));
+  EXPECT_EQ(jobs_.running(), 0U);
+}
+
 }  // namespace
 }  // namespace corianderlink
