[Serving] Do not run a job again that was cancelled between two attempts

What callers saw: a cancelled job was sent to engines again for up to half a second.

Cause: the poll that stops finished and cancelled jobs looked only at those with an attempt in progress; one that waited for its next attempt began it first.

Change: every job whose open row is gone is dropped.

--- a/lib/Serving/job_runner.cc
+++ b/lib/Serving/job_runner.cc
@@ -208,7 +208,7 @@
   // Stops running jobs that were cancelled or finished by another process.
   std::vector<JobId> gone;
   for (const auto& [id, running] : running_) {
-    if (open.count(id) == 0 && running.task) gone.push_back(id);
+    if (open.count(id) == 0 && running.open_version != 0) gone.push_back(id);
   }
   for (const JobId& id : gone) Abandon(id);
 }
--- a/unittests/Serving/job_runner_test.cc
+++ b/unittests/Serving/job_runner_test.cc
@@ -69,5 +69,24 @@
   EXPECT_EQ(jobs_.running(), 0U);
 }
 
+TEST_F(JobRunnerTest, JobCancelledBetweenTwoAttemptsIsNotRunAgain) {
+  const ScriptedEngine& engine =
+      entry_.AddEngine([](const Node::Exchange& exchange, const Json&) {
+        ScriptedEngine::Refuse(*exchange);
+      });
+  entry_.platform.table.Apply(InsertJob(MakeJob(EntryHarness::Body(3))));
+  constexpr int kRefusalsPerAttempt = 8;
+  ASSERT_TRUE(entry_.RunUntil(
+      kLimit, [&] { return engine.requests == kRefusalsPerAttempt; }));
+  std::optional<JobLookup> cancelled;
+  jobs_.Cancel(JobId("j"), AccountId(kAccount),
+               [&](const JobLookup& lookup) { cancelled = lookup; });
+  ASSERT_TRUE(entry_.RunUntil(kLimit, [&] { return cancelled.has_value(); }));
+  EXPECT_STREQ(ToString(cancelled->job.state), "cancelled");
+  entry_.RunUntil(seconds(2), [] { return false; });
+  EXPECT_EQ(engine.requests, kRefusalsPerAttempt);
+  EXPECT_EQ(jobs_.running(), 0U);
+}
+
 }  // namespace
 }  // namespace corianderlink
