[Serving] Let no late write replace the text of a job

What callers saw: a durable job with a long text (over 64 KiB) ran another text than the one that was accepted under its key.

Cause: long texts are put into the object store before the job's row is written, under the id that is derived from the client's key. An unanswered write was taken for one that will not happen: a first submission that was refused, as the store did not answer, could be written after a second one with the same key had been accepted. The same happened without any fault to a second, refused (422) submission with another text.

Ruled out: reading the row first; the late write comes after that.

Change: the key names the digest of the text, and a text is run only if it has the digest in the job's row. Texts at the old key are still read; entries of earlier versions leave jobs with a long text to those that know the new key.

Evidence: JobRunnerTest.TextThatIsWrittenLateDoesNotReplaceThatOfTheJob: before the text "x" of the refused submission ran, now "y". JobOfAnEarlierVersionIsRun.

--- a/include/corianderlink/Serving/job_record.h
+++ b/include/corianderlink/Serving/job_record.h
@@ -48,8 +48,15 @@
 std::string OpenJobRowKey(const JobId& id);
 /// Key prefix of the rows of all open jobs.
 extern const char kOpenJobsPrefix[];
-/// Object-store keys of a job's request and result.
-std::string JobRequestObjectKey(const JobId& id);
+/// Digest of a request, see JobRecord.
+std::string JobRequestDigest(const AccountId& account,
+                             const std::string& request);
+/// Object-store key of a job's request.  It names the digest, so that a request
+/// that is written late replaces no other one.
+std::string JobRequestObjectKey(const JobRecord& job);
+/// Key at which earlier versions stored a job's request.
+std::string OldJobRequestObjectKey(const JobId& id);
+/// Object-store key of a job's result.
 std::string JobResultObjectKey(const JobId& id);
 
 /// Rows are encoded as JSON; decoding a malformed row returns nothing.
--- a/include/corianderlink/Serving/job_runner.h
+++ b/include/corianderlink/Serving/job_runner.h
@@ -83,6 +83,8 @@
   void Acquire(const JobId& id, const TableRow& row);
   void LoadJob(const JobId& id, RowVersion open_version, uint32_t attempts);
   void LoadRequest(const JobId& id);
+  /// Releases the job if `text` is not its request.
+  void OnRequestText(const JobId& id, const std::string& text);
   void RunJob(const JobId& id);
   void OnChatFinished(const JobId& id, const ChatResult& result);
   void StoreFinalState(const JobId& id, JobState state,
--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -366,7 +366,7 @@
   JobRecord job;
   job.account = account.id;
   job.request = exchange->body();
-  job.request_digest = Sha256Hex(account.id.value() + "\n" + exchange->body());
+  job.request_digest = JobRequestDigest(account.id, exchange->body());
   job.id = JobId(key.empty() ? node_.random().HexId()
                              : Sha256Hex(account.id.value() + "\njob\n" + key)
                                    .substr(0, kJobIdChars));
--- a/lib/Serving/job_record.cc
+++ b/lib/Serving/job_record.cc
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "corianderlink/Support/hash.h"
+
 namespace corianderlink {
 namespace {
 
@@ -27,7 +29,14 @@
 std::string OpenJobRowKey(const JobId& id) {
   return kOpenJobsPrefix + id.value();
 }
-std::string JobRequestObjectKey(const JobId& id) {
+std::string JobRequestDigest(const AccountId& account,
+                             const std::string& request) {
+  return Sha256Hex(account.value() + "\n" + request);
+}
+std::string JobRequestObjectKey(const JobRecord& job) {
+  return "jobs/" + job.id.value() + "/request-" + job.request_digest;
+}
+std::string OldJobRequestObjectKey(const JobId& id) {
   return "jobs/" + id.value() + "/request";
 }
 std::string JobResultObjectKey(const JobId& id) {
--- a/lib/Serving/job_runner.cc
+++ b/lib/Serving/job_runner.cc
@@ -46,7 +46,7 @@
   }
   const std::string text = std::exchange(job.request, "");
   job.request_in_object = true;
-  objects_.Put(JobRequestObjectKey(job.id), text,
+  objects_.Put(JobRequestObjectKey(job), text,
                [this, job, done = std::move(done)](bool stored) {
                  if (stored) return Commit(job, /*retried=*/false, done);
                  done({JobSubmitResult::Kind::kNotRun, job,
@@ -273,16 +273,29 @@
 }
 
 void JobRunner::LoadRequest(const JobId& id) {
-  RunningJob& running = running_[id];
-  if (!running.job.request_in_object) return RunJob(id);
-  objects_.Get(JobRequestObjectKey(id),
-               [this, id](std::optional<std::string> text, const std::string&) {
-                 const auto it = running_.find(id);
-                 if (it == running_.end()) return;
-                 if (!text) return Release(id);
-                 it->second.job.request = *text;
-                 RunJob(id);
-               });
+  const JobRecord& job = running_[id].job;
+  if (!job.request_in_object) return RunJob(id);
+  const std::string old_key = OldJobRequestObjectKey(id);
+  objects_.Get(
+      JobRequestObjectKey(job),
+      [this, id, old_key](std::optional<std::string> text, const std::string&) {
+        if (text) return OnRequestText(id, *text);
+        objects_.Get(old_key, [this, id](std::optional<std::string> old,
+                                         const std::string&) {
+          OnRequestText(id, old.value_or(""));
+        });
+      });
+}
+
+void JobRunner::OnRequestText(const JobId& id, const std::string& text) {
+  const auto it = running_.find(id);
+  if (it == running_.end()) return;
+  JobRecord& job = it->second.job;
+  if (JobRequestDigest(job.account, text) != job.request_digest) {
+    return Release(id);
+  }
+  job.request = text;
+  RunJob(id);
 }
 
 void JobRunner::RunJob(const JobId& id) {
--- a/unittests/Serving/job_runner_test.cc
+++ b/unittests/Serving/job_runner_test.cc
@@ -88,5 +88,46 @@
   EXPECT_EQ(jobs_.running(), 0U);
 }
 
+TEST_F(JobRunnerTest, TextThatIsWrittenLateDoesNotReplaceThatOfTheJob) {
+  std::string ran;
+  entry_.AddEngine([&](const Node::Exchange& exchange, const Json& body) {
+    ran = body["messages"][0]["content"].get<std::string>();
+    ScriptedEngine::Complete(*exchange, body);
+  });
+  const auto body = [](char letter) {
+    Json json = Json::parse(EntryHarness::Body(3));
+    json["messages"][0]["content"] = std::string(100000, letter);
+    return json.dump();
+  };
+  std::optional<JobSubmitResult> first;
+  entry_.platform.hold_puts = true;
+  jobs_.Submit(MakeJob(body('x')),
+               [&](const JobSubmitResult& result) { first = result; });
+  ASSERT_TRUE(entry_.RunUntil(kLimit, [&] { return first.has_value(); }));
+  EXPECT_EQ(first->kind, JobSubmitResult::Kind::kNotRun);
+  entry_.platform.hold_puts = false;
+  std::optional<JobSubmitResult> second;
+  jobs_.Submit(MakeJob(body('y')), [&](const JobSubmitResult& result) {
+    second = result;
+    entry_.platform.ReleaseHeldPuts();
+  });
+  ASSERT_TRUE(
+      entry_.RunUntil(kLimit, [this] { return Stored() && IsClosed(); }));
+  EXPECT_EQ(second->kind, JobSubmitResult::Kind::kAccepted);
+  EXPECT_EQ(ran.substr(0, 1), "y");
+}
+
+TEST_F(JobRunnerTest, JobOfAnEarlierVersionIsRun) {
+  entry_.AddEngine([](const Node::Exchange& exchange, const Json& body) {
+    ScriptedEngine::Complete(*exchange, body);
+  });
+  JobRecord job = MakeJob(EntryHarness::Body(3));
+  entry_.platform.objects["jobs/j/request"] = std::exchange(job.request, "");
+  job.request_in_object = true;
+  entry_.platform.table.Apply(InsertJob(job));
+  ASSERT_TRUE(entry_.RunUntil(kLimit, [this] { return IsClosed(); }));
+  EXPECT_EQ(Stored()->result, ScriptedEngine::Text(3));
+}
+
 }  // namespace
 }  // namespace corianderlink
