[Serving] Let no planned stop cut answers that clients have yet to read

What callers saw: an answer ended in the middle when its entry stopped as planned, if the client read slowly or stood still.

Cause: the stop waited for tasks, which end when their answer is handed to evhttp. What the kernel had not taken by then was lost with the process: a write that is not finished was taken for one that is.

Change: HttpServer counts answers until the kernel has taken them or the client has left; a stop waits for them, at most 30 s.

Evidence: EntryServerTest.AnswerThatAClientHasYetToReadSurvivesAPlannedStop, 16 MiB to a client that reads nothing for 2 s: before 1,998,848 of 16,777,216 bytes, now all. ClientThatLeftDelaysNoPlannedStop: green before and after.

--- a/include/corianderlink/Http/http_exchange.h
+++ b/include/corianderlink/Http/http_exchange.h
@@ -22,8 +22,9 @@
 /// or as a stream.  Responding after the client disconnected has no effect.
 class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
  public:
-  /// Wraps `request`, which stays owned by evhttp.
-  explicit HttpExchange(evhttp_request* request);
+  /// Wraps `request`, which stays owned by evhttp.  `unsent_answers` counts
+  /// complete answers until the kernel has taken them or the client has left.
+  HttpExchange(evhttp_request* request, std::shared_ptr<size_t> unsent_answers);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
@@ -73,8 +74,10 @@
  private:
   void OnClientDisconnected();
   void DetachFromConnection();
+  void CountUntilSent(evhttp_request* request) const;
 
   evhttp_request* request_;
+  const std::shared_ptr<size_t> unsent_answers_;
   std::string method_;
   std::string path_;
   std::string query_;
--- a/include/corianderlink/Http/http_server.h
+++ b/include/corianderlink/Http/http_server.h
@@ -39,8 +39,12 @@
   /// Binds the address.  Returns false if it cannot be bound.
   bool Listen(const Address& address);
 
+  /// Complete answers of which the kernel has not yet taken every byte.
+  size_t unsent_answers() const { return *unsent_answers_; }
+
  private:
   const Handler handler_;
+  const std::shared_ptr<size_t> unsent_answers_ = std::make_shared<size_t>(0);
   evhttp* http_;
 };
 
--- a/include/corianderlink/Serving/entry_server.h
+++ b/include/corianderlink/Serving/entry_server.h
@@ -73,6 +73,8 @@
   HttpServer server_;
   std::map<Address, EngineId> engine_by_address_;
   Time stop_began_{};
+  // When no request was in progress any more.
+  Time drained_{};
   EventHandle stop_timer_;
 };
 
--- a/lib/Http/http_exchange.cc
+++ b/lib/Http/http_exchange.cc
@@ -37,6 +37,29 @@
   }
 }
 
+/// Counts one answer during its lifetime.
+class UnsentAnswer {
+ public:
+  explicit UnsentAnswer(std::shared_ptr<size_t> count)
+      : count_(std::move(count)) {
+    ++*count_;
+  }
+  ~UnsentAnswer() { --*count_; }
+  UnsentAnswer(const UnsentAnswer&) = delete;
+  UnsentAnswer& operator=(const UnsentAnswer&) = delete;
+
+  /// Called once, as the answer was sent or its connection is closed.
+  static void End(evhttp_connection* connection, void* answer) {
+    if (connection != nullptr) {
+      evhttp_connection_set_closecb(connection, nullptr, nullptr);
+    }
+    delete static_cast<UnsentAnswer*>(answer);
+  }
+
+ private:
+  const std::shared_ptr<size_t> count_;
+};
+
 const char* ReasonPhrase(int status) { return status < 400 ? "OK" : "Error"; }
 
 void AddHeaders(evhttp_request* request, const std::string& content_type,
@@ -53,7 +76,9 @@
 
 }  // namespace
 
-HttpExchange::HttpExchange(evhttp_request* request) : request_(request) {
+HttpExchange::HttpExchange(evhttp_request* request,
+                           std::shared_ptr<size_t> unsent_answers)
+    : request_(request), unsent_answers_(std::move(unsent_answers)) {
   method_ = MethodName(evhttp_request_get_command(request));
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
   if (uri != nullptr) {
@@ -145,6 +170,19 @@
   keep_alive_self_.reset();
 }
 
+void HttpExchange::CountUntilSent(evhttp_request* request) const {
+  evhttp_connection* connection = evhttp_request_get_connection(request);
+  if (connection == nullptr) return;
+  auto* answer = new UnsentAnswer(unsent_answers_);
+  evhttp_connection_set_closecb(connection, &UnsentAnswer::End, answer);
+  evhttp_request_set_on_complete_cb(
+      request,
+      [](evhttp_request* sent, void* arg) {
+        UnsentAnswer::End(evhttp_request_get_connection(sent), arg);
+      },
+      answer);
+}
+
 void HttpExchange::CloseAfterReply() {
   if (request_ == nullptr) return;
   evhttp_add_header(evhttp_request_get_output_headers(request_), "Connection",
@@ -160,6 +198,7 @@
   evbuffer_add(out, body.data(), body.size());
   evhttp_request* request = request_;
   DetachFromConnection();
+  CountUntilSent(request);
   evhttp_send_reply(request, status, ReasonPhrase(status), out);
   evbuffer_free(out);
 }
@@ -191,6 +230,7 @@
   const std::shared_ptr<HttpExchange> self = keep_alive_self_;
   evhttp_request* request = request_;
   DetachFromConnection();
+  CountUntilSent(request);
   evhttp_send_reply_end(request);
 }
 
--- a/lib/Http/http_server.cc
+++ b/lib/Http/http_server.cc
@@ -22,9 +22,11 @@
   evhttp_set_gencb(
       http_,
       [](evhttp_request* request, void* arg) {
-        auto exchange = std::make_shared<HttpExchange>(request);
+        auto* server = static_cast<HttpServer*>(arg);
+        auto exchange =
+            std::make_shared<HttpExchange>(request, server->unsent_answers_);
         exchange->WatchForDisconnect();
-        static_cast<HttpServer*>(arg)->handler_(exchange);
+        server->handler_(exchange);
       },
       this);
 }
--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -16,6 +16,8 @@
 // Added to the time for which clients may cache a directory response.
 constexpr seconds kDirectoryCacheMargin{1};
 constexpr milliseconds kStopPollInterval{100};
+// Maximum time for which a stop waits for clients to read their answers.
+constexpr seconds kMaxUnsentTime{30};
 constexpr milliseconds kCacheEventPollInterval{500};
 constexpr size_t kMaxIdempotencyKeyBytes = 256;
 constexpr size_t kJobIdChars = 32;
@@ -490,7 +492,10 @@
   if (BootClock::now() - stop_began_ < cache_time) return;
   const size_t in_flight =
       scheduler_.in_flight() + dispatcher_.in_flight() + jobs_.running();
+  const Time now = BootClock::now();
+  if (in_flight > 0 || drained_ == Time{}) drained_ = now;
   if (in_flight > 0) return;
+  if (server_.unsent_answers() > 0 && now - drained_ < kMaxUnsentTime) return;
   Log(LogLevel::kInfo, "stop_finished",
       {{"ms", ToMillis(BootClock::now() - stop_began_)}});
   node_.loop().Stop();
--- a/unittests/Serving/entry_harness.h
+++ b/unittests/Serving/entry_harness.h
@@ -156,9 +156,9 @@
 class EntryHarness {
  public:
   explicit EntryHarness(RequestSettings requests = {},
-                        LimitSettings limits = {})
+                        LimitSettings limits = {}, TimingSettings timing = {})
       : platform(loop),
-        node(loop, MakeSettings(platform.address, requests, limits),
+        node(loop, MakeSettings(platform.address, requests, limits, timing),
              NodeKind::kEntry, std::nullopt, "token") {
     std::string reason;
     node.Start(reason);
@@ -236,14 +236,16 @@
  private:
   static NodeSettings MakeSettings(const Address& platform,
                                    const RequestSettings& requests,
-                                   const LimitSettings& limits) {
+                                   const LimitSettings& limits,
+                                   TimingSettings timing) {
     NodeSettings settings;
     settings.deployment = "test";
     settings.instance = "i0";
     settings.platform = platform;
     settings.entry = {FreeAddress(), FreeAddress(), FreeAddress()};
-    settings.timing.instance_poll = milliseconds(20);
-    settings.timing.store_poll = milliseconds(20);
+    timing.instance_poll = milliseconds(20);
+    timing.store_poll = milliseconds(20);
+    settings.timing = timing;
     settings.requests = requests;
     settings.limits = limits;
     return settings;
--- /dev/null
+++ b/unittests/Serving/entry_server_test.cc
@@ -0,0 +1,103 @@
+// Tests of an entry that stops while a client has yet to read its answer.
+#include "corianderlink/Serving/entry_server.h"
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <thread>
+
+#include "Serving/entry_harness.h"
+
+namespace corianderlink {
+namespace {
+
+constexpr size_t kAnswerBytes = 16 * 1024 * 1024;
+
+/// Connects with a small receive buffer and sends `request`.
+int SendAsSlowReader(const Address& address, const std::string& request) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  const int buffer_bytes = 4096;
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof(buffer_bytes));
+  sockaddr_in name{};
+  name.sin_family = AF_INET;
+  name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  name.sin_port = htons(address.port);
+  connect(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name));
+  const ssize_t n = send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  (void)n;
+  return fd;
+}
+
+size_t CountBytesUntilEnd(int fd, size_t limit) {
+  size_t received = 0;
+  std::string buffer(64 * 1024, '\0');
+  while (received < limit) {
+    const ssize_t n = read(fd, buffer.data(), buffer.size());
+    if (n <= 0) break;
+    received += static_cast<size_t>(n);
+  }
+  return received;
+}
+
+/// An entry whose client has sent a call that a worker answers at length.
+class EntryServerTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    ASSERT_TRUE(server_->Start());
+    const Address worker = FreeAddress();
+    ASSERT_TRUE(worker_.Listen(worker));
+    DesiredState state;
+    state.revision = 1;
+    state.items.services[ServiceId("s")].workers = {worker};
+    entry_.node.release().ApplyState(state);
+    client_ =
+        SendAsSlowReader(entry_.node.settings().entry.listen,
+                         "GET /v1/services/s/x HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(entry_.RunUntil(seconds(5), [this] { return answered_; }));
+  }
+
+  static TimingSettings ShortKeep() {
+    TimingSettings timing;
+    timing.directory_keep = milliseconds(10);
+    return timing;
+  }
+
+  EntryHarness entry_{RequestSettings{}, LimitSettings{}, ShortKeep()};
+  std::unique_ptr<EntryServer> server_ =
+      std::make_unique<EntryServer>(entry_.node);
+  bool answered_ = false;
+  HttpServer worker_{entry_.loop, {}, [this](const Node::Exchange& exchange) {
+                       exchange->Reply(200, "text/plain",
+                                       std::string(kAnswerBytes, 'x'));
+                       answered_ = true;
+                     }};
+  int client_ = -1;
+};
+
+TEST_F(EntryServerTest, AnswerThatAClientHasYetToReadSurvivesAPlannedStop) {
+  server_->BeginStop();
+  size_t received = 0;
+  std::thread reader([&] {
+    std::this_thread::sleep_for(seconds(2));
+    received = CountBytesUntilEnd(client_, kAnswerBytes);
+  });
+  entry_.loop.Run();
+  server_.reset();
+  reader.join();
+  close(client_);
+  EXPECT_GE(received, kAnswerBytes);
+}
+
+TEST_F(EntryServerTest, ClientThatLeftDelaysNoPlannedStop) {
+  server_->BeginStop();
+  const Time began = BootClock::now();
+  close(client_);
+  entry_.loop.Run();
+  EXPECT_LT(BootClock::now() - began, seconds(5));
+}
+
+}  // namespace
+}  // namespace corianderlink
