--- a/include/corianderlink/Serving/job_runner.h
+++ b/include/corianderlink/Serving/job_runner.h
@@ -75,9 +75,16 @@
   void PollOpenJobs();
   void OnOpenJobRows(Time now, const std::vector<TableRow>& rows);
   bool CanAcquire(Time now, const TableRow& row) const;
+  /// True if another process became the owner, as this one was silent.
+  static bool IsTakenOver(const RunningJob& running, const TableRow& row);
+  /// Stops a job that this process need not run any more, unless its result is
+  /// being stored.
+  void Abandon(const JobId& id);
   void Acquire(const JobId& id, const TableRow& row);
   void LoadJob(const JobId& id, RowVersion open_version, uint32_t attempts);
   void LoadRequest(const JobId& id);
+  /// Releases the job if `text` is not its request.
+  void OnRequestText(const JobId& id, const std::string& text);
   void RunJob(const JobId& id);
   void OnChatFinished(const JobId& id, const ChatResult& result);
   void StoreFinalState(const JobId& id, JobState state,
--- a/lib/Serving/chat_task.cc
+++ b/lib/Serving/chat_task.cc
@@ -12,13 +12,20 @@
 namespace corianderlink {
 namespace {
 
-// Maximum number of attempts of one request, including those that engines
-// rejected.
-constexpr int kMaxAttempts = 8;
+// Maximum number of failed attempts of one request, and of attempts that
+// engines rejected before it started.
+constexpr int kMaxFailures = 8;
+constexpr int kMaxRejections = 8;
 // Timeout for the first token, after which the engine counts as failed, as a
 // multiple of the idle timeout between tokens.
 constexpr int kFirstTokenIdleFactor = 6;
 constexpr milliseconds kRequeueDelay{50};
+// Time for which a request waits for another engine than those that failed it.
+constexpr seconds kExclusionTime{1};
+// Delay of a started stream after kMaxRejections in a row.
+constexpr milliseconds kLongRequeueDelay{500};
+// Maximum time that a started stream waits without a token while it is refused.
+constexpr std::chrono::minutes kMaxRefusedTime{10};
 constexpr seconds kMaxAttemptDuration{3600};
 constexpr seconds kCancelTimeout{2};
 // Delivered events are buffered unparsed up to this size and then reduced to
@@ -74,8 +81,17 @@
 void ChatTask::Requeue() {
   const bool first_time = attempts_ == 0;
   const auto refusal = scheduler_.Enqueue(shared_from_this(), first_time);
-  if (!refusal) return;
-  Refuse(429, "Too many requests", refusal->reason, refusal->retry_after);
+  if (refusal && CanWait(BootClock::now())) return RequeueLater();
+  if (refusal) {
+    return Refuse(429, "Too many requests", refusal->reason,
+                  refusal->retry_after);
+  }
+  if (query_.excluded.empty()) return;
+  // An engine that was silent or failed may work again, and be the only one.
+  idle_timer_ = scheduler_.node().loop().After(kExclusionTime, [this] {
+    query_.excluded.clear();
+    scheduler_.ScheduleDispatch();
+  });
 }
 
 void ChatTask::Resume(const ResumeMarker& marker) {
@@ -250,6 +266,8 @@
   }
   query_.phase = RoutePhase::kContinue;
   last_token_ = now;
+  last_delivery_ = now;
+  rejections_ = 0;
   unparsed_events_ += data;
   unparsed_events_ += '\n';
   if (unparsed_events_.size() > kMaxUnparsedEventBytes) {
@@ -283,9 +301,11 @@
   }
   if (response.outcome.ran() && response.status >= 400) {
     ReleaseEngine(/*failed=*/false);
+    const std::string reason = "engine answered: " + response.body;
     ChatResult result;
     result.outcome = history_.CombinedOutcome(
-        Outcome::NotRun("engine answered: " + response.body));
+        response.status < 500 ? Outcome::NotRun(reason)
+                              : Outcome::MayHaveRun(reason));
     result.status = response.status < 500 ? response.status : 502;
     result.title = "Engine refused the request";
     return Finish(result);
@@ -310,16 +330,39 @@
        {"offset", assembler_.next_offset()}});
   history_.Add(outcome.verdict);
   query_.excluded.insert(attempt_.choice.address);
+  if (engine_failed) {
+    if (++failures_ >= kMaxFailures) return Fail(outcome);
+    return RetryWithinBudget(outcome);
+  }
   // A rejected request costs the engine almost nothing, so retrying it does not
   // count against the retry budget.
-  const bool in_budget = !engine_failed || scheduler_.retry_budget().TryRetry();
-  if (attempts_ < kMaxAttempts && in_budget) {
-    scheduler_.node().metrics().Add("retries_total");
-    if (!engine_failed) query_.excluded.clear();
-    idle_timer_ =
-        scheduler_.node().loop().After(kRequeueDelay, [this] { Requeue(); });
-    return;
+  ++rejections_;
+  if (rejections_ >= kMaxRejections && !CanWait(BootClock::now())) {
+    return Fail(outcome);
   }
+  query_.excluded.clear();
+  RequeueLater();
+}
+
+void ChatTask::RetryWithinBudget(const Outcome& outcome) {
+  if (scheduler_.retry_budget().TryRetry()) return RequeueLater();
+  if (!CanWait(BootClock::now())) return Fail(outcome);
+  idle_timer_ = scheduler_.node().loop().After(
+      kLongRequeueDelay, [this, outcome] { RetryWithinBudget(outcome); });
+}
+
+void ChatTask::RequeueLater() {
+  scheduler_.node().metrics().Add("retries_total");
+  const milliseconds delay =
+      rejections_ < kMaxRejections ? kRequeueDelay : kLongRequeueDelay;
+  idle_timer_ = scheduler_.node().loop().After(delay, [this] { Requeue(); });
+}
+
+bool ChatTask::CanWait(Time now) const {
+  return delivered_first_token_ && now - last_delivery_ < kMaxRefusedTime;
+}
+
+void ChatTask::Fail(const Outcome& outcome) {
   ChatResult result;
   result.outcome = history_.CombinedOutcome(outcome);
   result.status = 502;
@@ -351,10 +394,8 @@
 void ChatTask::Refuse(int status, const std::string& title,
                       const std::string& reason,
                       std::optional<Duration> retry_after) {
-  // A stream that delivered tokens has run in part.
-  const Outcome outcome = delivered_first_token_ ? Outcome::MayHaveRun(reason)
-                                                 : Outcome::NotRun(reason);
-  Finish({outcome, status, title, retry_after});
+  Finish({history_.CombinedOutcome(Outcome::NotRun(reason)), status, title,
+          retry_after});
 }
 
 void ChatTask::Cancel() {
@@ -371,6 +412,7 @@
 void ChatTask::Preempt() {
   assert(running());
   scheduler_.node().metrics().Add("parked_total");
+  if (attempt_.call->bytes_sent()) history_.Add(Verdict::kMayHaveRun);
   CancelOnEngine(attempt_.choice.address);
   ReleaseEngine(/*failed=*/false);
   Requeue();
@@ -393,6 +435,7 @@
        {"to", choice->engine.value()},
        {"offset", assembler_.next_offset()}});
   const Address source = attempt_.choice.address;
+  if (attempt_.call->bytes_sent()) history_.Add(Verdict::kMayHaveRun);
   ReleaseEngine(/*failed=*/false);
   attempt_.kv_source = source;
   Dispatch(*choice);
--- a/lib/Serving/job_runner.cc
+++ b/lib/Serving/job_runner.cc
@@ -18,6 +18,7 @@
 // A job is taken over once its owner has not been live for this long.
 constexpr seconds kOrphanTimeout{3};
 constexpr seconds kRetryDelay{1};
+// Attempts in which engines failed, after which the job counts as their cause.
 constexpr uint32_t kMaxAttempts = 20;
 constexpr std::chrono::hours kJobDeadline{24};
 
@@ -45,7 +46,7 @@
   }
   const std::string text = std::exchange(job.request, "");
   job.request_in_object = true;
-  objects_.Put(JobRequestObjectKey(job.id), text,
+  objects_.Put(JobRequestObjectKey(job), text,
                [this, job, done = std::move(done)](bool stored) {
                  if (stored) return Commit(job, /*retried=*/false, done);
                  done({JobSubmitResult::Kind::kNotRun, job,
@@ -188,7 +189,10 @@
     const JobId id(row.key.substr(std::string(kOpenJobsPrefix).size()));
     open.insert(id);
     const auto running = running_.find(id);
-    if (running != running_.end()) continue;
+    if (running != running_.end()) {
+      if (IsTakenOver(running->second, row)) Abandon(id);
+      continue;
+    }
     const auto record = DecodeOpenJobRecord(row.value);
     // A row that names this process but is not running here was left by a
     // commit whose response was lost.
@@ -204,15 +208,22 @@
   // Stops running jobs that were cancelled or finished by another process.
   std::vector<JobId> gone;
   for (const auto& [id, running] : running_) {
-    if (open.count(id) == 0 && running.task && !running.finishing) {
-      gone.push_back(id);
-    }
-  }
-  for (const JobId& id : gone) {
-    const auto task = running_[id].task;
-    running_.erase(id);
-    if (!task->ended()) task->Cancel();
+    if (open.count(id) == 0 && running.open_version != 0) gone.push_back(id);
   }
+  for (const JobId& id : gone) Abandon(id);
+}
+
+bool JobRunner::IsTakenOver(const RunningJob& running, const TableRow& row) {
+  // The row may have been read before this process wrote it.
+  return running.open_version != 0 && row.version > running.open_version;
+}
+
+void JobRunner::Abandon(const JobId& id) {
+  const auto it = running_.find(id);
+  if (it->second.finishing) return;
+  const auto task = it->second.task;
+  running_.erase(it);
+  if (task && !task->ended()) task->Cancel();
 }
 
 bool JobRunner::CanAcquire(Time now, const TableRow& row) const {
@@ -262,16 +273,29 @@
 }
 
 void JobRunner::LoadRequest(const JobId& id) {
-  RunningJob& running = running_[id];
-  if (!running.job.request_in_object) return RunJob(id);
-  objects_.Get(JobRequestObjectKey(id),
-               [this, id](std::optional<std::string> text, const std::string&) {
-                 const auto it = running_.find(id);
-                 if (it == running_.end()) return;
-                 if (!text) return Release(id);
-                 it->second.job.request = *text;
-                 RunJob(id);
-               });
+  const JobRecord& job = running_[id].job;
+  if (!job.request_in_object) return RunJob(id);
+  const std::string old_key = OldJobRequestObjectKey(id);
+  objects_.Get(
+      JobRequestObjectKey(job),
+      [this, id, old_key](std::optional<std::string> text, const std::string&) {
+        if (text) return OnRequestText(id, *text);
+        objects_.Get(old_key, [this, id](std::optional<std::string> old,
+                                         const std::string&) {
+          OnRequestText(id, old.value_or(""));
+        });
+      });
+}
+
+void JobRunner::OnRequestText(const JobId& id, const std::string& text) {
+  const auto it = running_.find(id);
+  if (it == running_.end()) return;
+  JobRecord& job = it->second.job;
+  if (JobRequestDigest(job.account, text) != job.request_digest) {
+    return Release(id);
+  }
+  job.request = text;
+  RunJob(id);
 }
 
 void JobRunner::RunJob(const JobId& id) {
@@ -323,10 +347,15 @@
   }
   const bool bad_request =
       result.status >= 400 && result.status < 500 && result.status != 429;
-  if (bad_request || it->second.attempts >= kMaxAttempts) {
+  // A refusal, by engines or by this entry, is not the job's fault.
+  const bool engine_failed =
+      result.status == 502 && result.outcome.verdict != Verdict::kNotRun;
+  const bool given_up = engine_failed && it->second.attempts >= kMaxAttempts;
+  if (bad_request || given_up) {
     return StoreFinalState(id, JobState::kFailed, result.outcome.reason);
   }
   // Generation is idempotent, so the job is retried until it is done.
+  if (engine_failed) ++it->second.attempts;
   RetryLater(id);
 }
 
@@ -334,7 +363,6 @@
   const auto it = running_.find(id);
   if (it == running_.end()) return;
   if (draining_) return Release(id);
-  ++it->second.attempts;
   it->second.timer =
       node_.loop().After(kRetryDelay, [this, id] { RunJob(id); });
 }
