[Support] Bound the nesting of JSON from outside

What callers saw: one text of some hundred kilobytes ended the process. A client's request body with 100,000 arrays in one another ended an entry; such a status of an upstream ended the gateway that wanted to order its role.

Cause: the JSON library parses and frees nested values without recursion, but copies, compares and writes them recursively. `value("seq", json())` copies the member, ParseChatRequest writes the content, and a chat task copies the body.

Ruled out: the parser and the destructor, which took 1,000,000 levels; the records of upstreams and of the configuration, whose members are only looked at.

Change: ParseJson refuses a text with more than 256 levels while it parses, and so does ParseJsonWithComments. All decoders of stores, peers, engines and clients use them.

--- a/include/corianderlink/Support/json_reader.h
+++ b/include/corianderlink/Support/json_reader.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "corianderlink/Support/address.h"
@@ -22,6 +23,14 @@
   std::string ToString() const { return path + ": expected " + expected; }
 };
 
+/// Objects and arrays in one another that a text from outside may have.  The
+/// library copies, compares and writes values recursively.
+inline constexpr int kMaxJsonDepth = 256;
+
+/// Parses JSON from outside.  Returns a discarded value, which is of no type,
+/// if `text` is malformed or nested more deeply than kMaxJsonDepth.
+Json ParseJson(std::string_view text);
+
 /// Parses JSON with // and /* */ comments.  On failure returns nullopt and sets
 /// `reason` to the parser's message, which includes the position.
 std::optional<Json> ParseJsonWithComments(const std::string& text,
--- a/lib/Authority/engine_report.cc
+++ b/lib/Authority/engine_report.cc
@@ -1,13 +1,10 @@
 // JSON encoding of engine configurations and reports.
 #include "corianderlink/Authority/engine_report.h"
 
-#include <nlohmann/json.hpp>
-
 #include "corianderlink/Support/id_json.h"
+#include "corianderlink/Support/json_reader.h"
 
 namespace corianderlink {
-using Json = nlohmann::json;
-
 Json ToJson(const EngineConfig& config) {
   return {{"role", config.role},
           {"models", IdsToJson(config.models)},
@@ -37,7 +34,7 @@
 std::optional<EngineReport> ParseEngineReport(const std::string& body,
                                               std::string& reason) {
   try {
-    const Json json = Json::parse(body);
+    const Json json = ParseJson(body);
     EngineReport report;
     report.boot_id = json.at("boot_id").get<std::string>();
     const auto config = ParseEngineConfig(json);
--- a/lib/Authority/lease_record.cc
+++ b/lib/Authority/lease_record.cc
@@ -1,7 +1,7 @@
 // JSON encoding of a lease row.
 #include "corianderlink/Authority/lease_record.h"
 
-#include <nlohmann/json.hpp>
+#include "corianderlink/Support/json_reader.h"
 
 namespace corianderlink {
 
@@ -13,7 +13,7 @@
 }
 
 std::optional<LeaseRecord> DecodeLeaseRecord(const std::string& text) {
-  const auto json = nlohmann::json::parse(text, nullptr, false);
+  const auto json = ParseJson(text);
   try {
     LeaseRecord record;
     record.holder = ProcessId(json.at("holder").get<std::string>());
--- a/lib/Authority/order_record.cc
+++ b/lib/Authority/order_record.cc
@@ -1,7 +1,7 @@
 // JSON encoding of an order row.
 #include "corianderlink/Authority/order_record.h"
 
-#include <nlohmann/json.hpp>
+#include "corianderlink/Support/json_reader.h"
 
 namespace corianderlink {
 namespace {
@@ -44,7 +44,7 @@
 }
 
 std::optional<OrderRecord> DecodeOrderRecord(const std::string& text) {
-  const auto json = nlohmann::json::parse(text, nullptr, false);
+  const auto json = ParseJson(text);
   try {
     OrderRecord record;
     record.sequence = json.at("sequence").get<uint64_t>();
--- a/lib/Fleet/fleet_server.cc
+++ b/lib/Fleet/fleet_server.cc
@@ -8,6 +8,7 @@
 #include "corianderlink/Http/problem.h"
 #include "corianderlink/Support/hash.h"
 #include "corianderlink/Support/id_json.h"
+#include "corianderlink/Support/json_reader.h"
 #include "corianderlink/Support/log.h"
 
 namespace corianderlink {
@@ -244,7 +245,7 @@
         transition_version_ = row.version;
       }
       if (row.key != kRolesKey || row.version < roles_version_) continue;
-      const Json json = Json::parse(row.value, nullptr, false);
+      const Json json = ParseJson(row.value);
       if (!json.is_object()) continue;
       roles_version_ = row.version;
       chosen_roles_.clear();
--- a/lib/Gateway/stream_version_records.cc
+++ b/lib/Gateway/stream_version_records.cc
@@ -131,7 +131,7 @@
                              int64_t unix_now_ms) {
   for (const StoreRecord& record : records) {
     if (!record.value) continue;
-    const Json list = Json::parse(*record.value, nullptr, false);
+    const Json list = ParseJson(*record.value);
     if (!list.is_array()) continue;
     for (const Json& entry : list) {
       if (entry.is_object()) RestoreEntry(now, entry, unix_now_ms);
--- a/lib/Platform/table_codec.cc
+++ b/lib/Platform/table_codec.cc
@@ -1,13 +1,11 @@
 // Encoding of the JSON bodies of the table service's HTTP API.
 #include "corianderlink/Platform/table_codec.h"
 
-#include <nlohmann/json.hpp>
+#include "corianderlink/Support/json_reader.h"
 
 namespace corianderlink {
 namespace {
 
-using Json = nlohmann::json;
-
 Json RowToJson(const TableRow& row) {
   return {{"key", row.key}, {"version", row.version}, {"value", row.value}};
 }
@@ -39,7 +37,7 @@
 
 std::optional<TableTransaction> DecodeTransaction(const std::string& body) {
   try {
-    const Json json = Json::parse(body);
+    const Json json = ParseJson(body);
     TableTransaction txn;
     for (const Json& item : json.at("conditions")) {
       txn.conditions.push_back({item.at("key").get<std::string>(),
@@ -70,7 +68,7 @@
 CommitResult DecodeCommitResult(const std::string& body) {
   CommitResult result;
   try {
-    const Json json = Json::parse(body);
+    const Json json = ParseJson(body);
     const bool committed = json.at("committed").get<bool>();
     result.version = json.at("version").get<RowVersion>();
     for (const Json& row : json.at("conflicts")) {
@@ -98,7 +96,7 @@
     std::vector<TableRow> rows;
     // Not a temporary in the loop header: it would be destroyed before the
     // first iteration (its lifetime is not extended through at()).
-    const Json json = Json::parse(body);
+    const Json json = ParseJson(body);
     for (const Json& item : json.at("rows")) {
       TableRow row = RowFromJson(item);
       if (row.key.compare(0, prefix.size(), prefix) != 0) {
--- a/lib/Release/note_acceptor.cc
+++ b/lib/Release/note_acceptor.cc
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "corianderlink/Support/json_reader.h"
+
 namespace corianderlink {
 
 const char kReleaseHeadKey[] = "release/head";
@@ -18,7 +20,7 @@
 }
 
 std::optional<NoteRecord> DecodeNoteRecord(const std::string& text) {
-  const Json json = Json::parse(text, nullptr, /*allow_exceptions=*/false);
+  const Json json = ParseJson(text);
   if (!json.is_object() || !json.contains("revision") ||
       !json["revision"].is_number_unsigned() || !json.contains("note")) {
     return std::nullopt;
--- a/lib/Serving/chat_request.cc
+++ b/lib/Serving/chat_request.cc
@@ -34,7 +34,7 @@
                                             std::vector<JsonError>& errors) {
   const size_t errors_before = errors.size();
   ChatRequest request;
-  request.body = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  request.body = ParseJson(body);
   if (!request.body.is_object()) {
     errors.push_back({"", "a JSON object"});
     return std::nullopt;
--- a/lib/Serving/claim_record.cc
+++ b/lib/Serving/claim_record.cc
@@ -1,15 +1,12 @@
 // JSON encoding of claim rows.
 #include "corianderlink/Serving/claim_record.h"
 
-#include <nlohmann/json.hpp>
-
 #include "corianderlink/Support/hash.h"
+#include "corianderlink/Support/json_reader.h"
 
 namespace corianderlink {
 namespace {
 
-using Json = nlohmann::json;
-
 const char* const kStateNames[] = {"claimed", "released", "may_have_run",
                                    "done"};
 
@@ -32,7 +29,7 @@
 }
 
 std::optional<ClaimRecord> DecodeClaimRecord(const std::string& text) {
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = ParseJson(text);
   try {
     ClaimRecord record;
     record.owner = ProcessId(json.at("owner").get<std::string>());
--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -8,6 +8,7 @@
 #include "corianderlink/Authority/engine_report.h"
 #include "corianderlink/Membership/entry_directory.h"
 #include "corianderlink/Support/hash.h"
+#include "corianderlink/Support/json_reader.h"
 #include "corianderlink/Support/log.h"
 
 namespace corianderlink {
@@ -131,7 +132,7 @@
 void EntryServer::OnCacheEvents(const Address& engine,
                                 const std::string& body) {
   const auto it = engine_by_address_.find(engine);
-  const Json json = Json::parse(body, nullptr, false);
+  const Json json = ParseJson(body);
   if (it == engine_by_address_.end() || !json.is_object()) return;
   const Time now = BootClock::now();
   for (const Json& item : json.value("events", Json::array())) {
--- a/lib/Serving/job_record.cc
+++ b/lib/Serving/job_record.cc
@@ -1,13 +1,11 @@
 // Encoding and transactions of durable jobs in the table service.
 #include "corianderlink/Serving/job_record.h"
 
-#include <nlohmann/json.hpp>
+#include "corianderlink/Support/json_reader.h"
 
 namespace corianderlink {
 namespace {
 
-using Json = nlohmann::json;
-
 const char* const kStateNames[] = {"queued", "done", "failed", "cancelled"};
 constexpr int kStateCount = 4;
 
@@ -46,7 +44,7 @@
 }
 
 std::optional<JobRecord> DecodeJobRecord(const std::string& text) {
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = ParseJson(text);
   try {
     JobRecord record;
     record.id = JobId(json.at("id").get<std::string>());
@@ -73,7 +71,7 @@
 }
 
 std::optional<OpenJobRecord> DecodeOpenJobRecord(const std::string& text) {
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = ParseJson(text);
   try {
     return OpenJobRecord{ProcessId(json.at("owner").get<std::string>()),
                          json.at("attempts").get<uint32_t>()};
--- a/lib/Support/json_reader.cc
+++ b/lib/Support/json_reader.cc
@@ -5,12 +5,40 @@
 #include <sstream>
 
 namespace corianderlink {
+namespace {
+
+/// Discards what is nested too deeply while it is parsed.
+class DepthLimit {
+ public:
+  Json::parser_callback_t Callback() {
+    return [this](int depth, Json::parse_event_t, Json&) {
+      exceeded_ |= depth > kMaxJsonDepth;
+      return !exceeded_;
+    };
+  }
+  bool exceeded() const { return exceeded_; }
+
+ private:
+  bool exceeded_ = false;
+};
+
+}  // namespace
+
+Json ParseJson(std::string_view text) {
+  DepthLimit limit;
+  Json json = Json::parse(text, limit.Callback(), /*allow_exceptions=*/false);
+  return limit.exceeded() ? Json(Json::value_t::discarded) : json;
+}
 
 std::optional<Json> ParseJsonWithComments(const std::string& text,
                                           std::string& reason) {
   try {
-    return Json::parse(text, nullptr, /*allow_exceptions=*/true,
-                       /*ignore_comments=*/true);
+    DepthLimit limit;
+    Json json = Json::parse(text, limit.Callback(), /*allow_exceptions=*/true,
+                            /*ignore_comments=*/true);
+    if (!limit.exceeded()) return json;
+    reason = "nested too deeply";
+    return std::nullopt;
   } catch (const Json::parse_error& error) {
     reason = error.what();
     return std::nullopt;
--- a/unittests/Process/bad_input_test.cc
+++ b/unittests/Process/bad_input_test.cc
@@ -109,6 +109,22 @@
   ExpectServing();
 }
 
+TEST_F(BadInputTest, DeeplyNestedBodiesEndNoProcess) {
+  constexpr size_t kDepth = 100'000;
+  const std::string nested =
+      std::string(kDepth, '[') + "1" + std::string(kDepth, ']');
+  for (const std::string& body :
+       {nested,
+        R"({"model":"m1","messages":[{"role":"user","content":)" + nested +
+            "}]}",
+        R"({"model":"m1","messages":[{"role":"user","content":"x"}],)"
+        R"("tools":)" +
+            nested + "}"}) {
+    EXPECT_EQ(PostRejected("/v1/chat/completions", body).substr(0, 3), "400");
+    ExpectServing();
+  }
+}
+
 TEST_F(BadInputTest, GarbageAndPartialRequestsDoNotAffectOtherClients) {
   for (const std::string& bytes :
        {std::string("\0\1\2\3\xff\xff\r\n\r\n", 10), std::string(5000, 'A'),
