--- a/lib/Support/basics.cc
+++ b/lib/Support/basics.cc
@@ -36,6 +36,8 @@
   if (colon == std::string::npos) return std::nullopt;
   Address address;
   address.ip = text.substr(0, colon);
+  // inet_pton reads up to the first null character.
+  if (address.ip.find('\0') != std::string::npos) return std::nullopt;
   in6_addr unused{};  // Large enough for both address families.
   const bool numeric = inet_pton(AF_INET, address.ip.c_str(), &unused) == 1 ||
                        inet_pton(AF_INET6, address.ip.c_str(), &unused) == 1;
--- a/unittests/Gateway/record_cache_test.cc
+++ b/unittests/Gateway/record_cache_test.cc
@@ -57,5 +57,29 @@
   EXPECT_EQ(records.departures[0].id, UpstreamId("a"));
 }
 
+TEST(RecordCacheTest, OddRecordHidesNoLaterOneOfItsUpstream) {
+  const GatewayCodecs codecs = platform::MakeCodecs();
+  UpstreamDirectory directory(seconds(2));
+  Metrics metrics;
+  RecordCache cache(codecs.records, directory, metrics);
+  cache.ReplaceUpstreams(kStart, {Upstream("a", 5)}, {1, 50});
+  const uint64_t digest = directory.Digest();
+  for (const char* sequence : {"1e300", "-1", "18446744073709551615"}) {
+    StoreRecord odd = Upstream("a", 6);
+    odd.value->replace(odd.value->find(":6}") + 1, 1, sequence);
+    cache.ApplyUpstreamChanges(kStart, {odd}, {1, 51});
+    EXPECT_EQ(directory.Find(UpstreamId("a"))->sequence, 5U) << sequence;
+  }
+  // Rows without a key are read twice, as after a lost history.
+  cache.ApplyUpstreamChanges(kStart, {Upstream("", 1)}, {1, 52});
+  cache.ApplyUpstreamChanges(kStart, {Upstream("", 2)}, {1, 53});
+  cache.ApplyUpstreamChanges(kStart, {{"", std::nullopt, 54}}, {1, 54});
+  EXPECT_EQ(directory.Digest(), digest);
+  StoreRecord draining = Upstream("a", 7);
+  draining.value->replace(draining.value->find("ready"), 5, "draining");
+  cache.ApplyUpstreamChanges(kStart, {draining}, {1, 55});
+  EXPECT_TRUE(directory.Find(UpstreamId("a"))->draining);
+}
+
 }  // namespace
 }  // namespace corianderlink
