[Platform] Put no odd handle into a request's head

What callers could see: the answer of a prefill upstream named a handle with a line break, and what followed became header fields of the request to the decode upstream and of the one that frees the handle.

Cause: the handle was taken as it came.

Before: OddHandleTest.GoesIntoNoRequest showed an empty handle, one of 70,000 characters and ones with a null character and a line break.

--- a/unittests/PlatformAdapter/odd_input_test.cc
+++ b/unittests/PlatformAdapter/odd_input_test.cc
@@ -261,6 +261,21 @@
   }
 }
 
+TEST(OddHandleTest, GoesIntoNoRequest) {
+  const RelayCodec codec = MakeRelayCodec();
+  EXPECT_EQ(codec.decode_kv_handle(R"({"handle":"3fa0","tokens":1})"), "3fa0");
+  for (const std::string& odd : OddValues()) {
+    const auto handle = codec.decode_kv_handle("{\"handle\":" + odd + "}");
+    if (!handle) continue;
+    const std::string shown = handle->substr(0, 100);
+    EXPECT_FALSE(handle->empty());
+    EXPECT_LE(handle->size(), 200U) << shown;
+    EXPECT_EQ(handle->find_first_of(std::string("\0\r\n /", 5)),
+              std::string::npos)
+        << shown;
+  }
+}
+
 /// A text of JSON's characters, which finds more than arbitrary bytes do.
 rc::Gen<std::string> JsonLikeText() {
   static const std::vector<std::string> pieces = {"{",
@@ -301,7 +316,7 @@
 RC_GTEST_PROP(OddInputTest, AllDecodersSurviveTextsLikeJson, ()) {
   const std::string noise = *JsonLikeText();
   const std::string sound = *rc::gen::element<std::string>(
-      Object(kUpstream), kConfig, R"({"seq":2,"busy":false})");
+      Object(kUpstream), kConfig, "{\"handle\":\"h\"}");
   const size_t at = *rc::gen::inRange<size_t>(0, sound.size());
   const size_t cut = *rc::gen::inRange<size_t>(0, sound.size() - at);
   for (const std::string& text :
@@ -312,6 +327,7 @@
     const auto config = DecodeConfig(text, reason);
     if (config) ExpectUsable(*config, text);
     MakeOrderCodec().decode_status(text);
+    MakeRelayCodec().decode_kv_handle(text);
   }
 }
 
