[Authority] Take over a lease whose row cannot be read

What callers could see: after an odd row under the lease of the role orders, no gateway ordered a role again, and the rows of the product's fleets behaved alike. A row with the largest fencing token made the next one 0, which every engine refuses, and heartbeats carried it to all gateways.

Cause: a malformed row was passed over on every read, so it never counted as observed; the fencing token was converted whatever its type and size.

Change: a malformed row counts as the row of an unknown holder, who changes it at each renewal; after the lease and its guard without a change it is taken over. Tokens that are no unsigned integer up to 2^53 make a row malformed.

--- a/lib/Authority/lease_client.cc
+++ b/lib/Authority/lease_client.cc
@@ -9,6 +9,7 @@
 
 // Era of a service that was never restored.
 constexpr uint64_t kFirstEra = 1;
+constexpr char kUnknownHolder[] = "unknown";
 
 }  // namespace
 
@@ -133,8 +134,9 @@
 
 void LeaseClient::Observe(Time now, const TableRow& row) {
   if (row.version < observed_version_) return;  // The answer is stale.
-  const auto record = DecodeLeaseRecord(row.value);
-  if (row.version != 0 && !record) return;  // Ignore a malformed row.
+  auto record = DecodeLeaseRecord(row.value);
+  // A malformed row may be that of a holder, who would change it in time.
+  if (row.version != 0 && !record) record = {ProcessId(kUnknownHolder), 0, ""};
   const bool own_write_committed = needs_read_ && record &&
                                    !pending_.nonce.empty() &&
                                    record->nonce == pending_.nonce;
--- a/lib/Authority/lease_record.cc
+++ b/lib/Authority/lease_record.cc
@@ -4,6 +4,12 @@
 #include "corianderlink/Support/json_reader.h"
 
 namespace corianderlink {
+namespace {
+
+// Beyond it, a row is malformed: holders count up from what they read.
+constexpr FencingToken kMaxFencing = FencingToken{1} << 53;
+
+}  // namespace
 
 std::string EncodeLeaseRecord(const LeaseRecord& record) {
   return nlohmann::json{{"holder", record.holder.value()},
@@ -17,7 +23,10 @@
   try {
     LeaseRecord record;
     record.holder = ProcessId(json.at("holder").get<std::string>());
-    record.fencing = json.at("fencing").get<FencingToken>();
+    const Json& fencing = json.at("fencing");
+    if (!fencing.is_number_unsigned()) return std::nullopt;
+    record.fencing = fencing.get<FencingToken>();
+    if (record.fencing > kMaxFencing) return std::nullopt;
     record.nonce = json.at("nonce").get<std::string>();
     return record;
   } catch (const nlohmann::json::exception&) {
--- a/unittests/Gateway/role_coordinator_test.cc
+++ b/unittests/Gateway/role_coordinator_test.cc
@@ -53,6 +53,10 @@
                              "n" + std::to_string(version_)};
     rows_["roles"] = {"roles", ++version_, EncodeLeaseRecord(record)};
   }
+  /// Writes the lease's row as it stands, malformed or not.
+  void WriteLeaseRow(const std::string& value) {
+    rows_["roles"] = {"roles", ++version_, value};
+  }
   LeaseRecord StoredLease() {
     return DecodeLeaseRecord(rows_["roles"].value).value_or(LeaseRecord{});
   }
@@ -137,6 +141,28 @@
                                Callbacks()};
 };
 
+TEST_F(RoleCoordinatorTest, OddLeaseRowEndsNotAllOrders) {
+  for (const std::string& row :
+       {std::string("7"),
+        std::string(R"({"holder":"x","fencing":18446744073709551615,)"
+                    R"("nonce":"n"})")}) {
+    received_orders_.clear();
+    record_.role = UpstreamRole::kDecode;
+    table_.WriteLeaseRow(row);
+    RoleCoordinator coordinator(loop_, pool_, random_, codec_, ProcessId("me"),
+                                kLeaseDuration, Callbacks());
+    coordinator.ExchangeFencing(8);
+    coordinator.Start();
+    // An order right away could meet one of the row's holder.
+    RunFor(kLeaseDuration);
+    EXPECT_EQ(received_orders_.size(), 0U) << row.substr(0, 80);
+    RunFor(seconds(5));
+    ASSERT_EQ(received_orders_.size(), 1U) << row.substr(0, 80);
+    EXPECT_NE(received_orders_[0].body.find(R"("fence":9)"), std::string::npos)
+        << received_orders_[0].body;
+  }
+}
+
 TEST_F(RoleCoordinatorTest, SendsOneOrderThenReleasesTheLease) {
   coordinator_.Start();
   RunFor(seconds(1));
--- a/unittests/PlatformAdapter/odd_input_test.cc
+++ b/unittests/PlatformAdapter/odd_input_test.cc
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "corianderlink/Authority/lease_record.h"
 #include "platform/codecs.h"
 
 namespace corianderlink::platform {
@@ -276,6 +277,21 @@
   }
 }
 
+TEST(OddLeaseRecordTest, IsRefusedOrBounded) {
+  const Members sound = {
+      {"holder", "\"p\""}, {"fencing", "7"}, {"nonce", "\"n\""}};
+  ASSERT_TRUE(DecodeLeaseRecord(Object(sound)));
+  for (size_t i = 0; i < sound.size(); ++i) {
+    for (const std::string& odd : OddValues()) {
+      Members members = sound;
+      members[i].second = odd;
+      const auto record = DecodeLeaseRecord(Object(members));
+      if (!record) continue;
+      EXPECT_LE(record->fencing, 1UL << 53) << odd.substr(0, 50);
+    }
+  }
+}
+
 /// A text of JSON's characters, which finds more than arbitrary bytes do.
 rc::Gen<std::string> JsonLikeText() {
   static const std::vector<std::string> pieces = {"{",
@@ -316,7 +332,8 @@
 RC_GTEST_PROP(OddInputTest, AllDecodersSurviveTextsLikeJson, ()) {
   const std::string noise = *JsonLikeText();
   const std::string sound = *rc::gen::element<std::string>(
-      Object(kUpstream), kConfig, "{\"handle\":\"h\"}");
+      Object(kUpstream), kConfig, "{\"handle\":\"h\"}",
+      EncodeLeaseRecord({ProcessId("p"), 7, "n"}));
   const size_t at = *rc::gen::inRange<size_t>(0, sound.size());
   const size_t cut = *rc::gen::inRange<size_t>(0, sound.size() - at);
   for (const std::string& text :
@@ -328,6 +345,7 @@
     if (config) ExpectUsable(*config, text);
     MakeOrderCodec().decode_status(text);
     MakeRelayCodec().decode_kv_handle(text);
+    DecodeLeaseRecord(text);
   }
 }
 
