[Gateway] Frame no missing body as a whole one

What callers could see: an upstream that ended after a head without a length, and before its body, gave its client a 200 with an empty body and a length of 0.

Cause: a body without a length ends with its connection, so an upstream that ends is taken for one that has finished. An empty body shows that it has not.

Bodies that end short of their length or of their last chunk were cut for the client as well.

Change: an answer of 2xx without a length and without a body is a failed attempt that may have run. Answers to HEAD are excepted, and other statuses.

--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -202,6 +202,15 @@
                     true);
     return;
   }
+  const bool is_success = response_->status >= 200 && response_->status < 300;
+  const bool lacks_body = is_success && response_->ends_with_connection &&
+                          buffered_.empty() && !exchange_->response_started() &&
+                          exchange_->head().method != "HEAD";
+  if (lacks_body) {
+    OnAttemptFailed(Outcome::MayHaveRun("connection closed before the body"),
+                    true);
+    return;
+  }
   const bool server_error = response_->status >= 500;
   // An upstream that answers with an error has survived the request.
   if (server_error) ReportAnswered();
--- a/unittests/Http/http_client_test.cc
+++ b/unittests/Http/http_client_test.cc
@@ -106,6 +106,42 @@
   }
 }
 
+TEST(HttpClientTest, NoStatusOfACutHeadIsPassedOn) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nStore-Era: 3\r\nContent-Length: 0\r\n\r\n";
+  for (const bool reset : {false, true}) {
+    for (size_t length = 1; length < head.size(); ++length) {
+      RawTcpServer peer([&](int fd) {
+        ReadRequest(fd);
+        Write(fd, head.substr(0, length));
+        if (!reset) return;
+        usleep(2'000);
+        const linger abort{1, 0};
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+      });
+      const HttpResponse response = Post(peer.address);
+      EXPECT_EQ(response.outcome.verdict, Verdict::kMayHaveRun) << length;
+      EXPECT_EQ(response.status, 0) << length;
+      EXPECT_FALSE(response.ok()) << length;
+    }
+  }
+}
+
+TEST(HttpClientTest, BodyWithoutLengthIsIncompleteAfterReset) {
+  for (const char* body : {"", "half"}) {
+    RawTcpServer peer([body](int fd) {
+      ReadRequest(fd);
+      Write(fd, std::string("HTTP/1.1 200 OK\r\n\r\n") + body);
+      usleep(20'000);
+      const linger abort{1, 0};
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+    });
+    const HttpResponse response = Post(peer.address);
+    EXPECT_EQ(response.outcome.verdict, Verdict::kMayHaveRun) << body;
+    EXPECT_FALSE(response.ok()) << body;
+  }
+}
+
 TEST(HttpClientTest, TimeoutWithoutResponseMayHaveRun) {
   RawTcpServer peer([](int fd) {
     ReadRequest(fd);
