[Gateway] Pass on no answer of a peer that has no end

What callers could see: a peer's answer without a length or chunks, cut by its connection's end, reached the client as a whole 200 with the short body; a stream without an event became an empty one.

Cause: the forwarding gateway took the end of the connection for the end of the body. Gateways always frame what they forward, so such an answer comes from a process that is no gateway, at an address that was one.

Change: such an answer is a failure that may have run.

Before: CutPeerTest.AnswerOfAPeerWithoutAnEndIsNotFramedAsWhole showed 5 answers of 24 as complete with 200 ("half body=half"). After: it passes.

--- a/lib/Gateway/forward_task.cc
+++ b/lib/Gateway/forward_task.cc
@@ -165,6 +165,11 @@
 
 void ForwardTask::OnEnd() {
   if (finished_) return;
+  // Gateways frame every answer; this one may have been cut anywhere.
+  if (response_->ends_with_connection) {
+    OnFailure(Outcome::MayHaveRun("peer's answer has neither length nor end"));
+    return;
+  }
   EndCall();
   InboundExchange& exchange = *forwarded_.exchange;
   if (is_event_stream()) {
--- a/unittests/Gateway/cut_head_test.cc
+++ b/unittests/Gateway/cut_head_test.cc
@@ -4,6 +4,7 @@
 
 #include "Common/raw_tcp_server.h"
 #include "Gateway/gateway_test_harness.h"
+#include "corianderlink/Gateway/forward_task.h"
 
 namespace corianderlink {
 namespace {
@@ -167,5 +168,113 @@
   }
 }
 
+/// Hands each request of its client to one peer, which answers as the test
+/// says.
+class CutPeerTest : public ::testing::Test {
+ protected:
+  CutPeerTest() {
+    context_.choose_peer = [this](Time, const ServiceId&,
+                                  const std::set<Address>& tried) {
+      return tried.empty() ? peer_ : std::nullopt;
+    };
+    context_.on_begin = [](const Address&) {};
+    context_.on_end = [](const Address&) {};
+    context_.try_claim_retry = [](Time, const ServiceId&) { return true; };
+    front_.Listen(address_);
+  }
+
+  std::shared_ptr<ClientResult> Ask(RouteKind kind, const std::string& answer,
+                                    Ending ending) {
+    const RawTcpServer peer([&](int fd) {
+      if (!ReadRequest(fd)) return;
+      WriteAll(fd, answer);
+      End(fd, ending);
+    });
+    peer_ = peer.address;
+    kind_ = kind;
+    auto result = std::make_shared<ClientResult>();
+    UpstreamRequest request;
+    request.address = address_;
+    request.method = "POST";
+    request.target = "/x/1";
+    request.fields = {{"Host", "h"}, {"Request-Id", "r1"}};
+    request.body = "b";
+    UpstreamHandlers handlers;
+    handlers.on_head = [result](const ResponseHead& head) {
+      result->status = head.status;
+    };
+    handlers.on_body = [result](const std::string& data) {
+      result->body += data;
+    };
+    handlers.on_end = [this, result] {
+      result->complete = true;
+      loop_.Stop();
+    };
+    handlers.on_fail = [this, result](const Outcome&) {
+      result->failed = true;
+      loop_.Stop();
+    };
+    const auto call = client_.Start(std::move(request), std::move(handlers));
+    const EventHandle limit = loop_.After(seconds(3), [this] { loop_.Stop(); });
+    loop_.Run();
+    return result;
+  }
+
+  void Forward(const std::shared_ptr<InboundExchange>& exchange) {
+    ForwardedRequest forwarded;
+    forwarded.exchange = exchange;
+    forwarded.route.kind = kind_;
+    forwarded.service = ServiceId("s");
+    forwarded.request = codec_.decode_request(exchange->head());
+    forwarded.deadline = BootClock::now() + seconds(2);
+    std::make_shared<ForwardTask>(context_, std::move(forwarded))->Start();
+  }
+
+  EventLoop loop_;
+  UpstreamPool pool_{loop_};
+  UpstreamPool client_{loop_};
+  const RelayCodec codec_ = platform::MakeRelayCodec();
+  Metrics metrics_;
+  RandomSource random_{7};
+  ForwardContext context_{loop_, pool_, codec_, metrics_, random_};
+  std::optional<Address> peer_;
+  RouteKind kind_ = RouteKind::kNonIdempotent;
+  const Address address_ = FreeAddress();
+  InboundServer front_{
+      loop_, 100, [this](const std::shared_ptr<InboundExchange>& exchange) {
+        Forward(exchange);
+      }};
+};
+
+TEST_F(CutPeerTest, NoStatusOfACutHeadIsPassedOn) {
+  for (const RouteKind kind : {RouteKind::kNonIdempotent, RouteKind::kStream}) {
+    for (const Ending ending : {Ending::kClose, Ending::kReset}) {
+      for (const std::string& head : CutHeads()) {
+        const auto result = Ask(kind, head, ending);
+        EXPECT_TRUE(result->failed || result->status >= 500) << head;
+        EXPECT_EQ(result->body, "") << head;
+      }
+    }
+  }
+}
+
+TEST_F(CutPeerTest, AnswerOfAPeerWithoutAnEndIsNotFramedAsWhole) {
+  for (const RouteKind kind : {RouteKind::kNonIdempotent, RouteKind::kStream}) {
+    for (const Ending ending : {Ending::kClose, Ending::kReset}) {
+      for (const std::string& rest :
+           {std::string("\r\n"), std::string("\r\nhalf"),
+            std::string("\r\nid: 1\ndata: x\n\n"),
+            std::string("Content-Length: 9\r\n\r\nhalf"),
+            std::string("Transfer-Encoding: chunked\r\n\r\n"),
+            std::string("Transfer-Encoding: chunked\r\n\r\n"
+                        "10\r\nid: 1\ndata: x\n\n\r\n")}) {
+        const auto result = Ask(kind, kHead + rest, ending);
+        EXPECT_FALSE(result->complete && result->status == 200)
+            << rest << " body=" << result->body;
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace corianderlink
