[Serving] Skip odd events of engines

What callers could see: one event of an engine with a member of another type, such as a `content` of null or a `choices` that is no list, ended the entry with all its streams and jobs. So did such an event of a prefix cache.

Cause: json.value() throws on members and values of another type, and the callbacks of the loop catch nothing. Three copies of the code read the text.

Change: EventText and ParseCacheEvents look at the types and skip what is odd.

--- a/lib/Serving/chat_reply.cc
+++ b/lib/Serving/chat_reply.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "corianderlink/Http/problem.h"
+#include "corianderlink/Serving/engine_events.h"
 
 namespace corianderlink {
 
@@ -18,11 +19,9 @@
 
 bool ChatReply::OnEvent(const std::string& marker, const std::string& data) {
   if (!stream_) {
-    const Json event = Json::parse(data, nullptr, false);
+    const Json event = ParseJson(data);
     if (!event.is_object()) return true;
-    for (const Json& choice : event.value("choices", Json::array())) {
-      text_ += choice.value("delta", Json::object()).value("content", "");
-    }
+    text_ += EventText(event);
     if (event.contains("usage")) usage_ = event["usage"];
     return true;
   }
--- a/lib/Serving/chat_task.cc
+++ b/lib/Serving/chat_task.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "corianderlink/Serving/chat_scheduler.h"
+#include "corianderlink/Serving/engine_events.h"
 #include "corianderlink/Support/log.h"
 #include "corianderlink/Support/prompt_pieces.h"
 
@@ -131,14 +132,8 @@
   size_t at = 0;
   while (at < unparsed_events_.size()) {
     const size_t end = unparsed_events_.find('\n', at);
-    const Json event =
-        Json::parse(unparsed_events_.substr(at, end - at), nullptr, false);
+    text += EventText(ParseJson(unparsed_events_.substr(at, end - at)));
     at = end == std::string::npos ? unparsed_events_.size() : end + 1;
-    if (!event.is_object() || !event.contains("choices")) continue;
-    for (const Json& choice : event["choices"]) {
-      if (!choice.contains("delta")) continue;
-      text += choice["delta"].value("content", "");
-    }
   }
   return text;
 }
--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -7,6 +7,7 @@
 #include "chat_reply.h"
 #include "corianderlink/Authority/engine_report.h"
 #include "corianderlink/Membership/entry_directory.h"
+#include "corianderlink/Serving/engine_events.h"
 #include "corianderlink/Support/hash.h"
 #include "corianderlink/Support/json_reader.h"
 #include "corianderlink/Support/log.h"
@@ -132,16 +133,9 @@
 void EntryServer::OnCacheEvents(const Address& engine,
                                 const std::string& body) {
   const auto it = engine_by_address_.find(engine);
-  const Json json = ParseJson(body);
-  if (it == engine_by_address_.end() || !json.is_object()) return;
+  if (it == engine_by_address_.end()) return;
   const Time now = BootClock::now();
-  for (const Json& item : json.value("events", Json::array())) {
-    CacheEvent event;
-    event.sequence = item.value("sequence", uint64_t{0});
-    event.piece = item.value("piece", uint64_t{0});
-    const std::string kind = item.value("kind", "");
-    if (kind == "evict") event.kind = CacheEvent::Kind::kEvict;
-    if (kind == "clear") event.kind = CacheEvent::Kind::kClear;
+  for (const CacheEvent& event : ParseCacheEvents(body)) {
     scheduler_.router().OnCacheEvent(now, it->second, event);
   }
   const PrefixIndex* index = scheduler_.router().FindPrefixIndex(it->second);
--- a/lib/Serving/job_runner.cc
+++ b/lib/Serving/job_runner.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "corianderlink/Serving/engine_events.h"
 #include "corianderlink/Support/log.h"
 
 namespace corianderlink {
@@ -297,12 +298,8 @@
   ChatCallbacks callbacks;
   callbacks.on_event = [this, id](const std::string&, const std::string& data) {
     const auto job = running_.find(id);
-    const Json event = Json::parse(data, nullptr, false);
-    if (job == running_.end() || !event.is_object()) return;
-    for (const Json& choice : event.value("choices", Json::array())) {
-      job->second.text +=
-          choice.value("delta", Json::object()).value("content", "");
-    }
+    if (job == running_.end()) return;
+    job->second.text += EventText(ParseJson(data));
   };
   callbacks.on_end = [this, id](const ChatResult& result) {
     OnChatFinished(id, result);
