--- a/unittests/PlatformAdapter/http_record_store_test.cc
+++ b/unittests/PlatformAdapter/http_record_store_test.cc
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 #include "Gateway/gateway_test_harness.h"
 
 namespace corianderlink::platform {
@@ -80,6 +82,65 @@
   EXPECT_FALSE(result.records[0].value);
 }
 
+TEST_F(HttpRecordStoreTest, OddRowsHideNoOthers) {
+  fake_store_.on_request = [](const FakeUpstream::Exchange& exchange) {
+    exchange->SendResponse(
+        200, {},
+        R"({"rows":[7,null,[],{},{"key":7,"value":"QQ==","ver":1},)"
+        R"({"value":"QQ==","ver":1},{"key":"","value":"QQ==","ver":1},)"
+        R"({"key":"b","ver":1},{"key":"c","value":7,"ver":1},)"
+        R"({"key":"d","value":"?","ver":1},{"key":"e","value":"====","ver":1},)"
+        R"({"key":"f","value":"QQ==","ver":"1"},)"
+        R"({"key":"g","value":"QQ==","ver":1e300},)"
+        R"({"key":"h","value":"QQ==","ver":-1},)"
+        R"({"key":"i","key":"j","value":"QQ==","ver":1},)"
+        R"({"key":"k","removed":7,"ver":1},)"
+        R"({"key":"z","value":"Qg==","ver":2}],"truncated":"no","ver":9})");
+  };
+  const StoreReadResult result = ReadAll();
+  EXPECT_EQ(result.status, Status::kOk);
+  std::map<std::string, StoreRecord> records;
+  for (const StoreRecord& record : result.records) {
+    records[record.key] = record;
+  }
+  EXPECT_EQ(records["z"].value, "B");
+  EXPECT_EQ(records["z"].version, 2U);
+  // Their readers tell of rows whose values cannot be read.
+  for (const char* key : {"b", "c", "d"}) {
+    EXPECT_EQ(records[key].value, "") << key;
+  }
+}
+
+TEST_F(HttpRecordStoreTest, PageWithoutANewRowEndsTheRead) {
+  fake_store_.on_request = [](const FakeUpstream::Exchange& exchange) {
+    exchange->SendResponse(
+        200, {},
+        R"({"rows":[{"key":"a","value":"QQ==","ver":1}],"truncated":true,)"
+        R"("ver":9})");
+  };
+  const EventHandle limit = loop_.After(seconds(1), [this] { loop_.Stop(); });
+  EXPECT_EQ(ReadAll().reason, "a page of the store brings no new row");
+  EXPECT_EQ(fake_store_.requests.size(), 2U);
+}
+
+TEST_F(HttpRecordStoreTest, OddAnswersAreFailures) {
+  const std::string nested =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string& body :
+       {nested, "{\"rows\":" + nested + ",\"ver\":1}",
+        "{\"rows\":[],\"ver\":1,\"truncated\":" + nested + "}",
+        std::string(R"({"rows":[],"ver":"1"})"),
+        std::string(R"({"rows":[],"ver":-1})"),
+        "{\"rows\":[],\"ver\":" + std::string(400, '9') + "}",
+        std::string("{\"rows\":[{\"key\":\"\xff\"}],\"ver\":1}")}) {
+    fake_store_.on_request = [&](const FakeUpstream::Exchange& exchange) {
+      exchange->SendResponse(200, {}, body);
+    };
+    EXPECT_EQ(ReadAll().status, Status::kFailed) << body.substr(0, 60);
+    EXPECT_NE(Commit().status, CommitStatus::kNotRun) << body.substr(0, 60);
+  }
+}
+
 TEST_F(HttpRecordStoreTest, DistinguishesLostHistoryFromFailures) {
   fake_store_.on_request = [](const FakeUpstream::Exchange& exchange) {
     exchange->SendResponse(410, {}, "");
