[Gateway] Restore no versions from odd records of streams

What callers could see: an odd row among those of the streams added versions that no upstream has, so streams of unknown origin were refused for the lifetime of a stream, and a name of 70,000 characters went into every heartbeat.

Cause: times were taken whatever their sign, and beyond 64 bits by what was left of them; a subtraction overflowed. Names were taken at any length.

Change: times are unsigned and up to the year 2286; a service has a name, and names have at most 200 bytes. Records that gateways write are read as before, by old and new builds.

Before: StreamVersionsTest.OddRecordsOfTheStoreNameNoVersions counted 5 versions instead of 1. After: it passes.

--- a/lib/Gateway/stream_version_records.cc
+++ b/lib/Gateway/stream_version_records.cc
@@ -23,6 +23,10 @@
 // A record with so many origins is full.
 constexpr size_t kFullRecord = 100;
 constexpr size_t kMaxOriginsPerWrite = 1000;
+// The year 2286.
+constexpr uint64_t kMaxUnixMs = 10'000'000'000'000;
+// Names of services and versions; they go into every heartbeat.
+constexpr size_t kMaxNameBytes = 200;
 
 std::string TextMember(const Json& object, const char* name) {
   const auto it = object.find(name);
@@ -33,8 +37,10 @@
 /// later.
 Duration AgeOf(const Json& object, const char* name, int64_t unix_now_ms) {
   const auto it = object.find(name);
-  if (it == object.end() || !it->is_number_integer()) return Duration::max();
-  const auto unix_ms = it->get<int64_t>();
+  if (it == object.end() || !it->is_number_unsigned()) return Duration::max();
+  const auto number = it->get<uint64_t>();
+  if (number > kMaxUnixMs) return Duration::max();
+  const auto unix_ms = static_cast<int64_t>(number);
   if (unix_ms == 0) return Duration::zero();
   constexpr int64_t kMaxAgeMs = 24L * 3600 * 1000;
   return milliseconds(std::clamp(unix_now_ms - unix_ms, int64_t{0}, kMaxAgeMs));
@@ -144,6 +150,10 @@
                                   int64_t unix_now_ms) {
   const ServiceId service(TextMember(entry, "service"));
   const SoftwareVersion version(TextMember(entry, "version"));
+  const bool is_named = !service.empty() &&
+                        service.value().size() <= kMaxNameBytes &&
+                        version.value().size() <= kMaxNameBytes;
+  if (!is_named) return;
   const auto keys = entry.find("keys");
   if (keys == entry.end()) {
     const Duration age = AgeOf(entry, "last_seen_ms", unix_now_ms);
--- a/unittests/Gateway/stream_versions_test.cc
+++ b/unittests/Gateway/stream_versions_test.cc
@@ -57,6 +57,36 @@
   uint64_t sequence_ = 0;
 };
 
+TEST_F(StreamVersionsTest, OddRecordsOfTheStoreNameNoVersions) {
+  const std::string now = std::to_string(kUnixNowMs);
+  const std::string huge(70'000, 'x');
+  std::vector<StoreRecord> records;
+  for (const std::string& value :
+       {std::string("["), std::string(100'000, '['), std::string("{}"),
+        R"([7,null,[],{},{"last_seen_ms":)" + now + "}]",
+        R"([{"service":"chat","version":")" + huge + R"(","last_seen_ms":)" +
+            now + "}]",
+        R"([{"service":")" + huge + R"(","version":"v9","last_seen_ms":0}])",
+        std::string(R"([{"service":"chat","version":"v3","last_seen_ms":-1},)"
+                    R"({"service":"chat","version":"v4","last_seen_ms":1e300},)"
+                    R"({"service":"chat","version":"v5",)"
+                    R"("last_seen_ms":18446744073709551615},)"
+                    R"({"service":"chat","version":"v6",)"
+                    R"("last_seen_ms":-9223372036854775808},)"
+                    R"({"service":"chat","version":"v7","last_seen_ms":"0"},)"
+                    R"({"service":"chat","version":"v8","keys":{"a":1},)"
+                    R"("written_ms":0},{"service":"chat","version":"v2",)"
+                    R"("last_seen_ms":0}])")}) {
+    records.push_back({"versions/" + std::to_string(records.size()), value, 1});
+  }
+  records.push_back({"versions/none", std::nullopt, 1});
+  versions_.Restore(now_, records, kUnixNowMs);
+  const std::vector<VersionSighting> sightings =
+      versions_.history().Sightings();
+  ASSERT_EQ(sightings.size(), 1U);
+  EXPECT_EQ(sightings[0].version, kNew);
+}
+
 TEST_F(StreamVersionsTest, UnknownStreamNeedsASingleVersionOfItsLifetime) {
   versions_.Restore(now_, {}, kUnixNowMs);
   EXPECT_FALSE(Unknown());
