--- a/unittests/PlatformAdapter/odd_input_test.cc
+++ b/unittests/PlatformAdapter/odd_input_test.cc
@@ -25,7 +25,7 @@
 
 /// JSON texts that no member has in a sound record.
 const std::vector<std::string>& OddValues() {
-  static const std::vector<std::string> values = {
+  static const std::vector<std::string> kValues = {
       "null",
       "true",
       "[]",
@@ -61,7 +61,7 @@
       Nested("[", "]"),
       Nested("{\"a\":", "}"),
   };
-  return values;
+  return kValues;
 }
 
 using Members = std::vector<std::pair<std::string, std::string>>;
@@ -294,34 +294,34 @@
 
 /// A text of JSON's characters, which finds more than arbitrary bytes do.
 rc::Gen<std::string> JsonLikeText() {
-  static const std::vector<std::string> pieces = {"{",
-                                                  "}",
-                                                  "[",
-                                                  "]",
-                                                  ",",
-                                                  ":",
-                                                  "\"",
-                                                  "\\u0000",
-                                                  "\\ud800",
-                                                  "1e308",
-                                                  "-1",
-                                                  "0",
-                                                  "\"seq\":",
-                                                  "\"born\":",
-                                                  "\"addr\":",
-                                                  "\"slots\":",
-                                                  "null",
-                                                  "true",
-                                                  "\xc3",
-                                                  "\xff",
-                                                  " ",
-                                                  "9999999999999999999999",
-                                                  "\"127.0.0.1:80\"",
-                                                  "\"version\":",
-                                                  "\"routes\":",
-                                                  "\"services\":"};
+  static const std::vector<std::string> kPieces = {"{",
+                                                   "}",
+                                                   "[",
+                                                   "]",
+                                                   ",",
+                                                   ":",
+                                                   "\"",
+                                                   "\\u0000",
+                                                   "\\ud800",
+                                                   "1e308",
+                                                   "-1",
+                                                   "0",
+                                                   "\"seq\":",
+                                                   "\"born\":",
+                                                   "\"addr\":",
+                                                   "\"slots\":",
+                                                   "null",
+                                                   "true",
+                                                   "\xc3",
+                                                   "\xff",
+                                                   " ",
+                                                   "9999999999999999999999",
+                                                   "\"127.0.0.1:80\"",
+                                                   "\"version\":",
+                                                   "\"routes\":",
+                                                   "\"services\":"};
   return rc::gen::map(
-      rc::gen::container<std::vector<std::string>>(rc::gen::elementOf(pieces)),
+      rc::gen::container<std::vector<std::string>>(rc::gen::elementOf(kPieces)),
       [](const std::vector<std::string>& parts) {
         std::string text;
         for (const std::string& part : parts) text += part;
