[Gateway] Read no value of a peer's record that has none

Cause: records merged from a peer were decoded without a look whether they have a value. The present messages always carry one, so nothing was seen; a reading of the code for the test of odd records from peers found it.

Change: such a record is skipped, as in a full list. RecordCacheTest.OddRecordOfAPeerHidesNoOthers covers it; it passed before as well, by luck of the memory.

--- a/lib/Gateway/record_cache.cc
+++ b/lib/Gateway/record_cache.cc
@@ -134,6 +134,7 @@
 
 void RecordCache::MergeUpstreams(const PeerRecords& records) {
   for (const StoreRecord& record : records.upstreams) {
+    if (!record.value) continue;
     const StoreRecord row = WithEra(record, records.upstreams_position);
     const auto upstream = DecodeUpstreamRecord(row);
     if (!upstream) continue;
--- a/unittests/Gateway/record_cache_test.cc
+++ b/unittests/Gateway/record_cache_test.cc
@@ -57,6 +57,31 @@
   EXPECT_EQ(records.departures[0].id, UpstreamId("a"));
 }
 
+TEST(RecordCacheTest, OddRecordOfAPeerHidesNoOthers) {
+  const GatewayCodecs codecs = platform::MakeCodecs();
+  UpstreamDirectory directory(seconds(2));
+  Metrics metrics;
+  RecordCache cache(codecs.records, directory, metrics);
+  PeerRecords records;
+  for (const std::string& value :
+       {std::string(), std::string(100'000, '['), std::string("\xff"),
+        std::string(R"({"service":"s","addr":"127.0.0.1:0","zone":"z",)"
+                    R"("slots":1,"state":"ready"})")}) {
+    records.config = StoreRecord{"config", value, 1};
+    records.upstreams.push_back(
+        {"odd" + std::to_string(records.upstreams.size()), value, 1});
+  }
+  records.upstreams.push_back({"none", std::nullopt, 1});
+  records.upstreams.push_back(Upstream("a", 5));
+  records.upstreams_position = {1, 50};
+  cache.ApplyPeerRecords(kStart, records);
+  // A list that is not newer is merged.
+  cache.ApplyPeerRecords(kStart, records);
+  EXPECT_EQ(directory.records().size(), 1U);
+  EXPECT_NE(directory.Find(UpstreamId("a")), nullptr);
+  EXPECT_EQ(cache.RecordsForPeer(true).upstreams.size(), 1U);
+}
+
 TEST(RecordCacheTest, OddRecordHidesNoLaterOneOfItsUpstream) {
   const GatewayCodecs codecs = platform::MakeCodecs();
   UpstreamDirectory directory(seconds(2));
