[Gateway][Tests] Show that a full queue of connections is taken for a cut link

What callers see: a stream runs at two upstreams at a time, while the first one stands still and many connections wait there.

Cause: the probe of a stalled stream's upstream allows 250 ms for the connection. A stopped process whose queue is full accepts none, which counts as `unreachable`, and the stream moves at once. Its host is there: it acknowledges bytes on the open connection.

Change: the test alone; it fails. StreamStaysWhileItsStandingUpstreamTakesNoConnections printed: `other.requests.empty() Actual: false`, and the body ended after the first event.

--- a/unittests/Common/hanging_address.h
+++ b/unittests/Common/hanging_address.h
@@ -14,6 +14,31 @@
 
 namespace corianderlink {
 
+/// Fills the queue of a server that accepts nothing meanwhile, so that the
+/// kernel drops further attempts.
+class FullQueue {
+ public:
+  explicit FullQueue(const Address& address, int length = 16) {
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    name.sin_port = htons(address.port);
+    for (int i = 0; i < length; ++i) {
+      const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name));
+      sockets_.push_back(fd);
+    }
+  }
+  ~FullQueue() {
+    for (const int fd : sockets_) close(fd);
+  }
+  FullQueue(const FullQueue&) = delete;
+  FullQueue& operator=(const FullQueue&) = delete;
+
+ private:
+  std::vector<int> sockets_;
+};
+
 /// Listens with a full queue, so that the kernel drops further attempts.
 class HangingAddress {
  public:
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -5,6 +5,7 @@
 
 #include <thread>
 
+#include "Common/hanging_address.h"
 #include "Common/raw_tcp_server.h"
 #include "Gateway/gateway_test_harness.h"
 
@@ -370,6 +371,30 @@
   EXPECT_TRUE(other.requests.empty());
 }
 
+TEST_F(GatewayTest, StreamStaysWhileItsStandingUpstreamTakesNoConnections) {
+  RawTcpServer still([](int fd) {
+    char buffer[4096];
+    const ssize_t n = read(fd, buffer, sizeof(buffer));
+    if (n <= 0 || buffer[0] == 'G') return;
+    WriteText(fd,
+              "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: 1\r\n\r\n" +
+                  MakeEvent(1));
+    std::this_thread::sleep_for(milliseconds(1500));
+    WriteText(fd, MakeEvent(2));
+  });
+  harness_.RegisterUpstream("d1", "model", "decode", still.address);
+  const auto result =
+      harness_.Send("POST", "/long/1", {{"Token-Count", "100,10"}}, "b");
+  harness_.RunFor(milliseconds(100));
+  EXPECT_EQ(result->body, MakeEvent(1));
+  const FullQueue full(still.address);
+  FakeUpstream& other = harness_.AddUpstream("d2", "model", "decode");
+  harness_.Await(result);
+  EXPECT_TRUE(result->complete);
+  EXPECT_EQ(result->body, MakeEvent(1) + MakeEvent(2));
+  EXPECT_TRUE(other.requests.empty());
+}
+
 TEST_F(GatewayTest, StalledStreamMovesIfItsEngineAnswers) {
   FakeUpstream& first = harness_.AddUpstream("d1", "model", "decode");
   first.on_request = [](const Exchange& exchange) {
