[Gateway][Tests] Show that a started stream is cut once a peer refuses it

What callers see: a stream that has begun ends without its rest, with seconds left.

Cause: a gateway that takes its link for cut hands a started stream to a peer. If the peers refuse it (503, not run), ForwardTask cuts the stream at once: "no peer can serve the request" or "peer could not resume the stream".

Change: the test alone; it fails. StartedStreamIsNotCutWhileThePeerRefuses printed `stream->complete Actual: false` after `result=cut reason="no peer can serve the request"`, with 0.9 s left.

--- a/unittests/Gateway/partitioned_gateway_test.cc
+++ b/unittests/Gateway/partitioned_gateway_test.cc
@@ -48,6 +48,11 @@
         exchange->SendResponse(200, {}, "");
         return;
       }
+      if (is_full_) {
+        ++refusals_;
+        exchange->SendResponse(503, {{"Not-Run", "1"}}, "");
+        return;
+      }
       exchanges_.push_back(exchange);
       ++runs_[FakeUpstream::Field(exchange, "Request-Id")];
       if (service == "chat") {
@@ -142,6 +147,9 @@
   std::vector<Exchange> exchanges_;
   // Upstreams run requests and do not answer.
   bool is_mute_ = false;
+  // Upstreams refuse requests, and how many they have refused.
+  bool is_full_ = false;
+  int refusals_ = 0;
   int slots_ = 30;
   // Time that upstreams work on a plain request.
   Duration work_time_{};
@@ -229,6 +237,21 @@
   EXPECT_EQ(stream->body, whole);
 }
 
+TEST_F(PartitionedGatewayTest, StartedStreamIsNotCutWhileThePeerRefuses) {
+  Start(2);
+  stop_before_event_ = 4;
+  const auto stream = Send(0, "/c/1");
+  harness_.RunFor(milliseconds(100));
+  Partition(0, Cut::kHang);
+  stop_before_event_ = 0;
+  is_full_ = true;
+  harness_.RunFor(milliseconds(1500));
+  EXPECT_GT(refusals_, 0);
+  is_full_ = false;
+  harness_.Await(stream);
+  EXPECT_TRUE(stream->complete);
+}
+
 TEST_F(PartitionedGatewayTest, ErrorThroughAPeerDoesNotEndTheStreamAsWhole) {
   Start(2);
   stop_before_event_ = 4;
