--- a/utils/soak.py
+++ b/utils/soak.py
@@ -58,7 +58,8 @@
         self.world = deployment
         self.callers = callers
         self.random = deployment.random
-        self.spans, self.stutters = [], []
+        # Times and kinds of the faults that excuse something.
+        self.spans = []
         self.log = []
         self.plan = []
         # Excuse nothing.
@@ -102,14 +103,18 @@
             # Some faults overlap, some come in a series.
             at += self.random.choice([0.1, 0.5, 1.5])
 
-    def troubled(self, since, to):
+    def troubled(self, since, to, of=lambda kind: True):
         return any(a < to + SETTLE_S and since < b + SETTLE_S
-                   for a, b in self.spans)
+                   for a, b, kind in self.spans if of(kind))
 
     def moved(self, since, to):
         """Whether more than short stops of machines touched that span."""
-        return any(a < to + SETTLE_S and since < b + SETTLE_S
-                   for a, b in self.spans if [a, b] not in self.stutters)
+        return self.troubled(since, to, lambda kind: kind != self.stutter)
+
+    def cut(self, since, to):
+        """Whether connections to upstreams were cut or harmed in that span."""
+        return self.troubled(since, to, lambda kind: kind in (
+            self.cut_all, self.upstream_link, self.silence))
 
     async def play(self):
         start = time.monotonic()
@@ -122,12 +127,10 @@
             task.result()
 
     async def one(self, kind, for_s):
-        span = [time.monotonic(), float("inf")]
+        span = [time.monotonic(), float("inf"), kind]
         # Planned leaving excuses nothing.
         if kind not in self.planned:
             self.spans.append(span)
-        if kind == self.stutter:
-            self.stutters.append(span)
         what = await kind(for_s)
         span[1] = time.monotonic()
         self.log.append("%s %s" % (kind.__name__, what))
@@ -307,7 +310,7 @@
 
     def others_since(self, since):
         """Whether another fault than the present one touched the time since."""
-        return sum(1 for _, end in self.spans if end > since) > 1
+        return sum(1 for _, end, _ in self.spans if end > since) > 1
 
     async def start_after_restore(self, for_s):
         """A gateway starts while only its peers know what a restored store
@@ -463,8 +466,7 @@
         # What is late, and against a promise, still arrives.
         await asyncio.sleep(0.5)
         broken = faults.broken
-        broken += checks.check(deployment, callers.requests, faults.troubled,
-                               faults.moved)
+        broken += checks.check(deployment, callers.requests, faults)
         broken += checks.check_recovery(callers.requests, calm_from)
         broken += checks.check_store_followed(deployment)
         if peak[0] > checks.MAX_RESIDENT_MB:
--- a/utils/soak_lib/checks.py
+++ b/utils/soak_lib/checks.py
@@ -26,9 +26,10 @@
 LIMIT_WINDOW_S = 4.0
 
 
-def check(deployment, requests, troubled, moved):
-    """Returns the broken rules as texts.  `troubled(from, to)` tells whether a
-    fault touched that span; `moved` leaves out stops that last moments."""
+def check(deployment, requests, faults):
+    """Returns the broken rules as texts.  `faults.troubled(from, to)` tells
+    whether a fault touched that span."""
+    troubled = faults.troubled
     broken = []
     runs = collections.defaultdict(list)
     for run in deployment.runs:
@@ -40,8 +41,9 @@
         broken += check_request(deployment, request, runs[request.identity],
                                 troubled)
         broken += check_versions(request)
-        broken += check_one_run(request, runs[request.identity])
-        broken += check_not_lost(request, runs[request.identity], moved)
+        broken += check_one_run(request, runs[request.identity], faults.cut)
+        broken += check_not_lost(request, runs[request.identity],
+                                 faults.moved)
     broken += check_draining(deployment, troubled)
     broken += check_pauses(deployment)
     for gateway in deployment.gateways:
@@ -102,8 +104,9 @@
     return []
 
 
-def check_one_run(request, runs):
-    """A stream goes on elsewhere only once its run before has ended."""
+def check_one_run(request, runs, cut):
+    """A stream goes on elsewhere only once its run before has ended, unless its
+    gateway cannot reach that upstream."""
     if request.kind not in ("stream", "once"):
         return []
     # A process that stood still may read what was sent before a reset; it gives
@@ -113,7 +116,8 @@
     return ["TWICE %s: still worked on at %s %.1f s after it went on at %s" %
             (request.name(), before.upstream, CANCEL_S, run.upstream)
             for before, run in zip(runs, runs[1:])
-            if before.ended is None or before.ended > run.began + CANCEL_S]
+            if (before.ended is None or before.ended > run.began + CANCEL_S) and
+            not cut(run.began, run.began + CANCEL_S)]
 
 
 def check_not_lost(request, runs, troubled):
