[Gateway] Keep a started stream while peers refuse to resume it

What callers saw: streams that had begun were cut with seconds left when their gateway's link was impaired and the peers were full.

Ruled out: waiting after every refusal; one without Retry-After is for good, and an upstream's own error is no refusal (ErrorThroughAPeerDoesNotEndTheStreamAsWhole).

Change: a resumable stream that has begun tries the peers again, at 50 ms doubling to 400 ms, until its deadline.

Evidence: PartitionedGatewayTest.StartedStreamIsNotCutWhileThePeerRefuses: before, cut with "no peer can serve the request" and 0.9 s left, now complete.

--- a/include/corianderlink/Gateway/forward_task.h
+++ b/include/corianderlink/Gateway/forward_task.h
@@ -67,6 +67,9 @@
  private:
   bool is_event_stream() const;
   void SendToNextPeer();
+  /// Tries all peers again later, if they have refused a stream that has begun;
+  /// false if they must not be tried.
+  bool WaitForPeers();
   UpstreamRequest BuildRequest(Time now) const;
   UpstreamHandlers BuildHandlers();
   void OnHead(const ResponseHead& head);
@@ -93,7 +96,10 @@
   std::string buffered_;
   EventSplitter event_splitter_;
   bool finished_ = false;
+  // Rounds of peers that have refused the stream.
+  int refused_rounds_ = 0;
   EventHandle deadline_timer_;
+  EventHandle retry_timer_;
 };
 
 }  // namespace corianderlink
--- a/lib/Gateway/forward_task.cc
+++ b/lib/Gateway/forward_task.cc
@@ -20,6 +20,9 @@
 constexpr size_t kMaxBufferedBytes = 256 * 1024;
 constexpr size_t kMaxEventBytes = 1024 * 1024;
 constexpr size_t kMaxPendingBytes = 1024 * 1024;
+// Interval between rounds of peers for a stream that has begun; it doubles.
+constexpr Duration kRetryInterval = milliseconds(50);
+constexpr int kMaxRetryDoublings = 3;
 constexpr int kUnavailable = 503;
 constexpr int kNotFound = 404;
 
@@ -52,7 +55,7 @@
     peer_ = context_.choose_peer(now, forwarded_.service, tried_);
   }
   if (!peer_) {
-    Fail("no peer can serve the request");
+    if (!WaitForPeers()) Fail("no peer can serve the request");
     return;
   }
   tried_.insert(*peer_);
@@ -71,6 +74,22 @@
   call_ = context_.pool.Start(BuildRequest(now), BuildHandlers());
 }
 
+bool ForwardTask::WaitForPeers() {
+  const RouteSpec& route = forwarded_.route;
+  const bool may_resume = forwarded_.exchange->response_started() &&
+                          route.kind == RouteKind::kStream &&
+                          route.idempotent() && forwarded_.state.runs_left > 0;
+  if (!may_resume) return false;
+  tried_.clear();
+  const int doublings = std::min(refused_rounds_++, kMaxRetryDoublings);
+  retry_timer_ = context_.loop.After(kRetryInterval * (1 << doublings),
+                                     [self = shared_from_this()] {
+                                       if (!self->finished_)
+                                         self->SendToNextPeer();
+                                     });
+  return true;
+}
+
 UpstreamRequest ForwardTask::BuildRequest(Time now) const {
   const ClientRequest& client = forwarded_.request;
   UpstreamRequestOptions options;
@@ -194,6 +213,8 @@
     SendToNextPeer();
     return;
   }
+  // A refusal for good names no time to come back.
+  if (refused && response_info_.pause && WaitForPeers()) return;
   if (refused && response_->status == kNotFound) {
     Fail("peer has no such route");
     return;
@@ -303,6 +324,7 @@
                          const std::string& reason) {
   finished_ = true;
   deadline_timer_.Reset();
+  retry_timer_.Reset();
   InboundExchange& exchange = *forwarded_.exchange;
   exchange.on_client_disconnected = nullptr;
   exchange.on_drained = nullptr;
