[Gateway] Do not take a full queue of connections for an upstream that is gone

What callers saw: streams that ran at two upstreams at a time, while the first stood still and many connections waited there.

Cause: a stalled stream moved when a new connection to its upstream was not established in 250 ms. The kernel of a stopped process drops connections once its queue is full, and still acknowledges bytes on the open ones.

Ruled out: a longer connect timeout, which costs the streams of upstreams that are gone and shows nothing.

Change: the kernel is asked to probe the stalled connection once a second (TCP_KEEPIDLE), and the stream stays while the upstream's host has acknowledged something in the last 1.1 s (TCP_INFO). Where the kernel does not tell, it moves as before.

--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -227,6 +227,8 @@
   /// cannot be asked.
   bool ProbeStalledUpstream();
   void OnStalledUpstreamProbed(ProbeResult result);
+  /// True if the upstream's host acknowledges the connection of the attempt.
+  bool IsHostThere() const;
   /// Cancels a stalled attempt and sends the request to another upstream, if
   /// that is permitted.
   void MoveStalledRequest();
--- a/include/corianderlink/Http1/byte_stream.h
+++ b/include/corianderlink/Http1/byte_stream.h
@@ -55,6 +55,12 @@
   void SetReadLimit(size_t bytes);
   void PauseReading();
   void ResumeReading();
+  /// Makes the peer's host acknowledge the connection once a second while no
+  /// data arrives.
+  void ProbeHost();
+  /// Time since the peer's host last acknowledged something; nothing if the
+  /// kernel does not tell.
+  std::optional<Duration> SinceAcknowledgement() const;
   /// Neither reads from the socket nor writes to it from now on; buffered
   /// output is not sent.
   void Stop();
--- a/include/corianderlink/Http1/upstream_call.h
+++ b/include/corianderlink/Http1/upstream_call.h
@@ -3,6 +3,7 @@
 #define CORIANDERLINK_HTTP1_UPSTREAM_CALL_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "corianderlink/Http1/message_head.h"
@@ -52,6 +53,12 @@
   virtual ~UpstreamCall() = default;
   /// Closes the connection.  No handler is called afterwards.
   virtual void Cancel() = 0;
+  /// Makes the upstream's host acknowledge the connection once a second while
+  /// the upstream is silent.
+  virtual void ProbeHost() = 0;
+  /// Time since the upstream's host last acknowledged something; nothing if it
+  /// is unknown.
+  virtual std::optional<Duration> SinceAcknowledgement() const = 0;
   virtual void PauseReading() = 0;
   virtual void ResumeReading() = 0;
 };
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -21,6 +21,8 @@
 constexpr Duration kMinStreamStallTimeout = milliseconds(1000);
 // Time in which a stalled stream makes progress if its upstream works.
 constexpr Duration kProgressTime = milliseconds(200);
+// The host of a silent upstream acknowledges the connection this often.
+constexpr Duration kAcknowledgementTime = milliseconds(1100);
 constexpr char kStalled[] = "upstream stalled";
 
 }  // namespace
@@ -305,10 +307,16 @@
     if (self->finished_ || self->call_ != call || goes_on) return;
     self->OnStalledUpstreamProbed(result);
   };
+  call_->ProbeHost();
   return context_.upstream_probe.Start(placement_->upstream,
                                        service_.health_path, on_probed);
 }
 
+bool RelayTask::IsHostThere() const {
+  const std::optional<Duration> age = call_->SinceAcknowledgement();
+  return age && *age < kAcknowledgementTime;
+}
+
 void RelayTask::OnStalledUpstreamProbed(ProbeResult result) {
   Log(LogLevel::kInfo, "stalled_upstream_probed",
       {{"request", request_.id.value()},
@@ -316,9 +324,13 @@
        {"result", ToString(result)},
        {"events", events_received_},
        {"elapsed_ms", ToMillis(BootClock::now() - sent_at_)}});
-  if (result == ProbeResult::kSilent) {
-    // Its process stands still.  It would not notice that the attempt is
-    // cancelled, and would run it beside the next one.
+  // A process that stands still takes no connections once its queue is full.
+  const bool stands_still =
+      result == ProbeResult::kSilent ||
+      (result == ProbeResult::kUnreachable && IsHostThere());
+  if (stands_still) {
+    // It would not notice that the attempt is cancelled, and would run it
+    // beside the next one.
     ProbeStalledUpstream();
     return;
   }
--- a/lib/Http1/byte_stream.cc
+++ b/lib/Http1/byte_stream.cc
@@ -116,6 +116,22 @@
 
 void ByteStream::ResumeReading() { bufferevent_enable(bev_, EV_READ); }
 
+void ByteStream::ProbeHost() {
+  const int one_second = 1;
+  setsockopt(bufferevent_getfd(bev_), IPPROTO_TCP, TCP_KEEPIDLE, &one_second,
+             sizeof(one_second));
+}
+
+std::optional<Duration> ByteStream::SinceAcknowledgement() const {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(bufferevent_getfd(bev_), IPPROTO_TCP, TCP_INFO, &info,
+                 &size) != 0) {
+    return std::nullopt;
+  }
+  return milliseconds(info.tcpi_last_ack_recv);
+}
+
 void ByteStream::Stop() { bufferevent_disable(bev_, EV_READ | EV_WRITE); }
 
 void ByteStream::ResetOnClose() {
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -217,6 +217,15 @@
   handlers.on_fail(outcome);
 }
 
+void UpstreamConnection::ProbeHost() {
+  if (!closed_) stream_->ProbeHost();
+}
+
+std::optional<Duration> UpstreamConnection::SinceAcknowledgement() const {
+  if (closed_) return std::nullopt;
+  return stream_->SinceAcknowledgement();
+}
+
 void UpstreamConnection::PauseReading() {
   if (!closed_) stream_->PauseReading();
 }
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -28,6 +28,8 @@
   void Send(UpstreamRequest request, UpstreamHandlers handlers);
 
   void Cancel() override;
+  void ProbeHost() override;
+  std::optional<Duration> SinceAcknowledgement() const override;
   void PauseReading() override;
   void ResumeReading() override;
 
