[Gateway] Take a silent peer's silence for no consent to a new version

What callers saw (report of operators): a stream that began at a new software version broke, was taken up at a gateway that had been out of step for a few seconds, and went on at the version before.

Cause: a new version begins streams once all ready peers have reported it. A peer that was not heard of for 1.5 s, as it stood still or was cut off, was no longer asked. It may resume unknown streams by what it knew for up to 5 s.

Change: the last report of a silent peer counts for as long as the peer is remembered, unless it was leaving or another process serves at its address. A version that it does not contain begins no stream before 5.5 s have passed, also if no other version serves: streams are refused then, where a live peer would hear of the version within a heartbeat. What a peer knew as it fell silent counts as known.

Evidence: StreamVersionTest.SilenceOfAPeerIsNotTakenForConsentToANewVersion, four real gateways, one of which stands still for 5 s: before, streams began at v2 and one went on at v1 ("s3 began at v2"); now all begin at v1. New and green as well: a process that started again does not hold a version up for the one that ended, nor does a silent peer hold up versions that it knew.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -189,7 +189,7 @@
                                                    ServiceId& service,
                                                    std::string& reason) const;
   /// What the ready peers know of software versions.
-  std::vector<const StreamVersionReport*> PeerVersions(Time now) const;
+  PeerVersionReports PeerReports(Time now) const;
   /// Time since the store told this gateway or a peer of the upstreams.
   Duration KnowledgeAge(Time now) const;
   /// Number of ready gateways with a lower process id that are not partitioned
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -118,6 +118,8 @@
 
   /// Peers whose last heartbeat is not older than kPeerTimeout.
   std::vector<const GatewayPeer*> Live(Time now) const;
+  /// Peers that are not live and have not ended, as far as is known.
+  std::vector<const GatewayPeer*> Silent(Time now) const;
   /// Time since the store last responded to a live peer; the longest duration
   /// if there is none.
   Duration StoreAge(Time now) const;
@@ -160,6 +162,8 @@
   void Tick();
   Duration HeartbeatInterval(Time now) const;
   void ExpirePeers(Time now);
+  /// True if another process has been heard of later at the peer's address.
+  bool IsReplaced(const GatewayPeer& peer) const;
 
   EventLoop& loop_;
   PeerBus bus_;
--- a/include/corianderlink/Gateway/stream_versions.h
+++ b/include/corianderlink/Gateway/stream_versions.h
@@ -37,6 +37,14 @@
   std::vector<StreamOrigin> origins;
 };
 
+/// Last reports of the peers that may resume streams.
+struct PeerVersionReports {
+  std::vector<const StreamVersionReport*> live;
+  /// Of peers that have not been heard of lately, and may be standing still or
+  /// cut off.
+  std::vector<const StreamVersionReport*> silent;
+};
+
 /// Whether and where a stream may be resumed.
 struct ResumptionDecision {
   /// Empty if the stream must not be resumed by this gateway now.
@@ -70,11 +78,11 @@
   /// last response about upstreams, to this gateway or a peer.
   ResumptionDecision Resolve(Time now, StreamKey key, const ServiceId& service,
                              Duration knowledge_age) const;
-  /// The version that a new stream must not begin at: one that not all gateways
-  /// know, while another one serves.
-  VersionConstraint ForNewStream(
-      Time now, const ServiceId& service,
-      const std::vector<const StreamVersionReport*>& peers) const;
+  /// Versions that a new stream must not begin at: those that not all gateways
+  /// are known to know.  If no other one serves, live peers learn of it in
+  /// time.
+  VersionConstraint ForNewStream(Time now, const ServiceId& service,
+                                 const PeerVersionReports& peers) const;
 
   /// This gateway's part of the next heartbeat.  Without recent knowledge of
   /// the upstreams, the origins of all streams are passed on.
@@ -97,6 +105,10 @@
  private:
   using RegisteredVersions = std::map<SoftwareVersion, bool>;
 
+  /// True if an upstream that answers may be used.
+  bool HasPermitted(const ServiceId& service,
+                    const VersionConstraint& constraint) const;
+
   std::optional<StoreRecord> NextVersionsRecord(Time now, int64_t unix_now_ms);
   std::optional<StoreRecord> NextOriginsRecord(Time now, int64_t unix_now_ms,
                                                size_t writer);
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -193,6 +193,24 @@
   return view;
 }
 
+std::vector<const GatewayPeer*> GatewayPeers::Silent(Time now) const {
+  std::vector<const GatewayPeer*> silent;
+  for (const auto& [process, peer] : peers_) {
+    if (now - peer.last_heartbeat <= kPeerTimeout) continue;
+    if (peer.status.leaving || IsReplaced(peer)) continue;
+    silent.push_back(&peer);
+  }
+  return silent;
+}
+
+bool GatewayPeers::IsReplaced(const GatewayPeer& peer) const {
+  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+    const GatewayPeer& other = entry.second;
+    return other.status.peer_address == peer.status.peer_address &&
+           other.last_heartbeat > peer.last_heartbeat;
+  });
+}
+
 std::vector<const GatewayPeer*> GatewayPeers::Live(Time now) const {
   std::vector<const GatewayPeer*> live;
   for (const auto& [process, peer] : peers_) {
--- a/lib/Gateway/stream_versions.cc
+++ b/lib/Gateway/stream_versions.cc
@@ -23,6 +23,20 @@
                      });
 }
 
+// Adds the versions that one of the reports does not contain.
+void AvoidUnknown(const ServiceId& service,
+                  const std::set<SoftwareVersion>& versions,
+                  const std::vector<const StreamVersionReport*>& reports,
+                  VersionConstraint& constraint) {
+  for (const SoftwareVersion& version : versions) {
+    const bool known =
+        std::all_of(reports.begin(), reports.end(), [&](const auto* report) {
+          return Contains(*report, service, version);
+        });
+    if (!known) constraint.avoided.insert(version);
+  }
+}
+
 }  // namespace
 
 void StreamVersions::Update(Time now) {
@@ -54,24 +68,24 @@
 }
 
 VersionConstraint StreamVersions::ForNewStream(
-    Time now, const ServiceId& service,
-    const std::vector<const StreamVersionReport*>& peers) const {
-  VersionConstraint constraint;
+    Time now, const ServiceId& service, const PeerVersionReports& peers) const {
   const std::set<SoftwareVersion> recent =
       history_.SeenFirstAfter(service, now - kAnnouncementTime);
-  for (const SoftwareVersion& version : recent) {
-    const bool announced =
-        std::all_of(peers.begin(), peers.end(), [&](const auto* report) {
-          return Contains(*report, service, version);
-        });
-    if (!announced) constraint.avoided.insert(version);
-  }
-  if (constraint.avoided.empty()) return constraint;
-  for (const UpstreamRecord* upstream : directory_.Usable(service)) {
-    const bool answers = upstream->role != UpstreamRole::kPrefill;
-    if (answers && constraint.Permits(*upstream)) return constraint;
-  }
-  return {};
+  VersionConstraint unknown_to_silent;
+  AvoidUnknown(service, recent, peers.silent, unknown_to_silent);
+  VersionConstraint constraint = unknown_to_silent;
+  AvoidUnknown(service, recent, peers.live, constraint);
+  return HasPermitted(service, constraint) ? constraint : unknown_to_silent;
+}
+
+bool StreamVersions::HasPermitted(const ServiceId& service,
+                                  const VersionConstraint& constraint) const {
+  const auto usable = directory_.Usable(service);
+  return std::any_of(
+      usable.begin(), usable.end(), [&](const UpstreamRecord* upstream) {
+        const bool answers = upstream->role != UpstreamRole::kPrefill;
+        return answers && constraint.Permits(*upstream);
+      });
 }
 
 StreamVersionReport StreamVersions::NextReport(Duration knowledge_age) {
--- a/unittests/Gateway/gateway_fleet.h
+++ b/unittests/Gateway/gateway_fleet.h
@@ -2,12 +2,14 @@
 #ifndef CORIANDERLINK_UNITTESTS_GATEWAY_GATEWAY_FLEET_H_
 #define CORIANDERLINK_UNITTESTS_GATEWAY_GATEWAY_FLEET_H_
 
+#include <event2/event.h>
 #include <gtest/gtest.h>
 
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,6 +31,20 @@
     for (size_t i = 0; i < gateways; ++i) Add("g" + std::to_string(i));
     Introduce();
   }
+  /// Gives the gateway with this number, which starts later, an event loop of
+  /// its own, so that it can stand still while the others run.
+  void PrepareStandstill(size_t gateway) {
+    own_loops_[gateway] = std::make_unique<EventLoop>();
+  }
+  /// The gateway stands still: the kernel takes what is sent to it, and the
+  /// response of the store to its last watch.
+  void BeginStandstill(size_t gateway) { still_.insert(gateway); }
+  /// The gateway goes on, and handles first what has waited.
+  void EndStandstill(size_t gateway) {
+    still_.erase(gateway);
+    gateways_[gateway]->OnStoreResponse(StoreTable::kConfig);
+    gateways_[gateway]->OnStoreResponse(StoreTable::kUpstreams);
+  }
   /// Starts a gateway that knows one of the others only, and waits until it is
   /// ready: it gets configuration and upstreams from its peer.
   bool AddLater(const std::string& instance) {
@@ -63,6 +79,13 @@
     for (const GatewaySettings& old : settings) Start(old);
     Introduce();
   }
+  /// A process ends and starts again at the same address.
+  void Restart(size_t gateway) {
+    gateways_[gateway].reset();
+    gateways_[gateway] = Create(gateway, settings_[gateway]);
+    gateway_records_[gateway] = gateways_[gateway]->OwnRecord();
+    Introduce();
+  }
   void RemoveUpstream(const std::string& id) {
     std::erase_if(upstream_records_, [&id](const StoreRecord& record) {
       return record.key == id;
@@ -120,12 +143,19 @@
   Gateway& Start(const GatewaySettings& settings) {
     settings_.push_back(settings);
     fronts_.push_back(settings.front);
-    gateways_.push_back(std::make_unique<Gateway>(harness_.loop, settings,
-                                                  platform::MakeCodecs()));
-    Gateway& gateway = *gateways_.back();
+    gateways_.push_back(Create(gateways_.size(), settings));
+    gateway_records_.push_back(gateways_.back()->OwnRecord());
+    return *gateways_.back();
+  }
+  std::unique_ptr<Gateway> Create(size_t number,
+                                  const GatewaySettings& settings) {
+    const auto own_loop = own_loops_.find(number);
+    EventLoop& loop =
+        own_loop == own_loops_.end() ? harness_.loop : *own_loop->second;
+    auto gateway =
+        std::make_unique<Gateway>(loop, settings, platform::MakeCodecs());
     std::string reason;
-    EXPECT_TRUE(gateway.Start(reason)) << reason;
-    gateway_records_.push_back(gateway.OwnRecord());
+    EXPECT_TRUE(gateway->Start(reason)) << reason;
     return gateway;
   }
   /// Tells the gateways of each other, the configuration and the upstreams.
@@ -137,6 +167,10 @@
     }
     store_timer_ =
         harness_.loop.Every(milliseconds(100), [this] { ServeStore(); });
+    if (!own_loops_.empty()) {
+      own_loops_timer_ =
+          harness_.loop.Every(kOwnLoopInterval, [this] { RunOwnLoops(); });
+    }
     Publish();
     harness_.RunFor(milliseconds(300));
   }
@@ -147,9 +181,18 @@
     }
     return records;
   }
+  void RunOwnLoops() {
+    for (const auto& [gateway, loop] : own_loops_) {
+      if (still_.count(gateway) > 0) continue;
+      event_base_loop(loop->base(), EVLOOP_NONBLOCK);
+    }
+  }
   /// The store answers, and keeps what gateways write.
   void ServeStore() {
-    for (const auto& gateway : gateways_) {
+    for (size_t i = 0; i < gateways_.size(); ++i) {
+      if (still_.count(i) > 0) continue;
+      const auto& gateway = gateways_[i];
+      if (outdated_.erase(i) > 0) Publish(i);
       gateway->OnStoreResponse(StoreTable::kConfig);
       gateway->OnStoreResponse(StoreTable::kUpstreams);
       const auto record = gateway->NextStreamRecord(kUnixNowMs);
@@ -161,22 +204,36 @@
   void Publish() {
     ++version_;
     for (size_t i = 0; i < gateways_.size(); ++i) {
-      const auto partitioned = partitioned_.find(i);
-      gateways_[i]->OnAllUpstreams(partitioned == partitioned_.end()
-                                       ? upstream_records_
-                                       : partitioned->second,
-                                   {1, version_});
+      if (still_.count(i) > 0) {
+        outdated_.insert(i);
+      } else {
+        Publish(i);
+      }
     }
   }
+  void Publish(size_t gateway) {
+    const auto partitioned = partitioned_.find(gateway);
+    gateways_[gateway]->OnAllUpstreams(partitioned == partitioned_.end()
+                                           ? upstream_records_
+                                           : partitioned->second,
+                                       {1, version_});
+  }
+
+  static constexpr int64_t kUnixNowMs = 1'700'000'000'000;
+  static constexpr Duration kOwnLoopInterval = milliseconds(1);
 
   GatewayTestHarness& harness_;
   const std::string config_;
+  std::map<size_t, std::unique_ptr<EventLoop>> own_loops_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
   std::vector<GatewaySettings> settings_;
-  static constexpr int64_t kUnixNowMs = 1'700'000'000'000;
+  // Gateways that stand still, and those that lack changes of upstreams.
+  std::set<size_t> still_;
+  std::set<size_t> outdated_;
 
   std::map<std::string, std::string> stream_records_;
   EventHandle store_timer_;
+  EventHandle own_loops_timer_;
   std::vector<StoreRecord> gateway_records_;
   std::vector<Address> fronts_;
   std::vector<StoreRecord> upstream_records_;
--- a/unittests/Gateway/stream_version_test.cc
+++ b/unittests/Gateway/stream_version_test.cc
@@ -135,6 +135,45 @@
     return resumed;
   }
 
+  /// A version joins while a gateway stands still; `wait` later streams begin
+  /// elsewhere, and are resumed at that gateway as it goes on.
+  void ExpectNoneJoinedAtAGatewayThatStoodStill(
+      Duration wait, const std::set<std::string>& begun_versions) {
+    constexpr size_t kStill = 3;
+    for (const char* id : {"a1", "a2"}) AddUpstream(id, "v1");
+    fleet_.PrepareStandstill(kStill);
+    fleet_.Start(kStill + 1);
+    EXPECT_EQ(Resume(kStill, "unknown"), 200);
+    fleet_.BeginStandstill(kStill);
+    // Until the version joins, peers send more than is read at once later.
+    harness_.RunFor(seconds(5));
+    for (const char* id : {"b1", "b2", "b3", "b4"}) AddUpstream(id, "v2");
+    harness_.RunFor(wait);
+    const std::vector<std::string> ids = {"s1", "s2", "s3", "s4", "s5", "s6"};
+    const auto begun = BeginAndLeave({ids.begin(), ids.end()});
+    std::set<std::string> versions;
+    std::map<std::string, std::shared_ptr<ClientResult>> rests;
+    // Those of the new version first, as the first connection is kept.
+    for (const bool is_new : {true, false}) {
+      for (const auto& [id, result] : begun) {
+        const bool began_at_new = Versions(result->body).count("v2") > 0;
+        if (began_at_new == is_new) rests[id] = SendRest(kStill, id);
+        versions.merge(Versions(result->body));
+      }
+    }
+    EXPECT_EQ(versions, begun_versions);
+    harness_.RunFor(milliseconds(50));
+    fleet_.EndStandstill(kStill);
+    for (const auto& [id, rest] : rests) {
+      harness_.Await(rest);
+      const std::string& body = begun.at(id)->body;
+      ASSERT_EQ(Versions(body).size(), 1U);
+      if (rest->status != 200) continue;
+      EXPECT_EQ(Versions(body + rest->body).size(), 1U)
+          << id << " began at " << *Versions(body).begin();
+    }
+  }
+
   GatewayTestHarness harness_;
   std::map<std::string, std::unique_ptr<FakeUpstream>> upstreams_;
   GatewayFleet fleet_{harness_, kConfig};
@@ -190,6 +229,24 @@
   EXPECT_EQ(fresh->status, 200);
 }
 
+TEST_F(StreamVersionTest, SilenceOfAPeerIsNotTakenForConsentToANewVersion) {
+  ExpectNoneJoinedAtAGatewayThatStoodStill(milliseconds(200), {"v1"});
+}
+
+TEST_F(StreamVersionTest, GatewayThatStartedAgainDoesNotHoldUpANewVersion) {
+  AddUpstream("a1", "v1");
+  fleet_.Start(2);
+  fleet_.Restart(1);
+  harness_.RunFor(GatewayPeers::kPeerTimeout + milliseconds(200));
+  for (const char* id : {"b1", "b2", "b3"}) AddUpstream(id, "v2");
+  harness_.RunFor(milliseconds(200));
+  std::set<std::string> versions;
+  for (const auto& [id, result] : BeginAndLeave({"s1", "s2", "s3", "s4"})) {
+    versions.merge(Versions(result->body));
+  }
+  EXPECT_EQ(versions.count("v2"), 1U);
+}
+
 TEST_F(StreamVersionTest, UnknownStreamGoesOnWhileOneVersionServes) {
   for (const char* id : {"a1", "a2"}) AddUpstream(id, "v1");
   fleet_.Start(2);
