[Gateway] Date what is known of versions by the question, not by the answer

What callers saw (report of operators): a stream that began at a new software version was taken up at a gateway that had stood still, and went on at the version before.

Cause: an unknown stream goes on at the only version that is known if that knowledge is 5 s old at most. Its age was the time since a response of the store, or a heartbeat of a peer that had one, was handled. After a standstill or a cut, both have waited unread, or are delivered late: they count as fresh and say what held before. A gateway handles 200 heartbeats at a time, so a request on a kept connection is placed between them.

Ruled out: the bound of 5 s itself; a new version begins streams 5.5 s after its registration at the earliest unless all peers have reported it.

Change: a response of the store is dated by its call. Heartbeats carry the sender's clock and echo the receiver's; a peer's report was made after the heartbeat that it echoes. It also says how old the peer's own knowledge is. Gateways without an answer to a question of the last 5 s refuse unknown streams. Heartbeats of older builds have no echo and are dated by the last turn of the heartbeat timer before them, which the standstill delays; older builds ignore the new fields.

TableWatcherTest.ResponseThatWaitedIsDatedByItsCall and StreamVersionsTest.ReportThatWaitedUnreadShowsNoFreshKnowledge are new with the change. Unknown streams go on as before at a lone gateway, after a start of all, where only peers, also older ones, tell of the store, and 0.3 s after a standstill.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -83,6 +83,9 @@
   /// Applies changed records of upstreams up to `position` of the store.
   void OnUpstreamChanges(const std::vector<StoreRecord>& records,
                          StorePosition position);
+  /// The gateway was told of all changes of upstreams that the store had made
+  /// by `as_of`.
+  void OnUpstreamsKnown(Time as_of) { stream_versions_.OnKnowledge(as_of); }
   /// When and for how long this gateway watches the store now.
   WatchSchedule CurrentWatchSchedule() const;
   /// The store responded to a read or watch of the table.
@@ -191,7 +194,7 @@
   /// What the ready peers know of software versions.
   PeerVersionReports PeerReports(Time now) const;
   /// Time since the store told this gateway or a peer of the upstreams.
-  Duration KnowledgeAge(Time now) const;
+  Duration StoreResponseAge(Time now) const;
   /// Number of ready gateways with a lower process id that are not partitioned
   /// from a service.
   size_t Rank(Time now) const;
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -28,6 +28,10 @@
 
 namespace corianderlink {
 
+namespace wire {
+class Heartbeat;
+}  // namespace wire
+
 /// State that a gateway reports to its peers in each heartbeat.
 struct GatewayStatus {
   std::string instance;
@@ -91,6 +95,10 @@
   std::string process;
   /// When the last heartbeat arrived.
   Time last_heartbeat{};
+  /// The last heartbeat was made after this; unknown if empty.
+  std::optional<Time> reported_after;
+  /// The peer's clock as it sent the last heartbeat; 0 from older builds.
+  uint64_t sent_at = 0;
   /// When the present digest of the peer's upstreams was first received.
   Time digest_since{};
   GatewayStatus status;
@@ -160,10 +168,12 @@
   void OnPermitRequest(const wire::Envelope& message);
   void OnPermitReply(const wire::Envelope& message);
   void Tick();
+  /// The time after which the sender made this heartbeat, if known.
+  std::optional<Time> MadeAfter(const wire::Heartbeat& heartbeat) const;
   Duration HeartbeatInterval(Time now) const;
   void ExpirePeers(Time now);
-  /// True if another process has been heard of later at the peer's address.
-  bool IsReplaced(const GatewayPeer& peer) const;
+  /// The process that was last heard of at the address; null if none was.
+  const GatewayPeer* PeerAt(const Address& address) const;
 
   EventLoop& loop_;
   PeerBus bus_;
@@ -175,6 +185,7 @@
   // heartbeat from the address, or of adding it if none has arrived.
   std::map<Address, Time> receivers_;
   EventHandle heartbeat_timer_;
+  Time last_tick_{};
 };
 
 }  // namespace corianderlink
--- a/include/corianderlink/Gateway/store_sync.h
+++ b/include/corianderlink/Gateway/store_sync.h
@@ -61,7 +61,8 @@
                              reason);
              },
              [this](uint64_t era) { OnRestored(era); },
-             [this] { return gateway_.CurrentWatchSchedule(); }}) {}
+             [this] { return gateway_.CurrentWatchSchedule(); },
+             [this](Time as_of) { gateway_.OnUpstreamsKnown(as_of); }}) {}
 
   void Start() {
     config_watcher_.Start();
--- a/include/corianderlink/Gateway/stream_versions.h
+++ b/include/corianderlink/Gateway/stream_versions.h
@@ -35,6 +35,8 @@
   std::vector<VersionSighting> sightings;
   /// Streams that have begun since the last report.
   std::vector<StreamOrigin> origins;
+  /// The sender knows all versions that were registered this long ago.
+  Duration knowledge_age = Duration::max();
 };
 
 /// Last reports of the peers that may resume streams.
@@ -59,7 +61,9 @@
 class StreamVersions {
  public:
   /// A gateway that knows the upstreams as they were this long ago, or longer,
-  /// may not know of a version that its peers use.
+  /// may not know of a version that its peers use.  Only what was asked for
+  /// counts, by the time of the question: an answer may have waited, unread, as
+  /// long as this process stood still.
   static constexpr Duration kMaxKnowledgeAge = seconds(5);
 
   StreamVersions(const UpstreamDirectory& directory, RandomSource& random)
@@ -73,21 +77,27 @@
   /// Takes over changes of upstreams and drops what is outdated.
   void Update(Time now);
 
+  /// All versions that were registered by `as_of` are known now.
+  void OnKnowledge(Time as_of);
+  /// Age of what is known of the registered versions.
+  Duration KnowledgeAge(Time now) const;
+
   /// Decides on the resumption of a stream by a client.  `service` is the one
-  /// that the request would get; `knowledge_age` is the time since the store's
-  /// last response about upstreams, to this gateway or a peer.
-  ResumptionDecision Resolve(Time now, StreamKey key, const ServiceId& service,
-                             Duration knowledge_age) const;
+  /// that the request would get.
+  ResumptionDecision Resolve(Time now, StreamKey key,
+                             const ServiceId& service) const;
   /// Versions that a new stream must not begin at: those that not all gateways
   /// are known to know.  If no other one serves, live peers learn of it in
   /// time.
   VersionConstraint ForNewStream(Time now, const ServiceId& service,
                                  const PeerVersionReports& peers) const;
 
-  /// This gateway's part of the next heartbeat.  Without recent knowledge of
-  /// the upstreams, the origins of all streams are passed on.
-  StreamVersionReport NextReport(Duration knowledge_age);
-  void OnReport(Time now, const StreamVersionReport& report);
+  /// This gateway's part of the next heartbeat.  If the store has not responded
+  /// for long, the origins of all streams are passed on.
+  StreamVersionReport NextReport(Time now, Duration store_age);
+  /// A peer's report, which was made after `reported_after`; unknown if empty.
+  void OnReport(Time now, const StreamVersionReport& report,
+                std::optional<Time> reported_after);
 
   /// Takes over the records that the store has kept; their values have Unix
   /// times in milliseconds, of which `unix_now_ms` is the present one.
@@ -123,6 +133,7 @@
   VersionHistory history_;
   StreamOrigins origins_;
   std::optional<Time> started_at_;
+  std::optional<Time> known_until_;
   // All versions of the lifetime of a stream are known.
   bool is_complete_ = false;
   // Versions of each service, and whether they are registered, as the store
--- a/include/corianderlink/Gateway/table_watcher.h
+++ b/include/corianderlink/Gateway/table_watcher.h
@@ -35,6 +35,8 @@
   std::function<void(uint64_t era)> on_restored;
   /// Returns when and for how long to watch.
   std::function<WatchSchedule()> watch_schedule;
+  /// All changes that the store had made by `as_of` have been handed over.
+  std::function<void(Time as_of)> on_known = nullptr;
 };
 
 /// A store that came back from a copy is read in full as well: its position
@@ -70,16 +72,19 @@
   void ReadAll() {
     const uint64_t step = step_;
     const uint64_t read = ++last_read_;
+    const Time asked_at = BootClock::now();
     repeat_timer_ = loop_.After(kReadRepeatDelay, [this] { ReadAll(); });
-    store_.ReadAll(table_, [this, step, read](const StoreReadResult& result) {
-      if (step != step_) return;
-      OnReadResult(result, read == last_read_);
-    });
+    store_.ReadAll(table_,
+                   [this, step, read, asked_at](const StoreReadResult& result) {
+                     if (step != step_) return;
+                     OnReadResult(result, asked_at, read == last_read_);
+                   });
   }
 
   // An earlier one of several reads may succeed, but only the last one's
   // failure counts.
-  void OnReadResult(const StoreReadResult& result, bool is_last) {
+  void OnReadResult(const StoreReadResult& result, Time asked_at,
+                    bool is_last) {
     const bool failed = result.status != StoreReadResult::Status::kOk;
     if (failed || result.position < position_) {
       if (!is_last) return;
@@ -94,6 +99,7 @@
     loaded_ = true;
     position_ = result.position;
     handlers_.on_snapshot(result.records, result.position);
+    OnKnown(asked_at);
     Watch();
   }
 
@@ -101,10 +107,11 @@
     const uint64_t step = ++step_;
     repeat_timer_.Reset();
     watching_ = true;
+    const Time asked_at = BootClock::now();
     store_.Watch(table_, position_.version, handlers_.watch_schedule().Wait(),
-                 [this, step](const StoreReadResult& result) {
+                 [this, step, asked_at](const StoreReadResult& result) {
                    if (step != step_) return;
-                   OnWatchResult(result);
+                   OnWatchResult(result, asked_at);
                  });
   }
 
@@ -120,7 +127,7 @@
     ReadAll();
   }
 
-  void OnWatchResult(const StoreReadResult& result) {
+  void OnWatchResult(const StoreReadResult& result, Time asked_at) {
     watching_ = false;
     if (result.status == StoreReadResult::Status::kHistoryLost) {
       OnSuccess();
@@ -149,14 +156,22 @@
       position_ = result.position;
       if (!result.records.empty()) {
         handlers_.on_changes(result.records, result.position);
+        OnKnown(asked_at);
         // Changes often come in series, so a moment's wait saves most calls.
         WatchAfter(handlers_.watch_schedule().Spacing());
         return;
       }
     }
+    OnKnown(asked_at);
     Watch();
   }
 
+  // A response may have waited for long before it is handled, so it is dated by
+  // its call.
+  void OnKnown(Time asked_at) {
+    if (handlers_.on_known) handlers_.on_known(asked_at);
+  }
+
   void WatchAfter(Duration delay) {
     watch_timer_ = loop_.After(delay, [this] { Watch(); });
   }
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -114,7 +114,8 @@
     highest_fencing_ = std::max(highest_fencing_, peer.status.highest_fencing);
     quarantine_.OnPeerReports(now, peer.status.suspect_reports);
     placer_.rate_limiter().limits().OnPeerNotices(peer.status.rate_limits);
-    stream_versions_.OnReport(now, peer.status.stream_versions);
+    stream_versions_.OnReport(now, peer.status.stream_versions,
+                              peer.reported_after);
   };
   peers_.on_member_change = [this](Time now) { UpdateFleetView(now); };
   peers_.on_permit_request = [this](Time now, const PermitRequest& request) {
@@ -213,7 +214,8 @@
   status.leaving_upstreams = placer_.notices().leaving();
   status.highest_fencing = highest_fencing_;
   status.suspect_reports = quarantine_.Reports(now);
-  status.stream_versions = stream_versions_.NextReport(KnowledgeAge(now));
+  status.stream_versions =
+      stream_versions_.NextReport(now, StoreResponseAge(now));
   status.rate_limits = placer_.rate_limiter().limits().OwnNotices(now);
   return status;
 }
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -40,6 +40,7 @@
 void GatewayPeers::Tick() {
   SendHeartbeat();
   const Time now = BootClock::now();
+  last_tick_ = now;
   ExpirePeers(now);
   heartbeat_timer_ = loop_.After(HeartbeatInterval(now), [this] { Tick(); });
 }
@@ -52,12 +53,30 @@
 void GatewayPeers::SendHeartbeat() {
   const Time now = BootClock::now();
   wire::Envelope message;
-  *message.mutable_heartbeat() = EncodeHeartbeat(now, status_source_(now));
+  wire::Heartbeat& heartbeat = *message.mutable_heartbeat();
+  heartbeat = EncodeHeartbeat(now, status_source_(now));
+  heartbeat.set_sent_at(static_cast<uint64_t>(now.time_since_epoch().count()));
   for (const auto& [address, last_heartbeat] : receivers_) {
+    heartbeat.clear_echo();
+    if (const GatewayPeer* peer = PeerAt(address)) {
+      heartbeat.mutable_echo()->set_process(peer->process);
+      heartbeat.mutable_echo()->set_sent_at(peer->sent_at);
+    }
     bus_.Send(address, message);
   }
 }
 
+std::optional<Time> GatewayPeers::MadeAfter(
+    const wire::Heartbeat& heartbeat) const {
+  // An older build's may have waited here since the last turn of the loop.
+  if (heartbeat.sent_at() == 0) return last_tick_;
+  if (heartbeat.echo().process() != self_.value() ||
+      heartbeat.echo().sent_at() == 0) {
+    return std::nullopt;
+  }
+  return Time(Duration(static_cast<int64_t>(heartbeat.echo().sent_at())));
+}
+
 void GatewayPeers::AddPeerAddress(const Address& address) {
   if (address == own_address_ || address.port == 0) return;
   receivers_.try_emplace(address, BootClock::now());
@@ -135,6 +154,8 @@
   if (!same_digest) peer.digest_since = now;
   const bool was_member = peer.status.ready && !peer.status.leaving;
   peer.status = DecodeHeartbeat(now, message.heartbeat());
+  peer.reported_after = MadeAfter(message.heartbeat());
+  peer.sent_at = message.heartbeat().sent_at();
   const bool is_member = peer.status.ready && !peer.status.leaving;
   if (is_new) {
     Log(LogLevel::kInfo, "peer_found",
@@ -197,18 +218,21 @@
   std::vector<const GatewayPeer*> silent;
   for (const auto& [process, peer] : peers_) {
     if (now - peer.last_heartbeat <= kPeerTimeout) continue;
-    if (peer.status.leaving || IsReplaced(peer)) continue;
-    silent.push_back(&peer);
+    const bool replaced = PeerAt(peer.status.peer_address) != &peer;
+    if (!peer.status.leaving && !replaced) silent.push_back(&peer);
   }
   return silent;
 }
 
-bool GatewayPeers::IsReplaced(const GatewayPeer& peer) const {
-  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
-    const GatewayPeer& other = entry.second;
-    return other.status.peer_address == peer.status.peer_address &&
-           other.last_heartbeat > peer.last_heartbeat;
-  });
+const GatewayPeer* GatewayPeers::PeerAt(const Address& address) const {
+  const GatewayPeer* last = nullptr;
+  for (const auto& [process, peer] : peers_) {
+    if (peer.status.peer_address != address) continue;
+    if (last == nullptr || peer.last_heartbeat > last->last_heartbeat) {
+      last = &peer;
+    }
+  }
+  return last;
 }
 
 std::vector<const GatewayPeer*> GatewayPeers::Live(Time now) const {
--- a/lib/Gateway/gateway_streams.cc
+++ b/lib/Gateway/gateway_streams.cc
@@ -20,7 +20,7 @@
     return stream_versions_.ForNewStream(now, service, PeerReports(now));
   }
   const ResumptionDecision decision = stream_versions_.Resolve(
-      now, KeyOfStream(request.resumes, request), service, KnowledgeAge(now));
+      now, KeyOfStream(request.resumes, request), service);
   reason = decision.reason;
   if (!decision.version) return std::nullopt;
   constraint.required = decision.version;
@@ -54,7 +54,7 @@
   return stream_versions_.NextRecord(now, unix_now_ms, rank);
 }
 
-Duration Gateway::KnowledgeAge(Time now) const {
+Duration Gateway::StoreResponseAge(Time now) const {
   return std::min(store_contact_.OwnAge(now, StoreTable::kUpstreams),
                   peers_.StoreAge(now));
 }
--- a/lib/Gateway/peer_codec.cc
+++ b/lib/Gateway/peer_codec.cc
@@ -109,6 +109,7 @@
 void EncodeStreamVersions(Time now, const StreamVersionReport& report,
                           wire::StreamVersionReport& out) {
   out.set_is_complete(report.is_complete);
+  out.set_knowledge_age_ms(EncodeAge(report.knowledge_age));
   for (const VersionSighting& sighting : report.sightings) {
     wire::VersionSighting* entry = out.add_sightings();
     entry->set_service(sighting.service.value());
@@ -132,6 +133,7 @@
                                          const wire::StreamVersionReport& in) {
   StreamVersionReport report;
   report.is_complete = in.is_complete();
+  report.knowledge_age = DecodeAge(in.knowledge_age_ms());
   for (const wire::VersionSighting& entry : in.sightings()) {
     const auto last_seen = DecodeTime(now, entry.age_ms());
     if (!last_seen) continue;
@@ -320,6 +322,8 @@
   }
   status.stream_versions =
       DecodeStreamVersions(now, heartbeat.stream_versions());
+  const bool is_older_build = heartbeat.sent_at() == 0;
+  if (is_older_build) status.stream_versions.knowledge_age = status.store_age;
   status.leaving = heartbeat.leaving();
   status.ready = heartbeat.ready();
   status.client_address =
--- a/lib/Gateway/stream_versions.cc
+++ b/lib/Gateway/stream_versions.cc
@@ -8,7 +8,7 @@
 
 constexpr size_t kMaxOriginsPerReport = 512;
 // Without a response of the store for this long, what peers know may differ.
-constexpr Duration kDoubtfulKnowledgeAge = seconds(2);
+constexpr Duration kDoubtfulStoreAge = seconds(2);
 // Longer than the knowledge of a gateway that resumes unknown streams can be
 // old, so that such a gateway knows of the version by then.
 constexpr Duration kAnnouncementTime =
@@ -46,9 +46,16 @@
   origins_.Forget(now - history_.stream_lifetime());
 }
 
+void StreamVersions::OnKnowledge(Time as_of) {
+  known_until_ = std::max(known_until_.value_or(as_of), as_of);
+}
+
+Duration StreamVersions::KnowledgeAge(Time now) const {
+  return known_until_ ? now - *known_until_ : Duration::max();
+}
+
 ResumptionDecision StreamVersions::Resolve(Time now, StreamKey key,
-                                           const ServiceId& service,
-                                           Duration knowledge_age) const {
+                                           const ServiceId& service) const {
   const auto origin = origins_.Find(key);
   if (origin && now - origin->begun_at <= history_.stream_lifetime()) {
     return {origin->version, origin->service, ""};
@@ -61,7 +68,7 @@
   if (!is_complete_) {
     return {{}, {}, "software versions of recent streams are not known yet"};
   }
-  if (knowledge_age > kMaxKnowledgeAge) {
+  if (KnowledgeAge(now) > kMaxKnowledgeAge) {
     return {{}, {}, "list of upstreams is too old for a stream not known"};
   }
   return {*possible.begin(), {}, ""};
@@ -88,11 +95,12 @@
       });
 }
 
-StreamVersionReport StreamVersions::NextReport(Duration knowledge_age) {
-  const bool doubtful = knowledge_age > kDoubtfulKnowledgeAge;
+StreamVersionReport StreamVersions::NextReport(Time now, Duration store_age) {
+  const bool doubtful = store_age > kDoubtfulStoreAge;
   StreamVersionReport report;
   report.is_complete = is_complete_;
   report.sightings = history_.Sightings();
+  report.knowledge_age = KnowledgeAge(now);
   const std::set<ServiceId> mixed = history_.MixedServices();
   if (!doubtful && mixed.empty()) return report;
   report.origins = origins_.TakeUnsent(
@@ -102,7 +110,8 @@
   return report;
 }
 
-void StreamVersions::OnReport(Time now, const StreamVersionReport& report) {
+void StreamVersions::OnReport(Time now, const StreamVersionReport& report,
+                              std::optional<Time> reported_after) {
   for (const VersionSighting& sighting : report.sightings) {
     history_.OnSighting(now, sighting);
   }
@@ -110,6 +119,8 @@
   for (const StreamOrigin& origin : report.origins) {
     origins_.AddKnown(origin, false);
   }
+  if (!reported_after || report.knowledge_age == Duration::max()) return;
+  OnKnowledge(*reported_after - report.knowledge_age);
 }
 
 }  // namespace corianderlink
--- a/unittests/Gateway/gateway_fleet.h
+++ b/unittests/Gateway/gateway_fleet.h
@@ -38,12 +38,16 @@
   }
   /// The gateway stands still: the kernel takes what is sent to it, and the
   /// response of the store to its last watch.
-  void BeginStandstill(size_t gateway) { still_.insert(gateway); }
+  void BeginStandstill(size_t gateway) {
+    still_.insert(gateway);
+    standstill_began_at_ = BootClock::now();
+  }
   /// The gateway goes on, and handles first what has waited.
   void EndStandstill(size_t gateway) {
     still_.erase(gateway);
     gateways_[gateway]->OnStoreResponse(StoreTable::kConfig);
     gateways_[gateway]->OnStoreResponse(StoreTable::kUpstreams);
+    gateways_[gateway]->OnUpstreamsKnown(standstill_began_at_);
   }
   /// Starts a gateway that knows one of the others only, and waits until it is
   /// ready: it gets configuration and upstreams from its peer.
@@ -93,6 +97,8 @@
     Publish();
   }
 
+  /// The store does not answer the gateway from now on.
+  void CutFromStore(size_t gateway) { cut_from_store_.insert(gateway); }
   /// Ends a gateway with all its connections.
   void Kill(size_t gateway) {
     gateways_.erase(gateways_.begin() + static_cast<ptrdiff_t>(gateway));
@@ -190,11 +196,12 @@
   /// The store answers, and keeps what gateways write.
   void ServeStore() {
     for (size_t i = 0; i < gateways_.size(); ++i) {
-      if (still_.count(i) > 0) continue;
+      if (still_.count(i) + cut_from_store_.count(i) > 0) continue;
       const auto& gateway = gateways_[i];
       if (outdated_.erase(i) > 0) Publish(i);
       gateway->OnStoreResponse(StoreTable::kConfig);
       gateway->OnStoreResponse(StoreTable::kUpstreams);
+      gateway->OnUpstreamsKnown(BootClock::now());
       const auto record = gateway->NextStreamRecord(kUnixNowMs);
       if (!record) continue;
       stream_records_[record->key] = *record->value;
@@ -229,6 +236,8 @@
   std::vector<GatewaySettings> settings_;
   // Gateways that stand still, and those that lack changes of upstreams.
   std::set<size_t> still_;
+  std::set<size_t> cut_from_store_;
+  Time standstill_began_at_{};
   std::set<size_t> outdated_;
 
   std::map<std::string, std::string> stream_records_;
--- a/unittests/Gateway/stream_version_test.cc
+++ b/unittests/Gateway/stream_version_test.cc
@@ -6,6 +6,8 @@
 #include <sstream>
 
 #include "Gateway/gateway_fleet.h"
+#include "corianderlink/Wire/peer_bus.h"
+#include "peer.pb.h"
 
 namespace corianderlink {
 namespace {
@@ -233,6 +235,10 @@
   ExpectNoneJoinedAtAGatewayThatStoodStill(milliseconds(200), {"v1"});
 }
 
+TEST_F(StreamVersionTest, GatewayThatStoodStillDoesNotPlaceByOldKnowledge) {
+  ExpectNoneJoinedAtAGatewayThatStoodStill(seconds(6), {"v1", "v2"});
+}
+
 TEST_F(StreamVersionTest, GatewayThatStartedAgainDoesNotHoldUpANewVersion) {
   AddUpstream("a1", "v1");
   fleet_.Start(2);
@@ -255,6 +261,52 @@
   EXPECT_EQ(Resume(1, "unknown"), 200);
 }
 
+TEST_F(StreamVersionTest, UnknownStreamGoesOnAtALoneGateway) {
+  AddUpstream("a1", "v1");
+  fleet_.Start(1);
+  EXPECT_EQ(Resume(0, "unknown"), 200);
+  fleet_.RestartAll();
+  EXPECT_EQ(Resume(0, "unknown"), 200);
+}
+
+TEST_F(StreamVersionTest, UnknownStreamGoesOnWherePeersTellOfTheStore) {
+  AddUpstream("a1", "v1");
+  fleet_.Start(2);
+  fleet_.CutFromStore(1);
+  harness_.RunFor(StreamVersions::kMaxKnowledgeAge + milliseconds(500));
+  EXPECT_EQ(Resume(1, "unknown"), 200);
+}
+
+TEST_F(StreamVersionTest, UnknownStreamGoesOnWhereAnOlderPeerTellsOfTheStore) {
+  AddUpstream("a1", "v1");
+  fleet_.Start(1);
+  fleet_.CutFromStore(0);
+  PeerBus older(harness_.loop, harness_.store.ToString(), ProcessId("old.1"),
+                std::nullopt);
+  wire::Envelope message;
+  wire::Heartbeat& heartbeat = *message.mutable_heartbeat();
+  heartbeat.set_kind("gateway");
+  heartbeat.set_peer_address(FreeAddress().ToString());
+  heartbeat.set_ready(true);
+  heartbeat.set_store_age_ms(100);
+  heartbeat.mutable_stream_versions()->set_is_complete(true);
+  const EventHandle timer = harness_.loop.Every(
+      milliseconds(25), [&] { older.Send(fleet_.settings(0).peer, message); });
+  harness_.RunFor(StreamVersions::kMaxKnowledgeAge + milliseconds(500));
+  EXPECT_EQ(Resume(0, "unknown"), 200);
+}
+
+TEST_F(StreamVersionTest, UnknownStreamGoesOnSoonAfterAStandstill) {
+  AddUpstream("a1", "v1");
+  fleet_.PrepareStandstill(1);
+  fleet_.Start(2);
+  fleet_.BeginStandstill(1);
+  harness_.RunFor(StreamVersions::kMaxKnowledgeAge + seconds(1));
+  fleet_.EndStandstill(1);
+  harness_.RunFor(milliseconds(300));
+  EXPECT_EQ(Resume(1, "unknown"), 200);
+}
+
 TEST_F(StreamVersionTest, FailureOfTheNextUpstreamDoesNotEndTheStreamAsWhole) {
   for (const char* id : {"a1", "a2", "a3"}) AddUpstream(id, "v1");
   fleet_.Start(1);
--- a/unittests/Gateway/stream_versions_test.cc
+++ b/unittests/Gateway/stream_versions_test.cc
@@ -37,13 +37,14 @@
   }
   /// The version at which a stream that no gateway knows goes on.
   std::optional<SoftwareVersion> Unknown(Duration knowledge_age = {}) {
-    return versions_.Resolve(now_, {999}, kService, knowledge_age).version;
+    versions_.OnKnowledge(now_ - knowledge_age);
+    return versions_.Resolve(now_, {999}, kService).version;
   }
   void Begin(uint64_t key, const SoftwareVersion& version) {
     versions_.origins().Add({{key}, kService, version, now_});
   }
   std::optional<SoftwareVersion> Find(StreamVersions& versions, uint64_t key) {
-    return versions.Resolve(now_, {key}, kService, {}).version;
+    return versions.Resolve(now_, {key}, kService).version;
   }
   std::set<SoftwareVersion> Avoided(
       const std::vector<const StreamVersionReport*>& live,
@@ -76,9 +77,9 @@
 TEST_F(StreamVersionsTest, UnknownStreamWaitsForTheHistoryAfterAStart) {
   Register("b", kNew);
   EXPECT_FALSE(Unknown());
-  versions_.OnReport(now_, {false, {}, {}});
+  versions_.OnReport(now_, {false, {}, {}, {}}, now_);
   EXPECT_FALSE(Unknown());
-  versions_.OnReport(now_, {true, {}, {}});
+  versions_.OnReport(now_, {true, {}, {}, {}}, now_);
   EXPECT_EQ(Unknown(), kNew);
 }
 
@@ -87,7 +88,24 @@
   Register("a", kOld);
   EXPECT_FALSE(Unknown(StreamVersions::kMaxKnowledgeAge + seconds(1)));
   Begin(1, kOld);
-  EXPECT_EQ(versions_.Resolve(now_, {1}, kService, seconds(60)).version, kOld);
+  Pass(seconds(50));
+  EXPECT_EQ(Find(versions_, 1), kOld);
+}
+
+TEST_F(StreamVersionsTest, ReportThatWaitedUnreadShowsNoFreshKnowledge) {
+  versions_.Restore(now_, {}, kUnixNowMs);
+  Register("a", kOld);
+  const StreamVersionReport report{true, {}, {}, milliseconds(100)};
+  versions_.OnReport(now_, report, now_);
+  EXPECT_EQ(Find(versions_, 999), kOld);
+  const Time before_standstill = now_;
+  Pass(StreamVersions::kMaxKnowledgeAge);
+  versions_.OnReport(now_, report, before_standstill);
+  EXPECT_FALSE(Find(versions_, 999));
+  versions_.OnReport(now_, report, std::nullopt);
+  EXPECT_FALSE(Find(versions_, 999));
+  versions_.OnReport(now_, report, now_ - milliseconds(50));
+  EXPECT_EQ(Find(versions_, 999), kOld);
 }
 
 TEST_F(StreamVersionsTest, NewVersionBeginsStreamsOnceAllPeersKnowIt) {
@@ -144,17 +162,17 @@
 TEST_F(StreamVersionsTest, OriginsAreToldWhileSeveralVersionsServe) {
   Register("a", kOld);
   Begin(1, kOld);
-  EXPECT_TRUE(versions_.NextReport({}).origins.empty());
+  EXPECT_TRUE(versions_.NextReport(now_, {}).origins.empty());
   Register("b", kNew);
   Begin(2, kNew);
-  EXPECT_EQ(versions_.NextReport({}).origins.size(), 2U);
-  EXPECT_TRUE(versions_.NextReport({}).origins.empty());
+  EXPECT_EQ(versions_.NextReport(now_, {}).origins.size(), 2U);
+  EXPECT_TRUE(versions_.NextReport(now_, {}).origins.empty());
 }
 
 TEST_F(StreamVersionsTest, OriginsAreToldWhileTheStoreIsAway) {
   Register("a", kOld);
   Begin(1, kOld);
-  EXPECT_EQ(versions_.NextReport(seconds(4)).origins.size(), 1U);
+  EXPECT_EQ(versions_.NextReport(now_, seconds(4)).origins.size(), 1U);
 }
 
 TEST_F(StreamVersionsTest, StoreKeepsWhatAStartOfAllGatewaysNeeds) {
@@ -184,7 +202,8 @@
   for (uint64_t key = 1; key <= 500; ++key) {
     EXPECT_EQ(Find(restarted, key), key % 2 == 0 ? kNew : kOld) << key;
   }
-  EXPECT_FALSE(restarted.Resolve(now_, {999}, kService, {}).version);
+  restarted.OnKnowledge(now_);
+  EXPECT_FALSE(Find(restarted, 999));
   StreamVersions later(empty, random_);
   later.Restore(now_, records, kUnixNowMs + 3'600'000);
   EXPECT_EQ(later.origins().size(), 0U);
--- a/unittests/Gateway/table_watcher_test.cc
+++ b/unittests/Gateway/table_watcher_test.cc
@@ -33,6 +33,8 @@
   std::vector<uint64_t> watched_after;
   std::vector<Duration> waits;
   int reads = 0;
+  /// From a call to its reply.
+  Duration delay{};
 
  private:
   void ReplyFrom(std::deque<StoreReadResult>& results,
@@ -40,10 +42,12 @@
     if (results.empty()) return;
     const StoreReadResult result = results.front();
     results.pop_front();
-    loop_.Post([callback = std::move(callback), result] { callback(result); });
+    replies_.push_back(loop_.After(
+        delay, [callback = std::move(callback), result] { callback(result); }));
   }
 
   EventLoop& loop_;
+  std::vector<EventHandle> replies_;
 };
 
 StoreReadResult Result(Status status, uint64_t version,
@@ -74,6 +78,7 @@
   std::vector<std::string> changed_;
   std::vector<bool> reachability_changes_;
   std::vector<uint64_t> restored_eras_;
+  std::vector<Duration> knowledge_ages_;
   int responses_ = 0;
   int failed_calls_ = 0;
   WatchSchedule schedule_;
@@ -93,7 +98,10 @@
        [this] { ++responses_; },
        [this](const std::string&) { ++failed_calls_; },
        [this](uint64_t era) { restored_eras_.push_back(era); },
-       [this] { return schedule_; }}};
+       [this] { return schedule_; },
+       [this](Time as_of) {
+         knowledge_ages_.push_back(BootClock::now() - as_of);
+       }}};
 };
 
 TEST_F(TableWatcherTest, ReadsTheTableThenItsChanges) {
@@ -105,6 +113,22 @@
   EXPECT_EQ(store_.watched_after, (std::vector<uint64_t>{5, 7, 9}));
 }
 
+TEST_F(TableWatcherTest, ResponseThatWaitedIsDatedByItsCall) {
+  store_.delay = milliseconds(80);
+  store_.snapshots = {Result(Status::kOk, 5, {"a", "b"})};
+  store_.changes = {Result(Status::kOk, 7, {"a"}), Result(Status::kOk, 7)};
+  Run();
+  ASSERT_EQ(knowledge_ages_.size(), 3U);
+  for (const Duration age : knowledge_ages_) EXPECT_GE(age, store_.delay);
+}
+
+TEST_F(TableWatcherTest, LostHistoryShowsNoKnowledge) {
+  store_.snapshots = {Result(Status::kOk, 5)};
+  store_.changes = {Result(Status::kHistoryLost, 0)};
+  Run();
+  EXPECT_EQ(knowledge_ages_.size(), 1U);
+}
+
 TEST_F(TableWatcherTest, ReadsTheWholeTableAgainAfterLostHistory) {
   store_.snapshots = {Result(Status::kOk, 5), Result(Status::kOk, 20, {"a"})};
   store_.changes = {Result(Status::kHistoryLost, 0)};
