[Gateway] After a time out of touch, count the history of versions as incomplete

What callers would see: a stream that began at a version which came and went while a gateway was cut off, or stood still, goes on at that gateway at another version.

Cause: a gateway called its history of versions complete for good once it had been told by the store or a peer, or had run for the lifetime of a stream. The table of upstreams shows only who is registered now; versions of a time in which it was not followed are missing.

Ruled out: keeping all departures in the store; the versions are kept there already.

Change: the history is complete if the registered versions were known without a gap of more than 5 s for the lifetime of a stream, or since a peer or the store told of the whole. A peer's report counts by the time of its making, as its knowledge does. After a gap the first two gateways read the records of versions once more; the others hear it from them. In 5 s without a question answered, streams of a new version cannot have begun without this gateway's consent.

With it, unknown streams go on within 0.3 s after a lone gateway stood still and after the store was away from all gateways.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -111,12 +111,14 @@
   /// the value is left to the callee.
   void SetQuarantineHandler(
       std::function<void(const std::string& key, bool quarantined)> handler);
-  /// Takes over the records of software versions and streams that the store has
-  /// kept; `unix_now_ms` is the present time.
+  /// Takes over the records of software versions and streams that the store was
+  /// asked for at `asked_at`; `unix_now_ms` is the present time.
   void OnStreamRecords(const std::vector<StoreRecord>& records,
-                       int64_t unix_now_ms) {
-    stream_versions_.Restore(BootClock::now(), records, unix_now_ms);
+                       int64_t unix_now_ms, Time asked_at) {
+    stream_versions_.Restore(BootClock::now(), records, unix_now_ms, asked_at);
   }
+  /// True if the records of software versions are to be read once more.
+  bool NeedsStreamRecords() const;
   /// The next record of software versions or streams for the store, if this
   /// gateway keeps them and there is something new.
   std::optional<StoreRecord> NextStreamRecord(int64_t unix_now_ms);
--- a/include/corianderlink/Gateway/store_sync.h
+++ b/include/corianderlink/Gateway/store_sync.h
@@ -167,18 +167,23 @@
   }
 
   void ReadStreams() {
-    store_.ReadAll(codec_.stream_table, [this](const StoreReadResult& result) {
-      if (result.status != StoreReadResult::Status::kOk) {
-        streams_read_timer_ =
-            loop_.After(kStreamsReadRetryDelay, [this] { ReadStreams(); });
-        return;
-      }
-      gateway_.OnStreamRecords(result.records, UnixNowMs());
-    });
+    reading_streams_ = true;
+    const Time asked_at = BootClock::now();
+    store_.ReadAll(
+        codec_.stream_table, [this, asked_at](const StoreReadResult& result) {
+          if (result.status != StoreReadResult::Status::kOk) {
+            streams_read_timer_ =
+                loop_.After(kStreamsReadRetryDelay, [this] { ReadStreams(); });
+            return;
+          }
+          reading_streams_ = false;
+          gateway_.OnStreamRecords(result.records, UnixNowMs(), asked_at);
+        });
   }
 
   // A record that was not written is written again before the next one.
   void KeepStreams() {
+    if (!reading_streams_ && gateway_.NeedsStreamRecords()) ReadStreams();
     if (writing_streams_) return;
     const auto record = gateway_.NextStreamRecord(UnixNowMs());
     if (!record) return;
@@ -203,6 +208,7 @@
   EventHandle quarantine_timer_;
   EventHandle streams_read_timer_;
   EventHandle streams_write_timer_;
+  bool reading_streams_ = false;
   bool writing_streams_ = false;
   uint64_t restored_era_ = 0;
 };
--- a/include/corianderlink/Gateway/stream_versions.h
+++ b/include/corianderlink/Gateway/stream_versions.h
@@ -77,8 +77,11 @@
   /// Takes over changes of upstreams and drops what is outdated.
   void Update(Time now);
 
-  /// All versions that were registered by `as_of` are known now.
+  /// All versions that were registered at `as_of` are known now.  After a
+  /// longer time without this, a version may have come and gone unseen.
   void OnKnowledge(Time as_of);
+  /// All versions of the lifetime of a stream are known.
+  bool is_complete() const;
   /// Age of what is known of the registered versions.
   Duration KnowledgeAge(Time now) const;
 
@@ -99,10 +102,11 @@
   void OnReport(Time now, const StreamVersionReport& report,
                 std::optional<Time> reported_after);
 
-  /// Takes over the records that the store has kept; their values have Unix
-  /// times in milliseconds, of which `unix_now_ms` is the present one.
+  /// Takes over the records that the store was asked for at `asked_at`; their
+  /// values have Unix times in milliseconds, of which `unix_now_ms` is the
+  /// present one.
   void Restore(Time now, const std::vector<StoreRecord>& records,
-               int64_t unix_now_ms);
+               int64_t unix_now_ms, Time asked_at);
   /// The next record for the store, if there is something new.  `writer` is
   /// this gateway's number among those that keep records, from 0 on.
   std::optional<StoreRecord> NextRecord(Time now, int64_t unix_now_ms,
@@ -115,6 +119,7 @@
  private:
   using RegisteredVersions = std::map<SoftwareVersion, bool>;
 
+  void OnHistory(Time as_of);
   /// True if an upstream that answers may be used.
   bool HasPermitted(const ServiceId& service,
                     const VersionConstraint& constraint) const;
@@ -132,10 +137,12 @@
   RandomSource& random_;
   VersionHistory history_;
   StreamOrigins origins_;
-  std::optional<Time> started_at_;
+  // The registered versions are known from the first until the last one.
+  std::optional<Time> known_since_;
   std::optional<Time> known_until_;
-  // All versions of the lifetime of a stream are known.
-  bool is_complete_ = false;
+  // As of this time, a peer or the store knew all versions of the lifetime of a
+  // stream.
+  std::optional<Time> history_as_of_;
   // Versions of each service, and whether they are registered, as the store
   // has them.
   std::map<ServiceId, RegisteredVersions> stored_versions_;
--- a/lib/Gateway/gateway_streams.cc
+++ b/lib/Gateway/gateway_streams.cc
@@ -47,6 +47,16 @@
   return reports;
 }
 
+bool Gateway::NeedsStreamRecords() const {
+  const Time now = BootClock::now();
+  if (!ready() || stream_versions_.is_complete()) return false;
+  if (stream_versions_.KnowledgeAge(now) > StreamVersions::kMaxKnowledgeAge) {
+    return false;
+  }
+  // The others are told by peers.
+  return Rank(now) < kStreamRecordWriters;
+}
+
 std::optional<StoreRecord> Gateway::NextStreamRecord(int64_t unix_now_ms) {
   const Time now = BootClock::now();
   const size_t rank = Rank(now);
--- a/lib/Gateway/stream_version_records.cc
+++ b/lib/Gateway/stream_version_records.cc
@@ -128,7 +128,7 @@
 }
 
 void StreamVersions::Restore(Time now, const std::vector<StoreRecord>& records,
-                             int64_t unix_now_ms) {
+                             int64_t unix_now_ms, Time asked_at) {
   for (const StoreRecord& record : records) {
     if (!record.value) continue;
     const Json list = Json::parse(*record.value, nullptr, false);
@@ -137,7 +137,7 @@
       if (entry.is_object()) RestoreEntry(now, entry, unix_now_ms);
     }
   }
-  is_complete_ = true;
+  OnHistory(asked_at);
 }
 
 void StreamVersions::RestoreEntry(Time now, const Json& entry,
--- a/lib/Gateway/stream_versions.cc
+++ b/lib/Gateway/stream_versions.cc
@@ -40,13 +40,14 @@
 }  // namespace
 
 void StreamVersions::Update(Time now) {
-  if (!started_at_) started_at_ = now;
-  if (now - *started_at_ > history_.stream_lifetime()) is_complete_ = true;
   history_.Update(now, directory_);
   origins_.Forget(now - history_.stream_lifetime());
 }
 
 void StreamVersions::OnKnowledge(Time as_of) {
+  if (!known_until_ || as_of - *known_until_ > kMaxKnowledgeAge) {
+    known_since_ = as_of;
+  }
   known_until_ = std::max(known_until_.value_or(as_of), as_of);
 }
 
@@ -54,6 +55,16 @@
   return known_until_ ? now - *known_until_ : Duration::max();
 }
 
+void StreamVersions::OnHistory(Time as_of) {
+  history_as_of_ = std::max(history_as_of_.value_or(as_of), as_of);
+}
+
+bool StreamVersions::is_complete() const {
+  if (!known_since_) return history_as_of_.has_value();
+  if (*known_until_ - *known_since_ > history_.stream_lifetime()) return true;
+  return history_as_of_ && *known_since_ - *history_as_of_ <= kMaxKnowledgeAge;
+}
+
 ResumptionDecision StreamVersions::Resolve(Time now, StreamKey key,
                                            const ServiceId& service) const {
   const auto origin = origins_.Find(key);
@@ -65,7 +76,7 @@
   if (possible.size() > 1) {
     return {{}, {}, "stream may have begun at several software versions"};
   }
-  if (!is_complete_) {
+  if (!is_complete()) {
     return {{}, {}, "software versions of recent streams are not known yet"};
   }
   if (KnowledgeAge(now) > kMaxKnowledgeAge) {
@@ -98,7 +109,7 @@
 StreamVersionReport StreamVersions::NextReport(Time now, Duration store_age) {
   const bool doubtful = store_age > kDoubtfulStoreAge;
   StreamVersionReport report;
-  report.is_complete = is_complete_;
+  report.is_complete = is_complete();
   report.sightings = history_.Sightings();
   report.knowledge_age = KnowledgeAge(now);
   const std::set<ServiceId> mixed = history_.MixedServices();
@@ -115,12 +126,13 @@
   for (const VersionSighting& sighting : report.sightings) {
     history_.OnSighting(now, sighting);
   }
-  if (report.is_complete) is_complete_ = true;
   for (const StreamOrigin& origin : report.origins) {
     origins_.AddKnown(origin, false);
   }
   if (!reported_after || report.knowledge_age == Duration::max()) return;
-  OnKnowledge(*reported_after - report.knowledge_age);
+  const Time as_of = *reported_after - report.knowledge_age;
+  OnKnowledge(as_of);
+  if (report.is_complete) OnHistory(as_of);
 }
 
 }  // namespace corianderlink
--- a/unittests/Gateway/gateway_fleet.h
+++ b/unittests/Gateway/gateway_fleet.h
@@ -99,6 +99,7 @@
 
   /// The store does not answer the gateway from now on.
   void CutFromStore(size_t gateway) { cut_from_store_.insert(gateway); }
+  void EndCutsFromStore() { cut_from_store_.clear(); }
   /// Ends a gateway with all its connections.
   void Kill(size_t gateway) {
     gateways_.erase(gateways_.begin() + static_cast<ptrdiff_t>(gateway));
@@ -169,7 +170,7 @@
     for (const auto& gateway : gateways_) {
       gateway->OnGatewayRecords(gateway_records_);
       gateway->OnConfigRecords({{"config", config_, 1}});
-      gateway->OnStreamRecords(StreamRecords(), kUnixNowMs);
+      gateway->OnStreamRecords(StreamRecords(), kUnixNowMs, BootClock::now());
     }
     store_timer_ =
         harness_.loop.Every(milliseconds(100), [this] { ServeStore(); });
@@ -202,6 +203,9 @@
       gateway->OnStoreResponse(StoreTable::kConfig);
       gateway->OnStoreResponse(StoreTable::kUpstreams);
       gateway->OnUpstreamsKnown(BootClock::now());
+      if (gateway->NeedsStreamRecords()) {
+        gateway->OnStreamRecords(StreamRecords(), kUnixNowMs, BootClock::now());
+      }
       const auto record = gateway->NextStreamRecord(kUnixNowMs);
       if (!record) continue;
       stream_records_[record->key] = *record->value;
--- a/unittests/Gateway/stream_version_test.cc
+++ b/unittests/Gateway/stream_version_test.cc
@@ -307,6 +307,32 @@
   EXPECT_EQ(Resume(1, "unknown"), 200);
 }
 
+TEST_F(StreamVersionTest, UnknownStreamGoesOnSoonAfterALoneGatewayStoodStill) {
+  AddUpstream("a1", "v1");
+  fleet_.PrepareStandstill(0);
+  fleet_.Start(1);
+  fleet_.BeginStandstill(0);
+  harness_.RunFor(StreamVersions::kMaxKnowledgeAge + seconds(1));
+  fleet_.EndStandstill(0);
+  harness_.RunFor(milliseconds(300));
+  EXPECT_EQ(Resume(0, "unknown"), 200);
+}
+
+TEST_F(StreamVersionTest, UnknownStreamGoesOnSoonAfterTheStoreWasAway) {
+  AddUpstream("a1", "v1");
+  fleet_.Start(3);
+  for (const size_t gateway : {0, 1, 2}) fleet_.CutFromStore(gateway);
+  harness_.RunFor(StreamVersions::kMaxKnowledgeAge + seconds(1));
+  for (const size_t gateway : {0, 1, 2}) {
+    EXPECT_EQ(Resume(gateway, "unknown"), 503);
+  }
+  fleet_.EndCutsFromStore();
+  harness_.RunFor(milliseconds(300));
+  for (const size_t gateway : {0, 1, 2}) {
+    EXPECT_EQ(Resume(gateway, "unknown"), 200);
+  }
+}
+
 TEST_F(StreamVersionTest, FailureOfTheNextUpstreamDoesNotEndTheStreamAsWhole) {
   for (const char* id : {"a1", "a2", "a3"}) AddUpstream(id, "v1");
   fleet_.Start(1);
