[Gateway] Let no gateway that was out of touch replace the kept versions

What callers would see: after a start of all gateways, a stream of a version that has left goes on at another one.

Cause: the gateway that keeps records of versions writes all that it knows of a service. One that stood still hears no peers as it goes on, takes itself for the keeper, and replaces the record by what it knew before. The keeper does not write it once more, as it has written the same already.

Ruled out: a conditional write; the record of another keeper may be older as well.

Evidence: StreamVersionsTest.GatewayThatComesBackDoesNotReplaceWhatOthersKept: before, the record was offered before any history was read, and after 20 s without store and peers; now only after the history was read.

--- a/lib/Gateway/stream_version_records.cc
+++ b/lib/Gateway/stream_version_records.cc
@@ -54,6 +54,10 @@
 
 std::optional<StoreRecord> StreamVersions::NextVersionsRecord(
     Time now, int64_t unix_now_ms) {
+  // The record replaces that of another gateway, which may know more.
+  if (!is_complete() || KnowledgeAge(now) > kMaxKnowledgeAge) {
+    return std::nullopt;
+  }
   std::map<ServiceId, RegisteredVersions> versions;
   std::map<ServiceId, Json> values;
   for (const VersionSighting& sighting : history_.Sightings()) {
--- a/unittests/Gateway/stream_versions_test.cc
+++ b/unittests/Gateway/stream_versions_test.cc
@@ -219,7 +219,25 @@
   EXPECT_EQ(versions_.NextReport(now_, seconds(4)).origins.size(), 1U);
 }
 
+TEST_F(StreamVersionsTest, GatewayThatComesBackDoesNotReplaceWhatOthersKept) {
+  Register("a", kOld);
+  EXPECT_FALSE(versions_.NextRecord(now_, kUnixNowMs, 0));
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
+  versions_.OnKnowledge(now_);
+  EXPECT_TRUE(versions_.NextRecord(now_, kUnixNowMs, 0));
+  versions_.OnRecordWritten(false);
+  // Cut off from the store and all peers.
+  Pass(seconds(20));
+  EXPECT_FALSE(versions_.NextRecord(now_, kUnixNowMs, 0));
+  versions_.OnKnowledge(now_);
+  EXPECT_FALSE(versions_.NextRecord(now_, kUnixNowMs, 0));
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
+  EXPECT_TRUE(versions_.NextRecord(now_, kUnixNowMs, 0));
+}
+
 TEST_F(StreamVersionsTest, StoreKeepsWhatAStartOfAllGatewaysNeeds) {
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
+  versions_.OnKnowledge(now_);
   Register("a", kOld);
   Register("b", kNew);
   std::map<std::string, std::string> store;
