[Gateway] Begin no streams at a version that a peer could not place, if it is the only one

What callers would see: the upstreams of a service are replaced while a gateway stands still for a second; a stream that has begun at the new version goes on there at a leaving upstream of the one before.

Cause: if no other version serves, a new one began streams at once, though a live peer had not reported it. A peer counts as live for 1.5 s after it was last heard of, and one that stands still does not know that the version before has left.

Ruled out: refusing until all peers have reported it. Peers that know no version of the service refuse unknown streams; builds that report no versions would hold up all streams of a gateway that has just started.

Change: if no other version serves, a new one still waits for all peers that know another version of the service, live or silent alike, for 5.5 s at most. In touch that is one heartbeat.

Evidence: StreamVersionsTest.NewVersionWaitsForPeersThatMayPlaceByAnother, in place of the test of silent peers: before, no version was avoided once the other one had left. NewVersionBeginsStreamsIfNoOtherServes is unchanged; its peer knows no version.

--- a/include/corianderlink/Gateway/stream_versions.h
+++ b/include/corianderlink/Gateway/stream_versions.h
@@ -39,14 +39,6 @@
   Duration knowledge_age = Duration::max();
 };
 
-/// Last reports of the peers that may resume streams.
-struct PeerVersionReports {
-  std::vector<const StreamVersionReport*> live;
-  /// Of peers that have not been heard of lately, and may be standing still or
-  /// cut off.
-  std::vector<const StreamVersionReport*> silent;
-};
-
 /// Whether and where a stream may be resumed.
 struct ResumptionDecision {
   /// Empty if the stream must not be resumed by this gateway now.
@@ -89,11 +81,13 @@
   /// that the request would get.
   ResumptionDecision Resolve(Time now, StreamKey key,
                              const ServiceId& service) const;
-  /// Versions that a new stream must not begin at: those that not all gateways
-  /// are known to know.  If no other one serves, live peers learn of it in
-  /// time.
-  VersionConstraint ForNewStream(Time now, const ServiceId& service,
-                                 const PeerVersionReports& peers) const;
+  /// Versions that a new stream must not begin at: those that not all peers are
+  /// known to know.  If no other one serves, only peers count that may resume
+  /// streams at another one.  `peers` are the last reports, also of peers that
+  /// may be standing still or cut off.
+  VersionConstraint ForNewStream(
+      Time now, const ServiceId& service,
+      const std::vector<const StreamVersionReport*>& peers) const;
 
   /// This gateway's part of the next heartbeat.  If the store has not responded
   /// for long, the origins of all streams are passed on.
--- a/lib/Gateway/gateway_streams.cc
+++ b/lib/Gateway/gateway_streams.cc
@@ -17,7 +17,7 @@
   VersionConstraint constraint;
   if (!route.resumable) return constraint;
   if (!request.is_resumption) {
-    return stream_versions_.ForNewStream(now, service, PeerReports(now));
+    return stream_versions_.ForNewStream(now, service, PeerVersions(now));
   }
   const ResumptionDecision decision = stream_versions_.Resolve(
       now, KeyOfStream(request.resumes, request), service);
@@ -34,15 +34,12 @@
   return std::nullopt;
 }
 
-PeerVersionReports Gateway::PeerReports(Time now) const {
-  PeerVersionReports reports;
-  for (const GatewayPeer* peer : peers_.Live(now)) {
-    if (!peer->status.ready) continue;
-    reports.live.push_back(&peer->status.stream_versions);
-  }
-  for (const GatewayPeer* peer : peers_.Silent(now)) {
-    if (!peer->status.ready) continue;
-    reports.silent.push_back(&peer->status.stream_versions);
+std::vector<const StreamVersionReport*> Gateway::PeerVersions(Time now) const {
+  std::vector<const StreamVersionReport*> reports;
+  for (const auto& peers : {peers_.Live(now), peers_.Silent(now)}) {
+    for (const GatewayPeer* peer : peers) {
+      if (peer->status.ready) reports.push_back(&peer->status.stream_versions);
+    }
   }
   return reports;
 }
--- a/lib/Gateway/stream_versions.cc
+++ b/lib/Gateway/stream_versions.cc
@@ -14,27 +14,13 @@
 constexpr Duration kAnnouncementTime =
     StreamVersions::kMaxKnowledgeAge + milliseconds(500);
 
-bool Contains(const StreamVersionReport& report, const ServiceId& service,
-              const SoftwareVersion& version) {
-  return std::any_of(report.sightings.begin(), report.sightings.end(),
-                     [&](const VersionSighting& sighting) {
-                       return sighting.service == service &&
-                              sighting.version == version;
-                     });
-}
-
-// Adds the versions that one of the reports does not contain.
-void AvoidUnknown(const ServiceId& service,
-                  const std::set<SoftwareVersion>& versions,
-                  const std::vector<const StreamVersionReport*>& reports,
-                  VersionConstraint& constraint) {
-  for (const SoftwareVersion& version : versions) {
-    const bool known =
-        std::all_of(reports.begin(), reports.end(), [&](const auto* report) {
-          return Contains(*report, service, version);
-        });
-    if (!known) constraint.avoided.insert(version);
+std::set<SoftwareVersion> VersionsIn(const StreamVersionReport& report,
+                                     const ServiceId& service) {
+  std::set<SoftwareVersion> versions;
+  for (const VersionSighting& sighting : report.sightings) {
+    if (sighting.service == service) versions.insert(sighting.version);
   }
+  return versions;
 }
 
 }  // namespace
@@ -86,14 +72,21 @@
 }
 
 VersionConstraint StreamVersions::ForNewStream(
-    Time now, const ServiceId& service, const PeerVersionReports& peers) const {
+    Time now, const ServiceId& service,
+    const std::vector<const StreamVersionReport*>& peers) const {
   const std::set<SoftwareVersion> recent =
       history_.SeenFirstAfter(service, now - kAnnouncementTime);
-  VersionConstraint unknown_to_silent;
-  AvoidUnknown(service, recent, peers.silent, unknown_to_silent);
-  VersionConstraint constraint = unknown_to_silent;
-  AvoidUnknown(service, recent, peers.live, constraint);
-  return HasPermitted(service, constraint) ? constraint : unknown_to_silent;
+  VersionConstraint unknown;
+  VersionConstraint misplaced;
+  for (const StreamVersionReport* peer : peers) {
+    const std::set<SoftwareVersion> known = VersionsIn(*peer, service);
+    for (const SoftwareVersion& version : recent) {
+      if (known.count(version) > 0) continue;
+      unknown.avoided.insert(version);
+      if (!known.empty()) misplaced.avoided.insert(version);
+    }
+  }
+  return HasPermitted(service, unknown) ? unknown : misplaced;
 }
 
 bool StreamVersions::HasPermitted(const ServiceId& service,
--- a/unittests/Gateway/stream_versions_test.cc
+++ b/unittests/Gateway/stream_versions_test.cc
@@ -54,9 +54,8 @@
     return versions.Resolve(now_, {key}, kService).version;
   }
   std::set<SoftwareVersion> Avoided(
-      const std::vector<const StreamVersionReport*>& live,
-      const std::vector<const StreamVersionReport*>& silent = {}) {
-    return versions_.ForNewStream(now_, kService, {live, silent}).avoided;
+      const std::vector<const StreamVersionReport*>& peers) {
+    return versions_.ForNewStream(now_, kService, peers).avoided;
   }
 
   Time now_ = Time(seconds(1000));
@@ -165,33 +164,34 @@
   EXPECT_TRUE(Avoided({&ignorant}).empty());
 }
 
-TEST_F(StreamVersionsTest, SilentPeerHoldsUpANewVersionUntilItIsOutOfDate) {
+TEST_F(StreamVersionsTest, NewVersionWaitsForPeersThatMayPlaceByAnother) {
   Register("a", kOld);
   Pass(seconds(10));
   Register("b", kNew);
-  const StreamVersionReport ignorant{true, {{kService, kOld, now_}}, {}};
+  const StreamVersionReport ignorant{true, {{kService, kOld, now_}}, {}, {}};
   const StreamVersionReport informed{
-      true, {{kService, kOld, now_}, {kService, kNew, now_}}, {}};
+      true, {{kService, kOld, now_}, {kService, kNew, now_}}, {}, {}};
   const std::set<SoftwareVersion> only_new = {kNew};
-  EXPECT_EQ(Avoided({&informed}, {&ignorant}), only_new);
-  // A peer does not forget what it knew when it fell silent.
-  EXPECT_TRUE(Avoided({&informed}, {&informed}).empty());
-  // That no other version serves is not known to the silent peer either.
+  EXPECT_EQ(Avoided({&informed, &ignorant}), only_new);
+  EXPECT_TRUE(Avoided({&informed}).empty());
+  // That no other version serves is not known to that peer either.
   Leave("a");
-  EXPECT_EQ(Avoided({}, {&ignorant}), only_new);
+  EXPECT_EQ(Avoided({&informed, &ignorant}), only_new);
   Pass(StreamVersions::kMaxKnowledgeAge + milliseconds(400));
-  EXPECT_EQ(Avoided({}, {&ignorant}), only_new);
+  EXPECT_EQ(Avoided({&ignorant}), only_new);
   Pass(milliseconds(200));
-  EXPECT_TRUE(Avoided({}, {&ignorant}).empty());
+  EXPECT_TRUE(Avoided({&ignorant}).empty());
 }
 
-TEST_F(StreamVersionsTest, SilentPeerDoesNotHoldUpVersionsThatItKnew) {
-  // This gateway has just started, so that all versions are new to it.
+TEST_F(StreamVersionsTest, GatewayThatHasStartedUsesVersionsThatPeersKnow) {
+  // All versions are new to it.
   Register("a", kOld);
   Register("b", kNew);
   const StreamVersionReport informed{
-      true, {{kService, kOld, now_}, {kService, kNew, now_}}, {}};
-  EXPECT_TRUE(Avoided({}, {&informed}).empty());
+      true, {{kService, kOld, now_}, {kService, kNew, now_}}, {}, {}};
+  const StreamVersionReport older_build;
+  EXPECT_TRUE(Avoided({&informed}).empty());
+  EXPECT_TRUE(Avoided({&informed, &older_build}).empty());
 }
 
 TEST_F(StreamVersionsTest, NewVersionBeginsStreamsIfNoOtherServes) {
