[Gateway] Place no unknown stream before the peers know of this gateway

What callers would see: a stream that began at a new version while a gateway was starting goes on there at the version before.

Cause: peers ask a gateway for consent to a new version from its first report on that names a version. One that has read the store and then stands still, or is cut off, before such a report has arrived is not asked, but places unknown streams for 5 s.

Change: an unknown stream goes on only at a version that this gateway has reported to all known peers that serve; their heartbeats echo which report they have. Reports of peers that start or leave count when a new version begins streams.

--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -128,6 +128,9 @@
   std::vector<const GatewayPeer*> Live(Time now) const;
   /// Peers that are not live and have not ended, as far as is known.
   std::vector<const GatewayPeer*> Silent(Time now) const;
+  /// All known peers that serve have a heartbeat of this gateway that was sent
+  /// then or later.
+  Time ReportedUntil(Time now) const;
   /// Time since the store last responded to a live peer; the longest duration
   /// if there is none.
   Duration StoreAge(Time now) const;
--- a/include/corianderlink/Gateway/stream_versions.h
+++ b/include/corianderlink/Gateway/stream_versions.h
@@ -78,9 +78,11 @@
   Duration KnowledgeAge(Time now) const;
 
   /// Decides on the resumption of a stream by a client.  `service` is the one
-  /// that the request would get.
-  ResumptionDecision Resolve(Time now, StreamKey key,
-                             const ServiceId& service) const;
+  /// that the request would get.  All peers have this gateway's report of
+  /// `reported_until`, so that they ask it before they use another version than
+  /// those that it knew then.
+  ResumptionDecision Resolve(Time now, StreamKey key, const ServiceId& service,
+                             Time reported_until) const;
   /// Versions that a new stream must not begin at: those that not all peers are
   /// known to know.  If no other one serves, only peers count that may resume
   /// streams at another one.  `peers` are the last reports, also of peers that
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -224,6 +224,18 @@
   return silent;
 }
 
+Time GatewayPeers::ReportedUntil(Time now) const {
+  Time until = Time::max();
+  for (const auto& peers : {Live(now), Silent(now)}) {
+    for (const GatewayPeer* peer : peers) {
+      const bool is_starting = !peer->status.ready && !peer->status.leaving;
+      if (is_starting) continue;
+      until = std::min(until, peer->reported_after.value_or(Time::min()));
+    }
+  }
+  return until;
+}
+
 const GatewayPeer* GatewayPeers::PeerAt(const Address& address) const {
   const GatewayPeer* last = nullptr;
   for (const auto& [process, peer] : peers_) {
--- a/lib/Gateway/gateway_streams.cc
+++ b/lib/Gateway/gateway_streams.cc
@@ -19,8 +19,9 @@
   if (!request.is_resumption) {
     return stream_versions_.ForNewStream(now, service, PeerVersions(now));
   }
-  const ResumptionDecision decision = stream_versions_.Resolve(
-      now, KeyOfStream(request.resumes, request), service);
+  const ResumptionDecision decision =
+      stream_versions_.Resolve(now, KeyOfStream(request.resumes, request),
+                               service, peers_.ReportedUntil(now));
   reason = decision.reason;
   if (!decision.version) return std::nullopt;
   constraint.required = decision.version;
@@ -38,7 +39,7 @@
   std::vector<const StreamVersionReport*> reports;
   for (const auto& peers : {peers_.Live(now), peers_.Silent(now)}) {
     for (const GatewayPeer* peer : peers) {
-      if (peer->status.ready) reports.push_back(&peer->status.stream_versions);
+      reports.push_back(&peer->status.stream_versions);
     }
   }
   return reports;
--- a/lib/Gateway/stream_versions.cc
+++ b/lib/Gateway/stream_versions.cc
@@ -52,7 +52,8 @@
 }
 
 ResumptionDecision StreamVersions::Resolve(Time now, StreamKey key,
-                                           const ServiceId& service) const {
+                                           const ServiceId& service,
+                                           Time reported_until) const {
   const auto origin = origins_.Find(key);
   if (origin && now - origin->begun_at <= history_.stream_lifetime()) {
     return {origin->version, origin->service, ""};
@@ -68,6 +69,9 @@
   if (KnowledgeAge(now) > kMaxKnowledgeAge) {
     return {{}, {}, "list of upstreams is too old for a stream not known"};
   }
+  if (!history_.SeenFirstAfter(service, reported_until).empty()) {
+    return {{}, {}, "not all peers know yet what this gateway knows"};
+  }
   return {*possible.begin(), {}, ""};
 }
 
--- a/unittests/Gateway/stream_versions_test.cc
+++ b/unittests/Gateway/stream_versions_test.cc
@@ -45,13 +45,13 @@
   /// The version at which a stream that no gateway knows goes on.
   std::optional<SoftwareVersion> Unknown(Duration knowledge_age = {}) {
     versions_.OnKnowledge(now_ - knowledge_age);
-    return versions_.Resolve(now_, {999}, kService).version;
+    return Find(versions_, 999);
   }
   void Begin(uint64_t key, const SoftwareVersion& version) {
     versions_.origins().Add({{key}, kService, version, now_});
   }
   std::optional<SoftwareVersion> Find(StreamVersions& versions, uint64_t key) {
-    return versions.Resolve(now_, {key}, kService).version;
+    return versions.Resolve(now_, {key}, kService, Time::max()).version;
   }
   std::set<SoftwareVersion> Avoided(
       const std::vector<const StreamVersionReport*>& peers) {
@@ -89,6 +89,17 @@
   EXPECT_EQ(Unknown(), kNew);
 }
 
+TEST_F(StreamVersionsTest, UnknownStreamWaitsUntilPeersKnowThisGateway) {
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
+  Register("a", kOld);
+  versions_.OnKnowledge(now_);
+  const auto resume = [&](Time reported_until) {
+    return versions_.Resolve(now_, {999}, kService, reported_until).version;
+  };
+  EXPECT_FALSE(resume(now_ - milliseconds(1)));
+  EXPECT_EQ(resume(now_), kOld);
+}
+
 TEST_F(StreamVersionsTest, UnknownStreamIsNotResumedByOldKnowledge) {
   versions_.Restore(now_, {}, kUnixNowMs, now_);
   Register("a", kOld);
