--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -83,6 +83,9 @@
   /// Applies changed records of upstreams up to `position` of the store.
   void OnUpstreamChanges(const std::vector<StoreRecord>& records,
                          StorePosition position);
+  /// The gateway was told of all changes of upstreams that the store had made
+  /// by `as_of`.
+  void OnUpstreamsKnown(Time as_of) { stream_versions_.OnKnowledge(as_of); }
   /// When and for how long this gateway watches the store now.
   WatchSchedule CurrentWatchSchedule() const;
   /// The store responded to a read or watch of the table.
@@ -108,12 +111,14 @@
   /// the value is left to the callee.
   void SetQuarantineHandler(
       std::function<void(const std::string& key, bool quarantined)> handler);
-  /// Takes over the records of software versions and streams that the store has
-  /// kept; `unix_now_ms` is the present time.
+  /// Takes over the records of software versions and streams that the store was
+  /// asked for at `asked_at`; `unix_now_ms` is the present time.
   void OnStreamRecords(const std::vector<StoreRecord>& records,
-                       int64_t unix_now_ms) {
-    stream_versions_.Restore(BootClock::now(), records, unix_now_ms);
+                       int64_t unix_now_ms, Time asked_at) {
+    stream_versions_.Restore(BootClock::now(), records, unix_now_ms, asked_at);
   }
+  /// True if the records of software versions are to be read once more.
+  bool NeedsStreamRecords() const;
   /// The next record of software versions or streams for the store, if this
   /// gateway keeps them and there is something new.
   std::optional<StoreRecord> NextStreamRecord(int64_t unix_now_ms);
@@ -188,10 +193,11 @@
                                                    const ClientRequest& request,
                                                    ServiceId& service,
                                                    std::string& reason) const;
-  /// What the ready peers know of software versions.
+  /// What the peers know of software versions, or knew when they were last
+  /// heard of.
   std::vector<const StreamVersionReport*> PeerVersions(Time now) const;
   /// Time since the store told this gateway or a peer of the upstreams.
-  Duration KnowledgeAge(Time now) const;
+  Duration StoreResponseAge(Time now) const;
   /// Number of ready gateways with a lower process id that are not partitioned
   /// from a service.
   size_t Rank(Time now) const;
--- a/include/corianderlink/Gateway/stream_versions.h
+++ b/include/corianderlink/Gateway/stream_versions.h
@@ -35,6 +35,8 @@
   std::vector<VersionSighting> sightings;
   /// Streams that have begun since the last report.
   std::vector<StreamOrigin> origins;
+  /// The sender knows all versions that were registered this long ago.
+  Duration knowledge_age = Duration::max();
 };
 
 /// Whether and where a stream may be resumed.
@@ -51,7 +53,9 @@
 class StreamVersions {
  public:
   /// A gateway that knows the upstreams as they were this long ago, or longer,
-  /// may not know of a version that its peers use.
+  /// may not know of a version that its peers use.  Only what was asked for
+  /// counts, by the time of the question: an answer may have waited, unread, as
+  /// long as this process stood still.
   static constexpr Duration kMaxKnowledgeAge = seconds(5);
 
   StreamVersions(const UpstreamDirectory& directory, RandomSource& random)
@@ -65,26 +69,40 @@
   /// Takes over changes of upstreams and drops what is outdated.
   void Update(Time now);
 
+  /// All versions that were registered at `as_of` are known now.  After a
+  /// longer time without this, a version may have come and gone unseen.
+  void OnKnowledge(Time as_of);
+  /// All versions of the lifetime of a stream are known.
+  bool is_complete() const;
+  /// Age of what is known of the registered versions.
+  Duration KnowledgeAge(Time now) const;
+
   /// Decides on the resumption of a stream by a client.  `service` is the one
-  /// that the request would get; `knowledge_age` is the time since the store's
-  /// last response about upstreams, to this gateway or a peer.
+  /// that the request would get.  All peers have this gateway's report of
+  /// `reported_until`, so that they ask it before they use another version than
+  /// those that it knew then.
   ResumptionDecision Resolve(Time now, StreamKey key, const ServiceId& service,
-                             Duration knowledge_age) const;
-  /// The version that a new stream must not begin at: one that not all gateways
-  /// know, while another one serves.
+                             Time reported_until) const;
+  /// Versions that a new stream must not begin at: those that not all peers are
+  /// known to know.  If no other one serves, only peers count that may resume
+  /// streams at another one.  `peers` are the last reports, also of peers that
+  /// may be standing still or cut off.
   VersionConstraint ForNewStream(
       Time now, const ServiceId& service,
       const std::vector<const StreamVersionReport*>& peers) const;
 
-  /// This gateway's part of the next heartbeat.  Without recent knowledge of
-  /// the upstreams, the origins of all streams are passed on.
-  StreamVersionReport NextReport(Duration knowledge_age);
-  void OnReport(Time now, const StreamVersionReport& report);
+  /// This gateway's part of the next heartbeat.  If the store has not responded
+  /// for long, the origins of all streams are passed on.
+  StreamVersionReport NextReport(Time now, Duration store_age);
+  /// A peer's report, which was made after `reported_after`; unknown if empty.
+  void OnReport(Time now, const StreamVersionReport& report,
+                std::optional<Time> reported_after);
 
-  /// Takes over the records that the store has kept; their values have Unix
-  /// times in milliseconds, of which `unix_now_ms` is the present one.
+  /// Takes over the records that the store was asked for at `asked_at`; their
+  /// values have Unix times in milliseconds, of which `unix_now_ms` is the
+  /// present one.
   void Restore(Time now, const std::vector<StoreRecord>& records,
-               int64_t unix_now_ms);
+               int64_t unix_now_ms, Time asked_at);
   /// The next record for the store, if there is something new.  `writer` is
   /// this gateway's number among those that keep records, from 0 on.
   std::optional<StoreRecord> NextRecord(Time now, int64_t unix_now_ms,
@@ -97,6 +115,11 @@
  private:
   using RegisteredVersions = std::map<SoftwareVersion, bool>;
 
+  void OnHistory(Time as_of);
+  /// True if an upstream that answers may be used.
+  bool HasPermitted(const ServiceId& service,
+                    const VersionConstraint& constraint) const;
+
   std::optional<StoreRecord> NextVersionsRecord(Time now, int64_t unix_now_ms);
   std::optional<StoreRecord> NextOriginsRecord(Time now, int64_t unix_now_ms,
                                                size_t writer);
@@ -110,9 +133,12 @@
   RandomSource& random_;
   VersionHistory history_;
   StreamOrigins origins_;
-  std::optional<Time> started_at_;
-  // All versions of the lifetime of a stream are known.
-  bool is_complete_ = false;
+  // The registered versions are known from the first until the last one.
+  std::optional<Time> known_since_;
+  std::optional<Time> known_until_;
+  // As of this time, a peer or the store knew all versions of the lifetime of a
+  // stream.
+  std::optional<Time> history_as_of_;
   // Versions of each service, and whether they are registered, as the store
   // has them.
   std::map<ServiceId, RegisteredVersions> stored_versions_;
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -40,6 +40,7 @@
 void GatewayPeers::Tick() {
   SendHeartbeat();
   const Time now = BootClock::now();
+  last_tick_ = now;
   ExpirePeers(now);
   heartbeat_timer_ = loop_.After(HeartbeatInterval(now), [this] { Tick(); });
 }
@@ -52,12 +53,30 @@
 void GatewayPeers::SendHeartbeat() {
   const Time now = BootClock::now();
   wire::Envelope message;
-  *message.mutable_heartbeat() = EncodeHeartbeat(now, status_source_(now));
+  wire::Heartbeat& heartbeat = *message.mutable_heartbeat();
+  heartbeat = EncodeHeartbeat(now, status_source_(now));
+  heartbeat.set_sent_at(static_cast<uint64_t>(now.time_since_epoch().count()));
   for (const auto& [address, last_heartbeat] : receivers_) {
+    heartbeat.clear_echo();
+    if (const GatewayPeer* peer = PeerAt(address)) {
+      heartbeat.mutable_echo()->set_process(peer->process);
+      heartbeat.mutable_echo()->set_sent_at(peer->sent_at);
+    }
     bus_.Send(address, message);
   }
 }
 
+std::optional<Time> GatewayPeers::MadeAfter(
+    const wire::Heartbeat& heartbeat) const {
+  // An older build's may have waited here since the last turn of the loop.
+  if (heartbeat.sent_at() == 0) return last_tick_;
+  if (heartbeat.echo().process() != self_.value() ||
+      heartbeat.echo().sent_at() == 0) {
+    return std::nullopt;
+  }
+  return Time(Duration(static_cast<int64_t>(heartbeat.echo().sent_at())));
+}
+
 void GatewayPeers::AddPeerAddress(const Address& address) {
   if (address == own_address_ || address.port == 0) return;
   receivers_.try_emplace(address, BootClock::now());
@@ -135,6 +154,8 @@
   if (!same_digest) peer.digest_since = now;
   const bool was_member = peer.status.ready && !peer.status.leaving;
   peer.status = DecodeHeartbeat(now, message.heartbeat());
+  peer.reported_after = MadeAfter(message.heartbeat());
+  peer.sent_at = message.heartbeat().sent_at();
   const bool is_member = peer.status.ready && !peer.status.leaving;
   if (is_new) {
     Log(LogLevel::kInfo, "peer_found",
@@ -193,6 +214,39 @@
   return view;
 }
 
+std::vector<const GatewayPeer*> GatewayPeers::Silent(Time now) const {
+  std::vector<const GatewayPeer*> silent;
+  for (const auto& [process, peer] : peers_) {
+    if (now - peer.last_heartbeat <= kPeerTimeout) continue;
+    const bool replaced = PeerAt(peer.status.peer_address) != &peer;
+    if (!peer.status.leaving && !replaced) silent.push_back(&peer);
+  }
+  return silent;
+}
+
+Time GatewayPeers::ReportedUntil(Time now) const {
+  Time until = Time::max();
+  for (const auto& peers : {Live(now), Silent(now)}) {
+    for (const GatewayPeer* peer : peers) {
+      const bool is_starting = !peer->status.ready && !peer->status.leaving;
+      if (is_starting) continue;
+      until = std::min(until, peer->reported_after.value_or(Time::min()));
+    }
+  }
+  return until;
+}
+
+const GatewayPeer* GatewayPeers::PeerAt(const Address& address) const {
+  const GatewayPeer* last = nullptr;
+  for (const auto& [process, peer] : peers_) {
+    if (peer.status.peer_address != address) continue;
+    if (last == nullptr || peer.last_heartbeat > last->last_heartbeat) {
+      last = &peer;
+    }
+  }
+  return last;
+}
+
 std::vector<const GatewayPeer*> GatewayPeers::Live(Time now) const {
   std::vector<const GatewayPeer*> live;
   for (const auto& [process, peer] : peers_) {
--- a/lib/Gateway/gateway_streams.cc
+++ b/lib/Gateway/gateway_streams.cc
@@ -19,8 +19,9 @@
   if (!request.is_resumption) {
     return stream_versions_.ForNewStream(now, service, PeerVersions(now));
   }
-  const ResumptionDecision decision = stream_versions_.Resolve(
-      now, KeyOfStream(request.resumes, request), service, KnowledgeAge(now));
+  const ResumptionDecision decision =
+      stream_versions_.Resolve(now, KeyOfStream(request.resumes, request),
+                               service, peers_.ReportedUntil(now));
   reason = decision.reason;
   if (!decision.version) return std::nullopt;
   constraint.required = decision.version;
@@ -36,12 +37,24 @@
 
 std::vector<const StreamVersionReport*> Gateway::PeerVersions(Time now) const {
   std::vector<const StreamVersionReport*> reports;
-  for (const GatewayPeer* peer : peers_.Live(now)) {
-    if (peer->status.ready) reports.push_back(&peer->status.stream_versions);
+  for (const auto& peers : {peers_.Live(now), peers_.Silent(now)}) {
+    for (const GatewayPeer* peer : peers) {
+      reports.push_back(&peer->status.stream_versions);
+    }
   }
   return reports;
 }
 
+bool Gateway::NeedsStreamRecords() const {
+  const Time now = BootClock::now();
+  if (!ready() || stream_versions_.is_complete()) return false;
+  if (stream_versions_.KnowledgeAge(now) > StreamVersions::kMaxKnowledgeAge) {
+    return false;
+  }
+  // The others are told by peers.
+  return Rank(now) < kStreamRecordWriters;
+}
+
 std::optional<StoreRecord> Gateway::NextStreamRecord(int64_t unix_now_ms) {
   const Time now = BootClock::now();
   const size_t rank = Rank(now);
@@ -49,7 +62,7 @@
   return stream_versions_.NextRecord(now, unix_now_ms, rank);
 }
 
-Duration Gateway::KnowledgeAge(Time now) const {
+Duration Gateway::StoreResponseAge(Time now) const {
   return std::min(store_contact_.OwnAge(now, StoreTable::kUpstreams),
                   peers_.StoreAge(now));
 }
--- a/lib/Gateway/stream_version_records.cc
+++ b/lib/Gateway/stream_version_records.cc
@@ -60,6 +60,10 @@
 
 std::optional<StoreRecord> StreamVersions::NextVersionsRecord(
     Time now, int64_t unix_now_ms) {
+  // The record replaces that of another gateway, which may know more.
+  if (!is_complete() || KnowledgeAge(now) > kMaxKnowledgeAge) {
+    return std::nullopt;
+  }
   std::map<ServiceId, RegisteredVersions> versions;
   std::map<ServiceId, Json> values;
   for (const VersionSighting& sighting : history_.Sightings()) {
@@ -134,7 +138,7 @@
 }
 
 void StreamVersions::Restore(Time now, const std::vector<StoreRecord>& records,
-                             int64_t unix_now_ms) {
+                             int64_t unix_now_ms, Time asked_at) {
   for (const StoreRecord& record : records) {
     if (!record.value) continue;
     const Json list = ParseJson(*record.value);
@@ -143,7 +147,7 @@
       if (entry.is_object()) RestoreEntry(now, entry, unix_now_ms);
     }
   }
-  is_complete_ = true;
+  OnHistory(asked_at);
 }
 
 void StreamVersions::RestoreEntry(Time now, const Json& entry,
--- a/unittests/Gateway/stream_version_test.cc
+++ b/unittests/Gateway/stream_version_test.cc
@@ -6,6 +6,8 @@
 #include <sstream>
 
 #include "Gateway/gateway_fleet.h"
+#include "corianderlink/Wire/peer_bus.h"
+#include "peer.pb.h"
 
 namespace corianderlink {
 namespace {
@@ -135,6 +137,45 @@
     return resumed;
   }
 
+  /// A version joins while a gateway stands still; `wait` later streams begin
+  /// elsewhere, and are resumed at that gateway as it goes on.
+  void ExpectNoneJoinedAtAGatewayThatStoodStill(
+      Duration wait, const std::set<std::string>& begun_versions) {
+    constexpr size_t kStill = 3;
+    for (const char* id : {"a1", "a2"}) AddUpstream(id, "v1");
+    fleet_.PrepareStandstill(kStill);
+    fleet_.Start(kStill + 1);
+    EXPECT_EQ(Resume(kStill, "unknown"), 200);
+    fleet_.BeginStandstill(kStill);
+    // Until the version joins, peers send more than is read at once later.
+    harness_.RunFor(seconds(5));
+    for (const char* id : {"b1", "b2", "b3", "b4"}) AddUpstream(id, "v2");
+    harness_.RunFor(wait);
+    const std::vector<std::string> ids = {"s1", "s2", "s3", "s4", "s5", "s6"};
+    const auto begun = BeginAndLeave({ids.begin(), ids.end()});
+    std::set<std::string> versions;
+    std::map<std::string, std::shared_ptr<ClientResult>> rests;
+    // Those of the new version first, as the first connection is kept.
+    for (const bool is_new : {true, false}) {
+      for (const auto& [id, result] : begun) {
+        const bool began_at_new = Versions(result->body).count("v2") > 0;
+        if (began_at_new == is_new) rests[id] = SendRest(kStill, id);
+        versions.merge(Versions(result->body));
+      }
+    }
+    EXPECT_EQ(versions, begun_versions);
+    harness_.RunFor(milliseconds(50));
+    fleet_.EndStandstill(kStill);
+    for (const auto& [id, rest] : rests) {
+      harness_.Await(rest);
+      const std::string& body = begun.at(id)->body;
+      ASSERT_EQ(Versions(body).size(), 1U);
+      if (rest->status != 200) continue;
+      EXPECT_EQ(Versions(body + rest->body).size(), 1U)
+          << id << " began at " << *Versions(body).begin();
+    }
+  }
+
   GatewayTestHarness harness_;
   std::map<std::string, std::unique_ptr<FakeUpstream>> upstreams_;
   GatewayFleet fleet_{harness_, kConfig};
@@ -190,6 +231,28 @@
   EXPECT_EQ(fresh->status, 200);
 }
 
+TEST_F(StreamVersionTest, SilenceOfAPeerIsNotTakenForConsentToANewVersion) {
+  ExpectNoneJoinedAtAGatewayThatStoodStill(milliseconds(200), {"v1"});
+}
+
+TEST_F(StreamVersionTest, GatewayThatStoodStillDoesNotPlaceByOldKnowledge) {
+  ExpectNoneJoinedAtAGatewayThatStoodStill(seconds(6), {"v1", "v2"});
+}
+
+TEST_F(StreamVersionTest, GatewayThatStartedAgainDoesNotHoldUpANewVersion) {
+  AddUpstream("a1", "v1");
+  fleet_.Start(2);
+  fleet_.Restart(1);
+  harness_.RunFor(GatewayPeers::kPeerTimeout + milliseconds(200));
+  for (const char* id : {"b1", "b2", "b3"}) AddUpstream(id, "v2");
+  harness_.RunFor(milliseconds(200));
+  std::set<std::string> versions;
+  for (const auto& [id, result] : BeginAndLeave({"s1", "s2", "s3", "s4"})) {
+    versions.merge(Versions(result->body));
+  }
+  EXPECT_EQ(versions.count("v2"), 1U);
+}
+
 TEST_F(StreamVersionTest, UnknownStreamGoesOnWhileOneVersionServes) {
   for (const char* id : {"a1", "a2"}) AddUpstream(id, "v1");
   fleet_.Start(2);
@@ -198,6 +261,78 @@
   EXPECT_EQ(Resume(1, "unknown"), 200);
 }
 
+TEST_F(StreamVersionTest, UnknownStreamGoesOnAtALoneGateway) {
+  AddUpstream("a1", "v1");
+  fleet_.Start(1);
+  EXPECT_EQ(Resume(0, "unknown"), 200);
+  fleet_.RestartAll();
+  EXPECT_EQ(Resume(0, "unknown"), 200);
+}
+
+TEST_F(StreamVersionTest, UnknownStreamGoesOnWherePeersTellOfTheStore) {
+  AddUpstream("a1", "v1");
+  fleet_.Start(2);
+  fleet_.CutFromStore(1);
+  harness_.RunFor(StreamVersions::kMaxKnowledgeAge + milliseconds(500));
+  EXPECT_EQ(Resume(1, "unknown"), 200);
+}
+
+TEST_F(StreamVersionTest, UnknownStreamGoesOnWhereAnOlderPeerTellsOfTheStore) {
+  AddUpstream("a1", "v1");
+  fleet_.Start(1);
+  fleet_.CutFromStore(0);
+  PeerBus older(harness_.loop, harness_.store.ToString(), ProcessId("old.1"),
+                std::nullopt);
+  wire::Envelope message;
+  wire::Heartbeat& heartbeat = *message.mutable_heartbeat();
+  heartbeat.set_kind("gateway");
+  heartbeat.set_peer_address(FreeAddress().ToString());
+  heartbeat.set_ready(true);
+  heartbeat.set_store_age_ms(100);
+  heartbeat.mutable_stream_versions()->set_is_complete(true);
+  const EventHandle timer = harness_.loop.Every(
+      milliseconds(25), [&] { older.Send(fleet_.settings(0).peer, message); });
+  harness_.RunFor(StreamVersions::kMaxKnowledgeAge + milliseconds(500));
+  EXPECT_EQ(Resume(0, "unknown"), 200);
+}
+
+TEST_F(StreamVersionTest, UnknownStreamGoesOnSoonAfterAStandstill) {
+  AddUpstream("a1", "v1");
+  fleet_.PrepareStandstill(1);
+  fleet_.Start(2);
+  fleet_.BeginStandstill(1);
+  harness_.RunFor(StreamVersions::kMaxKnowledgeAge + seconds(1));
+  fleet_.EndStandstill(1);
+  harness_.RunFor(milliseconds(300));
+  EXPECT_EQ(Resume(1, "unknown"), 200);
+}
+
+TEST_F(StreamVersionTest, UnknownStreamGoesOnSoonAfterALoneGatewayStoodStill) {
+  AddUpstream("a1", "v1");
+  fleet_.PrepareStandstill(0);
+  fleet_.Start(1);
+  fleet_.BeginStandstill(0);
+  harness_.RunFor(StreamVersions::kMaxKnowledgeAge + seconds(1));
+  fleet_.EndStandstill(0);
+  harness_.RunFor(milliseconds(300));
+  EXPECT_EQ(Resume(0, "unknown"), 200);
+}
+
+TEST_F(StreamVersionTest, UnknownStreamGoesOnSoonAfterTheStoreWasAway) {
+  AddUpstream("a1", "v1");
+  fleet_.Start(3);
+  for (const size_t gateway : {0, 1, 2}) fleet_.CutFromStore(gateway);
+  harness_.RunFor(StreamVersions::kMaxKnowledgeAge + seconds(1));
+  for (const size_t gateway : {0, 1, 2}) {
+    EXPECT_EQ(Resume(gateway, "unknown"), 503);
+  }
+  fleet_.EndCutsFromStore();
+  harness_.RunFor(milliseconds(300));
+  for (const size_t gateway : {0, 1, 2}) {
+    EXPECT_EQ(Resume(gateway, "unknown"), 200);
+  }
+}
+
 TEST_F(StreamVersionTest, FailureOfTheNextUpstreamDoesNotEndTheStreamAsWhole) {
   for (const char* id : {"a1", "a2", "a3"}) AddUpstream(id, "v1");
   fleet_.Start(1);
--- a/unittests/Gateway/stream_versions_test.cc
+++ b/unittests/Gateway/stream_versions_test.cc
@@ -35,15 +35,23 @@
     now_ += time;
     versions_.Update(now_);
   }
+  /// As above, while the store tells of the upstreams.
+  void PassInTouch(Duration time) {
+    for (const Time end = now_ + time; now_ < end;) {
+      Pass(std::min<Duration>(seconds(1), end - now_));
+      versions_.OnKnowledge(now_);
+    }
+  }
   /// The version at which a stream that no gateway knows goes on.
   std::optional<SoftwareVersion> Unknown(Duration knowledge_age = {}) {
-    return versions_.Resolve(now_, {999}, kService, knowledge_age).version;
+    versions_.OnKnowledge(now_ - knowledge_age);
+    return Find(versions_, 999);
   }
   void Begin(uint64_t key, const SoftwareVersion& version) {
     versions_.origins().Add({{key}, kService, version, now_});
   }
   std::optional<SoftwareVersion> Find(StreamVersions& versions, uint64_t key) {
-    return versions.Resolve(now_, {key}, kService, {}).version;
+    return versions.Resolve(now_, {key}, kService, Time::max()).version;
   }
   std::set<SoftwareVersion> Avoided(
       const std::vector<const StreamVersionReport*>& peers) {
@@ -88,7 +96,7 @@
 }
 
 TEST_F(StreamVersionsTest, UnknownStreamNeedsASingleVersionOfItsLifetime) {
-  versions_.Restore(now_, {}, kUnixNowMs);
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
   EXPECT_FALSE(Unknown());
   Register("a", kOld);
   EXPECT_EQ(Unknown(), kOld);
@@ -96,27 +104,92 @@
   EXPECT_FALSE(Unknown());
   Leave("a");
   EXPECT_FALSE(Unknown());
-  Pass(versions_.history().stream_lifetime() - seconds(1));
+  PassInTouch(versions_.history().stream_lifetime() - seconds(1));
   EXPECT_FALSE(Unknown());
-  Pass(seconds(2));
+  PassInTouch(seconds(2));
   EXPECT_EQ(Unknown(), kNew);
 }
 
 TEST_F(StreamVersionsTest, UnknownStreamWaitsForTheHistoryAfterAStart) {
   Register("b", kNew);
   EXPECT_FALSE(Unknown());
-  versions_.OnReport(now_, {false, {}, {}});
+  versions_.OnReport(now_, {false, {}, {}, {}}, now_);
   EXPECT_FALSE(Unknown());
-  versions_.OnReport(now_, {true, {}, {}});
+  versions_.OnReport(now_, {true, {}, {}, {}}, now_);
   EXPECT_EQ(Unknown(), kNew);
 }
 
+TEST_F(StreamVersionsTest, UnknownStreamWaitsUntilPeersKnowThisGateway) {
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
+  Register("a", kOld);
+  versions_.OnKnowledge(now_);
+  const auto resume = [&](Time reported_until) {
+    return versions_.Resolve(now_, {999}, kService, reported_until).version;
+  };
+  EXPECT_FALSE(resume(now_ - milliseconds(1)));
+  EXPECT_EQ(resume(now_), kOld);
+}
+
 TEST_F(StreamVersionsTest, UnknownStreamIsNotResumedByOldKnowledge) {
-  versions_.Restore(now_, {}, kUnixNowMs);
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
   Register("a", kOld);
   EXPECT_FALSE(Unknown(StreamVersions::kMaxKnowledgeAge + seconds(1)));
   Begin(1, kOld);
-  EXPECT_EQ(versions_.Resolve(now_, {1}, kService, seconds(60)).version, kOld);
+  Pass(seconds(50));
+  EXPECT_EQ(Find(versions_, 1), kOld);
+}
+
+TEST_F(StreamVersionsTest, ReportThatWaitedUnreadShowsNoFreshKnowledge) {
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
+  Register("a", kOld);
+  const StreamVersionReport report{true, {}, {}, milliseconds(100)};
+  versions_.OnReport(now_, report, now_);
+  EXPECT_EQ(Find(versions_, 999), kOld);
+  const Time before_standstill = now_;
+  Pass(StreamVersions::kMaxKnowledgeAge);
+  versions_.OnReport(now_, report, before_standstill);
+  EXPECT_FALSE(Find(versions_, 999));
+  versions_.OnReport(now_, report, std::nullopt);
+  EXPECT_FALSE(Find(versions_, 999));
+  versions_.OnReport(now_, report, now_ - milliseconds(50));
+  EXPECT_EQ(Find(versions_, 999), kOld);
+}
+
+TEST_F(StreamVersionsTest, VersionThatCameAndWentUnseenMayHaveBegunAStream) {
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
+  Register("a", kOld);
+  EXPECT_EQ(Unknown(), kOld);
+  // Cut off from the store and all peers.
+  Pass(seconds(20));
+  EXPECT_FALSE(Unknown());
+  PassInTouch(versions_.history().stream_lifetime() - seconds(1));
+  EXPECT_FALSE(Unknown());
+  PassInTouch(seconds(2));
+  EXPECT_EQ(Unknown(), kOld);
+}
+
+TEST_F(StreamVersionsTest, PeerOrStoreTellsWhatCameAndWentUnseen) {
+  const std::vector<VersionSighting> old_only = {{kService, kOld, now_}};
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
+  Register("a", kOld);
+  EXPECT_EQ(Unknown(), kOld);
+  Pass(seconds(20));
+  EXPECT_FALSE(Unknown());
+  // From before the cut.
+  versions_.OnReport(now_, {true, old_only, {}, seconds(1)}, now_ - seconds(9));
+  EXPECT_FALSE(Unknown());
+  versions_.OnReport(now_, {false, old_only, {}, seconds(1)}, now_);
+  EXPECT_FALSE(Unknown());
+  versions_.OnReport(now_, {true, old_only, {}, seconds(1)}, now_);
+  EXPECT_EQ(Unknown(), kOld);
+  Pass(seconds(20));
+  EXPECT_FALSE(Unknown());
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
+  EXPECT_EQ(Unknown(), kOld);
+  Pass(seconds(20));
+  versions_.OnReport(
+      now_, {true, {{kService, kNew, now_ - seconds(9)}}, {}, {}}, now_);
+  EXPECT_FALSE(Unknown());
 }
 
 TEST_F(StreamVersionsTest, NewVersionBeginsStreamsOnceAllPeersKnowIt) {
@@ -132,6 +205,36 @@
   EXPECT_TRUE(Avoided({&ignorant}).empty());
 }
 
+TEST_F(StreamVersionsTest, NewVersionWaitsForPeersThatMayPlaceByAnother) {
+  Register("a", kOld);
+  Pass(seconds(10));
+  Register("b", kNew);
+  const StreamVersionReport ignorant{true, {{kService, kOld, now_}}, {}, {}};
+  const StreamVersionReport informed{
+      true, {{kService, kOld, now_}, {kService, kNew, now_}}, {}, {}};
+  const std::set<SoftwareVersion> only_new = {kNew};
+  EXPECT_EQ(Avoided({&informed, &ignorant}), only_new);
+  EXPECT_TRUE(Avoided({&informed}).empty());
+  // That no other version serves is not known to that peer either.
+  Leave("a");
+  EXPECT_EQ(Avoided({&informed, &ignorant}), only_new);
+  Pass(StreamVersions::kMaxKnowledgeAge + milliseconds(400));
+  EXPECT_EQ(Avoided({&ignorant}), only_new);
+  Pass(milliseconds(200));
+  EXPECT_TRUE(Avoided({&ignorant}).empty());
+}
+
+TEST_F(StreamVersionsTest, GatewayThatHasStartedUsesVersionsThatPeersKnow) {
+  // All versions are new to it.
+  Register("a", kOld);
+  Register("b", kNew);
+  const StreamVersionReport informed{
+      true, {{kService, kOld, now_}, {kService, kNew, now_}}, {}, {}};
+  const StreamVersionReport older_build;
+  EXPECT_TRUE(Avoided({&informed}).empty());
+  EXPECT_TRUE(Avoided({&informed, &older_build}).empty());
+}
+
 TEST_F(StreamVersionsTest, NewVersionBeginsStreamsIfNoOtherServes) {
   Register("a", kOld);
   Pass(seconds(10));
@@ -144,20 +247,38 @@
 TEST_F(StreamVersionsTest, OriginsAreToldWhileSeveralVersionsServe) {
   Register("a", kOld);
   Begin(1, kOld);
-  EXPECT_TRUE(versions_.NextReport({}).origins.empty());
+  EXPECT_TRUE(versions_.NextReport(now_, {}).origins.empty());
   Register("b", kNew);
   Begin(2, kNew);
-  EXPECT_EQ(versions_.NextReport({}).origins.size(), 2U);
-  EXPECT_TRUE(versions_.NextReport({}).origins.empty());
+  EXPECT_EQ(versions_.NextReport(now_, {}).origins.size(), 2U);
+  EXPECT_TRUE(versions_.NextReport(now_, {}).origins.empty());
 }
 
 TEST_F(StreamVersionsTest, OriginsAreToldWhileTheStoreIsAway) {
   Register("a", kOld);
   Begin(1, kOld);
-  EXPECT_EQ(versions_.NextReport(seconds(4)).origins.size(), 1U);
+  EXPECT_EQ(versions_.NextReport(now_, seconds(4)).origins.size(), 1U);
+}
+
+TEST_F(StreamVersionsTest, GatewayThatComesBackDoesNotReplaceWhatOthersKept) {
+  Register("a", kOld);
+  EXPECT_FALSE(versions_.NextRecord(now_, kUnixNowMs, 0));
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
+  versions_.OnKnowledge(now_);
+  EXPECT_TRUE(versions_.NextRecord(now_, kUnixNowMs, 0));
+  versions_.OnRecordWritten(false);
+  // Cut off from the store and all peers.
+  Pass(seconds(20));
+  EXPECT_FALSE(versions_.NextRecord(now_, kUnixNowMs, 0));
+  versions_.OnKnowledge(now_);
+  EXPECT_FALSE(versions_.NextRecord(now_, kUnixNowMs, 0));
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
+  EXPECT_TRUE(versions_.NextRecord(now_, kUnixNowMs, 0));
 }
 
 TEST_F(StreamVersionsTest, StoreKeepsWhatAStartOfAllGatewaysNeeds) {
+  versions_.Restore(now_, {}, kUnixNowMs, now_);
+  versions_.OnKnowledge(now_);
   Register("a", kOld);
   Register("b", kNew);
   std::map<std::string, std::string> store;
@@ -180,13 +301,14 @@
   std::vector<StoreRecord> records = {{"origins/0/9", "garbage", 1},
                                       {"origins/1/9", R"([{"keys":7},3])", 1}};
   for (const auto& [key, value] : store) records.push_back({key, value, 1});
-  restarted.Restore(now_, records, kUnixNowMs + 2000);
+  restarted.Restore(now_, records, kUnixNowMs + 2000, now_);
   for (uint64_t key = 1; key <= 500; ++key) {
     EXPECT_EQ(Find(restarted, key), key % 2 == 0 ? kNew : kOld) << key;
   }
-  EXPECT_FALSE(restarted.Resolve(now_, {999}, kService, {}).version);
+  restarted.OnKnowledge(now_);
+  EXPECT_FALSE(Find(restarted, 999));
   StreamVersions later(empty, random_);
-  later.Restore(now_, records, kUnixNowMs + 3'600'000);
+  later.Restore(now_, records, kUnixNowMs + 3'600'000, now_);
   EXPECT_EQ(later.origins().size(), 0U);
 }
 
