[Gateway] Try one request of all gateways after a quarantine

Cause: the end of a quarantine was a time of each gateway's own, spread over a quarter of it by a hash. From then on the gateway let every request with the key through until a crash was known, which takes as long as the request runs. With four gateways two of the ends fall into one run; with more, or with a part of prompts, whose quarantine ended everywhere at once, more do.

The fourth crash of the first burst comes from copies that were on their way within 11 ms, before the second crash; it is not changed here.

Change: quarantines end at the same time everywhere. Then the gateway of a request claims the key, tells its peers at once (SuspectReport.tried_age_ms) and sends it after 100 ms, unless a crossing claim has a lower rank (CrashProbes). All other requests with the key wait for the result: an answer frees them, a crash renews the quarantine. A try that ended without a result is followed by another; one that has run for 3 s holds nobody any longer. So a sound request is free everywhere 18.75 s after the verdict, as before, however long it runs, and 16 s after it if it is answered within 0.12 s (QuarantineProbeTest); a part's quarantine ends 5 s sooner for the same reason.

--- a/include/corianderlink/Gateway/crash_quarantine.h
+++ b/include/corianderlink/Gateway/crash_quarantine.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "corianderlink/Gateway/answered_requests.h"
+#include "corianderlink/Gateway/crash_probes.h"
 #include "corianderlink/Gateway/suspect_key.h"
 #include "corianderlink/Gateway/upstream_record.h"
 #include "corianderlink/Support/time.h"
@@ -43,6 +44,9 @@
   std::optional<Time> quarantined_at;
   /// How often in a row it was quarantined.
   uint32_t level = 0;
+  /// Since when a request with the key is tried through this gateway, after a
+  /// quarantine.
+  std::optional<Time> tried_since;
 };
 
 /// A key whose requests no upstream gets any more.
@@ -63,7 +67,9 @@
 ///
 /// A request under which two upstreams have crashed like this, and no other
 /// request under the same ones, is quarantined for a short time, in which they
-/// come back.  Then one more crash renews the quarantine, each time for longer.
+/// come back.  Then one request at a time is tried by all gateways together
+/// (CrashProbes), until it is answered; one more crash renews the quarantine,
+/// each time for longer.
 ///
 /// A part is quarantined after more crashes, those of different requests, while
 /// other prompts are answered.  Crashes that a quarantined request explains
@@ -73,17 +79,17 @@
 /// so that five crashes at five gateways count as five.
 class CrashQuarantine {
  public:
-  /// `seed` differs between gateways; by it they end a quarantine at different
-  /// times, so that not all of them try the request again at once.
-  explicit CrashQuarantine(uint64_t seed = 0) : seed_(seed) {}
+  /// `process` identifies this gateway among its peers.
+  explicit CrashQuarantine(uint64_t process = 0) : probes_(process) {}
 
   /// An upstream has crashed with this request.
   void OnCrash(Time now, const RequestSuspects& request,
                const UpstreamCrash& crash);
   /// An upstream has answered the request.
   void OnAnswered(Time now, const RequestSuspects& request);
-  /// A peer has reported what it knows.
-  void OnPeerReports(Time now, const std::vector<SuspectReport>& reports);
+  /// The peer has reported what it knows.
+  void OnPeerReports(Time now, uint64_t peer,
+                     const std::vector<SuspectReport>& reports);
   /// The store has kept a quarantine of this age, which outlives a stop of all
   /// gateways.
   void Restore(Time now, const SuspectKey& key, Duration age);
@@ -94,9 +100,19 @@
     if (now >= verdict_due_) Update(now);
   }
 
-  /// The first quarantined key of the request, if it has one.
-  std::optional<QuarantinedKey> Find(Time now,
-                                     const RequestSuspects& request) const;
+  /// The first key of the request that holds it back, if there is one: it is
+  /// quarantined, or a request other than `own` is tried.
+  std::optional<QuarantinedKey> Find(Time now, const RequestSuspects& request,
+                                     ProbeId own = 0) const;
+  /// Claims what a request needs to be sent, by the id `own` if it has one.
+  /// Returns the claim, with which it waits for CrashProbes::kSettle and asks
+  /// Find again; 0 if it may be sent now.
+  ProbeId ClaimProbe(Time now, const RequestSuspects& request, ProbeId own);
+  /// The claimed request is sent to an upstream; it has ended.
+  void OnProbeSent(Time now, ProbeId probe) { probes_.OnSent(now, probe); }
+  void OnProbeEnd(Time now, ProbeId probe, bool may_have_run) {
+    probes_.OnEnd(now, probe, may_have_run);
+  }
   /// True if a further upstream may crash under the request, so that it is not
   /// sent again after it may have run.
   bool IsSuspect(const RequestSuspects& request) const;
@@ -108,6 +124,8 @@
   /// Called when this gateway quarantines a key for long, or lifts its
   /// quarantine.
   std::function<void(const SuspectKey&, bool quarantined)> on_verdict;
+  /// Called when this gateway has claimed a key: the peers are to know at once.
+  std::function<void()> on_claim;
 
  private:
   /// An incarnation of an upstream, which crashes once.
@@ -142,15 +160,15 @@
 
   /// True if the store keeps such a quarantine.
   static bool IsKept(const SuspectKey& key, uint32_t level);
-  /// Length of a quarantine, without the delay of a single gateway.
+  /// Length of a quarantine.
   static Duration QuarantineTime(const SuspectKey& key, uint32_t level);
   static bool IsConvincing(const SuspectKey& key, const Suspect& suspect);
   /// True if no other request can have caused the crashes as well.
   bool IsOnlyCause(const SuspectKey& key, const Suspect& suspect) const;
-  Time EndOf(const SuspectKey& key, const Suspect& suspect) const;
-  /// Until when requests with the key are held back, if they are.
-  std::optional<Time> HeldUntil(const SuspectKey& key,
-                                const Suspect& suspect) const;
+  static Time EndOf(const SuspectKey& key, const Suspect& suspect);
+  /// Until when the request with the key is held back, if it is.
+  std::optional<Time> HeldUntil(Time now, const SuspectKey& key,
+                                const Suspect& suspect, ProbeId own) const;
   /// Adds the key, with what this gateway remembers of answers.
   Suspects::iterator Insert(const SuspectKey& key);
   /// Whether the last answer excuses the key from what happened at `at`.
@@ -170,14 +188,17 @@
   void Judge(Time now, const SuspectKey& key, Suspect& suspect);
   void Quarantine(Time at, uint32_t level, const SuspectKey& key,
                   Suspect& suspect, const char* source);
+  void OnPeerVerdict(Time now, const SuspectReport& report, Suspect& suspect);
   static bool IsForgotten(Time now, const Suspect& suspect);
 
-  const uint64_t seed_;
   Suspects suspects_;
+  CrashProbes probes_;
+  ProbeId last_probe_ = 0;
   // Requests that are quarantined or were so lately.
   std::set<SuspectKey> quarantined_requests_;
   AnsweredRequests answered_requests_;
-  // The next time at which evidence that suffices has settled.
+  // The next time at which evidence that suffices has settled, or a quarantine
+  // ends.
   Time verdict_due_ = Time::max();
   // Prompts answered through this gateway.
   uint64_t answers_ = 0;
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -181,6 +181,9 @@
                            bool upstream_failed, const char* retry);
   /// Ends the request if it or a part of its prompt crashes upstreams.
   bool EndIfQuarantined(Time now);
+  /// After a quarantine, waits for the right to be tried and calls
+  /// `place_again`; false if the request may be sent now.
+  bool AwaitProbe(Time now, void (RelayTask::*place_again)());
   /// Counts a failed attempt against the request and the parts of its prompt if
   /// the upstream has crashed before it answered.
   void CheckForCrash(const Outcome& outcome);
@@ -281,6 +284,9 @@
   // KV cache that the prefill engine holds for this request.
   std::optional<KvHandle> kv_handle_;
 
+  // The right to be tried after a quarantine.
+  ProbeId probe_ = 0;
+
   // Computed when it is needed.
   std::optional<uint64_t> request_digest_;
   // Id of the last event sent to the client.
--- a/lib/Gateway/crash_quarantine.cc
+++ b/lib/Gateway/crash_quarantine.cc
@@ -6,7 +6,6 @@
 #include <string_view>
 #include <tuple>
 
-#include "corianderlink/Support/hash.h"
 #include "corianderlink/Support/log.h"
 
 namespace corianderlink {
@@ -35,12 +34,10 @@
 // Crashes under which a prompt's part counts as a suspect.
 constexpr size_t kSuspectCrashes = 2;
 // Quarantines of a part and, in a row, of a request.
-constexpr Duration kPartQuarantine = seconds(600);
+constexpr Duration kPartQuarantine = seconds(595);
 constexpr Duration kRequestQuarantines[] = {seconds(15), seconds(120),
                                             seconds(600)};
 constexpr uint32_t kMaxLevel = std::size(kRequestQuarantines);
-// A gateway ends a request's quarantine later by up to this fraction.
-constexpr double kMaxDelay = 0.25;
 
 // Sources of a quarantine, for the log.
 constexpr char kOwn[] = "own";
@@ -82,6 +79,7 @@
 
 void CrashQuarantine::Erase(Suspects::iterator suspect) {
   quarantined_requests_.erase(suspect->first);
+  probes_.Erase(suspect->first);
   suspects_.erase(suspect);
 }
 
@@ -172,6 +170,7 @@
   }
   const uint32_t level = std::exchange(suspect.level, 0);
   quarantined_requests_.erase(key);
+  probes_.Erase(key);
   if (!suspect.quarantined_at) return;
   suspect.quarantined_at.reset();
   Log(LogLevel::kWarning, "quarantine_lifted",
@@ -256,6 +255,8 @@
   suspect.judged_until = at;
   suspect.level = std::clamp(level, 1U, kMaxLevel);
   suspect.on_probation_until.reset();
+  probes_.Erase(key);
+  verdict_due_ = std::min(verdict_due_, EndOf(key, suspect));
   const bool own = std::string_view(source) == kOwn;
   std::string upstreams;
   for (const auto& [incarnation, crash] : suspect.crashes) {
@@ -294,18 +295,13 @@
          !suspect.on_probation_until && !answered_lately;
 }
 
-Time CrashQuarantine::EndOf(const SuspectKey& key,
-                            const Suspect& suspect) const {
-  const Time since = *suspect.quarantined_at;
-  const Duration time = QuarantineTime(key, suspect.level);
-  if (key.kind == Kind::kPart) return since + time;
-  const double fraction = static_cast<double>(MixBits(seed_ ^ key.id) >> 11) /
-                          static_cast<double>(1ULL << 53);
-  return since + time + FromSeconds(ToSeconds(time) * kMaxDelay * fraction);
+Time CrashQuarantine::EndOf(const SuspectKey& key, const Suspect& suspect) {
+  return *suspect.quarantined_at + QuarantineTime(key, suspect.level);
 }
 
 void CrashQuarantine::Update(Time now) {
   verdict_due_ = Time::max();
+  probes_.Update(now);
   for (auto& [key, suspect] : suspects_) {
     if (suspect.quarantined_at && now > EndOf(key, suspect)) {
       suspect.quarantined_at.reset();
@@ -313,6 +309,9 @@
       suspect.crashes.clear();
       suspect.own_crashes.clear();
     }
+    if (suspect.quarantined_at) {
+      verdict_due_ = std::min(verdict_due_, EndOf(key, suspect));
+    }
     if (suspect.on_probation_until && now > *suspect.on_probation_until) {
       suspect.on_probation_until.reset();
       suspect.level = 0;
@@ -330,26 +329,47 @@
 }
 
 std::optional<QuarantinedKey> CrashQuarantine::Find(
-    Time now, const RequestSuspects& request) const {
+    Time now, const RequestSuspects& request, ProbeId own) const {
   if (suspects_.empty()) return std::nullopt;
   for (const SuspectKey& key : request.Keys()) {
     const auto it = suspects_.find(key);
     if (it == suspects_.end()) continue;
-    const std::optional<Time> ends_at = HeldUntil(key, it->second);
+    const std::optional<Time> ends_at = HeldUntil(now, key, it->second, own);
     if (ends_at && now <= *ends_at) return QuarantinedKey{key, *ends_at};
   }
   return std::nullopt;
 }
 
-std::optional<Time> CrashQuarantine::HeldUntil(const SuspectKey& key,
-                                               const Suspect& suspect) const {
+std::optional<Time> CrashQuarantine::HeldUntil(Time now, const SuspectKey& key,
+                                               const Suspect& suspect,
+                                               ProbeId own) const {
   if (suspect.quarantined_at) return EndOf(key, suspect);
+  if (suspect.on_probation_until) return probes_.HeldUntil(now, key, own);
   if (key.kind == Kind::kPart || !suspect.convincing_since) {
     return std::nullopt;
   }
   return *suspect.convincing_since + kRequestSettle;
 }
 
+ProbeId CrashQuarantine::ClaimProbe(Time now, const RequestSuspects& request,
+                                    ProbeId own) {
+  if (suspects_.empty()) return 0;
+  ProbeId claimed = 0;
+  for (const SuspectKey& key : request.Keys()) {
+    const auto it = suspects_.find(key);
+    if (it == suspects_.end() || !it->second.on_probation_until) continue;
+    if (probes_.Has(key, own) || probes_.HasSurvivor(now, key)) continue;
+    if (own == 0) own = ++last_probe_;
+    claimed = own;
+    probes_.Claim(now, key, own);
+    Log(LogLevel::kWarning, "quarantine_tried",
+        {{"key", ToString(key)},
+         {"level", static_cast<uint64_t>(it->second.level)}});
+  }
+  if (claimed != 0 && on_claim) on_claim();
+  return claimed;
+}
+
 bool CrashQuarantine::IsSuspect(const RequestSuspects& request) const {
   if (suspects_.empty()) return false;
   const std::vector<SuspectKey> keys = request.Keys();
--- a/lib/Gateway/crash_quarantine_exchange.cc
+++ b/lib/Gateway/crash_quarantine_exchange.cc
@@ -19,8 +19,9 @@
   Quarantine(now - age, kKeptLevel, key, Insert(key)->second, "store");
 }
 
-void CrashQuarantine::OnPeerReports(Time now,
+void CrashQuarantine::OnPeerReports(Time now, uint64_t peer,
                                     const std::vector<SuspectReport>& reports) {
+  std::vector<std::pair<SuspectKey, Time>> tried;
   for (const SuspectReport& report : reports) {
     for (const UpstreamCrash& crash : report.crashes) {
       AddCrash(now, report.key, crash, false);
@@ -28,19 +29,26 @@
     if (report.quarantined_at) Insert(report.key);
     const auto it = suspects_.find(report.key);
     if (it == suspects_.end()) continue;
-    Suspect& suspect = it->second;
-    if (report.answered_at) Clear(report.key, suspect, *report.answered_at);
-    if (!report.quarantined_at) continue;
-    // The times of a verdict that passes from peer to peer are not exact.
-    if (suspect.quarantined_at && report.level <= suspect.level) continue;
-    const Time since = *report.quarantined_at;
-    const bool outdated =
-        report.level < suspect.level ||
-        now - since > QuarantineTime(report.key, report.level) ||
-        IsExcused(report.key, suspect, since);
-    if (outdated) continue;
-    Quarantine(since, report.level, report.key, suspect, "peer");
+    if (report.answered_at) Clear(report.key, it->second, *report.answered_at);
+    if (report.tried_since) tried.emplace_back(report.key, *report.tried_since);
+    if (report.quarantined_at) OnPeerVerdict(now, report, it->second);
   }
+  probes_.OnPeerClaims(now, peer, tried);
+}
+
+void CrashQuarantine::OnPeerVerdict(Time now, const SuspectReport& report,
+                                    Suspect& suspect) {
+  // The times of a verdict that passes from peer to peer are not exact.
+  if (suspect.quarantined_at && report.level <= suspect.level) return;
+  const Time since = *report.quarantined_at;
+  const Duration time = QuarantineTime(report.key, report.level);
+  const bool has_ended = suspect.on_probation_until &&
+                         report.level == suspect.level &&
+                         since < *suspect.judged_until + time / 2;
+  const bool outdated = report.level < suspect.level || now - since > time ||
+                        has_ended || IsExcused(report.key, suspect, since);
+  if (outdated) return;
+  Quarantine(since, report.level, report.key, suspect, "peer");
 }
 
 std::vector<SuspectReport> CrashQuarantine::Reports(Time now) const {
@@ -54,6 +62,7 @@
     report.key = key;
     report.quarantined_at = suspect.quarantined_at;
     report.level = suspect.level;
+    report.tried_since = probes_.OwnClaim(now, key);
     if (suspect.own_answered_at &&
         now - *suspect.own_answered_at <= kAnswerLifetime) {
       report.answered_at = suspect.own_answered_at;
@@ -64,11 +73,9 @@
         report.crashes.push_back(crash);
       }
     }
-    const bool has_content =
-        report.quarantined_at || report.answered_at || !report.crashes.empty();
-    if (!has_content) continue;
-    entries.push_back({{report.quarantined_at.has_value(),
-                        suspect.crashes.size(), suspect.last_crash_at},
+    const bool is_held = report.quarantined_at || report.tried_since;
+    if (!is_held && !report.answered_at && report.crashes.empty()) continue;
+    entries.push_back({{is_held, suspect.crashes.size(), suspect.last_crash_at},
                        std::move(report)});
   }
   // Under the bound, verdicts go first, then the evidence of most crashes.
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -112,10 +112,12 @@
       placer_.notices().OnLeaving(id, started_ms);
     }
     highest_fencing_ = std::max(highest_fencing_, peer.status.highest_fencing);
-    quarantine_.OnPeerReports(now, peer.status.suspect_reports);
+    quarantine_.OnPeerReports(now, Fnv1aHash(peer.process),
+                              peer.status.suspect_reports);
     placer_.rate_limiter().limits().OnPeerNotices(peer.status.rate_limits);
     stream_versions_.OnReport(now, peer.status.stream_versions);
   };
+  quarantine_.on_claim = [this] { peers_.SendHeartbeat(); };
   peers_.on_member_change = [this](Time now) { UpdateFleetView(now); };
   peers_.on_permit_request = [this](Time now, const PermitRequest& request) {
     return placer_.rate_limiter().OnRequest(now, request);
--- a/lib/Gateway/peer_codec.cc
+++ b/lib/Gateway/peer_codec.cc
@@ -72,6 +72,9 @@
   if (report.quarantined_at) {
     out.set_quarantined_age_ms(EncodeAge(now - *report.quarantined_at));
   }
+  if (report.tried_since) {
+    out.set_tried_age_ms(EncodeAge(now - *report.tried_since));
+  }
 }
 
 std::optional<Time> DecodeTime(Time now, uint64_t age_ms) {
@@ -94,6 +97,7 @@
   }
   report.answered_at = DecodeTime(now, in.answered_age_ms());
   report.quarantined_at = DecodeTime(now, in.quarantined_age_ms());
+  report.tried_since = DecodeTime(now, in.tried_age_ms());
   return report;
 }
 
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -102,7 +102,7 @@
 bool RelayTask::EndIfQuarantined(Time now) {
   // A verdict may have come due since the last periodic update.
   context_.quarantine.UpdateIfDue(now);
-  const auto quarantined = context_.quarantine.Find(now, Suspects());
+  const auto quarantined = context_.quarantine.Find(now, Suspects(), probe_);
   if (!quarantined) return false;
   context_.metrics.Add("gateway_quarantine_refusals_total");
   const std::string reason = "crashes upstreams: " + ToString(quarantined->key);
@@ -115,6 +115,18 @@
   return true;
 }
 
+bool RelayTask::AwaitProbe(Time now, void (RelayTask::*place_again)()) {
+  const ProbeId claimed =
+      context_.quarantine.ClaimProbe(now, Suspects(), probe_);
+  if (claimed == 0) return false;
+  probe_ = claimed;
+  placement_timer_ = context_.loop.After(
+      CrashProbes::kSettle, [self = shared_from_this(), place_again] {
+        if (!self->finished_) (self.get()->*place_again)();
+      });
+  return true;
+}
+
 uint64_t RelayTask::RequestDigest() {
   if (request_digest_) return *request_digest_;
   const RequestHead& head = exchange_->head();
--- a/unittests/Gateway/crashing_request_test.cc
+++ b/unittests/Gateway/crashing_request_test.cc
@@ -166,6 +166,24 @@
   EXPECT_GE(ServedShare(sound_, 120), 0.95);
 }
 
+TEST_F(CrashingRequestTest, OneRequestIsTriedAfterAQuarantine) {
+  Start(5, 8);
+  for (int i = 0; i < 4; ++i) {
+    SendBadSafe();
+    harness_.RunFor(milliseconds(250));
+  }
+  harness_.RunFor(seconds(13));
+  const size_t before = bad_arrivals_.size();
+  for (int i = 0; i < 300; ++i) {
+    for (size_t j = 0; j < 2 * fronts_.size(); ++j) {
+      bad_.push_back(SendBadSafe());
+    }
+    harness_.RunFor(milliseconds(20));
+  }
+  EXPECT_EQ(bad_arrivals_.size(), before + 1);
+  EXPECT_EQ(bad_.back()->status, 503);
+}
+
 TEST_F(CrashingRequestTest, GatewayThatStartsLaterKnowsTheBadRequest) {
   Start(2, 8);
   Play(seconds(3), false);
