[Gateway] Keep the shares of the retry budget when gateways lose each other

Cause: a gateway's part of the shared slack was the slack over the number of gateways that it hears at this moment. Gateways that hear nothing of each other for 1.5 s, while connections hang, each took all of it, and just then they repeat most; after the end of gateways the others took at once what these had used in the same window.

Ruled out: the requests' part of the budget, which each gateway counts for its own requests only. Not ruled out: a request that two peers refuse one after the other is counted by both, and its first send by the second peer is not charged.

Change: the slack is shared by the most gateways that were live in the last 60 s (SharingGateways). More gateways count at once.

Evidence: LostPeersBudgetTest (virtual time, eight gateways that repeat all they may): GatewaysThatLoseEachOtherKeepTheBudget printed 360 retries vs 352 allowed at 16.57 s and up to 1,184, LastGatewayOfManyKeepsTheBudget 325 vs 324; both pass now.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -268,6 +268,7 @@
   RelayContext relay_context_;
   RouteTable route_table_;
   std::map<ServiceId, RetryWindow> retry_windows_;
+  SharingGateways sharing_gateways_;
   std::map<RouteId, ClientTimeoutEstimate> client_timeout_estimates_;
   std::map<ServiceId, RolePlanner> role_planners_;
   std::unique_ptr<RoleCoordinator> role_coordinator_;
--- a/include/corianderlink/Gateway/retry_window.h
+++ b/include/corianderlink/Gateway/retry_window.h
@@ -23,6 +23,19 @@
   bool operator==(const RetryLimits&) const = default;
 };
 
+/// The number of gateways that share a budget: the most that were live lately.
+/// A peer that falls silent may run on, and what it has used still counts.
+class SharingGateways {
+ public:
+  /// `live` gateways hear each other, including this one.  Called often.
+  void Update(Time now, size_t live);
+  size_t count() const { return count_; }
+
+ private:
+  size_t count_ = 1;
+  Time counted_at_{};
+};
+
 /// Retry budget of this gateway for one service.
 class RetryWindow {
  public:
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -465,8 +465,9 @@
 }
 
 bool Gateway::TryClaimRetry(Time now, const ServiceId& service) {
+  sharing_gateways_.Update(now, peers_.LiveGatewayCount(now));
   return retry_windows_.try_emplace(service, settings_.retries)
-      .first->second.TryRetry(now, peers_.LiveGatewayCount(now));
+      .first->second.TryRetry(now, sharing_gateways_.count());
 }
 
 Duration Gateway::EstimatePriorWait(const RouteSpec& route,
@@ -516,7 +517,9 @@
   if (role_coordinator_) {
     highest_fencing_ = role_coordinator_->ExchangeFencing(highest_fencing_);
   }
-  placer_.SetGateways(peers_.LiveGatewayCount(now));
+  const size_t live_gateways = peers_.LiveGatewayCount(now);
+  placer_.SetGateways(live_gateways);
+  sharing_gateways_.Update(now, live_gateways);
   UpdateFleetView(now);
   if (!shutting_down_) SyncFromPeers(now);
   placer_.directory().Expire(now);
--- a/lib/Gateway/retry_window.cc
+++ b/lib/Gateway/retry_window.cc
@@ -9,9 +9,18 @@
 // Fraction of the budget that is used; the rest covers differences between the
 // gateways' clocks and between their views of the number of gateways.
 constexpr double kUsableFraction = 0.7;
+// Time after which a gateway that is not heard leaves its share to the others:
+// several windows, and longer than connections between gateways hang.
+constexpr Duration kShareLifetime = seconds(60);
 
 }  // namespace
 
+void SharingGateways::Update(Time now, size_t live) {
+  if (live < count_ && now - counted_at_ <= kShareLifetime) return;
+  count_ = live;
+  counted_at_ = now;
+}
+
 void RetryWindow::Expire(Time now) {
   const Time start = now - limits_.window;
   while (!requests_.empty() && requests_.front() < start) {
--- a/unittests/Gateway/load_models_test.cc
+++ b/unittests/Gateway/load_models_test.cc
@@ -313,6 +313,93 @@
   }
 }
 
+/// Gateways that send a service as many retries as they may, while they lose
+/// each other.
+class LostPeersBudgetTest : public ::testing::Test {
+ protected:
+  static constexpr size_t kGateways = 8;
+  static constexpr Duration kStep = milliseconds(5);
+  // A peer that has been silent for so long is not live.
+  static constexpr Duration kPeerTimeout = milliseconds(1500);
+
+  void Run(Duration time) {
+    const Time end = now_ + time;
+    while (now_ < end) {
+      now_ += kStep;
+      for (size_t i = 0; i < running_; ++i) Step(i);
+      ExpectWithinBudget();
+      if (HasFatalFailure()) return;
+    }
+  }
+  /// From now on gateways hear nothing of each other.
+  void Cut() { cut_at_ = now_; }
+  void Heal() { cut_at_.reset(); }
+  /// All but the first end.
+  void EndOthers() {
+    running_ = 1;
+    Cut();
+  }
+
+ private:
+  size_t Live() const {
+    return cut_at_ && now_ > *cut_at_ + kPeerTimeout ? 1 : kGateways;
+  }
+  void Step(size_t i) {
+    if ((now_ - kStart) % milliseconds(50) == Duration::zero()) {
+      gateways_[i].OnRequest(now_);
+      requests_.push_back(now_);
+    }
+    sharing_[i].Update(now_, Live());
+    if (gateways_[i].TryRetry(now_, sharing_[i].count())) {
+      retries_.push_back(now_);
+    }
+  }
+  void ExpectWithinBudget() {
+    const auto in_window = [this](std::deque<Time>& times) {
+      while (!times.empty() && times.front() < now_ - limits_.window) {
+        times.pop_front();
+      }
+      return static_cast<double>(times.size());
+    };
+    const double allowed = limits_.ratio * in_window(requests_) + limits_.slack;
+    ASSERT_LE(in_window(retries_), allowed) << ToSeconds(now_ - kStart);
+  }
+
+  const RetryLimits limits_{0.1, 192, seconds(10)};
+  Time now_ = kStart;
+  std::optional<Time> cut_at_;
+  size_t running_ = kGateways;
+  std::vector<RetryWindow> gateways_ =
+      std::vector<RetryWindow>(kGateways, RetryWindow(limits_));
+  std::vector<SharingGateways> sharing_ =
+      std::vector<SharingGateways>(kGateways);
+  std::deque<Time> requests_;
+  std::deque<Time> retries_;
+};
+
+TEST_F(LostPeersBudgetTest, GatewaysThatLoseEachOtherKeepTheBudget) {
+  Run(seconds(15));
+  Cut();
+  Run(seconds(25));
+  Heal();
+  Run(seconds(15));
+}
+
+TEST(SharingGatewaysTest, ShareGrowsWhenGatewaysHaveGoneForGood) {
+  SharingGateways sharing;
+  sharing.Update(kStart, 8);
+  for (int i = 0; i <= 61; ++i) sharing.Update(kStart + seconds(i), 2);
+  EXPECT_EQ(sharing.count(), 2U);
+  sharing.Update(kStart + seconds(62), 9);
+  EXPECT_EQ(sharing.count(), 9U);
+}
+
+TEST_F(LostPeersBudgetTest, LastGatewayOfManyKeepsTheBudget) {
+  Run(seconds(15));
+  EndOthers();
+  Run(seconds(15));
+}
+
 RC_GTEST_PROP(EventSplitterTest, SplitsEventsRegardlessOfChunking, ()) {
   const std::string stream =
       "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: no id\n\nid: 3\nda";
