--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -112,11 +112,13 @@
       placer_.notices().OnLeaving(id, started_ms);
     }
     highest_fencing_ = std::max(highest_fencing_, peer.status.highest_fencing);
-    quarantine_.OnPeerReports(now, peer.status.suspect_reports);
+    quarantine_.OnPeerReports(now, Fnv1aHash(peer.process),
+                              peer.status.suspect_reports);
     placer_.rate_limiter().limits().OnPeerNotices(peer.status.rate_limits);
     stream_versions_.OnReport(now, peer.status.stream_versions,
                               peer.reported_after);
   };
+  quarantine_.on_claim = [this] { peers_.SendHeartbeat(); };
   peers_.on_member_change = [this](Time now) { UpdateFleetView(now); };
   peers_.on_permit_request = [this](Time now, const PermitRequest& request) {
     return placer_.rate_limiter().OnRequest(now, request);
@@ -467,8 +469,9 @@
 }
 
 bool Gateway::TryClaimRetry(Time now, const ServiceId& service) {
+  sharing_gateways_.Update(now, peers_.LiveGatewayCount(now));
   return retry_windows_.try_emplace(service, settings_.retries)
-      .first->second.TryRetry(now, peers_.LiveGatewayCount(now));
+      .first->second.TryRetry(now, sharing_gateways_.count());
 }
 
 Duration Gateway::EstimatePriorWait(const RouteSpec& route,
@@ -518,7 +521,9 @@
   if (role_coordinator_) {
     highest_fencing_ = role_coordinator_->ExchangeFencing(highest_fencing_);
   }
-  placer_.SetGateways(peers_.LiveGatewayCount(now));
+  const size_t live_gateways = peers_.LiveGatewayCount(now);
+  placer_.SetGateways(live_gateways);
+  sharing_gateways_.Update(now, live_gateways);
   UpdateFleetView(now);
   if (!shutting_down_) SyncFromPeers(now);
   placer_.directory().Expire(now);
