--- a/unittests/Gateway/stream_versions_test.cc
+++ b/unittests/Gateway/stream_versions_test.cc
@@ -88,7 +88,7 @@
     records.push_back({"versions/" + std::to_string(records.size()), value, 1});
   }
   records.push_back({"versions/none", std::nullopt, 1});
-  versions_.Restore(now_, records, kUnixNowMs);
+  versions_.Restore(now_, records, kUnixNowMs, now_);
   const std::vector<VersionSighting> sightings =
       versions_.history().Sightings();
   ASSERT_EQ(sightings.size(), 1U);
