--- a/lib/Serving/job_record.cc
+++ b/lib/Serving/job_record.cc
@@ -1,9 +1,8 @@
 // Encoding and transactions of durable jobs in the table service.
 #include "corianderlink/Serving/job_record.h"
 
-#include "corianderlink/Support/json_reader.h"
-
 #include "corianderlink/Support/hash.h"
+#include "corianderlink/Support/json_reader.h"
 
 namespace corianderlink {
 namespace {
