--- a/lib/Gateway/forward_task.cc
+++ b/lib/Gateway/forward_task.cc
@@ -82,11 +82,11 @@
   if (!may_resume) return false;
   tried_.clear();
   const int doublings = std::min(refused_rounds_++, kMaxRetryDoublings);
-  retry_timer_ = context_.loop.After(kRetryInterval * (1 << doublings),
-                                     [self = shared_from_this()] {
-                                       if (!self->finished_)
-                                         self->SendToNextPeer();
-                                     });
+  const auto retry = [self = shared_from_this()] {
+    if (self->finished_) return;
+    self->SendToNextPeer();
+  };
+  retry_timer_ = context_.loop.After(kRetryInterval * (1 << doublings), retry);
   return true;
 }
 
