[Http1] Cut no answer that its client has yet to read

What callers saw: answers that broke off at a planned stop, at the idle limit, or, since idle connections get a longer limit at once, right after a configuration that raises it.

Cause: a connection counted as idle once its answer was written, though the kernel had not taken all of it: the client reads slowly or stands still. Closing drops the rest.

Change: a connection is idle when nothing is left to send; its timer waits for that, and looks at input that has arrived before it closes.

Evidence: InboundConnectionTest.AnswerThatAClientHasYetToReadIsNotCut: before, the client got 65,536 of 8,388,608 bytes, now all.

--- a/include/corianderlink/Http1/inbound_connection.h
+++ b/include/corianderlink/Http1/inbound_connection.h
@@ -46,7 +46,8 @@
   InboundConnection(const InboundContext& context, int fd);
   ~InboundConnection() override;
 
-  /// True while no request is being received or handled.
+  /// True while no request is being received or handled and all of the last
+  /// answer was handed to the kernel.
   bool idle() const;
   /// Lets an idle connection stay open for the present idle timeout, if that is
   /// longer than the one that it was given.
--- a/lib/Http1/inbound_connection.cc
+++ b/lib/Http1/inbound_connection.cc
@@ -55,7 +55,8 @@
 }
 
 bool InboundConnection::idle() const {
-  return exchange_ == nullptr && !request_started_;
+  return exchange_ == nullptr && !request_started_ &&
+         stream_.PendingBytes() == 0;
 }
 
 void InboundConnection::BecomeIdle() {
@@ -82,6 +83,15 @@
     Reject(408, "request not received in time");
     return;
   }
+  if (!stream_.Input().empty()) {
+    OnReadable();
+    return;
+  }
+  // A client that reads slowly has yet to receive its answer.
+  if (stream_.PendingBytes() > 0) {
+    ArmTimer(idle_timeout_);
+    return;
+  }
   Close();
 }
 
--- a/unittests/Http1/inbound_connection_test.cc
+++ b/unittests/Http1/inbound_connection_test.cc
@@ -34,9 +34,9 @@
     const EventHandle stop = loop_.After(duration, [this] { loop_.Stop(); });
     loop_.Run();
   }
-  /// Runs the loop for 30 ms and returns what the client received.
-  std::string Receive() {
-    RunFor(milliseconds(30));
+  /// Runs the loop for a while and returns what the client received.
+  std::string Receive(Duration time = milliseconds(30)) {
+    RunFor(time);
     std::string text;
     char buffer[4096];
     ssize_t n = 0;
@@ -205,5 +205,23 @@
   EXPECT_TRUE(closed_);
 }
 
+TEST_F(InboundConnectionTest, AnswerThatAClientHasYetToReadIsNotCut) {
+  const std::string body(8 * 1024 * 1024, 'x');
+  on_request_ = [&](const Exchange& exchange) {
+    exchange->SendResponse(200, {}, body);
+  };
+  Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunFor(milliseconds(100));
+  EXPECT_FALSE(connection_->idle());
+  limits_.idle_timeout *= 2;
+  connection_->ExtendIdleTime(BootClock::now());
+  RunFor(milliseconds(1100));
+  size_t received = 0;
+  for (int i = 0; i < 2000 && received < body.size(); ++i) {
+    received += Receive(milliseconds(1)).size();
+  }
+  EXPECT_GE(received, body.size());
+}
+
 }  // namespace
 }  // namespace corianderlink
