[Gateway] Charge repeated rounds of peers, and pause between signs of life

What callers could see: a started stream that peers refuse was handed over again and again outside the retry budget, and each peer takes it as a first attempt; an upstream whose connections fail at once was asked without a pause.

Evidence: PartitionedGatewayTest.StartedStreamIsNotCutWhileThePeerRefuses and the tests of stalled streams pass as before.

--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -229,6 +229,8 @@
   /// Asks the upstream of a stalled stream for a sign of life; false if it
   /// cannot be asked.
   bool ProbeStalledUpstream();
+  /// Asks once more after a moment.
+  void ProbeLater();
   void OnStalledUpstreamProbed(ProbeResult result);
   /// True if the upstream's host acknowledges the connection of the attempt.
   bool IsHostThere() const;
--- a/lib/Gateway/forward_task.cc
+++ b/lib/Gateway/forward_task.cc
@@ -84,7 +84,13 @@
   const int doublings = std::min(refused_rounds_++, kMaxRetryDoublings);
   const auto retry = [self = shared_from_this()] {
     if (self->finished_) return;
-    self->SendToNextPeer();
+    // The peers take each request that they are handed as a first attempt.
+    if (self->context_.try_claim_retry(BootClock::now(),
+                                       self->forwarded_.service)) {
+      self->SendToNextPeer();
+    } else {
+      self->WaitForPeers();
+    }
   };
   retry_timer_ = context_.loop.After(kRetryInterval * (1 << doublings), retry);
   return true;
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -324,6 +324,14 @@
                                        service_.health_path, on_probed);
 }
 
+void RelayTask::ProbeLater() {
+  const auto probe = [self = shared_from_this()] {
+    if (self->finished_ || !self->call_) return;
+    self->ProbeStalledUpstream();
+  };
+  stall_timer_ = context_.loop.After(kProgressTime, probe);
+}
+
 bool RelayTask::IsHostThere() const {
   const std::optional<Duration> age = call_->SinceAcknowledgement();
   return age && *age < kAcknowledgementTime;
@@ -343,7 +351,7 @@
   if (stands_still) {
     // It would not notice that the attempt is cancelled, and would run it
     // beside the next one.
-    ProbeStalledUpstream();
+    ProbeLater();
     return;
   }
   if (result != ProbeResult::kAnswers) {
