[Tests] Keep the ports of process tests out of the range of other tests

Traced: the fleets of FailureTest listened on 23500 to 30000 and those of BadInputTest on 22000, inside 12000 to 32000, from which the soak and FreeAddress take theirs. They are below 12000 now. Two copies of ProcessTests at once still share their ports.

--- a/unittests/Process/bad_input_test.cc
+++ b/unittests/Process/bad_input_test.cc
@@ -56,7 +56,7 @@
 
 class BadInputTest : public testing::Test {
  protected:
-  BadInputTest() : fleet_(22000, 1, 1, 1) {}
+  BadInputTest() : fleet_(3000, 1, 1, 1) {}
   void SetUp() override {
     ASSERT_TRUE(fleet_.Start());
     ASSERT_TRUE(fleet_.ApplyInitialNote());
--- a/unittests/Process/failure_test.cc
+++ b/unittests/Process/failure_test.cc
@@ -27,7 +27,7 @@
   }
 
   static int NextPort() {
-    static int port = 23000;
+    static int port = 3000;
     port += 500;
     return port;
   }
--- a/unittests/Process/local_fleet.h
+++ b/unittests/Process/local_fleet.h
@@ -34,8 +34,8 @@
 /// Runs the processes of one deployment and kills them on destruction.
 class LocalFleet {
  public:
-  /// Listens on ports from `base_port` on; the processes of each role have
-  /// fixed offsets.
+  /// Listens on ports from `base_port` on, which is below those of FreeAddress;
+  /// the processes of each role have fixed offsets.
   LocalFleet(int base_port, int instances, int engines, int services);
   ~LocalFleet();
 
