[Gateway] Index peers by address once per heartbeat, not once per peer

A heartbeat looked for each receiver's process in all peers, and each new stream compared the versions of all peers though none was new: both grew with the fleet, one with its square. The peers are indexed once; nothing is compared without a recent version, and nothing is indexed without a stale peer.

--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -175,8 +175,8 @@
   std::optional<Time> MadeAfter(const wire::Heartbeat& heartbeat) const;
   Duration HeartbeatInterval(Time now) const;
   void ExpirePeers(Time now);
-  /// The process that was last heard of at the address; null if none was.
-  const GatewayPeer* PeerAt(const Address& address) const;
+  /// The process that sent the latest heartbeat from each address.
+  std::map<Address, const GatewayPeer*> PeersByAddress() const;
 
   EventLoop& loop_;
   PeerBus bus_;
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -56,11 +56,13 @@
   wire::Heartbeat& heartbeat = *message.mutable_heartbeat();
   heartbeat = EncodeHeartbeat(now, status_source_(now));
   heartbeat.set_sent_at(static_cast<uint64_t>(now.time_since_epoch().count()));
+  const auto peers = PeersByAddress();
   for (const auto& [address, last_heartbeat] : receivers_) {
     heartbeat.clear_echo();
-    if (const GatewayPeer* peer = PeerAt(address)) {
-      heartbeat.mutable_echo()->set_process(peer->process);
-      heartbeat.mutable_echo()->set_sent_at(peer->sent_at);
+    const auto peer = peers.find(address);
+    if (peer != peers.end()) {
+      heartbeat.mutable_echo()->set_process(peer->second->process);
+      heartbeat.mutable_echo()->set_sent_at(peer->second->sent_at);
     }
     bus_.Send(address, message);
   }
@@ -215,11 +217,16 @@
 }
 
 std::vector<const GatewayPeer*> GatewayPeers::Silent(Time now) const {
+  const auto is_stale = [now](const GatewayPeer& peer) {
+    return now - peer.last_heartbeat > kPeerTimeout;
+  };
+  const bool has_stale =
+      std::any_of(peers_.begin(), peers_.end(),
+                  [&](const auto& entry) { return is_stale(entry.second); });
+  if (!has_stale) return {};
   std::vector<const GatewayPeer*> silent;
-  for (const auto& [process, peer] : peers_) {
-    if (now - peer.last_heartbeat <= kPeerTimeout) continue;
-    const bool replaced = PeerAt(peer.status.peer_address) != &peer;
-    if (!peer.status.leaving && !replaced) silent.push_back(&peer);
+  for (const auto& [address, peer] : PeersByAddress()) {
+    if (is_stale(*peer) && !peer->status.leaving) silent.push_back(peer);
   }
   return silent;
 }
@@ -236,15 +243,15 @@
   return until;
 }
 
-const GatewayPeer* GatewayPeers::PeerAt(const Address& address) const {
-  const GatewayPeer* last = nullptr;
+std::map<Address, const GatewayPeer*> GatewayPeers::PeersByAddress() const {
+  std::map<Address, const GatewayPeer*> latest;
   for (const auto& [process, peer] : peers_) {
-    if (peer.status.peer_address != address) continue;
-    if (last == nullptr || peer.last_heartbeat > last->last_heartbeat) {
-      last = &peer;
+    const GatewayPeer*& known = latest[peer.status.peer_address];
+    if (known == nullptr || peer.last_heartbeat > known->last_heartbeat) {
+      known = &peer;
     }
   }
-  return last;
+  return latest;
 }
 
 std::vector<const GatewayPeer*> GatewayPeers::Live(Time now) const {
--- a/lib/Gateway/stream_versions.cc
+++ b/lib/Gateway/stream_versions.cc
@@ -80,6 +80,7 @@
     const std::vector<const StreamVersionReport*>& peers) const {
   const std::set<SoftwareVersion> recent =
       history_.SeenFirstAfter(service, now - kAnnouncementTime);
+  if (recent.empty()) return {};
   VersionConstraint unknown;
   VersionConstraint misplaced;
   for (const StreamVersionReport* peer : peers) {
