--- a/include/corianderlink/Gateway/crash_quarantine.h
+++ b/include/corianderlink/Gateway/crash_quarantine.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "corianderlink/Gateway/answered_requests.h"
-#include "corianderlink/Gateway/crash_probes.h"
+#include "corianderlink/Gateway/quarantine_trials.h"
 #include "corianderlink/Gateway/suspect_key.h"
 #include "corianderlink/Gateway/upstream_record.h"
 #include "corianderlink/Support/time.h"
@@ -68,8 +68,8 @@
 /// A request under which two upstreams have crashed like this, and no other
 /// request under the same ones, is quarantined for a short time, in which they
 /// come back.  Then one request at a time is tried by all gateways together
-/// (CrashProbes), until it is answered; one more crash renews the quarantine,
-/// each time for longer.
+/// (QuarantineTrials), until it is answered; one more crash renews the
+/// quarantine, each time for longer.
 ///
 /// A part is quarantined after more crashes, those of different requests, while
 /// other prompts are answered.  Crashes that a quarantined request explains
@@ -80,7 +80,7 @@
 class CrashQuarantine {
  public:
   /// `process` identifies this gateway among its peers.
-  explicit CrashQuarantine(uint64_t process = 0) : probes_(process) {}
+  explicit CrashQuarantine(uint64_t process = 0) : trials_(process) {}
 
   /// An upstream has crashed with this request.
   void OnCrash(Time now, const RequestSuspects& request,
@@ -103,15 +103,15 @@
   /// The first key of the request that holds it back, if there is one: it is
   /// quarantined, or a request other than `own` is tried.
   std::optional<QuarantinedKey> Find(Time now, const RequestSuspects& request,
-                                     ProbeId own = 0) const;
+                                     TrialId own = 0) const;
   /// Claims what a request needs to be sent, by the id `own` if it has one.
-  /// Returns the claim, with which it waits for CrashProbes::kSettle and asks
-  /// Find again; 0 if it may be sent now.
-  ProbeId ClaimProbe(Time now, const RequestSuspects& request, ProbeId own);
+  /// Returns the claim, with which it waits for QuarantineTrials::kSettle and
+  /// asks Find again; 0 if it may be sent now.
+  TrialId ClaimTrial(Time now, const RequestSuspects& request, TrialId own);
   /// The claimed request is sent to an upstream; it has ended.
-  void OnProbeSent(Time now, ProbeId probe) { probes_.OnSent(now, probe); }
-  void OnProbeEnd(Time now, ProbeId probe, bool may_have_run) {
-    probes_.OnEnd(now, probe, may_have_run);
+  void OnTrialSent(Time now, TrialId trial) { trials_.OnSent(now, trial); }
+  void OnTrialEnd(Time now, TrialId trial, bool may_have_run) {
+    trials_.OnEnd(now, trial, may_have_run);
   }
   /// True if a further upstream may crash under the request, so that it is not
   /// sent again after it may have run.
@@ -168,7 +168,7 @@
   static Time EndOf(const SuspectKey& key, const Suspect& suspect);
   /// Until when the request with the key is held back, if it is.
   std::optional<Time> HeldUntil(Time now, const SuspectKey& key,
-                                const Suspect& suspect, ProbeId own) const;
+                                const Suspect& suspect, TrialId own) const;
   /// Adds the key, with what this gateway remembers of answers.
   Suspects::iterator Insert(const SuspectKey& key);
   /// Whether the last answer excuses the key from what happened at `at`.
@@ -192,8 +192,8 @@
   static bool IsForgotten(Time now, const Suspect& suspect);
 
   Suspects suspects_;
-  CrashProbes probes_;
-  ProbeId last_probe_ = 0;
+  QuarantineTrials trials_;
+  TrialId last_trial_ = 0;
   // Requests that are quarantined or were so lately.
   std::set<SuspectKey> quarantined_requests_;
   AnsweredRequests answered_requests_;
--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -193,8 +193,7 @@
                                                    const ClientRequest& request,
                                                    ServiceId& service,
                                                    std::string& reason) const;
-  /// What the peers know of software versions, or knew when they were last
-  /// heard of.
+  /// What the peers know of software versions by their latest heartbeats.
   std::vector<const StreamVersionReport*> PeerVersions(Time now) const;
   /// Time since the store told this gateway or a peer of the upstreams.
   Duration StoreResponseAge(Time now) const;
--- a/include/corianderlink/Gateway/gateway_peers.h
+++ b/include/corianderlink/Gateway/gateway_peers.h
@@ -127,7 +127,7 @@
   /// Peers whose last heartbeat is not older than kPeerTimeout.
   std::vector<const GatewayPeer*> Live(Time now) const;
   /// Peers that are not live and have not ended, as far as is known.
-  std::vector<const GatewayPeer*> Silent(Time now) const;
+  std::vector<const GatewayPeer*> Unresponsive(Time now) const;
   /// All known peers that serve have a heartbeat of this gateway that was sent
   /// then or later.
   Time ReportedUntil(Time now) const;
--- a/include/corianderlink/Gateway/crash_probes.h
+++ b/include/corianderlink/Gateway/quarantine_trials.h
@@ -1,6 +1,6 @@
 // Which request is tried once a quarantine has ended.
-#ifndef CORIANDERLINK_GATEWAY_CRASH_PROBES_H_
-#define CORIANDERLINK_GATEWAY_CRASH_PROBES_H_
+#ifndef CORIANDERLINK_GATEWAY_QUARANTINE_TRIALS_H_
+#define CORIANDERLINK_GATEWAY_QUARANTINE_TRIALS_H_
 
 #include <cstdint>
 #include <map>
@@ -14,7 +14,7 @@
 namespace corianderlink {
 
 /// A request of this gateway that is tried; 0 stands for none.
-using ProbeId = uint64_t;
+using TrialId = uint64_t;
 
 /// Lets one request with a key be tried at a time, over all gateways.
 ///
@@ -22,7 +22,7 @@
 /// waits for kSettle.  Of claims that cross, the one of the lowest rank stays.
 /// Until there is a result, requests with the key are held back everywhere,
 /// but for kSurvival at most while the request runs.
-class CrashProbes {
+class QuarantineTrials {
  public:
   /// Time for claims to reach all gateways.
   static constexpr Duration kSettle = milliseconds(100);
@@ -31,24 +31,24 @@
   static constexpr Duration kSurvival = seconds(3);
 
   /// `process` identifies this gateway among its peers.
-  explicit CrashProbes(uint64_t process) : process_(process) {}
+  explicit QuarantineTrials(uint64_t process) : process_(process) {}
 
-  bool Has(const SuspectKey& key, ProbeId probe) const;
+  bool Has(const SuspectKey& key, TrialId trial) const;
   /// Until when the request `own` has to wait for the result of another one.
   std::optional<Time> HeldUntil(Time now, const SuspectKey& key,
-                                ProbeId own) const;
+                                TrialId own) const;
   /// True if a request with the key has run for so long that others need no
   /// claim.
   bool HasSurvivor(Time now, const SuspectKey& key) const;
   /// Since when a request of this gateway has been tried, for the peers.
   std::optional<Time> OwnClaim(Time now, const SuspectKey& key) const;
 
-  void Claim(Time now, const SuspectKey& key, ProbeId probe);
+  void Claim(Time now, const SuspectKey& key, TrialId trial);
   /// The request is sent to an upstream.
-  void OnSent(Time now, ProbeId probe);
+  void OnSent(Time now, TrialId trial);
   /// The request has ended.  If it may have run, its result is still awaited
   /// for a moment.
-  void OnEnd(Time now, ProbeId probe, bool may_have_run);
+  void OnEnd(Time now, TrialId trial, bool may_have_run);
   /// All claims of the peer, with the time of each.
   void OnPeerClaims(Time now, uint64_t peer,
                     const std::vector<std::pair<SuspectKey, Time>>& claims);
@@ -63,7 +63,7 @@
     /// is in progress at this gateway.
     std::optional<Time> known_until;
     /// If it is this gateway's.
-    ProbeId probe = 0;
+    TrialId trial = 0;
   };
   // By the process that claims the key.
   using KeyClaims = std::map<uint64_t, KeyClaim>;
@@ -79,4 +79,4 @@
 
 }  // namespace corianderlink
 
-#endif  // CORIANDERLINK_GATEWAY_CRASH_PROBES_H_
+#endif  // CORIANDERLINK_GATEWAY_QUARANTINE_TRIALS_H_
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -181,9 +181,9 @@
                            bool upstream_failed, const char* retry);
   /// Ends the request if it or a part of its prompt crashes upstreams.
   bool EndIfQuarantined(Time now);
-  /// After a quarantine, waits for the right to be tried and calls
-  /// `place_again`; false if the request may be sent now.
-  bool AwaitProbe(Time now, void (RelayTask::*place_again)());
+  /// After a quarantine, claims the trial, waits for the claim to reach the
+  /// peers and calls `place_again`; false if the request may be sent now.
+  bool AwaitTrial(Time now, void (RelayTask::*place_again)());
   /// Counts a failed attempt against the request and the parts of its prompt if
   /// the upstream has crashed before it answered.
   void CheckForCrash(const Outcome& outcome);
@@ -226,14 +226,14 @@
   bool MustNotOverlap() const {
     return is_stream() && !placement_->prefill_only;
   }
-  /// Asks the upstream of a stalled stream for a sign of life; false if it
-  /// cannot be asked.
+  /// Checks whether the upstream of a stalled stream responds; false if it
+  /// cannot be checked.
   bool ProbeStalledUpstream();
-  /// Asks once more after a moment.
+  /// Checks again after kProgressTime.
   void ProbeLater();
   void OnStalledUpstreamProbed(ProbeResult result);
   /// True if the upstream's host acknowledges the connection of the attempt.
-  bool IsHostThere() const;
+  bool IsAcknowledged() const;
   /// Cancels a stalled attempt and sends the request to another upstream, if
   /// that is permitted.
   void MoveStalledRequest();
@@ -308,8 +308,8 @@
   // KV cache that the prefill engine holds for this request.
   std::optional<KvHandle> kv_handle_;
 
-  // The right to be tried after a quarantine.
-  ProbeId probe_ = 0;
+  // The trial that this request is, after a quarantine; 0 if it is none.
+  TrialId trial_ = 0;
 
   // Computed when it is needed.
   std::optional<uint64_t> request_digest_;
--- a/include/corianderlink/Gateway/retry_window.h
+++ b/include/corianderlink/Gateway/retry_window.h
@@ -24,10 +24,10 @@
 };
 
 /// The number of gateways that share a budget: the most that were live lately.
-/// A peer that falls silent may run on, and what it has used still counts.
+/// A peer without heartbeats may still run, and what it has used counts.
 class SharingGateways {
  public:
-  /// `live` gateways hear each other, including this one.  Called often.
+  /// `live` gateways are in contact, including this one.  Called often.
   void Update(Time now, size_t live);
   size_t count() const { return count_; }
 
--- a/include/corianderlink/Gateway/stream_versions.h
+++ b/include/corianderlink/Gateway/stream_versions.h
@@ -55,7 +55,7 @@
   /// A gateway that knows the upstreams as they were this long ago, or longer,
   /// may not know of a version that its peers use.  Only what was asked for
   /// counts, by the time of the question: an answer may have waited, unread, as
-  /// long as this process stood still.
+  /// long as this process was paused.
   static constexpr Duration kMaxKnowledgeAge = seconds(5);
 
   StreamVersions(const UpstreamDirectory& directory, RandomSource& random)
--- a/include/corianderlink/Gateway/upstream_probe.h
+++ b/include/corianderlink/Gateway/upstream_probe.h
@@ -1,4 +1,4 @@
-// Asks an upstream for a sign of life.
+// Checks whether an upstream responds.
 #ifndef CORIANDERLINK_GATEWAY_UPSTREAM_PROBE_H_
 #define CORIANDERLINK_GATEWAY_UPSTREAM_PROBE_H_
 
@@ -16,10 +16,10 @@
 
 /// What a new connection to an upstream has shown.
 enum class ProbeResult {
-  kAnswers,      ///< Its process works: it answered, or closed the connection.
-  kSilent,       ///< Its host accepts connections, its process does nothing.
-  kUnreachable,  ///< No connection: it has ended, or the link is cut.
-  kGone,         ///< Its host refuses, or another upstream has the address.
+  kAnswers,       ///< Its process works: it answered, or closed the connection.
+  kUnresponsive,  ///< Its host accepts connections, its process does nothing.
+  kUnreachable,   ///< No connection: it has ended, or the link is cut.
+  kGone,          ///< Its host refuses, or another upstream has the address.
 };
 
 /// Returns the name of the result, for logs.
--- a/include/corianderlink/Http/event_loop.h
+++ b/include/corianderlink/Http/event_loop.h
@@ -51,7 +51,7 @@
   void Run();
   void Stop();
 
-  /// Calls `callback` once after `delay`.  If the process has stood still until
+  /// Calls `callback` once after `delay`.  If the process was paused until
   /// later, what has arrived on sockets meanwhile is handled first.
   [[nodiscard]] EventHandle After(Duration delay,
                                   std::function<void()> callback);
--- a/include/corianderlink/Http1/upstream_call.h
+++ b/include/corianderlink/Http1/upstream_call.h
@@ -54,7 +54,7 @@
   /// Closes the connection.  No handler is called afterwards.
   virtual void Cancel() = 0;
   /// Makes the upstream's host acknowledge the connection once a second while
-  /// the upstream is silent.
+  /// the upstream sends nothing.
   virtual void ProbeHost() = 0;
   /// Time since the upstream's host last acknowledged something; nothing if it
   /// is unknown.
--- a/include/corianderlink/Serving/job_runner.h
+++ b/include/corianderlink/Serving/job_runner.h
@@ -75,7 +75,8 @@
   void PollOpenJobs();
   void OnOpenJobRows(Time now, const std::vector<TableRow>& rows);
   bool CanAcquire(Time now, const TableRow& row) const;
-  /// True if another process became the owner, as this one was silent.
+  /// True if another process became the owner, while this one sent no
+  /// heartbeat.
   static bool IsTakenOver(const RunningJob& running, const TableRow& row);
   /// Stops a job that this process need not run any more, unless its result is
   /// being stored.
--- a/lib/Gateway/crash_quarantine.cc
+++ b/lib/Gateway/crash_quarantine.cc
@@ -33,7 +33,8 @@
 constexpr Duration kProbation = seconds(600);
 // Crashes under which a prompt's part counts as a suspect.
 constexpr size_t kSuspectCrashes = 2;
-// Quarantines of a part and, in a row, of a request.
+// Quarantines of a part and, in a row, of a request.  The trial after that of a
+// part ends within 600 s.
 constexpr Duration kPartQuarantine = seconds(595);
 constexpr Duration kRequestQuarantines[] = {seconds(15), seconds(120),
                                             seconds(600)};
@@ -79,7 +80,7 @@
 
 void CrashQuarantine::Erase(Suspects::iterator suspect) {
   quarantined_requests_.erase(suspect->first);
-  probes_.Erase(suspect->first);
+  trials_.Erase(suspect->first);
   suspects_.erase(suspect);
 }
 
@@ -170,7 +171,7 @@
   }
   const uint32_t level = std::exchange(suspect.level, 0);
   quarantined_requests_.erase(key);
-  probes_.Erase(key);
+  trials_.Erase(key);
   if (!suspect.quarantined_at) return;
   suspect.quarantined_at.reset();
   Log(LogLevel::kWarning, "quarantine_lifted",
@@ -255,7 +256,7 @@
   suspect.judged_until = at;
   suspect.level = std::clamp(level, 1U, kMaxLevel);
   suspect.on_probation_until.reset();
-  probes_.Erase(key);
+  trials_.Erase(key);
   verdict_due_ = std::min(verdict_due_, EndOf(key, suspect));
   const bool own = std::string_view(source) == kOwn;
   std::string upstreams;
@@ -301,7 +302,7 @@
 
 void CrashQuarantine::Update(Time now) {
   verdict_due_ = Time::max();
-  probes_.Update(now);
+  trials_.Update(now);
   for (auto& [key, suspect] : suspects_) {
     if (suspect.quarantined_at && now > EndOf(key, suspect)) {
       suspect.quarantined_at.reset();
@@ -329,7 +330,7 @@
 }
 
 std::optional<QuarantinedKey> CrashQuarantine::Find(
-    Time now, const RequestSuspects& request, ProbeId own) const {
+    Time now, const RequestSuspects& request, TrialId own) const {
   if (suspects_.empty()) return std::nullopt;
   for (const SuspectKey& key : request.Keys()) {
     const auto it = suspects_.find(key);
@@ -342,26 +343,26 @@
 
 std::optional<Time> CrashQuarantine::HeldUntil(Time now, const SuspectKey& key,
                                                const Suspect& suspect,
-                                               ProbeId own) const {
+                                               TrialId own) const {
   if (suspect.quarantined_at) return EndOf(key, suspect);
-  if (suspect.on_probation_until) return probes_.HeldUntil(now, key, own);
+  if (suspect.on_probation_until) return trials_.HeldUntil(now, key, own);
   if (key.kind == Kind::kPart || !suspect.convincing_since) {
     return std::nullopt;
   }
   return *suspect.convincing_since + kRequestSettle;
 }
 
-ProbeId CrashQuarantine::ClaimProbe(Time now, const RequestSuspects& request,
-                                    ProbeId own) {
+TrialId CrashQuarantine::ClaimTrial(Time now, const RequestSuspects& request,
+                                    TrialId own) {
   if (suspects_.empty()) return 0;
-  ProbeId claimed = 0;
+  TrialId claimed = 0;
   for (const SuspectKey& key : request.Keys()) {
     const auto it = suspects_.find(key);
     if (it == suspects_.end() || !it->second.on_probation_until) continue;
-    if (probes_.Has(key, own) || probes_.HasSurvivor(now, key)) continue;
-    if (own == 0) own = ++last_probe_;
+    if (trials_.Has(key, own) || trials_.HasSurvivor(now, key)) continue;
+    if (own == 0) own = ++last_trial_;
     claimed = own;
-    probes_.Claim(now, key, own);
+    trials_.Claim(now, key, own);
     Log(LogLevel::kWarning, "quarantine_tried",
         {{"key", ToString(key)},
          {"level", static_cast<uint64_t>(it->second.level)}});
--- a/lib/Gateway/crash_quarantine_exchange.cc
+++ b/lib/Gateway/crash_quarantine_exchange.cc
@@ -33,7 +33,7 @@
     if (report.tried_since) tried.emplace_back(report.key, *report.tried_since);
     if (report.quarantined_at) OnPeerVerdict(now, report, it->second);
   }
-  probes_.OnPeerClaims(now, peer, tried);
+  trials_.OnPeerClaims(now, peer, tried);
 }
 
 void CrashQuarantine::OnPeerVerdict(Time now, const SuspectReport& report,
@@ -62,7 +62,7 @@
     report.key = key;
     report.quarantined_at = suspect.quarantined_at;
     report.level = suspect.level;
-    report.tried_since = probes_.OwnClaim(now, key);
+    report.tried_since = trials_.OwnClaim(now, key);
     if (suspect.own_answered_at &&
         now - *suspect.own_answered_at <= kAnswerLifetime) {
       report.answered_at = suspect.own_answered_at;
--- a/lib/Gateway/gateway_peers.cc
+++ b/lib/Gateway/gateway_peers.cc
@@ -216,7 +216,7 @@
   return view;
 }
 
-std::vector<const GatewayPeer*> GatewayPeers::Silent(Time now) const {
+std::vector<const GatewayPeer*> GatewayPeers::Unresponsive(Time now) const {
   const auto is_stale = [now](const GatewayPeer& peer) {
     return now - peer.last_heartbeat > kPeerTimeout;
   };
@@ -224,16 +224,16 @@
       std::any_of(peers_.begin(), peers_.end(),
                   [&](const auto& entry) { return is_stale(entry.second); });
   if (!has_stale) return {};
-  std::vector<const GatewayPeer*> silent;
+  std::vector<const GatewayPeer*> unresponsive;
   for (const auto& [address, peer] : PeersByAddress()) {
-    if (is_stale(*peer) && !peer->status.leaving) silent.push_back(peer);
+    if (is_stale(*peer) && !peer->status.leaving) unresponsive.push_back(peer);
   }
-  return silent;
+  return unresponsive;
 }
 
 Time GatewayPeers::ReportedUntil(Time now) const {
   Time until = Time::max();
-  for (const auto& peers : {Live(now), Silent(now)}) {
+  for (const auto& peers : {Live(now), Unresponsive(now)}) {
     for (const GatewayPeer* peer : peers) {
       const bool is_starting = !peer->status.ready && !peer->status.leaving;
       if (is_starting) continue;
--- a/lib/Gateway/gateway_streams.cc
+++ b/lib/Gateway/gateway_streams.cc
@@ -37,7 +37,7 @@
 
 std::vector<const StreamVersionReport*> Gateway::PeerVersions(Time now) const {
   std::vector<const StreamVersionReport*> reports;
-  for (const auto& peers : {peers_.Live(now), peers_.Silent(now)}) {
+  for (const auto& peers : {peers_.Live(now), peers_.Unresponsive(now)}) {
     for (const GatewayPeer* peer : peers) {
       reports.push_back(&peer->status.stream_versions);
     }
--- a/lib/Gateway/crash_probes.cc
+++ b/lib/Gateway/quarantine_trials.cc
@@ -1,5 +1,5 @@
 // Which request is tried once a quarantine has ended.
-#include "corianderlink/Gateway/crash_probes.h"
+#include "corianderlink/Gateway/quarantine_trials.h"
 
 #include <algorithm>
 
@@ -15,35 +15,36 @@
 
 }  // namespace
 
-uint64_t CrashProbes::Rank(const SuspectKey& key, uint64_t process) {
+uint64_t QuarantineTrials::Rank(const SuspectKey& key, uint64_t process) {
   return MixBits(process ^ key.id);
 }
 
-bool CrashProbes::HasSurvived(Time now, const KeyClaim& claim) {
+bool QuarantineTrials::HasSurvived(Time now, const KeyClaim& claim) {
   return claim.known_until.value_or(now) - claim.since >= kSurvival;
 }
 
-Time CrashProbes::EndOf(Time now, const KeyClaim& claim) {
-  const bool is_own = claim.probe != 0;
+Time QuarantineTrials::EndOf(Time now, const KeyClaim& claim) {
+  const bool is_own = claim.trial != 0;
   if (is_own && claim.known_until) return *claim.known_until + kResultTime;
   if (!HasSurvived(now, claim)) return claim.since + kSurvival;
   return is_own ? Time::max() : *claim.known_until + kReportLifetime;
 }
 
-const CrashProbes::KeyClaim* CrashProbes::FindOwn(const SuspectKey& key) const {
+const QuarantineTrials::KeyClaim* QuarantineTrials::FindOwn(
+    const SuspectKey& key) const {
   const auto claims = claims_.find(key);
   if (claims == claims_.end()) return nullptr;
   const auto own = claims->second.find(process_);
   return own == claims->second.end() ? nullptr : &own->second;
 }
 
-bool CrashProbes::Has(const SuspectKey& key, ProbeId probe) const {
+bool QuarantineTrials::Has(const SuspectKey& key, TrialId trial) const {
   const KeyClaim* own = FindOwn(key);
-  return own != nullptr && probe != 0 && own->probe == probe;
+  return own != nullptr && trial != 0 && own->trial == trial;
 }
 
-std::optional<Time> CrashProbes::HeldUntil(Time now, const SuspectKey& key,
-                                           ProbeId own) const {
+std::optional<Time> QuarantineTrials::HeldUntil(Time now, const SuspectKey& key,
+                                                TrialId own) const {
   const auto claims = claims_.find(key);
   if (claims == claims_.end() || HasSurvivor(now, key)) return std::nullopt;
   const bool is_claimed = Has(key, own);
@@ -59,7 +60,7 @@
   return until;
 }
 
-bool CrashProbes::HasSurvivor(Time now, const SuspectKey& key) const {
+bool QuarantineTrials::HasSurvivor(Time now, const SuspectKey& key) const {
   const auto claims = claims_.find(key);
   if (claims == claims_.end()) return false;
   return std::any_of(claims->second.begin(), claims->second.end(),
@@ -69,30 +70,30 @@
                      });
 }
 
-std::optional<Time> CrashProbes::OwnClaim(Time now,
-                                          const SuspectKey& key) const {
+std::optional<Time> QuarantineTrials::OwnClaim(Time now,
+                                               const SuspectKey& key) const {
   const KeyClaim* own = FindOwn(key);
   if (own == nullptr || now > EndOf(now, *own)) return std::nullopt;
   return own->since;
 }
 
-void CrashProbes::Claim(Time now, const SuspectKey& key, ProbeId probe) {
-  claims_[key][process_] = {now, std::nullopt, probe};
+void QuarantineTrials::Claim(Time now, const SuspectKey& key, TrialId trial) {
+  claims_[key][process_] = {now, std::nullopt, trial};
 }
 
-void CrashProbes::OnSent(Time now, ProbeId probe) {
+void QuarantineTrials::OnSent(Time now, TrialId trial) {
   for (auto& [key, claims] : claims_) {
     const auto own = claims.find(process_);
-    if (own != claims.end() && own->second.probe == probe) {
+    if (own != claims.end() && own->second.trial == trial) {
       own->second.since = now;
     }
   }
 }
 
-void CrashProbes::OnEnd(Time now, ProbeId probe, bool may_have_run) {
+void QuarantineTrials::OnEnd(Time now, TrialId trial, bool may_have_run) {
   for (auto& [key, claims] : claims_) {
     const auto own = claims.find(process_);
-    if (own == claims.end() || own->second.probe != probe) continue;
+    if (own == claims.end() || own->second.trial != trial) continue;
     if (may_have_run) {
       own->second.known_until = now;
     } else {
@@ -101,7 +102,7 @@
   }
 }
 
-void CrashProbes::OnPeerClaims(
+void QuarantineTrials::OnPeerClaims(
     Time now, uint64_t peer,
     const std::vector<std::pair<SuspectKey, Time>>& claims) {
   if (peer == process_) return;
@@ -109,7 +110,7 @@
   for (const auto& [key, since] : claims) claims_[key][peer] = {since, now, 0};
 }
 
-void CrashProbes::Update(Time now) {
+void QuarantineTrials::Update(Time now) {
   for (auto& [key, claims] : claims_) {
     std::erase_if(claims, [now](const auto& entry) {
       return now > EndOf(now, entry.second);
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -102,7 +102,7 @@
   const Time now = BootClock::now();
   if (EndIfQuarantined(now)) return;
   if (ForwardIfPartitioned(now)) return;
-  if (AwaitProbe(now, &RelayTask::PlaceAndSend)) return;
+  if (AwaitTrial(now, &RelayTask::PlaceAndSend)) return;
   const PlacementResult result = ChoosePlacement(now);
   if (!result.placement) {
     if (ForwardForLackOfUpstreams(now)) return;
@@ -233,7 +233,7 @@
   // Prefill and decode count as one attempt.
   if (!kv_handle_) ++sends_;
   if (!placement.prefill_only) ++possible_runs_;
-  if (probe_ != 0) context_.quarantine.OnProbeSent(now, probe_);
+  if (trial_ != 0) context_.quarantine.OnTrialSent(now, trial_);
   if (is_model_request()) {
     const PlacementQuery query = MakePlacementQuery(now);
     dispatch_ = context_.placer.OnDispatch(now, placement, &query);
@@ -342,7 +342,7 @@
   const Time now = BootClock::now();
   if (EndIfQuarantined(now)) return;
   if (ForwardIfPartitioned(now)) return;
-  if (AwaitProbe(now, &RelayTask::SendDecodeStage)) return;
+  if (AwaitTrial(now, &RelayTask::SendDecodeStage)) return;
   const PlacementResult result = context_.placer.PlaceGeneration(
       now, MakePlacementQuery(now), kv_handle_->source);
   if (!result.placement) {
@@ -392,8 +392,8 @@
 
 void RelayTask::Detach() {
   finished_ = true;
-  if (probe_ != 0) {
-    context_.quarantine.OnProbeEnd(BootClock::now(), probe_,
+  if (trial_ != 0) {
+    context_.quarantine.OnTrialEnd(BootClock::now(), trial_,
                                    possible_runs_ > 0);
   }
   deadline_timer_.Reset();
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -21,7 +21,8 @@
 constexpr Duration kMinStreamStallTimeout = milliseconds(1000);
 // Time in which a stalled stream makes progress if its upstream works.
 constexpr Duration kProgressTime = milliseconds(200);
-// The host of a silent upstream acknowledges the connection this often.
+// The host of an upstream that sends nothing acknowledges the connection within
+// this time.
 constexpr Duration kAcknowledgementTime = milliseconds(1100);
 constexpr char kStalled[] = "upstream stalled";
 
@@ -116,7 +117,7 @@
 bool RelayTask::EndIfQuarantined(Time now) {
   // A verdict may have come due since the last periodic update.
   context_.quarantine.UpdateIfDue(now);
-  const auto quarantined = context_.quarantine.Find(now, Suspects(), probe_);
+  const auto quarantined = context_.quarantine.Find(now, Suspects(), trial_);
   if (!quarantined) return false;
   context_.metrics.Add("gateway_quarantine_refusals_total");
   const std::string reason = "crashes upstreams: " + ToString(quarantined->key);
@@ -129,13 +130,13 @@
   return true;
 }
 
-bool RelayTask::AwaitProbe(Time now, void (RelayTask::*place_again)()) {
-  const ProbeId claimed =
-      context_.quarantine.ClaimProbe(now, Suspects(), probe_);
+bool RelayTask::AwaitTrial(Time now, void (RelayTask::*place_again)()) {
+  const TrialId claimed =
+      context_.quarantine.ClaimTrial(now, Suspects(), trial_);
   if (claimed == 0) return false;
-  probe_ = claimed;
+  trial_ = claimed;
   placement_timer_ = context_.loop.After(
-      CrashProbes::kSettle, [self = shared_from_this(), place_again] {
+      QuarantineTrials::kSettle, [self = shared_from_this(), place_again] {
         if (!self->finished_) (self.get()->*place_again)();
       });
   return true;
@@ -291,7 +292,7 @@
     limit = std::max(limit, 2 * route_.objective) +
             FromSeconds(2 * std::max(0.0, placement_->predicted_ms) / 1000);
   }
-  // What remains is for the upstream's sign of life.
+  // The rest of the time is for the check whether the upstream responds.
   if (MustNotOverlap()) limit -= kProgressTime;
   stall_timer_ = context_.loop.After(
       limit, [self = shared_from_this()] { self->OnStallTimeout(); });
@@ -332,7 +333,7 @@
   stall_timer_ = context_.loop.After(kProgressTime, probe);
 }
 
-bool RelayTask::IsHostThere() const {
+bool RelayTask::IsAcknowledged() const {
   const std::optional<Duration> age = call_->SinceAcknowledgement();
   return age && *age < kAcknowledgementTime;
 }
@@ -344,11 +345,11 @@
        {"result", ToString(result)},
        {"events", events_received_},
        {"elapsed_ms", ToMillis(BootClock::now() - sent_at_)}});
-  // A process that stands still takes no connections once its queue is full.
-  const bool stands_still =
-      result == ProbeResult::kSilent ||
-      (result == ProbeResult::kUnreachable && IsHostThere());
-  if (stands_still) {
+  // A paused process accepts no connections once its queue is full.
+  const bool is_paused =
+      result == ProbeResult::kUnresponsive ||
+      (result == ProbeResult::kUnreachable && IsAcknowledged());
+  if (is_paused) {
     // It would not notice that the attempt is cancelled, and would run it
     // beside the next one.
     ProbeLater();
--- a/lib/Gateway/retry_window.cc
+++ b/lib/Gateway/retry_window.cc
@@ -9,7 +9,7 @@
 // Fraction of the budget that is used; the rest covers differences between the
 // gateways' clocks and between their views of the number of gateways.
 constexpr double kUsableFraction = 0.7;
-// Time after which a gateway that is not heard leaves its share to the others:
+// Time after which a gateway without heartbeats leaves its share to the others:
 // several windows, and longer than connections between gateways hang.
 constexpr Duration kShareLifetime = seconds(60);
 
--- a/lib/Gateway/upstream_probe.cc
+++ b/lib/Gateway/upstream_probe.cc
@@ -1,4 +1,4 @@
-// Asks an upstream for a sign of life.
+// Checks whether an upstream responds.
 #include "corianderlink/Gateway/upstream_probe.h"
 
 #include <memory>
@@ -17,8 +17,8 @@
   switch (result) {
     case ProbeResult::kAnswers:
       return "answers";
-    case ProbeResult::kSilent:
-      return "silent";
+    case ProbeResult::kUnresponsive:
+      return "unresponsive";
     case ProbeResult::kUnreachable:
       return "unreachable";
     case ProbeResult::kGone:
@@ -81,8 +81,8 @@
 void UpstreamProbe::OnTimeout(const Incarnation& incarnation) {
   const Probe& probe = pending_.at(incarnation);
   probe.call->Cancel();
-  OnResult(incarnation,
-           probe.connected ? ProbeResult::kSilent : ProbeResult::kUnreachable);
+  OnResult(incarnation, probe.connected ? ProbeResult::kUnresponsive
+                                        : ProbeResult::kUnreachable);
 }
 
 void UpstreamProbe::OnResult(const Incarnation& incarnation,
--- a/lib/Http/event_loop.cc
+++ b/lib/Http/event_loop.cc
@@ -36,9 +36,9 @@
   return tv;
 }
 
-// A timer that is late by this much shows that the process has stood still.
-constexpr Duration kStandstill = milliseconds(50);
-// Time after a standstill for the events that have arrived meanwhile.
+// A timer that is late by this much shows that the process was paused.
+constexpr Duration kProcessPause = milliseconds(50);
+// Time after a pause for the events that have arrived meanwhile.
 constexpr Duration kCatchUpTime = milliseconds(5);
 
 // libevent gives events the middle priority unless another one is set.
@@ -78,7 +78,7 @@
   handle.impl_->callback = std::move(callback);
   const auto run = [](evutil_socket_t, int16_t, void* arg) {
     auto* timer = static_cast<EventHandle::Impl*>(arg);
-    if (timer->due && BootClock::now() - *timer->due > kStandstill) {
+    if (timer->due && BootClock::now() - *timer->due > kProcessPause) {
       timer->due.reset();
       const timeval tv = ToTimeval(kCatchUpTime);
       event_add(timer->ev, &tv);
--- a/unittests/Authority/lease_socket_guard_test.cc
+++ b/unittests/Authority/lease_socket_guard_test.cc
@@ -12,6 +12,8 @@
 #include <optional>
 #include <string>
 
+#include "Common/raw_tcp_server.h"
+
 namespace corianderlink {
 namespace {
 
@@ -48,17 +50,6 @@
   }
 };
 
-/// Reads until the end of the connection.
-std::string ReadAll(int fd) {
-  std::string text;
-  char buffer[4096];
-  ssize_t n = 0;
-  while ((n = read(fd, buffer, sizeof(buffer))) > 0) {
-    text.append(buffer, static_cast<size_t>(n));
-  }
-  return text;
-}
-
 /// Stops a child process between its lease check and its write until the lease
 /// has ended.  Returns the bytes that the engine's end of the connection
 /// received.
@@ -88,7 +79,7 @@
   while (BootClock::now() < ended) poll(nullptr, 0, 5);
   kill(child, SIGCONT);
   waitpid(child, &status, 0);
-  return ReadAll(pair.remote);
+  return ReadToEnd(pair.remote);
 }
 
 TEST(LeaseSocketGuardTest, StoppedHolderWritesNothingAfterItsLease) {
@@ -130,7 +121,7 @@
   } else {
     shutdown(pair.local, SHUT_WR);
   }
-  return ReadAll(pair.remote).find(order) != std::string::npos;
+  return ReadToEnd(pair.remote).find(order) != std::string::npos;
 }
 
 TEST(LeaseSocketGuardTest, DiscardsAQueuedOrderAtTheEndOfTheLease) {
--- a/unittests/Common/raw_tcp_server.h
+++ b/unittests/Common/raw_tcp_server.h
@@ -28,6 +28,17 @@
   return true;
 }
 
+/// Reads until the end of the connection.
+inline std::string ReadToEnd(int fd) {
+  std::string text;
+  char buffer[4096];
+  ssize_t n = 0;
+  while ((n = read(fd, buffer, sizeof(buffer))) > 0) {
+    text.append(buffer, static_cast<size_t>(n));
+  }
+  return text;
+}
+
 /// Listens on a loopback port and calls `serve` for one connection after the
 /// other on a background thread; closes each connection when `serve` returns.
 class RawTcpServer {
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -346,53 +346,46 @@
   EXPECT_EQ(result->body, MakeEvent(1) + MakeEvent(2) + MakeEvent(3));
 }
 
-TEST_F(GatewayTest, StreamIsNotRunTwiceWhileItsUpstreamStandsStill) {
-  // Serves one connection at a time, so that no other one gets an answer while
-  // it stands still.
-  RawTcpServer still([](int fd) {
-    char buffer[4096];
-    const ssize_t n = read(fd, buffer, sizeof(buffer));
-    if (n <= 0 || buffer[0] == 'G') return;
-    WriteText(fd,
-              "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: 1\r\n\r\n" +
-                  MakeEvent(1));
-    std::this_thread::sleep_for(milliseconds(1500));
-    WriteText(fd, MakeEvent(2));
-  });
-  harness_.RegisterUpstream("d1", "model", "decode", still.address);
-  const auto result =
-      harness_.Send("POST", "/long/1", {{"Token-Count", "100,10"}}, "b");
-  harness_.RunFor(milliseconds(100));
-  EXPECT_EQ(result->body, MakeEvent(1));
-  FakeUpstream& other = harness_.AddUpstream("d2", "model", "decode");
-  harness_.Await(result);
-  EXPECT_TRUE(result->complete);
-  EXPECT_EQ(result->body, MakeEvent(1) + MakeEvent(2));
-  EXPECT_TRUE(other.requests.empty());
-}
-
-TEST_F(GatewayTest, StreamStaysWhileItsStandingUpstreamTakesNoConnections) {
-  RawTcpServer still([](int fd) {
-    char buffer[4096];
-    const ssize_t n = read(fd, buffer, sizeof(buffer));
-    if (n <= 0 || buffer[0] == 'G') return;
-    WriteText(fd,
-              "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: 1\r\n\r\n" +
-                  MakeEvent(1));
-    std::this_thread::sleep_for(milliseconds(1500));
-    WriteText(fd, MakeEvent(2));
-  });
-  harness_.RegisterUpstream("d1", "model", "decode", still.address);
-  const auto result =
-      harness_.Send("POST", "/long/1", {{"Token-Count", "100,10"}}, "b");
-  harness_.RunFor(milliseconds(100));
-  EXPECT_EQ(result->body, MakeEvent(1));
-  const FullQueue full(still.address);
-  FakeUpstream& other = harness_.AddUpstream("d2", "model", "decode");
-  harness_.Await(result);
-  EXPECT_TRUE(result->complete);
-  EXPECT_EQ(result->body, MakeEvent(1) + MakeEvent(2));
-  EXPECT_TRUE(other.requests.empty());
+/// Serves one connection at a time: after the first event of a stream it does
+/// nothing for 1.5 s, and answers nobody else.
+void ServeWithAPause(int fd) {
+  char buffer[4096];
+  const ssize_t n = read(fd, buffer, sizeof(buffer));
+  if (n <= 0 || buffer[0] == 'G') return;
+  WriteText(fd, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Stamp: 1\r\n\r\n" +
+                    MakeEvent(1));
+  std::this_thread::sleep_for(milliseconds(1500));
+  WriteText(fd, MakeEvent(2));
+}
+
+class PausedUpstreamTest : public GatewayTest {
+ protected:
+  PausedUpstreamTest() {
+    harness_.RegisterUpstream("d1", "model", "decode", paused_.address);
+    result_ =
+        harness_.Send("POST", "/long/1", {{"Token-Count", "100,10"}}, "b");
+    harness_.RunFor(milliseconds(100));
+  }
+  void ExpectWholeStreamOfThePausedUpstream() {
+    EXPECT_EQ(result_->body, MakeEvent(1));
+    FakeUpstream& other = harness_.AddUpstream("d2", "model", "decode");
+    harness_.Await(result_);
+    EXPECT_TRUE(result_->complete);
+    EXPECT_EQ(result_->body, MakeEvent(1) + MakeEvent(2));
+    EXPECT_TRUE(other.requests.empty());
+  }
+
+  RawTcpServer paused_{ServeWithAPause};
+  std::shared_ptr<ClientResult> result_;
+};
+
+TEST_F(PausedUpstreamTest, StreamIsNotRunTwice) {
+  ExpectWholeStreamOfThePausedUpstream();
+}
+
+TEST_F(PausedUpstreamTest, StreamIsNotRunTwiceIfTheQueueOfConnectionsIsFull) {
+  const FullQueue full(paused_.address);
+  ExpectWholeStreamOfThePausedUpstream();
 }
 
 TEST_F(GatewayTest, StalledStreamMovesIfItsEngineAnswers) {
--- a/unittests/Gateway/quarantine_probe_test.cc
+++ b/unittests/Gateway/quarantine_trial_test.cc
@@ -20,7 +20,7 @@
 
 /// Gateways that get one request again and again, and tell each other what they
 /// know, each at its own interval and with a delay.
-class QuarantineProbeTest : public ::testing::Test {
+class QuarantineTrialTest : public ::testing::Test {
  protected:
   void Start(size_t gateways) {
     gateways_.clear();
@@ -68,28 +68,28 @@
   void Arrive(size_t gateway) {
     CrashQuarantine& quarantine = gateways_[gateway];
     if (Held(gateway)) return;
-    const ProbeId probe = quarantine.ClaimProbe(now_, request_, 0);
-    if (probe == 0) {
-      Send(gateway, probe);
+    const TrialId trial = quarantine.ClaimTrial(now_, request_, 0);
+    if (trial == 0) {
+      Send(gateway, trial);
       return;
     }
-    At(now_ + CrashProbes::kSettle, [this, gateway, probe, &quarantine] {
-      if (quarantine.Find(now_, request_, probe)) {
-        quarantine.OnProbeEnd(now_, probe, false);
+    At(now_ + QuarantineTrials::kSettle, [this, gateway, trial, &quarantine] {
+      if (quarantine.Find(now_, request_, trial)) {
+        quarantine.OnTrialEnd(now_, trial, false);
       } else {
-        Send(gateway, probe);
+        Send(gateway, trial);
       }
     });
   }
-  void Send(size_t gateway, ProbeId probe) {
+  void Send(size_t gateway, TrialId trial) {
     sent_.push_back(now_);
-    gateways_[gateway].OnProbeSent(now_, probe);
+    gateways_[gateway].OnTrialSent(now_, trial);
     At(now_ + Between(run_time_, run_time_ * 2),
-       [this, gateway, probe, sent_at = now_] {
-         OnRunEnd(gateway, probe, sent_at);
+       [this, gateway, trial, sent_at = now_] {
+         OnRunEnd(gateway, trial, sent_at);
        });
   }
-  void OnRunEnd(size_t gateway, ProbeId probe, Time sent_at) {
+  void OnRunEnd(size_t gateway, TrialId trial, Time sent_at) {
     if (result_ == Result::kAnswer) {
       gateways_[gateway].OnAnswered(now_, request_);
     }
@@ -98,7 +98,7 @@
       At(now_ + milliseconds(20),
          [this, gateway, sent_at] { Crash(gateway, sent_at); });
     }
-    gateways_[gateway].OnProbeEnd(now_, probe, true);
+    gateways_[gateway].OnTrialEnd(now_, trial, true);
   }
   void Crash(size_t gateway, Time sent_at) {
     const UpstreamId upstream("u" + std::to_string(++upstreams_));
@@ -155,7 +155,7 @@
   std::set<size_t> dead_;
 };
 
-TEST_F(QuarantineProbeTest, OneRequestOfAllGatewaysIsTriedAfterAQuarantine) {
+TEST_F(QuarantineTrialTest, OneRequestOfAllGatewaysIsTriedAfterAQuarantine) {
   for (const size_t gateways : {1, 2, 4, 12, 117}) {
     SCOPED_TRACE(gateways);
     Start(gateways);
@@ -166,7 +166,7 @@
   }
 }
 
-TEST_F(QuarantineProbeTest, RequestsThatArriveEverywhereAtOnceAreOneTry) {
+TEST_F(QuarantineTrialTest, RequestsThatArriveEverywhereAtOnceAreOneTry) {
   for (const size_t gateways : {2, 12, 117}) {
     SCOPED_TRACE(gateways);
     Start(gateways);
@@ -180,14 +180,14 @@
   }
 }
 
-TEST_F(QuarantineProbeTest, EachRenewalCostsOneTry) {
+TEST_F(QuarantineTrialTest, EachRenewalCostsOneTry) {
   Start(4);
   Quarantine();
   RunWithRequestsUntil(seconds(15 + 120 + 600 + 10), milliseconds(50));
   EXPECT_EQ(sent_.size(), 3U);
 }
 
-TEST_F(QuarantineProbeTest, OneAnswerFreesASoundRequestEverywhere) {
+TEST_F(QuarantineTrialTest, OneAnswerFreesASoundRequestEverywhere) {
   result_ = Result::kAnswer;
   for (const size_t gateways : {1, 2, 12, 117}) {
     SCOPED_TRACE(gateways);
@@ -198,7 +198,7 @@
   }
 }
 
-TEST_F(QuarantineProbeTest, SlowRequestHoldsOthersForABoundedTime) {
+TEST_F(QuarantineTrialTest, SlowRequestHoldsOthersForABoundedTime) {
   result_ = Result::kAnswer;
   run_time_ = seconds(20);
   for (const size_t gateways : {1, 2, 12, 117}) {
@@ -212,7 +212,7 @@
   }
 }
 
-TEST_F(QuarantineProbeTest, TryWithoutAResultIsFollowedByAnother) {
+TEST_F(QuarantineTrialTest, TryWithoutAResultIsFollowedByAnother) {
   result_ = Result::kUnknown;
   Start(12);
   Quarantine();
@@ -221,7 +221,7 @@
   EXPECT_LE(sent_.size(), 7U);
 }
 
-TEST_F(QuarantineProbeTest, GatewayThatDiesHoldsOthersForABoundedTime) {
+TEST_F(QuarantineTrialTest, GatewayThatDiesHoldsOthersForABoundedTime) {
   result_ = Result::kUnknown;
   Start(4);
   Quarantine();
--- a/unittests/Gateway/upstream_probe_test.cc
+++ b/unittests/Gateway/upstream_probe_test.cc
@@ -1,4 +1,4 @@
-// Tests of signs of life from upstreams.
+// Tests of the check whether an upstream responds.
 #include "corianderlink/Gateway/upstream_probe.h"
 
 #include <gtest/gtest.h>
@@ -62,7 +62,7 @@
   engine_.reset();
   Probe();
   RunFor(milliseconds(500));
-  const std::vector expected{ProbeResult::kSilent, ProbeResult::kGone};
+  const std::vector expected{ProbeResult::kUnresponsive, ProbeResult::kGone};
   EXPECT_EQ(results_, expected);
 }
 
--- a/unittests/Http1/inbound_server_test.cc
+++ b/unittests/Http1/inbound_server_test.cc
@@ -11,6 +11,7 @@
 #include <thread>
 
 #include "Common/free_address.h"
+#include "Common/raw_tcp_server.h"
 
 namespace corianderlink {
 namespace {
@@ -25,16 +26,6 @@
   return fd;
 }
 
-std::string ReadToEnd(int fd) {
-  std::string text;
-  char buffer[4096];
-  ssize_t n = 0;
-  while ((n = read(fd, buffer, sizeof(buffer))) > 0) {
-    text.append(buffer, static_cast<size_t>(n));
-  }
-  return text;
-}
-
 TEST(InboundServerTest, RejectionOfALargeBodyReachesAClientThatIsStillSending) {
   EventLoop loop;
   const Address address = FreeAddress();
