[Http1] Bound what waits for the end of a chunk header or of trailers

Cause: Boost.Beast limits the head and the body, but asks for more input without limit until a chunk's header line or the trailer section is whole. The parser consumed nothing, and nobody bounded what waited. Ruled out: decoded bytes behind a slow client; the body is empty, and they have limits.

Change: a message fails once more than max_header_bytes of it are received and not consumed. Both directions and the answers of peers use this parser.

Before: MessageParserTest, 4 of 6 tests fail (65,540 bytes kept, limit 4,096).

--- a/include/corianderlink/Http1/message_parser.h
+++ b/include/corianderlink/Http1/message_parser.h
@@ -21,6 +21,8 @@
 
 /// Size limits of a message; a larger one fails to parse.
 struct ParserLimits {
+  /// Of the header section, of a chunk's header line, and of the trailer
+  /// section, each.
   uint32_t max_header_bytes = 16 * 1024;
   uint64_t max_body_bytes = 8 * 1024 * 1024;
 };
--- a/lib/Http1/message_parser.cc
+++ b/lib/Http1/message_parser.cc
@@ -18,7 +18,8 @@
  public:
   using Base = http::basic_parser<kIsRequest>;
 
-  explicit Collector(const ParserLimits& limits) {
+  explicit Collector(const ParserLimits& limits)
+      : max_header_bytes_(limits.max_header_bytes) {
     this->eager(true);
     this->header_limit(limits.max_header_bytes);
     this->body_limit(limits.max_body_bytes);
@@ -36,6 +37,7 @@
       if (ec) Fail(ec);
       if (n == 0) break;
     }
+    LimitUnfinished(data.size() - used);
     return used;
   }
 
@@ -59,6 +61,14 @@
   bool too_large = false;
 
  private:
+  // The base class consumes the header line of a chunk and the trailer section
+  // once they are complete, and sets no limit to their sizes.
+  void LimitUnfinished(size_t unconsumed) {
+    const bool is_part_of_message = !this->is_done() && !failed_;
+    if (is_part_of_message && unconsumed > max_header_bytes_) {
+      Fail(http::error::header_limit);
+    }
+  }
   void Fail(const error_code& ec) {
     failed_ = true;
     reason = ec.message();
@@ -101,6 +111,7 @@
   }
   void on_finish_impl(error_code&) override {}
 
+  const size_t max_header_bytes_;
   bool failed_ = false;
 };
 
