[Http] Bound what a call and a server keep of endless input

Callers would see processes end by memory. An answer without length or chunks was kept whole until the call's time limit (1,024 MB in 2 s on loopback), the body of an error in a stream likewise; the header line of a chunk grew by 10 MB/s, slowed only by evhttp's search for its end.

Change: a call limits the header (64 KiB), the body (64 MiB) and what evhttp has yet to parse; a server limits what it has read of a connection and not parsed to the largest request, which evhttp needs whole.

Before: HttpClientTest.AnswerWithoutEndIsNotKept fails, 1,024 MB sent, 80 allowed. After: HttpTests 16 of 16.

--- a/include/corianderlink/Http/http_server.h
+++ b/include/corianderlink/Http/http_server.h
@@ -44,6 +44,8 @@
 
  private:
   const Handler handler_;
+  // Of a connection.
+  const size_t max_unparsed_bytes_;
   const std::shared_ptr<size_t> unsent_answers_ = std::make_shared<size_t>(0);
   evhttp* http_;
 };
--- a/lib/Http/http_client.cc
+++ b/lib/Http/http_client.cc
@@ -13,6 +13,14 @@
 namespace corianderlink {
 namespace {
 
+// Limits of a response; a longer one fails.
+constexpr size_t kMaxHeaderBytes = 64 * 1024;
+constexpr size_t kMaxBodyBytes = 64 * 1024 * 1024;
+// Received bytes that evhttp has not parsed: it waits for the whole of a body
+// with a length, and for the end of a chunk's header line.
+constexpr size_t kMaxUnparsedBytes = kMaxHeaderBytes + kMaxBodyBytes;
+constexpr char kTooLong[] = "upstream answer too long";
+
 // Any name that is not listed means GET.
 evhttp_cmd_type ToEvhttpMethod(const std::string& name) {
   if (name == "POST") return EVHTTP_REQ_POST;
@@ -39,7 +47,7 @@
     case EVREQ_HTTP_BUFFER_ERROR:
       return "connection failed";
     case EVREQ_HTTP_DATA_TOO_LONG:
-      return "upstream answer too long";
+      return kTooLong;
     default:
       return "call cancelled";
   }
@@ -59,16 +67,9 @@
         loop_.base(), nullptr, nullptr, request.address.ip.c_str(),
         request.address.port);
     evhttp_connection_set_retries(connection_, 0);
-    // Data counts as sent when it leaves the output buffer, that is, when it
-    // was written to the socket.
-    evbuffer_add_cb(
-        bufferevent_get_output(evhttp_connection_get_bufferevent(connection_)),
-        [](evbuffer*, const evbuffer_cb_info* info, void* arg) {
-          if (info->n_deleted > 0) {
-            static_cast<EvhttpCall*>(arg)->bytes_sent_ = true;
-          }
-        },
-        this);
+    evhttp_connection_set_max_headers_size(connection_, kMaxHeaderBytes);
+    evhttp_connection_set_max_body_size(connection_, kMaxBodyBytes);
+    ObserveBuffers(evhttp_connection_get_bufferevent(connection_));
     evhttp_request* out = evhttp_request_new(&EvhttpCall::OnDone, this);
     evhttp_request_set_error_cb(out, &EvhttpCall::OnError);
     if (on_chunk_) evhttp_request_set_chunked_cb(out, &EvhttpCall::OnChunk);
@@ -86,10 +87,7 @@
       EnableDeadPeerDetection(fd());
       return;
     }
-    reason_ = "connection could not be started";
-    loop_.Post([self = keep_alive_self_] {
-      self->Finish(self->MakeFailureResponse());
-    });
+    FailLater("connection could not be started");
   }
 
   void Cancel() override {
@@ -106,6 +104,27 @@
   }
 
  private:
+  void ObserveBuffers(bufferevent* stream) {
+    // Data counts as sent when it leaves the output buffer, that is, when it
+    // was written to the socket.
+    evbuffer_add_cb(
+        bufferevent_get_output(stream),
+        [](evbuffer*, const evbuffer_cb_info* info, void* arg) {
+          if (info->n_deleted > 0) {
+            static_cast<EvhttpCall*>(arg)->bytes_sent_ = true;
+          }
+        },
+        this);
+    evbuffer_add_cb(
+        bufferevent_get_input(stream),
+        [](evbuffer* input, const evbuffer_cb_info* info, void* arg) {
+          if (info->n_added == 0) return;
+          if (evbuffer_get_length(input) <= kMaxUnparsedBytes) return;
+          static_cast<EvhttpCall*>(arg)->FailLater(kTooLong);
+        },
+        this);
+  }
+
   static void AddHeaders(evhttp_request* out, const HttpRequest& request) {
     evkeyvalq* headers = evhttp_request_get_output_headers(out);
     evhttp_add_header(headers, "Host", request.address.ToString().c_str());
@@ -124,6 +143,7 @@
     if (call->finished_) return;
     const int status = evhttp_request_get_response_code(request);
     if (status < 200 || status >= 300) {
+      // evhttp limits the whole body.
       call->error_body_ +=
           DrainBuffer(evhttp_request_get_input_buffer(request));
       return;
@@ -159,6 +179,13 @@
     call->Finish(response);
   }
 
+  void FailLater(const char* reason) {
+    reason_ = reason;
+    loop_.Post([self = keep_alive_self_] {
+      if (self) self->Finish(self->MakeFailureResponse());
+    });
+  }
+
   HttpResponse MakeFailureResponse() const {
     HttpResponse response;
     response.outcome =
--- a/unittests/Http/http_client_test.cc
+++ b/unittests/Http/http_client_test.cc
@@ -148,6 +148,42 @@
   }
 }
 
+/// Sends an answer that begins with `begin` and goes on with copies of `block`
+/// until the client closes the connection; returns the number of bytes.
+size_t AnswerWithoutEnd(int fd, const std::string& begin,
+                        const std::string& block) {
+  ReadRequest(fd);
+  Write(fd, begin);
+  size_t sent = 0;
+  ssize_t n = 0;
+  while ((n = send(fd, block.data(), block.size(), MSG_NOSIGNAL)) > 0) {
+    sent += static_cast<size_t>(n);
+  }
+  return sent;
+}
+
+// Guards against a process that exceeds its memory: an upstream sent bytes
+// without end, and all of them were kept until the time limit of the call.
+TEST(HttpClientTest, AnswerWithoutEndIsNotKept) {
+  // The longest body that a call takes, and what the sockets hold.
+  constexpr size_t kMostBytes = 80 * 1024 * 1024;
+  const std::string block(256 * 1024, 'j');
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& begin :
+       {std::string("HTTP/1.1 200 OK\r\nX-Trace: "), chunked + "5;x=",
+        chunked + "0\r\nX-Trace: ", std::string("HTTP/1.1 200 OK\r\n\r\n")}) {
+    std::atomic<size_t> sent{0};
+    {
+      RawTcpServer peer(
+          [&](int fd) { sent = AnswerWithoutEnd(fd, begin, block); });
+      const HttpResponse response = Post(peer.address);
+      EXPECT_EQ(response.outcome.verdict, Verdict::kMayHaveRun) << begin;
+    }
+    EXPECT_LT(sent, kMostBytes) << begin;
+  }
+}
+
 TEST(HttpClientTest, TimeoutWithoutResponseMayHaveRun) {
   RawTcpServer peer([](int fd) {
     ReadRequest(fd);
