[Http] Read long bodies on kept connections

Callers would see: a request with a body over 16 KiB, sent on a connection that has been used before, gets no answer from an entry and ends after 20 s (LOST).

Cause: while a request is handled, the server reads at most 16 KiB ahead; the limit stayed on the connection afterwards, and evhttp parses a body with a length only once all of it is in the buffer. Ruled out: evhttp's own limits; the first request of the same size is read.

Change: the limit of the connection is set again with its timeouts.

Before: HttpServerTest.LongBodyOnAKeptConnectionIsRead fails at its second request.

--- a/include/corianderlink/Http/http_exchange.h
+++ b/include/corianderlink/Http/http_exchange.h
@@ -85,6 +85,8 @@
   HttpHeaders headers_;
   bool streaming_ = false;
   uint64_t chunks_sent_ = 0;
+  // Of the connection while it reads a request, bytes.
+  size_t read_limit_ = 0;
   // Keeps this object alive until the response is complete or the client
   // disconnects.
   std::shared_ptr<HttpExchange> keep_alive_self_;
--- a/lib/Http/http_exchange.cc
+++ b/lib/Http/http_exchange.cc
@@ -131,6 +131,7 @@
   bufferevent_getcb(bev, nullptr, &write_cb, &event_cb, &arg);
   bufferevent_setcb(bev, nullptr, write_cb, event_cb, arg);
   bufferevent_set_timeouts(bev, nullptr, nullptr);
+  bufferevent_getwatermark(bev, EV_READ, nullptr, &read_limit_);
   bufferevent_setwatermark(bev, EV_READ, 0, kMaxReadAheadBytes);
   bufferevent_enable(bev, EV_READ);
   evhttp_connection_set_closecb(
@@ -159,12 +160,13 @@
   evhttp_connection* connection = evhttp_request_get_connection(request_);
   if (connection != nullptr) {
     evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    // The connection may carry another request, so the timeouts that
-    // WatchForDisconnect removed and the priority that SendChunk lowered are
-    // set again.
+    // The connection may carry another request, so the timeouts and the limit
+    // that WatchForDisconnect replaced and the priority that SendChunk lowered
+    // are set again.
     evhttp_connection_set_timeout(connection, kIdleTimeoutSeconds);
-    bufferevent_priority_set(evhttp_connection_get_bufferevent(connection),
-                             kDefaultPriority);
+    bufferevent* bev = evhttp_connection_get_bufferevent(connection);
+    bufferevent_setwatermark(bev, EV_READ, 0, read_limit_);
+    bufferevent_priority_set(bev, kDefaultPriority);
   }
   request_ = nullptr;
   keep_alive_self_.reset();
--- /dev/null
+++ b/unittests/Http/http_server_test.cc
@@ -0,0 +1,141 @@
+// Tests of the server against clients that send arbitrary bytes.
+#include "corianderlink/Http/http_server.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+#include "Common/free_address.h"
+#include "corianderlink/Http/event_loop.h"
+
+namespace corianderlink {
+namespace {
+
+/// Non-blocking connection to a server on the loop of the same thread.
+class RawClient {
+ public:
+  explicit RawClient(const Address& to) {
+    fd_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(to.port);
+    connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    fcntl(fd_, F_SETFL, O_NONBLOCK);
+  }
+  ~RawClient() { close(fd_); }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  /// Returns how many bytes the kernel has taken.
+  size_t Send(std::string_view text) const {
+    const ssize_t n = send(fd_, text.data(), text.size(), MSG_NOSIGNAL);
+    return n < 0 ? 0 : static_cast<size_t>(n);
+  }
+  std::string Receive() const {
+    std::string text;
+    char buffer[4096];
+    ssize_t n = 0;
+    while ((n = read(fd_, buffer, sizeof(buffer))) > 0) {
+      text.append(buffer, static_cast<size_t>(n));
+    }
+    return text;
+  }
+
+ private:
+  int fd_ = -1;
+};
+
+class HttpServerTest : public ::testing::Test {
+ protected:
+  HttpServerTest() : address_(FreeAddress()) {
+    EXPECT_TRUE(server_.Listen(address_));
+  }
+  void RunFor(Duration duration) {
+    const EventHandle stop = loop_.After(duration, [this] { loop_.Stop(); });
+    loop_.Run();
+  }
+  /// Sends all of `text` while the server runs, for 2 s at most.
+  void SendAll(const RawClient& client, const std::string& text) {
+    size_t sent = 0;
+    for (int i = 0; i < 200 && sent < text.size(); ++i) {
+      sent += client.Send(std::string_view(text).substr(sent));
+      RunFor(milliseconds(10));
+    }
+  }
+  /// Sends `block` again and again for that long; returns the bytes taken.
+  size_t SendWithoutEnd(const RawClient& client, const std::string& block,
+                        Duration duration) {
+    const Time end = BootClock::now() + duration;
+    size_t sent = 0;
+    while (BootClock::now() < end) {
+      sent += client.Send(block);
+      RunFor(milliseconds(1));
+    }
+    return sent;
+  }
+
+  EventLoop loop_;
+  Address address_;
+  std::vector<std::string> bodies_;
+  HttpServer server_{loop_,
+                     {16 * 1024, 256 * 1024, 20},
+                     [this](const std::shared_ptr<HttpExchange>& exchange) {
+                       bodies_.push_back(exchange->body());
+                       exchange->Reply(200, "", "done");
+                     }};
+};
+
+const char kChunkedPost[] =
+    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Guards against a request that is never read: after the first request the
+// limit for early data stayed on the connection.
+TEST_F(HttpServerTest, LongBodyOnAKeptConnectionIsRead) {
+  const RawClient client(address_);
+  const std::string body(200 * 1024, 'b');
+  for (size_t i = 1; i <= 3; ++i) {
+    SendAll(client, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                        std::to_string(body.size()) + "\r\n\r\n" + body);
+    RunFor(milliseconds(50));
+    ASSERT_EQ(bodies_.size(), i);
+    EXPECT_EQ(bodies_.back(), body);
+    EXPECT_NE(client.Receive().find(" 200 "), std::string::npos);
+  }
+}
+
+// Guards against a process that exceeds its memory: a client never ended the
+// header line of a chunk, or its trailers, and all of it was kept.
+TEST_F(HttpServerTest, ChunkHeaderAndTrailersWithoutEndAreNotKept) {
+  // What the sockets hold, and the server's buffer.
+  constexpr size_t kMostBytes = 12 * 1024 * 1024;
+  const std::string block(256 * 1024, 'j');
+  for (const char* begin : {"5;x=", "0\r\nX-Trace: "}) {
+    const RawClient client(address_);
+    client.Send(std::string(kChunkedPost) + begin);
+    EXPECT_LT(SendWithoutEnd(client, block, seconds(2)), kMostBytes)
+        << begin;
+  }
+  EXPECT_TRUE(bodies_.empty());
+}
+
+// Guards against a smuggled request: the body of a malformed request was read
+// as a request of its own after the answer to the first one.
+TEST_F(HttpServerTest, BodyOfAMalformedRequestIsNotARequest) {
+  const RawClient client(address_);
+  const std::string inner_body(6000, 'x');
+  SendAll(client, std::string(kChunkedPost) +
+                      "POST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                      std::to_string(inner_body.size()) + "\r\n\r\n" +
+                      inner_body);
+  RunFor(milliseconds(50));
+  EXPECT_TRUE(bodies_.empty());
+}
+
+}  // namespace
+}  // namespace corianderlink
