[Http1] Take no request from a connection after its last answer

Cause: a refusal is written in the next turn of the loop, and until then the connection went on parsing: the rest of the refused request became a request of its own. Ruled out: a parser that takes the malformed chunk; it fails.

Change: a connection that has given its last answer discards its input, so that nothing can be dispatched on it. Upstream connections are closed at their verdict and evhttp stops reading when it refuses: both were sound.

--- a/include/corianderlink/Http1/inbound_connection.h
+++ b/include/corianderlink/Http1/inbound_connection.h
@@ -79,6 +79,9 @@
   std::optional<Time> request_started_;
   std::shared_ptr<InboundExchange> exchange_;
   bool close_after_response_ = false;
+  // The last response is complete; what the client sends from now on is no
+  // request.
+  bool answered_last_ = false;
   bool closed_ = false;
   Time idle_since_{};
   Duration idle_timeout_{};
--- a/lib/Http1/inbound_connection.cc
+++ b/lib/Http1/inbound_connection.cc
@@ -78,7 +78,7 @@
 }
 
 void InboundConnection::OnTimer() {
-  if (exchange_) return;
+  if (exchange_ || answered_last_) return;
   if (request_started_) {
     Reject(408, "request not received in time");
     return;
@@ -113,6 +113,12 @@
 
 void InboundConnection::OnReadable() {
   if (closed_) return;
+  if (answered_last_) {
+    // The rest of a request that was refused, or a request that the client sent
+    // before it read that the connection closes.
+    stream_.Consume(stream_.Input().size());
+    return;
+  }
   if (exchange_) return;  // Pipelined data is parsed after the response.
   ParseInput();
 }
@@ -186,6 +192,7 @@
   request_started_.reset();
   parser_.reset();
   if (close_after_response_) {
+    answered_last_ = true;
     if (stream_.PendingBytes() == 0) Close();
     return;
   }
@@ -208,7 +215,7 @@
     if (on_drained) on_drained();
     return;
   }
-  if (close_after_response_) Close();
+  if (answered_last_) Close();
 }
 
 void InboundConnection::OnPeerClosed() { Close(); }
--- a/unittests/Http1/inbound_connection_test.cc
+++ b/unittests/Http1/inbound_connection_test.cc
@@ -55,6 +55,7 @@
   std::function<void(Exchange)> on_request_ = [this](Exchange exchange) {
     requests_.push_back(std::move(exchange));
   };
+  std::function<void()> on_rejected_;
   InboundContext context_{
       loop_,
       limits_,
@@ -65,7 +66,10 @@
         std::shared_ptr<InboundConnection> owned = std::move(connection_);
         loop_.Post([owned] {});
       },
-      [this](const std::string& reason) { malformed_.push_back(reason); }};
+      [this](const std::string& reason) {
+        malformed_.push_back(reason);
+        if (on_rejected_) on_rejected_();
+      }};
   int fds_[2] = {-1, -1};
   std::unique_ptr<InboundConnection> connection_;
 };
@@ -107,6 +111,46 @@
   EXPECT_NE(got.find("two"), std::string::npos);
 }
 
+// Guards against a smuggled request: the body of a refused one was read as a
+// request of its own.  The input is longer than one read from the socket.
+TEST_F(InboundConnectionTest, BodyOfAMalformedRequestIsNotARequest) {
+  const std::string body(4000, 'x');
+  Send(
+      "POST /outer HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "POST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body);
+  const std::string got = Receive();
+  EXPECT_EQ(got.find("HTTP/1.1 400"), 0U);
+  EXPECT_EQ(got.find("HTTP/1.1", 1), std::string::npos);
+  EXPECT_TRUE(requests_.empty());
+  EXPECT_TRUE(closed_);
+}
+
+// Guards against a promise that is broken: a request that had got a 408 (not
+// run, and never will be) was run when the rest of its head arrived.
+TEST_F(InboundConnectionTest, RequestRefusedAsLateIsNotRunWhenTheRestArrives) {
+  on_rejected_ = [this] { Send("Host: a\r\n\r\n"); };
+  Send("GET /late HTTP/1.1\r\n");
+  const std::string got = Receive(milliseconds(120));
+  EXPECT_EQ(got.find("HTTP/1.1 408"), 0U);
+  EXPECT_TRUE(requests_.empty());
+  EXPECT_TRUE(closed_);
+}
+
+// Guards against a request that runs on a connection that was said to close,
+// while the client has yet to read the last answer.
+TEST_F(InboundConnectionTest, NothingIsReadAfterTheLastResponse) {
+  Send("GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  RunFor(milliseconds(20));
+  ASSERT_EQ(requests_.size(), 1U);
+  requests_[0]->SendResponse(200, {}, std::string(4'000'000, 'a'));
+  RunFor(milliseconds(20));
+  EXPECT_FALSE(closed_);
+  Send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  RunFor(milliseconds(20));
+  EXPECT_EQ(requests_.size(), 1U);
+}
+
 TEST_F(InboundConnectionTest, RequestWithLengthAndChunkedEncodingIsRejected) {
   Send(
       "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n"
