[Authority] Give no fencing token out again after a restore

Cause: the next token was counted up from the row and from what processes remember, and both can be lost together. Ruled out: a lease that is taken over too early; the second machine waits, only its number is wrong.

Change: tokens of a later era of the service are above all those of earlier eras. Eras rise with each restore and are in every answer, so a process that remembers nothing knows them. In the first era nothing changes. The fleet server uses the same client.

--- a/include/corianderlink/Authority/lease_client.h
+++ b/include/corianderlink/Authority/lease_client.h
@@ -11,6 +11,8 @@
 //  - After the service was restored to an older copy, nothing observed before
 //    counts: a holder stops, and candidates wait for the lease duration plus
 //    the guard time, since the copy may have lost a lease that is still valid.
+//    It may have lost their fencing tokens too, so tokens of a later era of the
+//    service are above all those of earlier eras.
 #ifndef CORIANDERLINK_AUTHORITY_LEASE_CLIENT_H_
 #define CORIANDERLINK_AUTHORITY_LEASE_CLIENT_H_
 
--- a/lib/Authority/lease_client.cc
+++ b/lib/Authority/lease_client.cc
@@ -10,6 +10,18 @@
 // Era of a service that was never restored.
 constexpr uint64_t kFirstEra = 1;
 constexpr char kUnknownHolder[] = "unknown";
+// A restore may lose the row and with it the tokens that were used, but eras
+// are given out once: each has a range of tokens above those of earlier ones.
+constexpr int kTokenBitsPerEra = 32;
+// Eras from here on share a range, since larger tokens are not exact as JSON
+// numbers everywhere.
+constexpr uint64_t kMaxEraRange = (uint64_t{1} << 20) - 1;
+
+// The largest token that is below the range of `era`.
+FencingToken FloorOfEra(uint64_t era) {
+  const uint64_t range = std::max(era, kFirstEra) - kFirstEra;
+  return std::min(range, kMaxEraRange) << kTokenBitsPerEra;
+}
 
 }  // namespace
 
@@ -46,7 +58,8 @@
     }
     const bool may_write = !needs_read_ && row_known_ && candidate_;
     if (!may_write || !MayTakeOver(now)) return {};
-    const FencingToken used = std::max(observed_.fencing, fencing_floor_);
+    const FencingToken used = std::max(
+        {observed_.fencing, fencing_floor_, FloorOfEra(era_.value_or(0))});
     return StartWrite(now, {self_, used + 1, next_nonce_()});
   }
   // This process wrote the row last.  An expired lease is renewed as well,
--- a/unittests/Authority/lease_restore_test.cc
+++ b/unittests/Authority/lease_restore_test.cc
@@ -169,5 +169,37 @@
   EXPECT_GT(tenures, kSchedules);
 }
 
+/// Runs a process alone until it holds the lease; returns its fencing token.
+FencingToken TakeLease(Time& now, const std::string& name, std::mt19937& random,
+                       RestorableTable& table) {
+  Process process(name, random);
+  for (int step = 0; step < 600; ++step) {
+    now += milliseconds(100);
+    process.Step(now, table);
+    if (process.client().IsHeld(now)) return process.client().fencing();
+  }
+  return 0;
+}
+
+// Guards against a fencing token that two machines use: the row of the lease was
+// lost with a restore, and no process remembered its token.
+TEST(LeaseRestoreTest, TokensGrowThoughTheRowAndAllProcessesAreLost) {
+  std::mt19937 random(20261205);
+  RestorableTable table;
+  Time now = Time(seconds(1000));
+  FencingToken last = 0;
+  for (int tenure = 0; tenure < 8; ++tenure) {
+    // The copy is from before the tenure in two of three cases.
+    if (tenure % 3 != 2) table.TakeCopy();
+    for (const char* name : {"a", "b"}) {
+      const FencingToken token =
+          TakeLease(now, name + std::to_string(tenure), random, table);
+      EXPECT_GT(token, last) << name << tenure;
+      last = token;
+    }
+    table.Restore();
+  }
+}
+
 }  // namespace
 }  // namespace corianderlink
