[Http] Give up no peer that acknowledges and does not read

Cause: TCP_USER_TIMEOUT of 2 s, set for peers that acknowledge nothing, also ends a connection whose peer acknowledges each probe of its closed window. Evidence: a client that pauses for 3 s gets 24,532 of 8,000,000 bytes; with a connection that the gateway has closed, 24,514 of 200,000; an upstream that begins to read after 3 s gets none of 4,000,000 and the call fails. Ruled out: the idle timeout, which waits for unread answers.

Change: ClosedWindowWatch looks at a connection twice a second while sent bytes are outstanding, and lifts the option while only the peer's window holds them back. A client connection is closed with the option lifted. As the kernel ends no such connection any more, a client that has read nothing of a complete answer for 30 s is closed. HttpClient has the same watch, except for orders under a lease, whose bytes must not stay in transit.

Before: 3 of 3 tests of paused_reader_test.cc fail.

--- a/include/corianderlink/Http/dead_peer_detection.h
+++ b/include/corianderlink/Http/dead_peer_detection.h
@@ -7,7 +7,8 @@
 
 namespace corianderlink {
 
-/// A connection fails if sent data stays unacknowledged for this long.
+/// A connection fails if sent data stays unacknowledged for this long, or if its
+/// peer's receive window stays closed (see ClosedWindowWatch).
 constexpr milliseconds kTcpUserTimeout{2000};
 /// TCP keep-alive: time without traffic before the first probe, time between
 /// probes, and number of unanswered probes after which a connection fails.
@@ -17,6 +18,8 @@
 
 /// Sets these limits on a TCP socket.  Does nothing if `fd` is negative.
 void EnableDeadPeerDetection(int fd);
+/// Sets TCP_USER_TIMEOUT; 0 stands for the kernel's own limits.
+void SetUserTimeout(int fd, milliseconds timeout);
 
 }  // namespace corianderlink
 
--- a/include/corianderlink/Http/http_client.h
+++ b/include/corianderlink/Http/http_client.h
@@ -25,6 +25,9 @@
   std::string body;
   /// Time limit for the whole call, including connecting.
   Duration timeout = seconds(30);
+  /// The request must not stay in transit: its connection ends once a part of
+  /// it is not delivered for kTcpUserTimeout, also if the peer is only paused.
+  bool discard_undelivered = false;
 };
 
 struct HttpResponse {
--- a/include/corianderlink/Http1/byte_stream.h
+++ b/include/corianderlink/Http1/byte_stream.h
@@ -3,9 +3,11 @@
 #define CORIANDERLINK_HTTP1_BYTE_STREAM_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "corianderlink/Http/closed_window_watch.h"
 #include "corianderlink/Support/address.h"
 #include "corianderlink/Support/time.h"
 
@@ -64,6 +66,9 @@
   /// Neither reads from the socket nor writes to it from now on; buffered
   /// output is not sent.
   void Stop();
+  /// Lets a peer that reads late receive, after the connection is closed in
+  /// order, what the kernel has accepted.
+  void DeliverAfterClose();
   /// Makes the destructor reset the connection (TCP RST) instead of closing
   /// it in order.
   void ResetOnClose();
@@ -77,6 +82,7 @@
   ByteStreamListener& listener_;
   bufferevent* bev_ = nullptr;
   evbuffer_cb_entry* sent_callback_ = nullptr;
+  std::optional<ClosedWindowWatch> window_watch_;
   bool bytes_sent_ = false;
 };
 
--- a/include/corianderlink/Http1/inbound_connection.h
+++ b/include/corianderlink/Http1/inbound_connection.h
@@ -69,6 +69,8 @@
   void ArmTimer(Duration delay);
   void OnTimer();
   void OnResponseComplete();
+  /// True while the client has read a part of its answer within a time limit.
+  bool IsAnswerBeingRead(Time now);
   void BecomeIdle();
   void WriteHead(int status, const HeaderFields& fields,
                  std::optional<uint64_t> content_length);
@@ -82,6 +84,9 @@
   // The last response is complete; what the client sends from now on is no
   // request.
   bool answered_last_ = false;
+  // Of the last answer, when the timer last ran, and since when it is so.
+  size_t unread_bytes_ = 0;
+  Time read_at_{};
   bool closed_ = false;
   Time idle_since_{};
   Duration idle_timeout_{};
--- a/lib/Fleet/fleet_server.cc
+++ b/lib/Fleet/fleet_server.cc
@@ -415,6 +415,7 @@
   request.address = state.address;
   request.method = "POST";
   request.target = "/v1/orders";
+  request.discard_undelivered = true;
   request.timeout =
       std::min<Duration>(kOrderTimeout, lease.valid_until() - now);
   request.body = Json{{"sequence", record.sequence},
--- a/lib/Http/dead_peer_detection.cc
+++ b/lib/Http/dead_peer_detection.cc
@@ -22,8 +22,13 @@
   SetIntOption(fd, IPPROTO_TCP, TCP_KEEPINTVL,
                static_cast<int>(kTcpKeepAliveInterval.count()));
   SetIntOption(fd, IPPROTO_TCP, TCP_KEEPCNT, kTcpKeepAliveProbes);
+  SetUserTimeout(fd, kTcpUserTimeout);
+}
+
+void SetUserTimeout(int fd, milliseconds timeout) {
+  if (fd < 0) return;
   SetIntOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
-               static_cast<int>(kTcpUserTimeout.count()));
+               static_cast<int>(timeout.count()));
 }
 
 }  // namespace corianderlink
--- a/lib/Http/http_client.cc
+++ b/lib/Http/http_client.cc
@@ -7,6 +7,9 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <optional>
+
+#include "corianderlink/Http/closed_window_watch.h"
 #include "corianderlink/Http/dead_peer_detection.h"
 #include "corianderlink/Http/event_loop.h"
 
@@ -69,7 +72,9 @@
     evhttp_connection_set_retries(connection_, 0);
     evhttp_connection_set_max_headers_size(connection_, kMaxHeaderBytes);
     evhttp_connection_set_max_body_size(connection_, kMaxBodyBytes);
-    ObserveBuffers(evhttp_connection_get_bufferevent(connection_));
+    bufferevent* stream = evhttp_connection_get_bufferevent(connection_);
+    ObserveBuffers(stream);
+    if (!request.discard_undelivered) window_watch_.emplace(loop_, stream);
     evhttp_request* out = evhttp_request_new(&EvhttpCall::OnDone, this);
     evhttp_request_set_error_cb(out, &EvhttpCall::OnError);
     if (on_chunk_) evhttp_request_set_chunked_cb(out, &EvhttpCall::OnChunk);
@@ -206,6 +211,7 @@
     timer_.Reset();
     StopConnection();
     loop_.Post([self = keep_alive_self_] {
+      self->window_watch_.reset();
       if (self->connection_ != nullptr) {
         evhttp_connection_free(self->connection_);
       }
@@ -227,6 +233,7 @@
   HttpClient::DoneCallback done_;
   HttpClient::ChunkCallback on_chunk_;
   evhttp_connection* connection_ = nullptr;
+  std::optional<ClosedWindowWatch> window_watch_;
   EventHandle timer_;
   std::shared_ptr<EvhttpCall> keep_alive_self_;
   std::string reason_ = "connection failed";
--- a/lib/Http1/byte_stream.cc
+++ b/lib/Http1/byte_stream.cc
@@ -71,6 +71,7 @@
         }
       },
       this);
+  window_watch_.emplace(loop, bev_);
   bufferevent_enable(bev_, EV_READ | EV_WRITE);
 }
 
@@ -83,6 +84,7 @@
 }
 
 ByteStream::~ByteStream() {
+  window_watch_.reset();
   bufferevent_setcb(bev_, nullptr, nullptr, nullptr, nullptr);
   evbuffer_remove_cb_entry(bufferevent_get_output(bev_), sent_callback_);
   bufferevent_free(bev_);
@@ -132,6 +134,8 @@
   return milliseconds(info.tcpi_last_ack_recv);
 }
 
+void ByteStream::DeliverAfterClose() { window_watch_->BeforeClose(); }
+
 void ByteStream::Stop() { bufferevent_disable(bev_, EV_READ | EV_WRITE); }
 
 void ByteStream::ResetOnClose() {
--- a/lib/Http1/inbound_connection.cc
+++ b/lib/Http1/inbound_connection.cc
@@ -9,6 +9,8 @@
 
 // Maximum bytes buffered from a client while its request is being handled.
 constexpr size_t kMaxReadAheadBytes = 64 * 1024;
+// A client that has read nothing of its answer for this long has gone.
+constexpr Duration kMaxUnreadTime = seconds(30);
 
 const char* ReasonPhrase(int status) {
   switch (status) {
@@ -78,26 +80,36 @@
 }
 
 void InboundConnection::OnTimer() {
-  if (exchange_ || answered_last_) return;
+  if (exchange_) return;
   if (request_started_) {
     Reject(408, "request not received in time");
     return;
   }
-  if (!stream_.Input().empty()) {
+  if (!answered_last_ && !stream_.Input().empty()) {
     OnReadable();
     return;
   }
   // A client that reads slowly has yet to receive its answer.
-  if (stream_.PendingBytes() > 0) {
+  if (IsAnswerBeingRead(BootClock::now())) {
     ArmTimer(idle_timeout_);
     return;
   }
   Close();
 }
 
+bool InboundConnection::IsAnswerBeingRead(Time now) {
+  const size_t unread = stream_.PendingBytes();
+  if (unread != unread_bytes_) {
+    unread_bytes_ = unread;
+    read_at_ = now;
+  }
+  return unread > 0 && now - read_at_ < kMaxUnreadTime;
+}
+
 void InboundConnection::Close() {
   if (closed_) return;
   closed_ = true;
+  stream_.DeliverAfterClose();
   timer_.Reset();
   const std::shared_ptr<InboundExchange> exchange = std::move(exchange_);
   exchange_ = nullptr;
@@ -191,9 +203,14 @@
   exchange_ = nullptr;
   request_started_.reset();
   parser_.reset();
+  unread_bytes_ = 0;
   if (close_after_response_) {
     answered_last_ = true;
-    if (stream_.PendingBytes() == 0) Close();
+    if (stream_.PendingBytes() == 0) {
+      Close();
+    } else {
+      ArmTimer(idle_timeout_);
+    }
     return;
   }
   BecomeIdle();
--- /dev/null
+++ b/unittests/Http1/paused_reader_test.cc
@@ -0,0 +1,129 @@
+// Peers that are alive, acknowledge every probe and do not read for longer than
+// kTcpUserTimeout.
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+#include "Common/free_address.h"
+#include "Common/raw_tcp_server.h"
+#include "corianderlink/Http/dead_peer_detection.h"
+#include "corianderlink/Http1/inbound_server.h"
+#include "corianderlink/Http1/upstream_pool.h"
+
+namespace corianderlink {
+namespace {
+
+constexpr Duration kPause = kTcpUserTimeout + seconds(1);
+constexpr int kSmallBufferBytes = 16 * 1024;
+constexpr size_t kAnswerBytes = 8'000'000;
+constexpr size_t kShortAnswerBytes = 200'000;
+constexpr size_t kBodyBytes = 4'000'000;
+
+/// Sends a request on a connection of its own, pauses, and reads to the end.
+std::string ReadAfterAPause(const Address& to, const std::string& request) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kSmallBufferBytes,
+             sizeof(kSmallBufferBytes));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(to.port);
+  connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  const ssize_t n = send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  (void)n;
+  std::this_thread::sleep_for(kPause);
+  std::string answer = ReadToEnd(fd);
+  close(fd);
+  return answer;
+}
+
+class PausedClientTest : public ::testing::Test {
+ protected:
+  /// The body that a client receives that pauses before it reads.
+  size_t BodyReceived(size_t body_bytes, bool last) {
+    const Address address = FreeAddress();
+    InboundServer server(
+        loop_, 10, [&](const std::shared_ptr<InboundExchange>& exchange) {
+          exchange->SendResponse(200, {}, std::string(body_bytes, 'x'));
+        });
+    EXPECT_TRUE(server.Listen(address));
+    InboundLimits limits;
+    limits.idle_timeout = seconds(1);
+    server.SetLimits(BootClock::now(), limits);
+    std::string answer;
+    std::atomic<bool> done{false};
+    std::thread client([&] {
+      answer = ReadAfterAPause(
+          address, std::string("GET / HTTP/1.1\r\nHost: a\r\n") +
+                       (last ? "Connection: close\r\n" : "") + "\r\n");
+      done = true;
+    });
+    const EventHandle poll = loop_.Every(milliseconds(10), [&] {
+      if (done) loop_.Stop();
+    });
+    loop_.Run();
+    client.join();
+    const size_t end = answer.find("\r\n\r\n");
+    return end == std::string::npos ? 0 : answer.size() - end - 4;
+  }
+
+  EventLoop loop_;
+};
+
+// Guards against an answer that is cut while its client pauses: the gateway's
+// own TCP_USER_TIMEOUT ended the connection.
+TEST_F(PausedClientTest, LongAnswerIsNotCut) {
+  EXPECT_EQ(BodyReceived(kAnswerBytes, false), kAnswerBytes);
+}
+
+// The same once the gateway has closed the connection, with its kernel still
+// sending.
+TEST_F(PausedClientTest, LastAnswerIsNotCutAfterTheClose) {
+  EXPECT_EQ(BodyReceived(kShortAnswerBytes, true), kShortAnswerBytes);
+}
+
+// Guards against a request that fails because its upstream pauses before it
+// reads the body.
+TEST(PausedUpstreamConnectionTest, LongRequestIsReadAfterAPause) {
+  size_t received = 0;
+  RawTcpServer upstream([&](int fd) {
+    std::this_thread::sleep_for(kPause);
+    char buffer[64 * 1024];
+    ssize_t n = 0;
+    while (received < kBodyBytes && (n = read(fd, buffer, sizeof(buffer))) > 0) {
+      received += static_cast<size_t>(n);
+    }
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    n = write(fd, answer.data(), answer.size());
+    (void)n;
+  });
+  EventLoop loop;
+  UpstreamPool pool(loop);
+  UpstreamRequest request;
+  request.address = upstream.address;
+  request.method = "POST";
+  request.body = std::string(kBodyBytes, 'b');
+  UpstreamHandlers handlers;
+  bool ended = false;
+  std::string failure;
+  handlers.on_end = [&] {
+    ended = true;
+    loop.Stop();
+  };
+  handlers.on_fail = [&](const Outcome& outcome) {
+    failure = outcome.reason;
+    loop.Stop();
+  };
+  pool.Start(request, handlers);
+  const EventHandle stop = loop.After(seconds(8), [&] { loop.Stop(); });
+  loop.Run();
+  EXPECT_TRUE(ended) << failure;
+  EXPECT_GE(received, kBodyBytes);
+}
+
+}  // namespace
+}  // namespace corianderlink
