[Http1] End a refused connection in order

Callers saw: a client that was still sending when its request was refused got the answer and then a reset, after which it may lose what it has not read yet.

Cause: a connection that is closed with unread input is reset by the kernel.

Change: if a client sends on after its last answer, the connection ends its output first and discards input for a second at most.

--- a/include/corianderlink/Http1/byte_stream.h
+++ b/include/corianderlink/Http1/byte_stream.h
@@ -66,6 +66,11 @@
   /// Neither reads from the socket nor writes to it from now on; buffered
   /// output is not sent.
   void Stop();
+  /// True if the kernel has received data that is not in the input buffer.
+  bool HasUnreadInput() const;
+  /// Ends the sending direction (end of file at the peer); all written data has
+  /// to be sent before.
+  void EndOutput();
   /// Lets a peer that reads late receive, after the connection is closed in
   /// order, what the kernel has accepted.
   void DeliverAfterClose();
--- a/include/corianderlink/Http1/inbound_connection.h
+++ b/include/corianderlink/Http1/inbound_connection.h
@@ -71,6 +71,9 @@
   void OnResponseComplete();
   /// True while the client has read a part of its answer within a time limit.
   bool IsAnswerBeingRead(Time now);
+  /// Closes the connection, once a client that is still sending has had time to
+  /// read the answer.
+  void CloseOnceRead();
   void BecomeIdle();
   void WriteHead(int status, const HeaderFields& fields,
                  std::optional<uint64_t> content_length);
@@ -84,6 +87,7 @@
   // The last response is complete; what the client sends from now on is no
   // request.
   bool answered_last_ = false;
+  bool has_discarded_input_ = false;
   // Of the last answer, when the timer last ran, and since when it is so.
   size_t unread_bytes_ = 0;
   Time read_at_{};
--- a/lib/Http1/byte_stream.cc
+++ b/lib/Http1/byte_stream.cc
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cstring>
@@ -134,6 +135,13 @@
   return milliseconds(info.tcpi_last_ack_recv);
 }
 
+bool ByteStream::HasUnreadInput() const {
+  int bytes = 0;
+  return ioctl(bufferevent_getfd(bev_), FIONREAD, &bytes) == 0 && bytes > 0;
+}
+
+void ByteStream::EndOutput() { shutdown(bufferevent_getfd(bev_), SHUT_WR); }
+
 void ByteStream::DeliverAfterClose() { window_watch_->BeforeClose(); }
 
 void ByteStream::Stop() { bufferevent_disable(bev_, EV_READ | EV_WRITE); }
--- a/lib/Http1/inbound_connection.cc
+++ b/lib/Http1/inbound_connection.cc
@@ -11,6 +11,8 @@
 constexpr size_t kMaxReadAheadBytes = 64 * 1024;
 // A client that has read nothing of its answer for this long has gone.
 constexpr Duration kMaxUnreadTime = seconds(30);
+// Time for a client to read the refusal of a request that it is still sending.
+constexpr Duration kMaxRefusedInputTime = seconds(1);
 
 const char* ReasonPhrase(int status) {
   switch (status) {
@@ -129,6 +131,7 @@
     // The rest of a request that was refused, or a request that the client sent
     // before it read that the connection closes.
     stream_.Consume(stream_.Input().size());
+    has_discarded_input_ = true;
     return;
   }
   if (exchange_) return;  // Pipelined data is parsed after the response.
@@ -232,7 +235,18 @@
     if (on_drained) on_drained();
     return;
   }
-  if (answered_last_) Close();
+  if (answered_last_) CloseOnceRead();
+}
+
+void InboundConnection::CloseOnceRead() {
+  // The kernel resets a connection that is closed with input, and the client
+  // might lose the answer.
+  if (!has_discarded_input_ && !stream_.HasUnreadInput()) {
+    Close();
+    return;
+  }
+  stream_.EndOutput();
+  ArmTimer(kMaxRefusedInputTime);
 }
 
 void InboundConnection::OnPeerClosed() { Close(); }
--- a/unittests/Http1/inbound_connection_test.cc
+++ b/unittests/Http1/inbound_connection_test.cc
@@ -122,6 +122,8 @@
   const std::string got = Receive();
   EXPECT_EQ(got.find("HTTP/1.1 400"), 0U);
   EXPECT_EQ(got.find("HTTP/1.1", 1), std::string::npos);
+  CloseClientSocket();
+  RunFor(milliseconds(30));
   EXPECT_TRUE(requests_.empty());
   EXPECT_TRUE(closed_);
 }
@@ -133,6 +135,8 @@
   Send("GET /late HTTP/1.1\r\n");
   const std::string got = Receive(milliseconds(120));
   EXPECT_EQ(got.find("HTTP/1.1 408"), 0U);
+  // The client does not close the connection.
+  RunFor(milliseconds(1100));
   EXPECT_TRUE(requests_.empty());
   EXPECT_TRUE(closed_);
 }
--- a/unittests/Http1/inbound_server_test.cc
+++ b/unittests/Http1/inbound_server_test.cc
@@ -56,5 +56,40 @@
   EXPECT_TRUE(response.starts_with("HTTP/1.1 413 ")) << response;
 }
 
+// Guards against a refusal that is lost: a connection that was closed with
+// unread input was reset, and its client may drop what it has not read yet.
+TEST(InboundServerTest, RefusedConnectionEndsInOrder) {
+  EventLoop loop;
+  const Address address = FreeAddress();
+  InboundServer server(loop, 10, [](const auto&) {});
+  ASSERT_TRUE(server.Listen(address));
+  std::string response;
+  int error = 0;
+  std::atomic<bool> ended{false};
+  std::thread client([&] {
+    const int fd = ConnectTo(address);
+    const std::string text =
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+        "chunked\r\n\r\nx\r\n" +
+        std::string(100000, 'x');
+    send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+    char buffer[4096];
+    ssize_t n = 0;
+    while ((n = read(fd, buffer, sizeof(buffer))) > 0) {
+      response.append(buffer, static_cast<size_t>(n));
+    }
+    error = n < 0 ? errno : 0;
+    close(fd);
+    ended = true;
+  });
+  const EventHandle stop = loop.Every(milliseconds(10), [&] {
+    if (ended) loop.Stop();
+  });
+  loop.Run();
+  client.join();
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 400 ")) << response;
+  EXPECT_EQ(error, 0) << strerror(error);
+}
+
 }  // namespace
 }  // namespace corianderlink
