[Gateway] Continue no plain answer with another upstream's

Cause: a retry did not look at whether the client already had a part of a plain answer, which it has beyond 256 KiB. Ruled out: answers that are handed over by a peer; ForwardTask checks this.

Change: a plain answer that has begun allows no further run. It is completed by its own upstream, or the connection is reset.

--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -196,6 +196,9 @@
 
 bool RelayTask::IsRunAllowed(Time now, Verdict verdict) {
   if (DeadlineLeftMs(now) < kMinAttemptMs) return false;
+  // Only a stream can go on with the events of another run.
+  const bool has_partial_body = exchange_->response_started() && !is_stream();
+  if (has_partial_body) return false;
   if (verdict != Verdict::kNotRun) {
     if (!route_.idempotent() || possible_runs_ >= route_.max_runs) return false;
     if (context_.quarantine.IsSuspect(Suspects())) return false;
