[Gateway] Cut no request without an answer at the end of a planned stop

It can happen here: a request whose rest comes after the gateway has stopped to accept connections was taken at any time, and whatever was in progress at the end was cut.

Change: requests in progress are answered 0.3 s before the process ends, with 503 if no upstream can have run them, else 504; later ones than the last connections are refused at once with 503 and Retry-After: 0. Requests that are handed to peers and by peers do the same.

--- a/include/corianderlink/Gateway/forward_task.h
+++ b/include/corianderlink/Gateway/forward_task.h
@@ -82,6 +82,9 @@
   /// Ends the request without a response of a peer.
   void Fail(const std::string& reason);
   void OnDeadline();
+  void OnProcessEnding();
+  /// Ends a request that its peer has not answered in time.
+  void EndUnanswered(const std::string& reason);
   void OnClientDisconnected();
   void EndCall();
   void Finish(const char* result, int status, const std::string& reason);
--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -69,9 +69,10 @@
   void Reload(const GatewaySettings& settings);
   /// Begins a graceful shutdown, in which requests in progress are completed.
   /// The directory no longer lists this gateway, which accepts connections
-  /// until cached directory responses have expired.  Stops the loop when all
-  /// client connections are closed, or shortly before the end of the grace
-  /// period.
+  /// until cached directory responses have expired and refuses requests from
+  /// then on.  Stops the loop when all client connections are closed, or shortly
+  /// before the end of the grace period; requests that are still in progress
+  /// are answered before.
   void BeginShutdown();
 
   /// Handles records of the configuration that were read from the store.
@@ -282,6 +283,8 @@
   // Highest fencing token of role orders that any gateway has told of.
   FencingToken highest_fencing_ = 0;
   bool shutting_down_ = false;
+  // In a shutdown, once no new client connections are accepted.
+  bool refuses_requests_ = false;
   Time shutdown_began_at_{};
   EventHandle housekeeping_;
   EventHandle shutdown_timer_;
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -218,6 +218,9 @@
   /// Responds 503 to a request that has not run and never can.
   void RefuseForGood(const std::string& reason);
   void OnDeadline();
+  void OnProcessEnding();
+  /// Ends a request that its upstream has not answered in time.
+  void EndUnanswered(const std::string& reason);
   /// Moves an idempotent request whose upstream makes no progress to another
   /// upstream.  A stream is moved only once its upstream is known to work or to
   /// be gone.
--- a/include/corianderlink/Http1/inbound_connection.h
+++ b/include/corianderlink/Http1/inbound_connection.h
@@ -52,6 +52,8 @@
   /// Lets an idle connection stay open for the present idle timeout, if that is
   /// longer than the one that it was given.
   void ExtendIdleTime(Time now);
+  /// The request in progress, if any.
+  const std::shared_ptr<InboundExchange>& exchange() const { return exchange_; }
   /// Closes the connection immediately, also during a response.
   void Close();
 
--- a/include/corianderlink/Http1/inbound_exchange.h
+++ b/include/corianderlink/Http1/inbound_exchange.h
@@ -52,6 +52,8 @@
 
   /// Called once if the client disconnects before the response is complete.
   std::function<void()> on_client_disconnected;
+  /// Called if the process ends soon: the request has to be answered now.
+  std::function<void()> on_process_ending;
   /// Called when all response data written so far was handed to the kernel.
   std::function<void()> on_drained;
 
--- a/include/corianderlink/Http1/inbound_server.h
+++ b/include/corianderlink/Http1/inbound_server.h
@@ -34,6 +34,8 @@
   void CloseAfterResponses() { shutting_down_ = true; }
   void StopListening();
   void CloseIdleConnections();
+  /// Has the requests in progress answered, as the process ends soon.
+  void EndRequests();
   /// Number of open client connections.
   size_t connections() const { return connections_.size(); }
 
--- a/lib/Gateway/forward_task.cc
+++ b/lib/Gateway/forward_task.cc
@@ -37,6 +37,7 @@
   forwarded_.exchange->on_client_disconnected = [self] {
     self->OnClientDisconnected();
   };
+  forwarded_.exchange->on_process_ending = [self] { self->OnProcessEnding(); };
   deadline_timer_ = context_.loop.After(
       std::max(Duration::zero(), forwarded_.deadline + kDeadlineMargin - now),
       [self] { self->OnDeadline(); });
@@ -307,11 +308,18 @@
 }
 
 void ForwardTask::OnDeadline() {
-  if (finished_) return;
+  if (!finished_) EndUnanswered("time ran out");
+}
+
+void ForwardTask::OnProcessEnding() {
+  if (!finished_) EndUnanswered("the gateway stops");
+}
+
+void ForwardTask::EndUnanswered(const std::string& reason) {
   if (call_) call_->Cancel();
   EndCall();
   forwarded_.may_have_run = true;
-  Fail("time ran out");
+  Fail(reason);
 }
 
 void ForwardTask::OnClientDisconnected() {
@@ -333,6 +341,7 @@
   retry_timer_.Reset();
   InboundExchange& exchange = *forwarded_.exchange;
   exchange.on_client_disconnected = nullptr;
+  exchange.on_process_ending = nullptr;
   exchange.on_drained = nullptr;
   const double elapsed_ms = ToMillis(BootClock::now() - exchange.received_at());
   Log(LogLevel::kInfo, "request_done",
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -21,6 +21,8 @@
 constexpr Duration kShutdownPollInterval = milliseconds(100);
 // The process ends at the latest this long before the end of the grace period.
 constexpr Duration kShutdownMargin = milliseconds(700);
+// Requests that are still in progress are answered this long before that.
+constexpr Duration kAnswerTime = milliseconds(300);
 // Retry-After time sent to clients until the configuration is loaded.
 constexpr Duration kNotReadyRetryAfter = milliseconds(300);
 
@@ -294,6 +296,8 @@
   const auto refuse = [&](int status, const char* reason) {
     std::optional<Duration> retry_after;
     if (status == 503) retry_after = kNotReadyRetryAfter;
+    // Another gateway serves it at once.
+    if (refuses_requests_) retry_after = Duration::zero();
     Log(LogLevel::kInfo, "request_done",
         {{"request", request.id.value()},
          {"result", "refused"},
@@ -304,6 +308,10 @@
     exchange->SendResponse(
         status, codecs_.relay.encode_error_fields(request.id, retry_after), "");
   };
+  if (refuses_requests_) {
+    refuse(503, "the gateway stops");
+    return;
+  }
   const std::shared_ptr<const GatewayConfig> config = record_cache_.config();
   if (!CanServe(BootClock::now())) {
     refuse(503, "no configuration or upstream list loaded yet");
@@ -422,10 +430,14 @@
   // gateway listens until then, but for at most half of its time.
   const Duration directory_cache_time = kMaxTtlOverrunFactor * kDirectoryTtl;
   if (elapsed >= std::min(directory_cache_time, time_limit / 2)) {
-    client_server_.StopListening();
-    client_server_.CloseIdleConnections();
-    forward_server_.StopListening();
-    forward_server_.CloseIdleConnections();
+    // What comes from now on, on a connection whose request was incomplete, may
+    // not be finished in time.
+    refuses_requests_ = true;
+    for (InboundServer* server : {&client_server_, &forward_server_}) {
+      server->StopListening();
+      server->CloseIdleConnections();
+      if (elapsed >= time_limit - kAnswerTime) server->EndRequests();
+    }
     const size_t connections =
         client_server_.connections() + forward_server_.connections();
     if (connections == 0 || elapsed >= time_limit) {
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -51,6 +51,7 @@
   objective_deadline_ =
       exchange_->received_at() + route_.objective - prior_wait;
   exchange_->on_client_disconnected = [self] { self->OnClientDisconnected(); };
+  exchange_->on_process_ending = [self] { self->OnProcessEnding(); };
   deadline_timer_ =
       context_.loop.After(std::max(Duration::zero(), deadline_ - now),
                           [self] { self->OnDeadline(); });
@@ -400,6 +401,7 @@
   stall_timer_.Reset();
   placement_timer_.Reset();
   exchange_->on_client_disconnected = nullptr;
+  exchange_->on_process_ending = nullptr;
   exchange_->on_drained = nullptr;
 }
 
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -262,26 +262,33 @@
 
 void RelayTask::OnDeadline() {
   if (finished_) return;
-  if (call_) call_->Cancel();
-  call_.reset();
-  const Time now = BootClock::now();
   if (placement_ && dispatch_ != 0) {
-    context_.placer.OnFailure(now, placement_->upstream);
+    context_.placer.OnFailure(BootClock::now(), placement_->upstream);
   }
+  EndUnanswered("time ran out");
+}
+
+void RelayTask::OnProcessEnding() {
+  if (!finished_) EndUnanswered("the gateway stops");
+}
+
+void RelayTask::EndUnanswered(const std::string& reason) {
+  if (call_) call_->Cancel();
+  call_.reset();
   EndDispatch();
   ReleaseKvHandle();
   if (exchange_->response_started()) {
     exchange_->Abort();
-    Finish("cut", 0, "time ran out");
+    Finish("cut", 0, reason);
     return;
   }
   if (possible_runs_ == 0) {
-    Refuse("time ran out", std::nullopt);
+    Refuse(reason, std::nullopt);
     return;
   }
   exchange_->SendResponse(
       504, context_.codec.encode_error_fields(request_.id, {}), "");
-  Finish("failed", 504, "time ran out");
+  Finish("failed", 504, reason);
 }
 
 void RelayTask::ArmStallTimer() {
--- a/lib/Http1/inbound_server.cc
+++ b/lib/Http1/inbound_server.cc
@@ -79,6 +79,18 @@
   }
 }
 
+void InboundServer::EndRequests() {
+  std::vector<std::shared_ptr<InboundExchange>> open;
+  for (const auto& [key, connection] : connections_) {
+    if (connection->exchange()) open.push_back(connection->exchange());
+  }
+  for (const auto& exchange : open) {
+    // Copied, as the callback may replace itself.
+    const auto on_process_ending = exchange->on_process_ending;
+    if (on_process_ending) on_process_ending();
+  }
+}
+
 void InboundServer::CloseIdleConnections() {
   std::vector<InboundConnection*> idle;
   for (const auto& [key, connection] : connections_) {
--- /dev/null
+++ b/unittests/Gateway/planned_stop_test.cc
@@ -0,0 +1,102 @@
+// Requests that come late in a planned stop, and those that it would cut.
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "Gateway/gateway_test_harness.h"
+
+namespace corianderlink {
+namespace {
+
+/// A client that sends a request in pieces.
+class PieceClient {
+ public:
+  explicit PieceClient(const Address& to) {
+    fd_ = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(to.port);
+    connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  }
+  ~PieceClient() { close(fd_); }
+  PieceClient(const PieceClient&) = delete;
+  PieceClient& operator=(const PieceClient&) = delete;
+
+  void Send(const std::string& piece) const {
+    ASSERT_EQ(send(fd_, piece.data(), piece.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(piece.size()));
+  }
+  std::string Receive() const {
+    char buffer[4096];
+    const ssize_t n = recv(fd_, buffer, sizeof(buffer), MSG_DONTWAIT);
+    return {buffer, static_cast<size_t>(std::max<ssize_t>(n, 0))};
+  }
+
+ private:
+  int fd_ = -1;
+};
+
+class PlannedStopTest : public ::testing::Test {
+ protected:
+  PlannedStopTest() { harness_.Configure(); }
+  /// Runs the gateway until its stop is complete, and the client for a moment.
+  void FinishStop() {
+    harness_.loop.Run();
+    harness_.RunFor(milliseconds(50));
+  }
+
+  GatewayTestHarness harness_;
+};
+
+// Guards against requests that are cut without an answer at the end of the grace
+// period, among them those that must not be repeated.
+TEST_F(PlannedStopTest, RequestInProgressAtTheEndGetsAnAnswer) {
+  FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
+  const auto result = harness_.Send("POST", "/unsafe/1", {}, "b");
+  harness_.RunFor(milliseconds(50));
+  harness_.gateway().BeginShutdown();
+  FinishStop();
+  EXPECT_EQ(upstream.requests.size(), 1U);
+  EXPECT_TRUE(result->complete);
+  EXPECT_EQ(result->status, 504);
+}
+
+// Guards against requests that are taken late in the grace period and passed on,
+// though they may not be finished.
+TEST_F(PlannedStopTest, RequestThatComesLateIsRefusedAtOnce) {
+  FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
+  const PieceClient client(harness_.front);
+  client.Send("POST /unsafe/1 HTTP/1.1\r\nHost: h.example\r\n");
+  harness_.RunFor(milliseconds(50));
+  harness_.gateway().BeginShutdown();
+  // New connections are accepted for half of the grace period at most.
+  harness_.RunFor(milliseconds(900));
+  client.Send("Request-Id: r1\r\nContent-Length: 1\r\n\r\nb");
+  harness_.RunFor(milliseconds(50));
+  const std::string answer = client.Receive();
+  EXPECT_EQ(answer.find("HTTP/1.1 503"), 0U) << answer;
+  EXPECT_NE(answer.find("Retry-After: 0.000"), std::string::npos) << answer;
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+  EXPECT_TRUE(upstream.requests.empty());
+}
+
+// What was taken early and ends in time is served.
+TEST_F(PlannedStopTest, RequestThatEndsInTimeIsServed) {
+  FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
+  const auto result = harness_.Send("POST", "/unsafe/1", {}, "b");
+  harness_.RunFor(milliseconds(50));
+  harness_.gateway().BeginShutdown();
+  harness_.RunFor(milliseconds(800));
+  ASSERT_EQ(upstream.requests.size(), 1U);
+  upstream.requests[0]->SendResponse(
+      200, FakeUpstream::Signed(upstream.requests[0]), "done");
+  FinishStop();
+  EXPECT_EQ(result->status, 200);
+  EXPECT_EQ(result->body, "done");
+}
+
+}  // namespace
+}  // namespace corianderlink
