[Serving] Refuse late requests in a planned stop of an entry

Change: from then on requests are refused with 503, not run.

Before: EntryServerTest.LateRequestIsRefusedInAPlannedStop fails (taken). After: 3 of 3 tests of EntryServerTest.

--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -156,6 +156,12 @@
 }
 
 std::optional<ClientAccount> EntryServer::Admit(const Exchange& exchange) {
+  if (stop_began_ != Time{} && IsForgotten(BootClock::now())) {
+    Reply(exchange, 503, "Stopping",
+          Outcome::NotRun("this entry stops; use another entry"),
+          Duration::zero());
+    return std::nullopt;
+  }
   if (!node_.MayServe(BootClock::now())) {
     Reply(exchange, 503, "Not in touch",
           Outcome::NotRun("this entry is cut off from its peers and the table "
@@ -481,13 +487,17 @@
       node_.loop().Every(kStopPollInterval, [this] { StopIfDrained(); });
 }
 
-void EntryServer::StopIfDrained() {
+bool EntryServer::IsForgotten(Time now) const {
   const Duration cache_time =
       node_.settings().timing.directory_keep + kDirectoryCacheMargin;
-  if (BootClock::now() - stop_began_ < cache_time) return;
+  return now - stop_began_ >= cache_time;
+}
+
+void EntryServer::StopIfDrained() {
+  const Time now = BootClock::now();
+  if (!IsForgotten(now)) return;
   const size_t in_flight =
       scheduler_.in_flight() + dispatcher_.in_flight() + jobs_.running();
-  const Time now = BootClock::now();
   if (in_flight > 0 || drained_ == Time{}) drained_ = now;
   if (in_flight > 0) return;
   if (server_.unsent_answers() > 0 && now - drained_ < kMaxUnsentTime) return;
--- a/unittests/Serving/entry_server_test.cc
+++ b/unittests/Serving/entry_server_test.cc
@@ -91,6 +91,31 @@
   EXPECT_GE(received, kAnswerBytes);
 }
 
+// Guards against requests that are taken late in a planned stop: steady traffic
+// on open connections kept the process until it was killed, with calls in
+// progress.
+TEST_F(EntryServerTest, LateRequestIsRefusedInAPlannedStop) {
+  const Address address = entry_.node.settings().entry.listen;
+  const int late = SendAsSlowReader(address, "GET /v1/services/s/x HTTP/1.1\r\n");
+  entry_.RunUntil(milliseconds(100), [] { return false; });
+  server_->BeginStop();
+  // No client knows the address from then on.
+  entry_.RunUntil(milliseconds(1050), [] { return false; });
+  answered_ = false;
+  const std::string rest = "Host: h\r\n\r\n";
+  ASSERT_EQ(send(late, rest.data(), rest.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(rest.size()));
+  entry_.RunUntil(milliseconds(200), [this] { return answered_; });
+  char buffer[4096];
+  const ssize_t n = recv(late, buffer, sizeof(buffer), MSG_DONTWAIT);
+  const std::string answer(buffer, static_cast<size_t>(std::max<ssize_t>(n, 0)));
+  EXPECT_EQ(answer.find("HTTP/1.1 503"), 0U) << answer;
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+  EXPECT_FALSE(answered_);
+  close(late);
+  close(client_);
+}
+
 TEST_F(EntryServerTest, ClientThatLeftDelaysNoPlannedStop) {
   server_->BeginStop();
   const Time began = BootClock::now();
