[Soak] End the gateways of a play that is ended from outside

A soak that was killed left its gateways behind, which held ports that later plays took. SIGTERM ends the play like an error does.

--- a/utils/soak.py
+++ b/utils/soak.py
@@ -506,6 +506,8 @@
 
 
 def main():
+    # Ended from outside, a play ends its gateways as well.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=6)
     parser.add_argument("--first", type=int, default=1)
