--- a/utils/soak.py
+++ b/utils/soak.py
@@ -42,6 +42,9 @@
 # stop for moments, gateways that are replaced by another build and back, and
 # clients that keep addresses.
 FIRST_BUILDS_SEED = 6000
+# From here on also plain answers of several hundred kilobytes, clients that pause
+# while they read them, and answers that come twice, the second time late.
+FIRST_LONG_SEED = 7000
 # A rate limit is judged in windows of this length.
 WINDOW_S = 4.0
 # Time in which a change is in force; gateways answer for it again this long
@@ -84,11 +87,15 @@
             kinds += 6 * [self.still]
         if seed >= FIRST_BUILDS_SEED:
             kinds += 5 * [self.upgrade, self.stutter, self.hush]
+            if seed >= FIRST_LONG_SEED:
+                self.upstream_troubles = stand_ins.Upstream.long_troubles
             # Two of three seeds play little that excuses a lost request.
             if seed % 3:
                 kinds = [k for k in kinds if k in self.planned]
             if seed % 3 == 1:
                 kinds += 5 * [self.stutter]
+            if seed >= FIRST_LONG_SEED:
+                kinds += 4 * [self.still, self.upstream]
         if only:
             kinds = [getattr(self, only)]
         self.broken = []
@@ -442,6 +449,7 @@
         world.knows_forward(program)
         for program in (world.PROGRAM, deployment.earlier_program))
     deployment.keeps_connections = seed >= FIRST_STILL_SEED
+    deployment.long_answers = seed >= FIRST_LONG_SEED
     callers = clients.Clients(deployment)
     faults = Faults(deployment, callers, length_s, seed, only)
     peak = [0]
--- a/utils/soak_lib/checks.py
+++ b/utils/soak_lib/checks.py
@@ -61,7 +61,7 @@
         if (run.method, run.target, run.body) != (
                 request.method, request.target, request.body):
             broken.append("UNASKED %s was changed" % name)
-    once = request.kind in ("unsafe", "once")
+    once = request.kind in ("unsafe", "once", "far_once")
     if once and len(runs) > 1:
         broken.append("TWICE %s ran %d times" % (name, len(runs)))
     if once and request.status in PROMISES and runs:
@@ -91,8 +91,9 @@
                 (name, request.status, statuses)]
     if request.status != 200:
         return []
-    if request.kind in ("unsafe", "safe"):
-        whole = stand_ins.body_of(request.identity)
+    if request.kind not in ("stream", "once"):
+        whole = stand_ins.body_of(request.identity,
+                                  request.kind in world.LONG_ROUTES)
         rule = "MIXED"
     else:
         whole = clients.whole_stream(request)
@@ -127,7 +128,7 @@
     if troubled(request.began - SETTLED_S, request.ended):
         return []
     # The time of its route was up.
-    limit_s = world.ROUTES[request.kind]["timeout_ms"] / 1000
+    limit_s = world.route_of(request.kind)["timeout_ms"] / 1000
     if request.ended - request.began > MIN_TIMEOUT_FACTOR * limit_s - 0.1:
         return []
     # A request that crosses the close of an idle connection was not read.
--- a/utils/soak_lib/clients.py
+++ b/utils/soak_lib/clients.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import json
+import socket
 import time
 
 from . import http1, stand_ins, world
 
-KINDS = list(world.ROUTES)
 MAX_RESUMPTIONS = 3
 
 
@@ -63,6 +63,10 @@
         return idle < idle_s * IDLE_SHARE and not ended
 
 
+# A client with a small window reads nothing for a time within its answer: what
+# follows is longer than the gateway's buffers.
+PAUSING_SHARE, PAUSE_S, SMALL_WINDOW = 0.25, (2.2, 3.0), 16 * 1024
+
 # Clients that keep the directory's answers, and for how many times its TTL.
 KEEPERS, KEPT_TTLS = 12, (1, 3)
 MAX_CONNECTS = 5
@@ -95,7 +99,7 @@
 
     async def session(self):
         """A request, repeated once as clients may."""
-        kind = self.random.choice(KINDS)
+        kind = self.random.choice(list(self.world.routes()))
         request = await self.attempt(kind)
         if self.world.resumes and kind == "stream":
             await self.resume(request)
@@ -172,9 +176,10 @@
     async def attempt(self, kind, item="x", begun_by=None, after=0):
         self.count += 1
         identity = "%016x" % (self.count * 0x9e3779b97f4a7c15 % 2 ** 64)
-        route = world.ROUTES[kind]
-        method = "GET" if kind == "safe" else "POST"
-        body = b"" if kind == "safe" else b"body of " + identity.encode()
+        route = world.route_of(kind)
+        repeatable = route["kind"] == "safe"
+        method = "GET" if repeatable else "POST"
+        body = b"" if repeatable else b"body of " + identity.encode()
         if item != "x":
             body = b""
         request = Request(identity, kind, method, route["prefix"] + item, body)
@@ -227,12 +232,15 @@
             reader, writer, port = kept.reader, kept.writer, kept.port
         else:
             reader, writer, port = await self.connect(port)
+            if request.kind in world.LONG_ROUTES:
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_WINDOW)
         request.gateway = next(gateway for gateway in self.world.gateways
                                if gateway.front == port)
         keep = False
         try:
             fields = {"Host": world.HOST, "Request-Id": request.identity,
-                      "Deadline-Ms": str(world.ROUTES[request.kind]
+                      "Deadline-Ms": str(world.route_of(request.kind)
                                          ["timeout_ms"])}
             if request.kind in ("stream", "once"):
                 own = "%x" % self.random.getrandbits(32)
@@ -249,6 +257,9 @@
             request.signer = answer.get("server-stamp")
             if "retry-after" in answer:
                 request.refused_for_s = float(answer["retry-after"])
+            if request.kind in world.LONG_ROUTES:
+                if self.random.random() < PAUSING_SHARE:
+                    await asyncio.sleep(self.random.uniform(*PAUSE_S))
             if "chunked" not in answer.get("transfer-encoding", ""):
                 request.answer = await http1.read_body(reader, answer)
                 request.complete = True
--- a/utils/soak_lib/stand_ins.py
+++ b/utils/soak_lib/stand_ins.py
@@ -214,12 +214,14 @@
     cut (cuts within a stream's event), extra (bytes after an answer), full
     (refuses everything), unsigned (a success that bears no signature), other
     (the answer of another request comes first), pause (refuses and asks for no
-    requests for a time), endless (bytes that are no answer, without end).
+    requests for a time), endless (bytes that are no answer, without end), again
+    (a plain answer comes twice, the second time late).
     """
 
     troubles = ["mute", "grey", "slow", "lost", "cut", "extra", "full",
                 "unsigned", "other"]
     later_troubles = ["pause", "endless"]
+    long_troubles = ["again", "cut"]
     # Time without requests that a paused upstream asks for.
     PAUSE_S = 1.5
 
@@ -386,10 +388,15 @@
         if self.trouble == "other":
             self.send(writer, reply(200, b"another's", Request_Id="0" * 16,
                                Server_Stamp=self.identity))
+        if run.target.startswith(LONG):
+            return await self.send_long(run, writer, gone, pace)
         if "token-count" not in fields:
             answer = reply(200, body_of(run.request), Request_Id=run.request,
                            Server_Stamp=self.identity)
             self.send(writer, answer + (b"junk" if self.trouble == "extra" else b""))
+            if self.trouble == "again":
+                asyncio.get_running_loop().call_later(
+                    AGAIN_S, self.write_late, writer, answer)
             return await self.settle(gone, writer)
         self.send(writer, b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                      b"Transfer-Encoding: chunked\r\n" +
@@ -397,6 +404,28 @@
                       (run.request, self.identity)).encode())
         return await self.stream(run, writer, fields, gone, EVENT_PAUSE_S * pace)
 
+    @staticmethod
+    def write_late(writer, answer):
+        if not writer.is_closing():
+            writer.write(answer)
+
+    async def send_long(self, run, writer, gone, pace):
+        """A plain answer in parts; trouble `cut` breaks it off."""
+        body = body_of(run.request, long=True)
+        self.send(writer, (
+            "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n" %
+            (run.request, self.identity)).encode())
+        part = len(body) // LONG_PARTS
+        for at in range(0, len(body), part):
+            if self.trouble == "cut" and at > len(body) / 2:
+                return False
+            writer.write(http1.chunk(body[at:at + part]))
+            if await self.ended_within(gone, LONG_PAUSE_S * pace):
+                return False
+        writer.write(http1.chunk(b""))
+        return await self.settle(gone, writer)
+
     async def stream(self, run, writer, fields, gone, pause_s):
         first = int(fields.get("last-event-id", 0)) + 1
         for event in range(first, EVENTS + 1):
@@ -432,8 +461,16 @@
 EVENT_PAUSE_S = 0.12
 
 
-def body_of(request):
-    return ("answer to %s\n" % request).encode() * 20
+# Beginnings of the targets with long answers; an answer has so many parts, with
+# this time between them.
+LONG, LONG_LINES, LONG_PARTS, LONG_PAUSE_S = ("/far/", "/buy/"), 30000, 12, 0.03
+# An answer that comes twice comes so late.
+AGAIN_S = 0.3
+
+
+def body_of(request, long=False):
+    """540 or 810,000 bytes."""
+    return ("answer to %s\n" % request).encode() * (LONG_LINES if long else 20)
 
 
 def event_of(request, event, version):
--- a/utils/soak_lib/world.py
+++ b/utils/soak_lib/world.py
@@ -34,6 +34,19 @@
 }
 
 
+# Plain answers of several hundred kilobytes; part of the later tiers only.
+LONG_ROUTES = {
+    "far": {"prefix": "/far/", "kind": "safe", "service": "shop",
+            "attempts": 2, "timeout_ms": 7000, "slo_ms": 150},
+    "far_once": {"prefix": "/buy/", "kind": "unsafe", "service": "shop",
+                 "attempts": 1, "timeout_ms": 7000, "slo_ms": 150},
+}
+
+
+def route_of(kind):
+    return ROUTES.get(kind) or LONG_ROUTES[kind]
+
+
 # Ports of this process, below those that the system gives to connections: a
 # gateway that is down for a while finds its ports free again.
 FIRST_PORT, PORTS, PORTS_EACH = 12000, 20000, 400
@@ -194,6 +207,8 @@
         self.stoppable = False
         # The build that gateways are upgraded from.
         self.earlier_program = PROGRAM
+        # Some answers are long, and some clients pause while they read them.
+        self.long_answers = False
         # The shortest time for which a client may leave a connection idle.
         self.idle_s = 15
         # When upstreams ended under a lethal request.
@@ -222,11 +237,14 @@
             gateway.start()
             self.gateways.append(gateway)
 
+    def routes(self):
+        return {**ROUTES, **LONG_ROUTES} if self.long_answers else ROUTES
+
     def put_config(self, timeout_factor=1.0, idle_s=15):
         self.idle_s = idle_s
         self.config_version += self.random.randint(1, 5)
         routes = []
-        for name, route in ROUTES.items():
+        for name, route in self.routes().items():
             routes.append(dict(route, name="r-" + name, host=HOST, priority=0,
                                timeout_ms=route["timeout_ms"] * timeout_factor,
                                sticky=route["kind"] == "stream"))
