--- a/include/corianderlink/Http/closed_window_watch.h
+++ b/include/corianderlink/Http/closed_window_watch.h
@@ -13,9 +13,9 @@
 /// window, and sets it again afterwards.
 ///
 /// The option is for peers that acknowledge nothing, but it also ends a
-/// connection whose peer acknowledges each probe of a closed window: one that is
-/// paused, or reads more slowly than it is sent to.  How long such a peer may
-/// take is for the owner's own time limits.
+/// connection whose peer acknowledges each probe of a closed window: one that
+/// is paused, or reads more slowly than it is sent to.  How long such a peer
+/// may take is for the owner's own time limits.
 ///
 /// Looks at the connection only while sent data is outstanding.
 class ClosedWindowWatch {
--- a/include/corianderlink/Http/dead_peer_detection.h
+++ b/include/corianderlink/Http/dead_peer_detection.h
@@ -7,8 +7,8 @@
 
 namespace corianderlink {
 
-/// A connection fails if sent data stays unacknowledged for this long, or if its
-/// peer's receive window stays closed (see ClosedWindowWatch).
+/// A connection fails if sent data stays unacknowledged for this long, or if
+/// its peer's receive window stays closed (see ClosedWindowWatch).
 constexpr milliseconds kTcpUserTimeout{2000};
 /// TCP keep-alive: time without traffic before the first probe, time between
 /// probes, and number of unanswered probes after which a connection fails.
--- a/unittests/Authority/lease_restore_test.cc
+++ b/unittests/Authority/lease_restore_test.cc
@@ -181,8 +181,8 @@
   return 0;
 }
 
-// Guards against a fencing token that two machines use: the row of the lease was
-// lost with a restore, and no process remembered its token.
+// Guards against a fencing token that two machines use: the row of the lease
+// was lost with a restore, and no process remembered its token.
 TEST(LeaseRestoreTest, TokensGrowThoughTheRowAndAllProcessesAreLost) {
   std::mt19937 random(20261205);
   RestorableTable table;
--- a/unittests/Gateway/planned_stop_test.cc
+++ b/unittests/Gateway/planned_stop_test.cc
@@ -51,8 +51,8 @@
   GatewayTestHarness harness_;
 };
 
-// Guards against requests that are cut without an answer at the end of the grace
-// period, among them those that must not be repeated.
+// Guards against requests that are cut without an answer at the end of the
+// grace period, among them those that must not be repeated.
 TEST_F(PlannedStopTest, RequestInProgressAtTheEndGetsAnAnswer) {
   FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
   const auto result = harness_.Send("POST", "/unsafe/1", {}, "b");
@@ -64,8 +64,8 @@
   EXPECT_EQ(result->status, 504);
 }
 
-// Guards against requests that are taken late in the grace period and passed on,
-// though they may not be finished.
+// Guards against requests that are taken late in the grace period and passed
+// on, though they may not be finished.
 TEST_F(PlannedStopTest, RequestThatComesLateIsRefusedAtOnce) {
   FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
   const PieceClient client(harness_.front);
--- a/unittests/Http/http_server_test.cc
+++ b/unittests/Http/http_server_test.cc
@@ -64,7 +64,7 @@
   void SendAll(const RawClient& client, const std::string& text) {
     size_t sent = 0;
     for (int i = 0; i < 200 && sent < text.size(); ++i) {
-      sent += client.Send(std::string_view(text).substr(sent));
+      sent += client.Send(std::string_view{text}.substr(sent));
       RunFor(milliseconds(10));
     }
   }
@@ -118,8 +118,7 @@
   for (const char* begin : {"5;x=", "0\r\nX-Trace: "}) {
     const RawClient client(address_);
     client.Send(std::string(kChunkedPost) + begin);
-    EXPECT_LT(SendWithoutEnd(client, block, seconds(2)), kMostBytes)
-        << begin;
+    EXPECT_LT(SendWithoutEnd(client, block, seconds(2)), kMostBytes) << begin;
   }
   EXPECT_TRUE(bodies_.empty());
 }
--- a/unittests/Http1/paused_reader_test.cc
+++ b/unittests/Http1/paused_reader_test.cc
@@ -94,7 +94,8 @@
     std::this_thread::sleep_for(kPause);
     char buffer[64 * 1024];
     ssize_t n = 0;
-    while (received < kBodyBytes && (n = read(fd, buffer, sizeof(buffer))) > 0) {
+    while (received < kBodyBytes &&
+           (n = read(fd, buffer, sizeof(buffer))) > 0) {
       received += static_cast<size_t>(n);
     }
     const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
--- a/unittests/Serving/entry_server_test.cc
+++ b/unittests/Serving/entry_server_test.cc
@@ -96,7 +96,8 @@
 // progress.
 TEST_F(EntryServerTest, LateRequestIsRefusedInAPlannedStop) {
   const Address address = entry_.node.settings().entry.listen;
-  const int late = SendAsSlowReader(address, "GET /v1/services/s/x HTTP/1.1\r\n");
+  const int late =
+      SendAsSlowReader(address, "GET /v1/services/s/x HTTP/1.1\r\n");
   entry_.RunUntil(milliseconds(100), [] { return false; });
   server_->BeginStop();
   // No client knows the address from then on.
@@ -108,7 +109,8 @@
   entry_.RunUntil(milliseconds(200), [this] { return answered_; });
   char buffer[4096];
   const ssize_t n = recv(late, buffer, sizeof(buffer), MSG_DONTWAIT);
-  const std::string answer(buffer, static_cast<size_t>(std::max<ssize_t>(n, 0)));
+  const std::string answer(buffer,
+                           static_cast<size_t>(std::max<ssize_t>(n, 0)));
   EXPECT_EQ(answer.find("HTTP/1.1 503"), 0U) << answer;
   EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
   EXPECT_FALSE(answered_);
