[Gateway] Read in the answers to probes that an upstream leaves

No gateway had logged such an answer; answers to probes were not read for the notice.

Change: the answers to probes of stalled and crashed upstreams and to samples of reachability are read like those to requests. A probe that is cancelled before its answer comes learns nothing, as before.

Before: GatewayTest.UpstreamThatSaysInAProbeThatItLeavesGetsNoRequests fails with the one assignment taken out (502 and a second run).

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -70,9 +70,9 @@
   /// Begins a graceful shutdown, in which requests in progress are completed.
   /// The directory no longer lists this gateway, which accepts connections
   /// until cached directory responses have expired and refuses requests from
-  /// then on.  Stops the loop when all client connections are closed, or shortly
-  /// before the end of the grace period; requests that are still in progress
-  /// are answered before.
+  /// then on.  Stops the loop when all client connections are closed, or
+  /// shortly before the end of the grace period; requests that are still in
+  /// progress are answered before.
   void BeginShutdown();
 
   /// Handles records of the configuration that were read from the store.
@@ -179,6 +179,9 @@
   /// True if a peer has had responses of the service's upstreams since this
   /// gateway could not reach them.
   bool IsOwnLinkBroken(Time now, const ServiceId& service) const;
+  /// Takes note of an upstream that says in the answer to a probe that it
+  /// leaves.
+  void OnProbeAnswer(const UpstreamRecord& upstream, const ResponseHead& head);
   void OnSuspectFailure(Time now, const UpstreamRecord& upstream,
                         const Outcome& outcome);
   /// Takes the samples of connections that are due.
--- a/include/corianderlink/Gateway/reachability_sampler.h
+++ b/include/corianderlink/Gateway/reachability_sampler.h
@@ -38,6 +38,9 @@
              std::vector<const UpstreamRecord*> upstreams, size_t most,
              const std::string& health_path, Done done);
 
+  /// Receives the head of each answer: the upstream may say that it leaves.
+  std::function<void(const UpstreamRecord&, const ResponseHead&)> on_answer;
+
  private:
   struct Sample {
     ConnectionSample result;
--- a/include/corianderlink/Gateway/upstream_probe.h
+++ b/include/corianderlink/Gateway/upstream_probe.h
@@ -39,6 +39,9 @@
   bool Start(const UpstreamRecord& upstream, const std::string& health_path,
              Done done);
 
+  /// Receives the head of each answer: the upstream may say that it leaves.
+  std::function<void(const UpstreamRecord&, const ResponseHead&)> on_answer;
+
  private:
   using Incarnation = std::pair<UpstreamId, int64_t>;
 
@@ -49,7 +52,7 @@
     std::vector<Done> waiting;
   };
 
-  UpstreamHandlers MakeHandlers(const Incarnation& incarnation);
+  UpstreamHandlers MakeHandlers(const UpstreamRecord& upstream);
   void OnFailure(const Incarnation& incarnation, const Outcome& outcome);
   void OnTimeout(const Incarnation& incarnation);
   void OnResult(const Incarnation& incarnation, ProbeResult result);
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -109,6 +109,12 @@
     stream_versions_.OnReport(now, peer.status.stream_versions,
                               peer.reported_after);
   };
+  const auto on_answer = [this](const UpstreamRecord& upstream,
+                                const ResponseHead& head) {
+    OnProbeAnswer(upstream, head);
+  };
+  upstream_probe_.on_answer = on_answer;
+  reachability_sampler_.on_answer = on_answer;
   quarantine_.on_claim = [this] { peers_.SendHeartbeat(); };
   peers_.on_member_change = [this](Time now) { UpdateFleetView(now); };
   peers_.on_permit_request = [this](Time now, const PermitRequest& request) {
--- a/lib/Gateway/gateway_relaying.cc
+++ b/lib/Gateway/gateway_relaying.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "corianderlink/Gateway/gateway.h"
+#include "corianderlink/Support/log.h"
 
 namespace corianderlink {
 namespace {
@@ -139,6 +140,19 @@
   });
 }
 
+void Gateway::OnProbeAnswer(const UpstreamRecord& upstream,
+                            const ResponseHead& head) {
+  const UpstreamResponseInfo info =
+      codecs_.relay.decode_response(head, upstream.id);
+  // Another upstream that has this address now speaks for itself only.
+  if (!info.leaving || info.address_reassigned) return;
+  if (!placer_.notices().OnLeaving(upstream.id, upstream.started_ms)) return;
+  Log(LogLevel::kInfo, "upstream_leaving",
+      {{"upstream", upstream.id.value()},
+       {"started_ms", upstream.started_ms},
+       {"request", "probe"}});
+}
+
 void Gateway::OnSuspectFailure(Time now, const UpstreamRecord& upstream,
                                const Outcome& outcome) {
   const ServiceId& service = upstream.service;
--- a/lib/Gateway/reachability_sampler.cc
+++ b/lib/Gateway/reachability_sampler.cc
@@ -57,6 +57,11 @@
   };
   UpstreamHandlers handlers;
   handlers.on_connected = [decide] { decide(true); };
+  handlers.on_head = [self = std::weak_ptr(self_),
+                      upstream](const ResponseHead& head) {
+    const auto sampler = self.lock();
+    if (sampler && (*sampler)->on_answer) (*sampler)->on_answer(upstream, head);
+  };
   handlers.on_fail = [decide](const Outcome&) { decide(false); };
   samples_[service].calls.push_back(
       pool_.Start(std::move(request), std::move(handlers)));
--- a/lib/Gateway/upstream_probe.cc
+++ b/lib/Gateway/upstream_probe.cc
@@ -43,19 +43,21 @@
   request.connect_timeout = kConnectTimeout;
   probe.timeout =
       loop_.After(kTimeout, [this, incarnation] { OnTimeout(incarnation); });
-  probe.call = pool_.Start(std::move(request), MakeHandlers(incarnation));
+  probe.call = pool_.Start(std::move(request), MakeHandlers(upstream));
   return true;
 }
 
-UpstreamHandlers UpstreamProbe::MakeHandlers(const Incarnation& incarnation) {
+UpstreamHandlers UpstreamProbe::MakeHandlers(const UpstreamRecord& upstream) {
+  const Incarnation incarnation{upstream.id, upstream.started_ms};
   const auto result = std::make_shared<ProbeResult>(ProbeResult::kAnswers);
   UpstreamHandlers handlers;
   handlers.on_connected = [this, incarnation] {
     const auto probe = pending_.find(incarnation);
     if (probe != pending_.end()) probe->second.connected = true;
   };
-  handlers.on_head = [result](const ResponseHead& head) {
+  handlers.on_head = [this, upstream, result](const ResponseHead& head) {
     if (head.status == kMisdirected) *result = ProbeResult::kGone;
+    if (on_answer) on_answer(upstream, head);
   };
   handlers.on_end = [this, incarnation, result] {
     OnResult(incarnation, *result);
--- a/unittests/Gateway/gateway_test.cc
+++ b/unittests/Gateway/gateway_test.cc
@@ -454,6 +454,30 @@
   EXPECT_FALSE(result->complete);
 }
 
+// Guards against requests that reach an upstream after it has said that it
+// leaves: the answer to a probe was not read for that.
+TEST_F(GatewayTest, UpstreamThatSaysInAProbeThatItLeavesGetsNoRequests) {
+  int runs = 0;
+  harness_.AddUpstream("m1", "model", "decode").on_request =
+      [&](const Exchange& exchange) {
+        if (exchange->head().method == "GET") {
+          exchange->SendResponse(200, {{"Server-Leaving", "1"}}, "{}");
+          return;
+        }
+        ++runs;
+        exchange->Abort();
+      };
+  const HeaderFields tokens = {{"Token-Count", "100,10"}};
+  harness_.Await(harness_.Send("POST", "/model/1", tokens, "b"));
+  ASSERT_EQ(runs, 1);
+  // The probe for a crash.
+  harness_.RunFor(milliseconds(100));
+  const auto refused = harness_.Send("POST", "/model/1", tokens, "b", "r2");
+  harness_.Await(refused);
+  EXPECT_EQ(refused->status, 503);
+  EXPECT_EQ(runs, 1);
+}
+
 class PrefillDecodeTest : public GatewayTest {
  protected:
   PrefillDecodeTest() {
