--- a/unittests/Gateway/planned_stop_test.cc
+++ b/unittests/Gateway/planned_stop_test.cc
@@ -1,10 +1,9 @@
 // Requests that come late in a planned stop, and those that it would cut.
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "Common/raw_tcp_client.h"
 #include "Gateway/gateway_test_harness.h"
 
 namespace corianderlink {
@@ -13,14 +12,7 @@
 /// A client that sends a request in pieces.
 class PieceClient {
  public:
-  explicit PieceClient(const Address& to) {
-    fd_ = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(to.port);
-    connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  }
+  explicit PieceClient(const Address& to) : fd_(ConnectTo(to)) {}
   ~PieceClient() { close(fd_); }
   PieceClient(const PieceClient&) = delete;
   PieceClient& operator=(const PieceClient&) = delete;
@@ -36,7 +28,7 @@
   }
 
  private:
-  int fd_ = -1;
+  const int fd_;
 };
 
 class PlannedStopTest : public ::testing::Test {
--- a/unittests/Http/http_server_test.cc
+++ b/unittests/Http/http_server_test.cc
@@ -3,7 +3,6 @@
 
 #include <fcntl.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,6 +10,7 @@
 #include <vector>
 
 #include "Common/free_address.h"
+#include "Common/raw_tcp_client.h"
 #include "corianderlink/Http/event_loop.h"
 
 namespace corianderlink {
@@ -19,13 +19,7 @@
 /// Non-blocking connection to a server on the loop of the same thread.
 class RawClient {
  public:
-  explicit RawClient(const Address& to) {
-    fd_ = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(to.port);
-    connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  explicit RawClient(const Address& to) : fd_(ConnectTo(to)) {
     fcntl(fd_, F_SETFL, O_NONBLOCK);
   }
   ~RawClient() { close(fd_); }
@@ -48,7 +42,7 @@
   }
 
  private:
-  int fd_ = -1;
+  const int fd_;
 };
 
 class HttpServerTest : public ::testing::Test {
--- a/unittests/Http1/inbound_server_test.cc
+++ b/unittests/Http1/inbound_server_test.cc
@@ -1,7 +1,6 @@
 // Tests of InboundServer over TCP.
 #include "corianderlink/Http1/inbound_server.h"
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -11,21 +10,12 @@
 #include <thread>
 
 #include "Common/free_address.h"
+#include "Common/raw_tcp_client.h"
 #include "Common/raw_tcp_server.h"
 
 namespace corianderlink {
 namespace {
 
-int ConnectTo(const Address& address) {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in to{};
-  to.sin_family = AF_INET;
-  to.sin_port = htons(address.port);
-  inet_pton(AF_INET, address.ip.c_str(), &to.sin_addr);
-  connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof(to));
-  return fd;
-}
-
 TEST(InboundServerTest, RejectionOfALargeBodyReachesAClientThatIsStillSending) {
   EventLoop loop;
   const Address address = FreeAddress();
--- a/unittests/Http1/paused_reader_test.cc
+++ b/unittests/Http1/paused_reader_test.cc
@@ -1,7 +1,6 @@
 // Peers that are alive, acknowledge every probe and do not read for longer than
 // kTcpUserTimeout.
 #include <gtest/gtest.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <atomic>
@@ -9,6 +8,7 @@
 #include <thread>
 
 #include "Common/free_address.h"
+#include "Common/raw_tcp_client.h"
 #include "Common/raw_tcp_server.h"
 #include "corianderlink/Http/dead_peer_detection.h"
 #include "corianderlink/Http1/inbound_server.h"
@@ -25,14 +25,7 @@
 
 /// Sends a request on a connection of its own, pauses, and reads to the end.
 std::string ReadAfterAPause(const Address& to, const std::string& request) {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kSmallBufferBytes,
-             sizeof(kSmallBufferBytes));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  address.sin_port = htons(to.port);
-  connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+  const int fd = ConnectTo(to, kSmallBufferBytes);
   const ssize_t n = send(fd, request.data(), request.size(), MSG_NOSIGNAL);
   (void)n;
   std::this_thread::sleep_for(kPause);
--- a/unittests/Serving/entry_server_test.cc
+++ b/unittests/Serving/entry_server_test.cc
@@ -1,7 +1,6 @@
 // Tests of an entry that stops while a client has yet to read its answer.
 #include "corianderlink/Serving/entry_server.h"
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -9,6 +8,7 @@
 #include <string>
 #include <thread>
 
+#include "Common/raw_tcp_client.h"
 #include "Serving/entry_harness.h"
 
 namespace corianderlink {
@@ -18,14 +18,8 @@
 
 /// Connects with a small receive buffer and sends `request`.
 int SendAsSlowReader(const Address& address, const std::string& request) {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
-  const int buffer_bytes = 4096;
-  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof(buffer_bytes));
-  sockaddr_in name{};
-  name.sin_family = AF_INET;
-  name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  name.sin_port = htons(address.port);
-  connect(fd, reinterpret_cast<sockaddr*>(&name), sizeof(name));
+  constexpr int kBufferBytes = 4096;
+  const int fd = ConnectTo(address, kBufferBytes);
   const ssize_t n = send(fd, request.data(), request.size(), MSG_NOSIGNAL);
   (void)n;
   return fd;
