--- a/include/corianderlink/Gateway/upstream_notices.h
+++ b/include/corianderlink/Gateway/upstream_notices.h
@@ -5,7 +5,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 
+#include "corianderlink/Gateway/relay_codec.h"
 #include "corianderlink/Gateway/upstream_record.h"
 #include "corianderlink/Support/time.h"
 
@@ -49,6 +51,12 @@
   std::map<UpstreamId, Time> paused_until_;
 };
 
+/// Takes note of a response in which `upstream` says that it leaves.  `source`
+/// names the request, for the log.
+void ReadLeavingNotice(const UpstreamRecord& upstream,
+                       const UpstreamResponseInfo& response,
+                       const std::string& source, UpstreamNotices& notices);
+
 }  // namespace corianderlink
 
 #endif  // CORIANDERLINK_GATEWAY_UPSTREAM_NOTICES_H_
--- a/lib/Gateway/gateway_relaying.cc
+++ b/lib/Gateway/gateway_relaying.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "corianderlink/Gateway/gateway.h"
-#include "corianderlink/Support/log.h"
 
 namespace corianderlink {
 namespace {
@@ -142,15 +141,8 @@
 
 void Gateway::OnProbeAnswer(const UpstreamRecord& upstream,
                             const ResponseHead& head) {
-  const UpstreamResponseInfo info =
-      codecs_.relay.decode_response(head, upstream.id);
-  // Another upstream that has this address now speaks for itself only.
-  if (!info.leaving || info.address_reassigned) return;
-  if (!placer_.notices().OnLeaving(upstream.id, upstream.started_ms)) return;
-  Log(LogLevel::kInfo, "upstream_leaving",
-      {{"upstream", upstream.id.value()},
-       {"started_ms", upstream.started_ms},
-       {"request", "probe"}});
+  ReadLeavingNotice(upstream, codecs_.relay.decode_response(head, upstream.id),
+                    "probe", placer_.notices());
 }
 
 void Gateway::OnSuspectFailure(Time now, const UpstreamRecord& upstream,
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -40,13 +40,7 @@
   if (response_info_.address_reassigned) return;
   const UpstreamRecord& upstream = placement_->upstream;
   UpstreamNotices& notices = context_.placer.notices();
-  if (response_info_.leaving &&
-      notices.OnLeaving(upstream.id, upstream.started_ms)) {
-    Log(LogLevel::kInfo, "upstream_leaving",
-        {{"upstream", upstream.id.value()},
-         {"started_ms", upstream.started_ms},
-         {"request", request_.id.value()}});
-  }
+  ReadLeavingNotice(upstream, response_info_, request_.id.value(), notices);
   const Time now = BootClock::now();
   ApplyRateLimit(now);
   if (!response_info_.pause) return;
--- a/lib/Gateway/upstream_notices.cc
+++ b/lib/Gateway/upstream_notices.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "corianderlink/Support/log.h"
+
 namespace corianderlink {
 namespace {
 
@@ -40,4 +42,16 @@
   return it->second;
 }
 
+void ReadLeavingNotice(const UpstreamRecord& upstream,
+                       const UpstreamResponseInfo& response,
+                       const std::string& source, UpstreamNotices& notices) {
+  // Another upstream that has this address now speaks for itself only.
+  if (!response.leaving || response.address_reassigned) return;
+  if (!notices.OnLeaving(upstream.id, upstream.started_ms)) return;
+  Log(LogLevel::kInfo, "upstream_leaving",
+      {{"upstream", upstream.id.value()},
+       {"started_ms", upstream.started_ms},
+       {"request", source}});
+}
+
 }  // namespace corianderlink
