[Http] Let no check set a limit again after a connection's close

Callers could see: the last answer to a client that pauses is cut after all, if the watch of its connection was due in the turn in which the gateway closed it. Found by reading the change again, not seen in a run.

Cause: BeforeClose lifted TCP_USER_TIMEOUT and left the timer of the next check, which found nothing outstanding yet and set the limit again before the socket was freed.

Change: the timer ends first.

--- a/lib/Http/closed_window_watch.cc
+++ b/lib/Http/closed_window_watch.cc
@@ -47,7 +47,11 @@
   evbuffer_remove_cb_entry(bufferevent_get_output(stream_), callback_);
 }
 
-void ClosedWindowWatch::BeforeClose() { Lift(true); }
+void ClosedWindowWatch::BeforeClose() {
+  // A check that is due now would set the limit again.
+  timer_.Reset();
+  Lift(true);
+}
 
 void ClosedWindowWatch::OnWrite() {
   if (timer_.active()) return;
