[Tests][Serving] Plain words, and one server for two tests of refusals

What a newcomer would stumble over: a test named after a silent upstream, a predicate of the entry named IsForgotten (HasAddressExpired now), and two tests that set up the same server and client thread. No change of behaviour; with the orderly end taken out RefusedConnectionEndsInOrder still fails, with it Http1Tests 43 of 43, EntryServerTest 3 of 3, PartialAnswerTest and PlannedStopTest 5 of 5.

--- a/include/corianderlink/Serving/entry_server.h
+++ b/include/corianderlink/Serving/entry_server.h
@@ -61,9 +61,9 @@
                       const std::string& body);
   void OnCacheEvents(const Address& engine, const std::string& body);
   void OnRelease();
-  /// True if, during a stop, no client knows the address of this process from
-  /// the directory any more.
-  bool IsForgotten(Time now) const;
+  /// True if, during a stop, all directory answers that name this process have
+  /// expired.
+  bool HasAddressExpired(Time now) const;
   void StopIfDrained();
   bool OnAdmin(const Exchange& exchange);
 
--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -156,7 +156,7 @@
 }
 
 std::optional<ClientAccount> EntryServer::Admit(const Exchange& exchange) {
-  if (stop_began_ != Time{} && IsForgotten(BootClock::now())) {
+  if (stop_began_ != Time{} && HasAddressExpired(BootClock::now())) {
     Reply(exchange, 503, "Stopping",
           Outcome::NotRun("this entry stops; use another entry"),
           Duration::zero());
@@ -487,7 +487,7 @@
       node_.loop().Every(kStopPollInterval, [this] { StopIfDrained(); });
 }
 
-bool EntryServer::IsForgotten(Time now) const {
+bool EntryServer::HasAddressExpired(Time now) const {
   const Duration cache_time =
       node_.settings().timing.directory_keep + kDirectoryCacheMargin;
   return now - stop_began_ >= cache_time;
@@ -495,7 +495,7 @@
 
 void EntryServer::StopIfDrained() {
   const Time now = BootClock::now();
-  if (!IsForgotten(now)) return;
+  if (!HasAddressExpired(now)) return;
   const size_t in_flight =
       scheduler_.in_flight() + dispatcher_.in_flight() + jobs_.running();
   if (in_flight > 0 || drained_ == Time{}) drained_ = now;
--- a/unittests/Gateway/partial_answer_test.cc
+++ b/unittests/Gateway/partial_answer_test.cc
@@ -68,8 +68,8 @@
 }
 
 // The same, by the timer for upstreams that make no progress: the upstream is
-// sound and only silent for a second.
-TEST_F(PartialAnswerTest, AnswerOfASilentUpstreamIsNotContinuedByAnother) {
+// sound and sends nothing for 1.3 s.
+TEST_F(PartialAnswerTest, AnswerOfAPausedUpstreamIsNotContinuedByAnother) {
   for (const bool chunked : {false, true}) {
     chunked_ = chunked;
     runs_ = 0;
--- a/unittests/Http1/inbound_server_test.cc
+++ b/unittests/Http1/inbound_server_test.cc
@@ -6,6 +6,9 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cerrno>
+#include <cstring>
+#include <functional>
 #include <string>
 #include <thread>
 
@@ -16,15 +19,30 @@
 namespace corianderlink {
 namespace {
 
-TEST(InboundServerTest, RejectionOfALargeBodyReachesAClientThatIsStillSending) {
+/// Runs a server that answers no request while `client` uses a connection to it
+/// on another thread.
+void RunBeside(const std::function<void(int fd)>& client) {
   EventLoop loop;
   const Address address = FreeAddress();
   InboundServer server(loop, 10, [](const auto&) {});
   ASSERT_TRUE(server.Listen(address));
-  std::string response;
   std::atomic<bool> ended{false};
-  std::thread client([&] {
+  std::thread thread([&] {
     const int fd = ConnectTo(address);
+    client(fd);
+    close(fd);
+    ended = true;
+  });
+  const EventHandle stop = loop.Every(milliseconds(10), [&] {
+    if (ended) loop.Stop();
+  });
+  loop.Run();
+  thread.join();
+}
+
+TEST(InboundServerTest, RejectionOfALargeBodyReachesAClientThatIsStillSending) {
+  std::string response;
+  RunBeside([&](int fd) {
     std::string text =
         "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 90000000\r\n\r\n";
     text += std::string(200000, 'x');
@@ -35,48 +53,25 @@
     }
     // The client reads only now.
     response = ReadToEnd(fd);
-    close(fd);
-    ended = true;
   });
-  const EventHandle stop = loop.Every(milliseconds(10), [&] {
-    if (ended) loop.Stop();
-  });
-  loop.Run();
-  client.join();
   EXPECT_TRUE(response.starts_with("HTTP/1.1 413 ")) << response;
 }
 
 // Guards against a refusal that is lost: a connection that was closed with
 // unread input was reset, and its client may drop what it has not read yet.
 TEST(InboundServerTest, RefusedConnectionEndsInOrder) {
-  EventLoop loop;
-  const Address address = FreeAddress();
-  InboundServer server(loop, 10, [](const auto&) {});
-  ASSERT_TRUE(server.Listen(address));
   std::string response;
   int error = 0;
-  std::atomic<bool> ended{false};
-  std::thread client([&] {
-    const int fd = ConnectTo(address);
+  RunBeside([&](int fd) {
     const std::string text =
         "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
         "chunked\r\n\r\nx\r\n" +
         std::string(100000, 'x');
     send(fd, text.data(), text.size(), MSG_NOSIGNAL);
-    char buffer[4096];
-    ssize_t n = 0;
-    while ((n = read(fd, buffer, sizeof(buffer))) > 0) {
-      response.append(buffer, static_cast<size_t>(n));
-    }
-    error = n < 0 ? errno : 0;
-    close(fd);
-    ended = true;
-  });
-  const EventHandle stop = loop.Every(milliseconds(10), [&] {
-    if (ended) loop.Stop();
+    errno = 0;
+    response = ReadToEnd(fd);
+    error = errno;
   });
-  loop.Run();
-  client.join();
   EXPECT_TRUE(response.starts_with("HTTP/1.1 400 ")) << response;
   EXPECT_EQ(error, 0) << strerror(error);
 }
