[Gateway] Log and count what is charged to the retry budget

The logs showed sends and whether a retry follows, not what the budget held when it was asked, so that a repeat without a charge and a budget that is too large looked alike. Each question is a line now (requests and retries in the window, what is allowed, the gateways that share it), and charges and denials are counted. No decision changes.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -147,6 +147,7 @@
   /// True if the configuration and the list of upstreams are loaded, the peers
   /// have sent heartbeats, and the gateway is not shutting down.
   bool ready() const;
+  const Metrics& metrics() const { return metrics_; }
 
  private:
   void StartRoleCoordinator(
--- a/include/corianderlink/Gateway/retry_window.h
+++ b/include/corianderlink/Gateway/retry_window.h
@@ -36,6 +36,16 @@
   Time counted_at_{};
 };
 
+/// What a retry window holds, for logs.
+struct RetryWindowUse {
+  /// Requests of clients in the window.
+  size_t requests = 0;
+  /// Retries in the window.
+  size_t retries = 0;
+  /// Retries that this gateway may make in the window.
+  double allowed = 0;
+};
+
 /// Retry budget of this gateway for one service.
 class RetryWindow {
  public:
@@ -46,6 +56,7 @@
   /// Takes one retry out of the budget; false if the budget is exhausted.
   /// `gateways` is the number of gateways that share the slack.
   bool TryRetry(Time now, size_t gateways);
+  RetryWindowUse UseAt(Time now, size_t gateways);
   /// Takes effect at once, also for requests and retries already counted.
   void SetLimits(const RetryLimits& limits) { limits_ = limits; }
 
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -353,8 +353,20 @@
 
 bool Gateway::TryClaimRetry(Time now, const ServiceId& service) {
   sharing_gateways_.Update(now, peers_.LiveGatewayCount(now));
-  return retry_windows_.try_emplace(service, settings_.retries)
-      .first->second.TryRetry(now, sharing_gateways_.count());
+  const size_t gateways = sharing_gateways_.count();
+  RetryWindow& window =
+      retry_windows_.try_emplace(service, settings_.retries).first->second;
+  const bool granted = window.TryRetry(now, gateways);
+  metrics_.Add(granted ? "gateway_retry_charges_total"
+                       : "gateway_retry_denials_total");
+  const RetryWindowUse use = window.UseAt(now, gateways);
+  Log(LogLevel::kInfo, granted ? "retry_charged" : "retry_denied",
+      {{"service", service.value()},
+       {"window_requests", static_cast<uint64_t>(use.requests)},
+       {"window_retries", static_cast<uint64_t>(use.retries)},
+       {"allowed", use.allowed},
+       {"gateways", static_cast<uint64_t>(gateways)}});
+  return granted;
 }
 
 Duration Gateway::EstimatePriorWait(const RouteSpec& route,
--- a/lib/Gateway/retry_window.cc
+++ b/lib/Gateway/retry_window.cc
@@ -34,13 +34,18 @@
   requests_.push_back(now);
 }
 
-bool RetryWindow::TryRetry(Time now, size_t gateways) {
+RetryWindowUse RetryWindow::UseAt(Time now, size_t gateways) {
   Expire(now);
   const double allowed =
       kUsableFraction *
       (limits_.ratio * static_cast<double>(requests_.size()) +
        limits_.slack / static_cast<double>(std::max<size_t>(gateways, 1)));
-  if (static_cast<double>(retries_.size() + 1) > allowed) return false;
+  return {requests_.size(), retries_.size(), allowed};
+}
+
+bool RetryWindow::TryRetry(Time now, size_t gateways) {
+  const RetryWindowUse use = UseAt(now, gateways);
+  if (static_cast<double>(use.retries + 1) > use.allowed) return false;
   retries_.push_back(now);
   return true;
 }
