[Gateway] Charge each repeated call of a request to the retry budget when it is sent

What callers saw: the model service got more repeats than the budget of all gateways allows (BUDGET), beside upstreams that reset answers; the load on engines that are left grows by as much.

Cause: a failed attempt charged one retry, whatever the retry sends. A repeat of a split prompt sends a prefill and a decode call, of which only the first prefill of a request is free, so that up to twice what was charged arrived (0.7 of the budget is used, so up to 1.4 of it). The class: a limit that counts decisions where the rule counts effects. Ruled out for this test: kills (the test has none), attempts that do not reach their upstream (the table's paths without repeats agree).

Change: RequestArrivals holds the calls of one request that arrive, and needs a charge for each beyond the free ones. A retry is reserved when it is decided on, charged when it is sent (it may wait in between), given back if it surely did not arrive or is not needed. A repeat for which one call is left goes to a single engine, which prefills by itself. FleetRetryBudget takes the budget out of Gateway.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -13,6 +13,7 @@
 
 #include "corianderlink/Gateway/client_timeout_estimate.h"
 #include "corianderlink/Gateway/crash_quarantine.h"
+#include "corianderlink/Gateway/fleet_retry_budget.h"
 #include "corianderlink/Gateway/forward_task.h"
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/gateway_peers.h"
@@ -28,7 +29,6 @@
 #include "corianderlink/Gateway/record_store.h"
 #include "corianderlink/Gateway/relay_codec.h"
 #include "corianderlink/Gateway/relay_task.h"
-#include "corianderlink/Gateway/retry_window.h"
 #include "corianderlink/Gateway/role_coordinator.h"
 #include "corianderlink/Gateway/route_table.h"
 #include "corianderlink/Gateway/store_contact.h"
@@ -207,8 +207,6 @@
   size_t Rank(Time now) const;
   /// Picks a service of the route at random, by weight; null if it has none.
   const WeightedService* PickService(const RouteSpec& route);
-  /// Charges one retry to the service's budget; false if it is exhausted.
-  bool TryClaimRetry(Time now, const ServiceId& service);
   /// Estimates how long a client waited in earlier attempts, given the timeout
   /// of the present one, which is added to the route's history.
   Duration EstimatePriorWait(const RouteSpec& route, Duration client_timeout);
@@ -253,6 +251,7 @@
   const ProcessId process_id_;
   Metrics metrics_;
   UpstreamPool pool_;
+  FleetRetryBudget retry_budget_;
   Placer placer_;
   CrashQuarantine quarantine_;
   UpstreamProbe upstream_probe_;
@@ -277,8 +276,6 @@
   ForwardContext forward_context_;
   RelayContext relay_context_;
   RouteTable route_table_;
-  std::map<ServiceId, RetryWindow> retry_windows_;
-  SharingGateways sharing_gateways_;
   std::map<RouteId, ClientTimeoutEstimate> client_timeout_estimates_;
   std::map<ServiceId, RolePlanner> role_planners_;
   std::unique_ptr<RoleCoordinator> role_coordinator_;
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -18,6 +18,7 @@
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/placer.h"
 #include "corianderlink/Gateway/relay_codec.h"
+#include "corianderlink/Gateway/request_arrivals.h"
 #include "corianderlink/Gateway/stream_origins.h"
 #include "corianderlink/Gateway/upstream_probe.h"
 #include "corianderlink/Gateway/version_constraint.h"
@@ -39,9 +40,7 @@
   RandomSource& random;
   CrashQuarantine& quarantine;
   UpstreamProbe& upstream_probe;
-  /// Charges one retry to the retry budget of a service.  False if the budget
-  /// is exhausted.
-  std::function<bool(Time, const ServiceId&)> try_claim_retry = {};
+  FleetRetryBudget& retry_budget;
   /// An attempt at an upstream has failed or stalled.
   std::function<void(Time, const UpstreamRecord&, const Outcome&)>
       on_suspect_failure = {};
@@ -112,6 +111,9 @@
   RateLimitQuery MakeRateLimitQuery() const;
 
   PlacementResult ChoosePlacement(Time now) const;
+  /// Like ChoosePlacement, within the retry budget: a repeat that the budget
+  /// allows one call only goes to a single engine.
+  PlacementResult ChooseCoveredPlacement(Time now);
   /// Chooses an upstream and sends the request to it.  Without an upstream the
   /// request is refused or failed, or, if its stream has started, tried again
   /// later.
@@ -207,9 +209,8 @@
   bool CanResumeLater(Time now, Verdict verdict);
   /// True if another upstream, or a peer, can take the request now.
   bool HasAlternative(Time now);
-  /// Like IsRetryAllowed, and charges the retry to the retry budget unless the
-  /// failed attempt did not reach its upstream.
-  bool TryClaimRetry(Time now, Verdict verdict);
+  /// Like IsRetryAllowed, and reserves the retry in the retry budget.
+  bool TryReserveRetry(Time now, Verdict verdict);
   /// Ends the request after its last attempt: truncates a started response,
   /// refuses a request that certainly did not run, and otherwise responds 502.
   void FailRequest(const Outcome& outcome);
@@ -273,13 +274,13 @@
   std::set<UpstreamId> sent_to_;
   // Attempts; prefill and decode together count as one.
   int sends_ = 0;
+  // All calls of these attempts, for the retry budget.
+  RequestArrivals arrivals_;
   // Permits for rate-limited upstreams that were denied.
   int denied_permits_ = 0;
   // Attempts in which the request may have run.
   int possible_runs_ = 0;
   bool finished_ = false;
-  // The next attempt is still to be charged to the retry budget.
-  bool is_retry_unclaimed_ = false;
   // Searches for an upstream that resumes the stream, since the last event.
   int resume_searches_ = 0;
   // Prefill and decode have to run on the same engine.
--- /dev/null
+++ b/include/corianderlink/Gateway/request_arrivals.h
@@ -0,0 +1,70 @@
+// What of one request arrives at upstreams, and what of that is charged to the
+// retry budget.
+#ifndef CORIANDERLINK_GATEWAY_REQUEST_ARRIVALS_H_
+#define CORIANDERLINK_GATEWAY_REQUEST_ARRIVALS_H_
+
+#include <optional>
+
+#include "corianderlink/Gateway/fleet_retry_budget.h"
+#include "corianderlink/Support/strong_id.h"
+#include "corianderlink/Support/time.h"
+
+namespace corianderlink {
+
+/// The calls of one request to upstreams so far.
+struct ArrivalCounts {
+  /// Calls that have reached an upstream, or may have.
+  int arrivals = 0;
+  /// An upstream has prefilled the prompt.
+  bool is_prefilled = false;
+  /// Arrivals that the retry budget was charged for.
+  int charged = 0;
+
+  /// Arrivals that are repeats: all but the first run and the first prefill
+  /// that was accepted.
+  int Repeats() const;
+  /// Charges that are missing if `runs` more calls arrive, after a prefill that
+  /// is accepted if `with_prefill` is set.
+  int MissingCharges(bool with_prefill) const;
+};
+
+/// Charges the repeats of one request.  Each call is covered by a free arrival
+/// or a reserved retry before it is sent.
+class RequestArrivals {
+ public:
+  /// The next attempt: one call, or a prefill and a decode call.
+  enum class Attempt { kOneCall, kSplit };
+
+  RequestArrivals(FleetRetryBudget& budget, ServiceId service,
+                  RequestId request, ArrivalCounts before);
+  ~RequestArrivals() { Release(); }
+  RequestArrivals(const RequestArrivals&) = delete;
+  RequestArrivals& operator=(const RequestArrivals&) = delete;
+
+  /// Covers the next attempt; false, without any effect, if the budget does not
+  /// allow its retries.
+  bool TryCover(Time now, Attempt attempt);
+  /// A call of a covered attempt is sent.
+  void OnSent(Time now);
+  /// The last call surely did not reach its upstream.
+  void OnNotReached();
+  /// The last call was a prefill, and the upstream has accepted it.
+  void OnPrefilled() { counts_.is_prefilled = true; }
+  /// Gives back what is reserved.
+  void Release();
+  /// Hands what is reserved over to another gateway, as charged.
+  ArrivalCounts HandOver(Time now);
+
+ private:
+  FleetRetryBudget& budget_;
+  const ServiceId service_;
+  const RequestId request_;
+  ArrivalCounts counts_;
+  int reserved_ = 0;
+  // When the last call was charged, if it was.
+  std::optional<Time> last_charged_at_;
+};
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_GATEWAY_REQUEST_ARRIVALS_H_
--- a/include/corianderlink/Gateway/retry_window.h
+++ b/include/corianderlink/Gateway/retry_window.h
@@ -3,7 +3,8 @@
 // In any window, all gateways together may send a service at most `ratio`
 // retries for each client request, plus `slack` retries.  The budget of one
 // gateway is `ratio` for each of its own requests plus an equal part of the
-// slack.
+// slack.  A retry is reserved when it is decided on and counts in the window
+// from the time at which it is sent.
 #ifndef CORIANDERLINK_GATEWAY_RETRY_WINDOW_H_
 #define CORIANDERLINK_GATEWAY_RETRY_WINDOW_H_
 
@@ -40,7 +41,7 @@
 struct RetryWindowUse {
   /// Requests of clients in the window.
   size_t requests = 0;
-  /// Retries in the window.
+  /// Retries in the window, and those that are reserved.
   size_t retries = 0;
   /// Retries that this gateway may make in the window.
   double allowed = 0;
@@ -49,12 +50,23 @@
 /// Retry budget of this gateway for one service.
 class RetryWindow {
  public:
-  explicit RetryWindow(RetryLimits limits) : limits_(limits) {}
+  /// Before `slack_from` this gateway has no part of the slack.
+  explicit RetryWindow(RetryLimits limits, Time slack_from = Time::min())
+      : limits_(limits), slack_from_(slack_from) {}
 
   /// A client request for the service arrived.
   void OnRequest(Time now);
-  /// Takes one retry out of the budget; false if the budget is exhausted.
-  /// `gateways` is the number of gateways that share the slack.
+  /// Takes this many retries out of the budget; false, without any effect, if
+  /// they are more than the rest of it.  `gateways` is the number of gateways
+  /// that share the slack.
+  bool TryReserve(Time now, size_t gateways, size_t retries);
+  /// A reserved retry is sent.
+  void Charge(Time now);
+  /// The retry that was charged then was not sent; it is reserved again.
+  void Refund(Time charged_at);
+  /// Reserved retries will not be sent.
+  void Release(size_t retries);
+  /// Reserves and charges one retry.
   bool TryRetry(Time now, size_t gateways);
   RetryWindowUse UseAt(Time now, size_t gateways);
   /// Takes effect at once, also for requests and retries already counted.
@@ -64,8 +76,10 @@
   void Expire(Time now);
 
   RetryLimits limits_;
+  const Time slack_from_;
   std::deque<Time> requests_;
   std::deque<Time> retries_;
+  size_t reserved_ = 0;
 };
 
 }  // namespace corianderlink
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -49,6 +49,7 @@
       codecs_(std::move(codecs)),
       process_id_(settings_.instance + "." + random_.HexId().substr(0, 12)),
       pool_(loop),
+      retry_budget_(settings_.retries, Time::min(), metrics_),
       placer_(PlacerLimits{}, MakeEjectorLimits(), GatewayPeers::kPeerTimeout,
               settings_.zone),
       quarantine_(Fnv1aHash(process_id_.value())),
@@ -183,7 +184,7 @@
   settings_.retries = settings.retries;
   settings_.stop_grace = settings.stop_grace;
   settings_.directory_ttl_max = settings.directory_ttl_max;
-  for (auto& [id, window] : retry_windows_) window.SetLimits(settings.retries);
+  retry_budget_.SetLimits(settings.retries);
   Log(LogLevel::kInfo, "settings_reloaded",
       {{"retries_changed", retries_changed ? "yes" : "no"}});
 }
@@ -351,24 +352,6 @@
   StartRelay(std::move(relayed));
 }
 
-bool Gateway::TryClaimRetry(Time now, const ServiceId& service) {
-  sharing_gateways_.Update(now, peers_.LiveGatewayCount(now));
-  const size_t gateways = sharing_gateways_.count();
-  RetryWindow& window =
-      retry_windows_.try_emplace(service, settings_.retries).first->second;
-  const bool granted = window.TryRetry(now, gateways);
-  metrics_.Add(granted ? "gateway_retry_charges_total"
-                       : "gateway_retry_denials_total");
-  const RetryWindowUse use = window.UseAt(now, gateways);
-  Log(LogLevel::kInfo, granted ? "retry_charged" : "retry_denied",
-      {{"service", service.value()},
-       {"window_requests", static_cast<uint64_t>(use.requests)},
-       {"window_retries", static_cast<uint64_t>(use.retries)},
-       {"allowed", use.allowed},
-       {"gateways", static_cast<uint64_t>(gateways)}});
-  return granted;
-}
-
 Duration Gateway::EstimatePriorWait(const RouteSpec& route,
                                     Duration client_timeout) {
   ClientTimeoutEstimate& estimate = client_timeout_estimates_[route.id];
@@ -406,7 +389,7 @@
   }
   const size_t live_gateways = peers_.LiveGatewayCount(now);
   placer_.SetGateways(live_gateways);
-  sharing_gateways_.Update(now, live_gateways);
+  retry_budget_.OnLiveGateways(now, live_gateways);
   UpdateFleetView(now);
   if (!shutting_down_) SyncFromPeers(now);
   placer_.directory().Expire(now);
--- a/lib/Gateway/gateway_relaying.cc
+++ b/lib/Gateway/gateway_relaying.cc
@@ -15,11 +15,9 @@
 }  // namespace
 
 RelayContext Gateway::MakeRelayContext() {
-  RelayContext context{loop_,    pool_,   placer_,     codecs_.relay,
-                       metrics_, random_, quarantine_, upstream_probe_};
-  context.try_claim_retry = [this](Time now, const ServiceId& service) {
-    return TryClaimRetry(now, service);
-  };
+  RelayContext context{loop_,         pool_,           placer_,
+                       codecs_.relay, metrics_,        random_,
+                       quarantine_,   upstream_probe_, retry_budget_};
   context.on_suspect_failure = [this](Time now, const UpstreamRecord& upstream,
                                       const Outcome& outcome) {
     OnSuspectFailure(now, upstream, outcome);
@@ -70,7 +68,9 @@
   };
   context.on_end = [this](const Address& peer) { peer_selection_.OnEnd(peer); };
   context.try_claim_retry = [this](Time now, const ServiceId& service) {
-    return TryClaimRetry(now, service);
+    if (!retry_budget_.TryReserve(now, service, RequestId(), 1)) return false;
+    retry_budget_.Charge(now, service);
+    return true;
   };
   return context;
 }
@@ -87,8 +87,7 @@
   // The peer that serves a forwarded request counts it.
   relayed.is_counted = relayed.from_peer || !MustForward(now, service);
   if (relayed.is_counted && is_new) {
-    retry_windows_.try_emplace(service, settings_.retries)
-        .first->second.OnRequest(now);
+    retry_budget_.OnRequest(now, service);
   }
   std::make_shared<RelayTask>(relay_context_, std::move(relayed))->Start();
 }
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -36,7 +36,8 @@
       from_peer_(relayed.from_peer),
       is_counted_(relayed.is_counted),
       versions_(std::move(relayed.versions)),
-      seed_(context.random.Bits()) {}
+      seed_(context.random.Bits()),
+      arrivals_(context.retry_budget, service_.id, request_.id, {}) {}
 
 void RelayTask::Start() {
   const Time now = BootClock::now();
@@ -99,12 +100,26 @@
                                           MakeRateLimitQuery(), versions_);
 }
 
+PlacementResult RelayTask::ChooseCoveredPlacement(Time now) {
+  using Attempt = RequestArrivals::Attempt;
+  PlacementResult result = ChoosePlacement(now);
+  if (!result.placement) return result;
+  if (result.placement->prefill_only) {
+    if (arrivals_.TryCover(now, Attempt::kSplit)) return result;
+    single_engine_only_ = true;
+    result = ChoosePlacement(now);
+    if (!result.placement) return result;
+  }
+  if (arrivals_.TryCover(now, Attempt::kOneCall)) return result;
+  return {std::nullopt, "the retry budget is exhausted", {}};
+}
+
 void RelayTask::PlaceAndSend() {
   const Time now = BootClock::now();
   if (EndIfQuarantined(now)) return;
   if (ForwardIfPartitioned(now)) return;
   if (AwaitTrial(now, &RelayTask::PlaceAndSend)) return;
-  const PlacementResult result = ChoosePlacement(now);
+  const PlacementResult result = ChooseCoveredPlacement(now);
   if (!result.placement) {
     if (ForwardForLackOfUpstreams(now)) return;
     if (exchange_->response_started()) {
@@ -139,11 +154,6 @@
     Refuse(result.reason, result.retry_after);
     return;
   }
-  if (is_retry_unclaimed_ && !context_.try_claim_retry(now, service_.id)) {
-    ScheduleResume();
-    return;
-  }
-  is_retry_unclaimed_ = false;
   SendWithPermit(*result.placement, &RelayTask::PlaceAndSend);
 }
 
@@ -163,6 +173,8 @@
 
 void RelayTask::Forward() {
   ReleaseKvHandle();
+  // The peer takes the request as a first attempt.
+  arrivals_.HandOver(BootClock::now());
   Detach();
   context_.forward({exchange_,
                     route_,
@@ -233,6 +245,7 @@
   event_splitter_.Clear();
   // Prefill and decode count as one attempt.
   if (!kv_handle_) ++sends_;
+  arrivals_.OnSent(now);
   if (!placement.prefill_only) ++possible_runs_;
   if (trial_ != 0) context_.quarantine.OnTrialSent(now, trial_);
   if (is_model_request()) {
@@ -332,6 +345,7 @@
                     true);
     return;
   }
+  arrivals_.OnPrefilled();
   ReportFirstOutput();
   EndDispatch();
   context_.placer.OnSuccess(placement_->upstream);
@@ -393,6 +407,7 @@
 
 void RelayTask::Detach() {
   finished_ = true;
+  arrivals_.Release();
   if (trial_ != 0) {
     context_.quarantine.OnTrialEnd(BootClock::now(), trial_,
                                    possible_runs_ > 0);
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -31,6 +31,7 @@
 void RelayTask::OnUpstreamFailure(const Outcome& outcome) {
   if (finished_) return;
   reached_upstream_ = outcome.verdict != Verdict::kNotRun;
+  if (!reached_upstream_) arrivals_.OnNotReached();
   call_.reset();
   context_.on_suspect_failure(BootClock::now(), placement_->upstream, outcome);
   CheckForCrash(outcome);
@@ -45,14 +46,13 @@
   if (not_run && !placement_->prefill_only) --possible_runs_;
   const Outcome final_outcome{not_run ? Verdict::kNotRun : Verdict::kMayHaveRun,
                               outcome.reason};
-  if (TryClaimRetry(now, final_outcome.verdict)) {
+  if (TryReserveRetry(now, final_outcome.verdict)) {
     RetryOnOtherUpstream(now, final_outcome, upstream_failed);
     return;
   }
   if (CanResumeLater(now, final_outcome.verdict)) {
     RecordFailedAttempt(now, final_outcome, upstream_failed, "later");
     kv_handle_.reset();
-    is_retry_unclaimed_ = true;
     ScheduleResume();
     return;
   }
@@ -217,12 +217,9 @@
   return is_placeable;
 }
 
-bool RelayTask::TryClaimRetry(Time now, Verdict verdict) {
-  if (!IsRetryAllowed(now, verdict)) return false;
-  // The budget limits additional requests that reach upstreams.  A request that
-  // did not reach the last upstream is not additional load at the next one.
-  if (!reached_upstream_) return true;
-  return context_.try_claim_retry(now, service_.id);
+bool RelayTask::TryReserveRetry(Time now, Verdict verdict) {
+  return IsRetryAllowed(now, verdict) &&
+         arrivals_.TryCover(now, RequestArrivals::Attempt::kOneCall);
 }
 
 void RelayTask::FailRequest(const Outcome& outcome) {
@@ -380,7 +377,7 @@
   const Outcome outcome = placement_->prefill_only
                               ? Outcome::NotRun(kStalled)
                               : Outcome::MayHaveRun(kStalled);
-  if (!HasAlternative(now) || !TryClaimRetry(now, outcome.verdict)) {
+  if (!HasAlternative(now) || !TryReserveRetry(now, outcome.verdict)) {
     // Without a retry, the request keeps waiting for this upstream.
     ArmStallTimer();
     return;
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -210,7 +210,7 @@
   // An upstream that answers with an error has survived the request.
   if (server_error) ReportAnswered();
   if (server_error && !exchange_->response_started() && HasAlternative(now) &&
-      TryClaimRetry(now, Verdict::kMayHaveRun)) {
+      TryReserveRetry(now, Verdict::kMayHaveRun)) {
     RetryOnOtherUpstream(now,
                          Outcome::MayHaveRun("upstream answered with status " +
                                              std::to_string(response_->status)),
--- a/lib/Gateway/retry_window.cc
+++ b/lib/Gateway/retry_window.cc
@@ -36,17 +36,44 @@
 
 RetryWindowUse RetryWindow::UseAt(Time now, size_t gateways) {
   Expire(now);
+  const double slack =
+      now < slack_from_
+          ? 0
+          : limits_.slack / static_cast<double>(std::max<size_t>(gateways, 1));
   const double allowed =
       kUsableFraction *
-      (limits_.ratio * static_cast<double>(requests_.size()) +
-       limits_.slack / static_cast<double>(std::max<size_t>(gateways, 1)));
-  return {requests_.size(), retries_.size(), allowed};
+      (limits_.ratio * static_cast<double>(requests_.size()) + slack);
+  return {requests_.size(), retries_.size() + reserved_, allowed};
 }
 
-bool RetryWindow::TryRetry(Time now, size_t gateways) {
+bool RetryWindow::TryReserve(Time now, size_t gateways, size_t retries) {
   const RetryWindowUse use = UseAt(now, gateways);
-  if (static_cast<double>(use.retries + 1) > use.allowed) return false;
+  if (static_cast<double>(use.retries + retries) > use.allowed) return false;
+  reserved_ += retries;
+  return true;
+}
+
+void RetryWindow::Charge(Time now) {
+  Release(1);
   retries_.push_back(now);
+}
+
+void RetryWindow::Refund(Time charged_at) {
+  const auto charged =
+      std::lower_bound(retries_.begin(), retries_.end(), charged_at);
+  if (charged != retries_.end() && *charged == charged_at) {
+    retries_.erase(charged);
+  }
+  ++reserved_;
+}
+
+void RetryWindow::Release(size_t retries) {
+  reserved_ -= std::min(reserved_, retries);
+}
+
+bool RetryWindow::TryRetry(Time now, size_t gateways) {
+  if (!TryReserve(now, gateways, 1)) return false;
+  Charge(now);
   return true;
 }
 
