[Gateway] Charge the repeats of a request that is handed on to a peer

A peer took a request that was handed on to it as a first attempt: when a first peer had sent it to upstreams and refused it, the second one's first call was not charged, nor a second prefill where a gateway lost its links between the stages.

After a peer that was reached, nothing is free. The forwarding gateway charges only what it had reserved. ForwardedRequestTest.RepeatsAtASecondPeerAreCharged guards it.

--- a/include/corianderlink/Gateway/forward_task.h
+++ b/include/corianderlink/Gateway/forward_task.h
@@ -36,8 +36,6 @@
   /// A request to the peer has begun, or ended.
   std::function<void(const Address&)> on_begin = {};
   std::function<void(const Address&)> on_end = {};
-  /// Charges one retry to the retry budget of a service.
-  std::function<bool(Time, const ServiceId&)> try_claim_retry = {};
 };
 
 /// A request to be forwarded, and what has become of it so far.
@@ -76,6 +74,8 @@
   void OnBody(std::string data);
   void OnEnd();
   void OnFailure(const Outcome& outcome);
+  /// The peer may have sent the request to upstreams, and has charged that.
+  void OnPeerReached();
   void SendEvents();
   void SendBufferedResponse();
   void PauseReadingForSlowClient();
--- a/include/corianderlink/Gateway/relay_codec.h
+++ b/include/corianderlink/Gateway/relay_codec.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "corianderlink/Gateway/arrival_counts.h"
 #include "corianderlink/Gateway/prompt.h"
 #include "corianderlink/Gateway/stream_origins.h"
 #include "corianderlink/Gateway/upstream_record.h"
@@ -25,6 +26,8 @@
   int runs_left = 0;
   /// The request is counted in the forwarding gateway's retry budget.
   bool is_counted = false;
+  /// Its calls so far, for the retry budget.
+  ArrivalCounts arrivals = {};
 };
 
 /// Properties of a request, decoded from its head.
--- a/include/corianderlink/Gateway/request_arrivals.h
+++ b/include/corianderlink/Gateway/request_arrivals.h
@@ -5,29 +5,13 @@
 
 #include <optional>
 
+#include "corianderlink/Gateway/arrival_counts.h"
 #include "corianderlink/Gateway/fleet_retry_budget.h"
 #include "corianderlink/Support/strong_id.h"
 #include "corianderlink/Support/time.h"
 
 namespace corianderlink {
 
-/// The calls of one request to upstreams so far.
-struct ArrivalCounts {
-  /// Calls that have reached an upstream, or may have.
-  int arrivals = 0;
-  /// An upstream has prefilled the prompt.
-  bool is_prefilled = false;
-  /// Arrivals that the retry budget was charged for.
-  int charged = 0;
-
-  /// Arrivals that are repeats: all but the first run and the first prefill
-  /// that was accepted.
-  int Repeats() const;
-  /// Charges that are missing if `runs` more calls arrive, after a prefill that
-  /// is accepted if `with_prefill` is set.
-  int MissingCharges(bool with_prefill) const;
-};
-
 /// Charges the repeats of one request.  Each call is covered by a free arrival
 /// or a reserved retry before it is sent.
 class RequestArrivals {
--- a/lib/Gateway/forward_task.cc
+++ b/lib/Gateway/forward_task.cc
@@ -84,14 +84,7 @@
   tried_.clear();
   const int doublings = std::min(refused_rounds_++, kMaxRetryDoublings);
   const auto retry = [self = shared_from_this()] {
-    if (self->finished_) return;
-    // The peers take each request that they are handed as a first attempt.
-    if (self->context_.try_claim_retry(BootClock::now(),
-                                       self->forwarded_.service)) {
-      self->SendToNextPeer();
-    } else {
-      self->WaitForPeers();
-    }
+    if (!self->finished_) self->SendToNextPeer();
   };
   retry_timer_ = context_.loop.After(kRetryInterval * (1 << doublings), retry);
   return true;
@@ -137,7 +130,12 @@
   return handlers;
 }
 
+void ForwardTask::OnPeerReached() {
+  forwarded_.state.arrivals = ArrivalCounts::NothingFree();
+}
+
 void ForwardTask::OnHead(const ResponseHead& head) {
+  OnPeerReached();
   response_ = head;
   response_info_ = context_.codec.decode_response(head, UpstreamId());
 }
@@ -262,6 +260,7 @@
   if (outcome.verdict != Verdict::kNotRun) {
     forwarded_.may_have_run = true;
     --forwarded_.state.runs_left;
+    OnPeerReached();
   }
   const InboundExchange& exchange = *forwarded_.exchange;
   const Time now = BootClock::now();
@@ -269,8 +268,7 @@
   const bool has_time = now < forwarded_.deadline;
   const bool may_repeat =
       !forwarded_.may_have_run ||
-      (route.idempotent() && forwarded_.state.runs_left > 0 &&
-       context_.try_claim_retry(now, forwarded_.service));
+      (route.idempotent() && forwarded_.state.runs_left > 0);
   const bool partial_body =
       exchange.response_started() && route.kind != RouteKind::kStream;
   Log(LogLevel::kInfo, "forward_failed",
--- a/lib/Gateway/gateway_relaying.cc
+++ b/lib/Gateway/gateway_relaying.cc
@@ -67,11 +67,6 @@
     peer_selection_.OnBegin(peer);
   };
   context.on_end = [this](const Address& peer) { peer_selection_.OnEnd(peer); };
-  context.try_claim_retry = [this](Time now, const ServiceId& service) {
-    if (!retry_budget_.TryReserve(now, service, RequestId(), 1)) return false;
-    retry_budget_.Charge(now, service);
-    return true;
-  };
   return context;
 }
 
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -37,7 +37,10 @@
       is_counted_(relayed.is_counted),
       versions_(std::move(relayed.versions)),
       seed_(context.random.Bits()),
-      arrivals_(context.retry_budget, service_.id, request_.id, {}) {}
+      arrivals_(context.retry_budget, service_.id, request_.id,
+                from_peer_ && request_.forwarding
+                    ? request_.forwarding->arrivals
+                    : ArrivalCounts()) {}
 
 void RelayTask::Start() {
   const Time now = BootClock::now();
@@ -173,8 +176,7 @@
 
 void RelayTask::Forward() {
   ReleaseKvHandle();
-  // The peer takes the request as a first attempt.
-  arrivals_.HandOver(BootClock::now());
+  const ArrivalCounts arrivals = arrivals_.HandOver(BootClock::now());
   Detach();
   context_.forward({exchange_,
                     route_,
@@ -182,7 +184,7 @@
                     request_,
                     deadline_,
                     possible_runs_ > 0,
-                    {route_.max_runs - possible_runs_, is_counted_},
+                    {route_.max_runs - possible_runs_, is_counted_, arrivals},
                     last_event_id_});
 }
 
--- a/unittests/Gateway/cut_head_test.cc
+++ b/unittests/Gateway/cut_head_test.cc
@@ -179,7 +179,6 @@
     };
     context_.on_begin = [](const Address&) {};
     context_.on_end = [](const Address&) {};
-    context_.try_claim_retry = [](Time, const ServiceId&) { return true; };
     front_.Listen(address_);
   }
 
--- a/unittests/Gateway/retry_budget_test.cc
+++ b/unittests/Gateway/retry_budget_test.cc
@@ -264,5 +264,42 @@
                            return std::string(info.param.name);
                          });
 
+constexpr char kFleetConfig[] =
+    R"({"version":4,"routes":[{"name":"s","host":"h.example",)"
+    R"("prefix":"/safe/","kind":"safe","timeout_ms":2500,"slo_ms":150,)"
+    R"("priority":1,"service":"shop","attempts":3}],)"
+    R"("services":[{"name":"shop","max_conns":50,"health_path":"/health"}]})";
+
+// Guards against peers that take a request which is handed on to them as a
+// first attempt, though a peer before them has sent it.
+TEST(ForwardedRequestTest, RepeatsAtASecondPeerAreCharged) {
+  constexpr size_t kGateways = 3;
+  GatewayTestHarness harness;
+  GatewayFleet fleet(harness, kFleetConfig);
+  ScriptedUpstreams script(harness.loop);
+  script.last = Reaction::kRefuse;
+  std::vector<std::unique_ptr<FakeUpstream>> upstreams;
+  for (const char* id : {"s1", "s2", "s3"}) {
+    upstreams.push_back(
+        fleet.AddUpstream(id, R"("service":"shop","version":"v1","slots":8)"));
+    upstreams.back()->on_request = [&script](const Exchange& exchange) {
+      script.Serve(exchange);
+    };
+  }
+  fleet.Start(kGateways);
+  fleet.PartitionFromUpstreams(
+      0, [](const std::string&) { return FreeAddress(); });
+  harness.front = fleet.fronts()[0];
+  for (int i = 0; i < 5; ++i) {
+    harness.Await(harness.Send("POST", "/safe/1", {{"Deadline-Ms", "2500"}},
+                               "b" + std::to_string(i),
+                               "r" + std::to_string(i)));
+  }
+  int charges = 0;
+  for (size_t i = 0; i < kGateways; ++i) charges += Charges(fleet.gateway(i));
+  EXPECT_GT(script.record.Extra(), 10);
+  EXPECT_GE(charges, script.record.Extra());
+}
+
 }  // namespace
 }  // namespace corianderlink
