[Gateway] Take no part of the slack in the first window after a later start

What callers saw: beside kills of all gateways, more repeats than the budget allows.

Cause: a process that starts has an empty window, and until it hears of its peers the whole slack, while the processes before it have used theirs within the same window. Three lives of four gateways within one window take up to ten parts of the slack.

Change: a gateway that is not part of the first start of the deployment uses the ratio for its own requests only until one window has passed. The platform says whether it is the first start.

--- a/include/corianderlink/Gateway/gateway_settings.h
+++ b/include/corianderlink/Gateway/gateway_settings.h
@@ -47,6 +47,8 @@
   Duration stop_grace = seconds(8);
   /// Retry budget of each service, shared by all gateways.
   RetryLimits retries;
+  /// The deployment starts for the first time: no gateway has run before.
+  bool initial_start = true;
   /// Validity of the lease under which a gateway orders role changes.
   Duration lease = seconds(3);
   /// Upper bound of the TTL of directory responses.
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -34,6 +34,13 @@
   return limits;
 }
 
+// Processes that have run before may have used their parts of the slack, and
+// this one does not know yet how many it shares it with.
+Time SlackFrom(const GatewaySettings& settings) {
+  if (settings.initial_start) return Time::min();
+  return BootClock::now() + settings.retries.window;
+}
+
 // Leaves at least half of the descriptors to client connections.
 size_t MaxClientConnections(int max_descriptors) {
   return static_cast<size_t>(
@@ -49,7 +56,7 @@
       codecs_(std::move(codecs)),
       process_id_(settings_.instance + "." + random_.HexId().substr(0, 12)),
       pool_(loop),
-      retry_budget_(settings_.retries, Time::min(), metrics_),
+      retry_budget_(settings_.retries, SlackFrom(settings_), metrics_),
       placer_(PlacerLimits{}, MakeEjectorLimits(), GatewayPeers::kPeerTimeout,
               settings_.zone),
       quarantine_(Fnv1aHash(process_id_.value())),
--- a/lib/Gateway/gateway_settings.cc
+++ b/lib/Gateway/gateway_settings.cc
@@ -76,6 +76,8 @@
   settings.directory_ttl_max =
       ReadSeconds(reader, "directory_ttl_max_s", settings.directory_ttl_max);
   settings.lease = ReadSeconds(reader, "lease_s", settings.lease);
+  settings.initial_start =
+      reader.Boolean("initial_start", settings.initial_start);
   ReadRetries(reader, settings, json_errors);
   reader.RejectUnknown();
   for (const JsonError& error : json_errors) errors.push_back(error.ToString());
