[Gateway] Bound the answers that all requests hold together

Report of another operator: a worker sends bytes that are no answer without end, its caller keeps them and runs out of memory, and the requests of other clients end with it. Each answer here has its bound (256 KiB before its verdict, 1 MiB of an event or for a client that does not read), but there are thousands of them, and a worker that sends slowly reaches no single one: the product is more than a machine has.

AnswerMemory counts what all requests hold, an eighth of the process's memory (new setting memory_mb) at most. Beyond it an answer may hold 16 KiB: one that may be passed on is passed on, one that may not is given up (may have run), and reading pauses sooner for clients that do not read. What was given up is also freed now; it was kept for the next attempt before.

--- a/include/corianderlink/Gateway/event_splitter.h
+++ b/include/corianderlink/Gateway/event_splitter.h
@@ -24,7 +24,7 @@
   std::optional<RawEvent> Next();
   /// Bytes that have not been returned as an event.
   const std::string& rest() const { return buffer_; }
-  void Clear() { buffer_.clear(); }
+  void Clear() { std::string().swap(buffer_); }
 
  private:
   std::string buffer_;
--- a/include/corianderlink/Gateway/forward_task.h
+++ b/include/corianderlink/Gateway/forward_task.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 
+#include "corianderlink/Gateway/answer_memory.h"
 #include "corianderlink/Gateway/event_splitter.h"
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/relay_codec.h"
@@ -29,6 +30,7 @@
   const RelayCodec& codec;
   Metrics& metrics;
   RandomSource& random;
+  AnswerMemory& answer_memory;
   /// Chooses a peer that can serve the service, without the given ones.
   std::function<std::optional<Address>(Time, const ServiceId&,
                                        const std::set<Address>&)>
@@ -76,6 +78,8 @@
   void OnFailure(const Outcome& outcome);
   /// The peer may have sent the request to upstreams, and has charged that.
   void OnPeerReached();
+  /// Counts what is kept of the response and what its client has yet to read.
+  void UpdateHeldAnswer();
   void SendEvents();
   void SendBufferedResponse();
   void PauseReadingForSlowClient();
@@ -98,6 +102,7 @@
   UpstreamResponseInfo response_info_;
   std::string buffered_;
   EventSplitter event_splitter_;
+  HeldAnswer held_;
   bool finished_ = false;
   // Rounds of peers that have refused the stream.
   int refused_rounds_ = 0;
--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -148,6 +148,7 @@
   /// have sent heartbeats, and the gateway is not shutting down.
   bool ready() const;
   const Metrics& metrics() const { return metrics_; }
+  const AnswerMemory& answer_memory() const { return answer_memory_; }
 
  private:
   void StartRoleCoordinator(
@@ -252,6 +253,7 @@
   Metrics metrics_;
   UpstreamPool pool_;
   FleetRetryBudget retry_budget_;
+  AnswerMemory answer_memory_;
   Placer placer_;
   CrashQuarantine quarantine_;
   UpstreamProbe upstream_probe_;
--- a/include/corianderlink/Gateway/gateway_settings.h
+++ b/include/corianderlink/Gateway/gateway_settings.h
@@ -43,6 +43,8 @@
   std::string log_level = "info";
   /// Maximum number of open file descriptors of the process.
   int max_descriptors = 1024;
+  /// Memory that the process may use, in bytes.
+  size_t memory_bytes = size_t{512} * 1024 * 1024;
   /// Time from the stop signal until the process is killed.
   Duration stop_grace = seconds(8);
   /// Retry budget of each service, shared by all gateways.
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 
+#include "corianderlink/Gateway/answer_memory.h"
 #include "corianderlink/Gateway/crash_quarantine.h"
 #include "corianderlink/Gateway/event_splitter.h"
 #include "corianderlink/Gateway/forward_task.h"
@@ -41,6 +42,7 @@
   CrashQuarantine& quarantine;
   UpstreamProbe& upstream_probe;
   FleetRetryBudget& retry_budget;
+  AnswerMemory& answer_memory;
   /// An attempt at an upstream has failed or stalled.
   std::function<void(Time, const UpstreamRecord&, const Outcome&)>
       on_suspect_failure = {};
@@ -169,6 +171,8 @@
   void ApplyNotices();
   /// Passes on the rate limit that the response head names, or its end.
   void ApplyRateLimit(Time now);
+  /// Counts what is kept of the response and what its client has yet to read.
+  void UpdateHeldAnswer();
   /// Gives up an attempt whose response exceeds every bound.
   void AbandonEndlessResponse();
   void PauseReadingForSlowClient();
@@ -309,6 +313,7 @@
   // Body bytes that were received and not forwarded.
   std::string buffered_;
   EventSplitter event_splitter_;
+  HeldAnswer held_;
   // KV cache that the prefill engine holds for this request.
   std::optional<KvHandle> kv_handle_;
 
--- a/include/corianderlink/Gateway/request_arrivals.h
+++ b/include/corianderlink/Gateway/request_arrivals.h
@@ -13,7 +13,8 @@
 namespace corianderlink {
 
 /// Charges the repeats of one request.  Each call is covered by a free arrival
-/// or a reserved retry before it is sent.
+/// or a reserved retry before it is sent.  The owner releases what is reserved
+/// at the end of the request; the budget may be gone when this is destroyed.
 class RequestArrivals {
  public:
   /// The next attempt: one call, or a prefill and a decode call.
@@ -21,7 +22,6 @@
 
   RequestArrivals(FleetRetryBudget& budget, ServiceId service,
                   RequestId request, ArrivalCounts before);
-  ~RequestArrivals() { Release(); }
   RequestArrivals(const RequestArrivals&) = delete;
   RequestArrivals& operator=(const RequestArrivals&) = delete;
 
--- a/lib/Gateway/forward_task.cc
+++ b/lib/Gateway/forward_task.cc
@@ -29,7 +29,9 @@
 }  // namespace
 
 ForwardTask::ForwardTask(ForwardContext& context, ForwardedRequest forwarded)
-    : context_(context), forwarded_(std::move(forwarded)) {}
+    : context_(context),
+      forwarded_(std::move(forwarded)),
+      held_(context.answer_memory) {}
 
 void ForwardTask::Start() {
   const auto self = shared_from_this();
@@ -61,8 +63,9 @@
   }
   tried_.insert(*peer_);
   response_.reset();
-  buffered_.clear();
+  std::string().swap(buffered_);
   event_splitter_.Clear();
+  UpdateHeldAnswer();
   Log(LogLevel::kInfo, "request_forwarded",
       {{"request", forwarded_.request.id.value()},
        {"service", forwarded_.service.value()},
@@ -145,6 +148,7 @@
   if (is_event_stream()) {
     event_splitter_.Feed(data);
     SendEvents();
+    if (!finished_) UpdateHeldAnswer();
     return;
   }
   InboundExchange& exchange = *forwarded_.exchange;
@@ -153,7 +157,8 @@
                           forwarded_.route.kind == RouteKind::kStream;
   if (is_foreign) return;
   buffered_ += data;
-  if (buffered_.size() <= kMaxBufferedBytes) return;
+  UpdateHeldAnswer();
+  if (buffered_.size() <= held_.LimitFor(kMaxBufferedBytes)) return;
   if (!exchange.response_started()) {
     exchange.StartResponse(response_->status, EndToEndFields(response_->fields),
                            response_->content_length);
@@ -162,6 +167,11 @@
   PauseReadingForSlowClient();
 }
 
+void ForwardTask::UpdateHeldAnswer() {
+  held_.Set(buffered_.size() + event_splitter_.rest().size() +
+            forwarded_.exchange->PendingBytes());
+}
+
 void ForwardTask::SendEvents() {
   InboundExchange& exchange = *forwarded_.exchange;
   std::optional<uint64_t>& last_id = forwarded_.last_event_id;
@@ -175,14 +185,16 @@
     exchange.SendBody(event->bytes);
     PauseReadingForSlowClient();
   }
-  if (event_splitter_.rest().size() <= kMaxEventBytes) return;
+  const size_t limit = held_.LimitFor(kMaxEventBytes);
+  if (event_splitter_.rest().size() <= limit) return;
   call_->Cancel();
   OnFailure(Outcome::MayHaveRun("event is longer than any valid one"));
 }
 
 void ForwardTask::PauseReadingForSlowClient() {
   InboundExchange& exchange = *forwarded_.exchange;
-  if (exchange.PendingBytes() <= kMaxPendingBytes || !call_) return;
+  const size_t limit = held_.LimitFor(kMaxPendingBytes);
+  if (exchange.PendingBytes() <= limit || !call_) return;
   call_->PauseReading();
   exchange.on_drained = [call = call_] { call->ResumeReading(); };
 }
@@ -335,6 +347,7 @@
 void ForwardTask::Finish(const char* result, int status,
                          const std::string& reason) {
   finished_ = true;
+  held_.Set(0);
   deadline_timer_.Reset();
   retry_timer_.Reset();
   InboundExchange& exchange = *forwarded_.exchange;
--- a/lib/Gateway/gateway_relaying.cc
+++ b/lib/Gateway/gateway_relaying.cc
@@ -15,9 +15,9 @@
 }  // namespace
 
 RelayContext Gateway::MakeRelayContext() {
-  RelayContext context{loop_,         pool_,           placer_,
-                       codecs_.relay, metrics_,        random_,
-                       quarantine_,   upstream_probe_, retry_budget_};
+  RelayContext context{
+      loop_,   pool_,       placer_,         codecs_.relay, metrics_,
+      random_, quarantine_, upstream_probe_, retry_budget_, answer_memory_};
   context.on_suspect_failure = [this](Time now, const UpstreamRecord& upstream,
                                       const Outcome& outcome) {
     OnSuspectFailure(now, upstream, outcome);
@@ -58,7 +58,8 @@
 }
 
 ForwardContext Gateway::MakeForwardContext() {
-  ForwardContext context{loop_, pool_, codecs_.relay, metrics_, random_};
+  ForwardContext context{loop_,    pool_,   codecs_.relay,
+                         metrics_, random_, answer_memory_};
   context.choose_peer = [this](Time now, const ServiceId& service,
                                const std::set<Address>& excluded) {
     return peer_selection_.Choose(peers_.Live(now), service, excluded);
--- a/lib/Gateway/gateway_settings.cc
+++ b/lib/Gateway/gateway_settings.cc
@@ -76,6 +76,11 @@
   settings.directory_ttl_max =
       ReadSeconds(reader, "directory_ttl_max_s", settings.directory_ttl_max);
   settings.lease = ReadSeconds(reader, "lease_s", settings.lease);
+  constexpr int64_t kBytesPerMb = 1024 * 1024;
+  settings.memory_bytes = static_cast<size_t>(
+      kBytesPerMb * reader.Integer("memory_mb", 16, 1 << 20,
+                                   static_cast<int64_t>(settings.memory_bytes) /
+                                       kBytesPerMb));
   settings.initial_start =
       reader.Boolean("initial_start", settings.initial_start);
   ReadRetries(reader, settings, json_errors);
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -40,7 +40,8 @@
       arrivals_(context.retry_budget, service_.id, request_.id,
                 from_peer_ && request_.forwarding
                     ? request_.forwarding->arrivals
-                    : ArrivalCounts()) {}
+                    : ArrivalCounts()),
+      held_(context.answer_memory) {}
 
 void RelayTask::Start() {
   const Time now = BootClock::now();
@@ -243,8 +244,9 @@
   reached_upstream_ = true;
   on_new_connection_ = false;
   response_.reset();
-  buffered_.clear();
+  std::string().swap(buffered_);
   event_splitter_.Clear();
+  UpdateHeldAnswer();
   // Prefill and decode count as one attempt.
   if (!kv_handle_) ++sends_;
   arrivals_.OnSent(now);
@@ -410,6 +412,7 @@
 void RelayTask::Detach() {
   finished_ = true;
   arrivals_.Release();
+  held_.Set(0);
   if (trial_ != 0) {
     context_.quarantine.OnTrialEnd(BootClock::now(), trial_,
                                    possible_runs_ > 0);
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -73,13 +73,15 @@
   if (forwarding_events_) {
     event_splitter_.Feed(data);
     ForwardEvents();
+    if (!finished_) UpdateHeldAnswer();
     return;
   }
   buffered_ += data;
+  UpdateHeldAnswer();
   const bool can_forward = !placement_->prefill_only &&
                            response_info_.is_signed &&
                            !response_info_.not_run && !is_stream();
-  if (buffered_.size() <= kMaxBufferedBytes) return;
+  if (buffered_.size() <= held_.LimitFor(kMaxBufferedBytes)) return;
   if (!can_forward) {
     AbandonEndlessResponse();
     return;
@@ -93,16 +95,22 @@
   PauseReadingForSlowClient();
 }
 
+void RelayTask::UpdateHeldAnswer() {
+  held_.Set(buffered_.size() + event_splitter_.rest().size() +
+            exchange_->PendingBytes());
+}
+
 void RelayTask::AbandonEndlessResponse() {
   call_->Cancel();
   call_.reset();
-  buffered_.clear();
+  std::string().swap(buffered_);
   OnAttemptFailed(Outcome::MayHaveRun("response is longer than any valid one"),
                   true);
 }
 
 void RelayTask::PauseReadingForSlowClient() {
-  if (exchange_->PendingBytes() <= kMaxPendingBytes || !call_) return;
+  const size_t limit = held_.LimitFor(kMaxPendingBytes);
+  if (exchange_->PendingBytes() <= limit || !call_) return;
   call_->PauseReading();
   exchange_->on_drained = [call = call_] { call->ResumeReading(); };
 }
@@ -127,7 +135,7 @@
     exchange_->SendBody(event->bytes);
     PauseReadingForSlowClient();
   }
-  if (event_splitter_.rest().size() > kMaxEventBytes) {
+  if (event_splitter_.rest().size() > held_.LimitFor(kMaxEventBytes)) {
     AbandonEndlessResponse();
     return;
   }
--- a/unittests/Gateway/cut_head_test.cc
+++ b/unittests/Gateway/cut_head_test.cc
@@ -235,7 +235,9 @@
   const RelayCodec codec_ = platform::MakeRelayCodec();
   Metrics metrics_;
   RandomSource random_{7};
-  ForwardContext context_{loop_, pool_, codec_, metrics_, random_};
+  AnswerMemory answer_memory_{1 << 20};
+  ForwardContext context_{loop_,    pool_,   codec_,
+                          metrics_, random_, answer_memory_};
   std::optional<Address> peer_;
   RouteKind kind_ = RouteKind::kNonIdempotent;
   const Address address_ = FreeAddress();
--- a/unittests/Gateway/gateway_test_harness.h
+++ b/unittests/Gateway/gateway_test_harness.h
@@ -186,6 +186,7 @@
     settings.admin = FreeAddress();
     settings.store = store;
     settings.max_descriptors = 4000;
+    settings.memory_bytes = size_t{64} * 1024 * 1024;
     settings.stop_grace = seconds(2);
     settings.retries = {0.2, 50, seconds(10)};
     return settings;
--- a/unittests/Gateway/upstream_trouble_test.cc
+++ b/unittests/Gateway/upstream_trouble_test.cc
@@ -130,5 +130,47 @@
   EXPECT_LT(sent_bytes_, 4U * 1024 * 1024);
 }
 
+// Guards against a process that runs out of memory by many answers at once,
+// each of which stays below its own bound.
+TEST_F(UpstreamTroubleTest, UnfinishedAnswersAreBoundedTogether) {
+  constexpr int kRequests = 120;
+  const std::string part(10 * 1024, 'x');
+  std::vector<EventHandle> feeds;
+  for (int i = 0; i < kRequests / 4; ++i) {
+    FakeUpstream& upstream =
+        harness_.AddUpstream("s" + std::to_string(i), "shop");
+    upstream.on_request = [this, &feeds, &part](const Exchange& exchange) {
+      exchange->StartResponse(200, {}, std::nullopt);
+      feeds.push_back(
+          harness_.loop.Every(milliseconds(50), [this, exchange, &part] {
+            if (sent_bytes_ > size_t{20} * 1024 * 1024) return;
+            exchange->SendBody(part);
+            sent_bytes_ += part.size();
+          }));
+    };
+  }
+  harness_.AddUpstream("c1", "chat").on_request = [](const Exchange& exchange) {
+    exchange->StartResponse(200, FakeUpstream::Signed(exchange), std::nullopt);
+    exchange->SendBody("id: 1\ndata: x\n\n");
+    exchange->CompleteResponse();
+  };
+  std::vector<std::shared_ptr<ClientResult>> results;
+  for (int i = 0; i < kRequests; ++i) {
+    results.push_back(
+        harness_.Send("POST", "/unsafe/1", {}, "b", "u" + std::to_string(i)));
+  }
+  const size_t capacity = harness_.MakeSettings().memory_bytes / 8;
+  size_t most = 0;
+  for (int i = 0; i < 100; ++i) {
+    harness_.RunFor(milliseconds(10));
+    most = std::max(most, harness_.gateway().answer_memory().held());
+  }
+  EXPECT_GT(most, capacity / 2);
+  EXPECT_LE(most, capacity + kRequests * AnswerMemory::kAlwaysHeld);
+  const auto other = harness_.Send("POST", "/chat/1", {}, "b");
+  harness_.Await(other);
+  EXPECT_EQ(other->status, 200);
+}
+
 }  // namespace
 }  // namespace corianderlink
