--- a/include/corianderlink/Gateway/answer_memory.h
+++ b/include/corianderlink/Gateway/answer_memory.h
@@ -29,8 +29,8 @@
   size_t held_ = 0;
 };
 
-/// The part of one answer.  Whoever holds it sets it to 0 at the end; the memory
-/// may be gone when this object is destroyed.
+/// The part of one answer.  Whoever holds it sets it to 0 at the end; the
+/// memory may be gone when this object is destroyed.
 class HeldAnswer {
  public:
   explicit HeldAnswer(AnswerMemory& memory) : memory_(memory) {}
