[Gateway] Take what earlier processes leave of the ratio after a later start

Before the kill a gateway may use 0.14 of the requests of the ten seconds before, a fault that begins uses that at once; the next process, which knows none of it, used 0.14 of its own requests on top, and the next again, so that one window held 0.14 of up to twenty seconds.

Until a window has passed after a start, 0.2 of the ratio is used instead of 0.7, so that both together stay below 1; from then on the process knows all its charges.

--- a/include/corianderlink/Gateway/fleet_retry_budget.h
+++ b/include/corianderlink/Gateway/fleet_retry_budget.h
@@ -14,9 +14,9 @@
 /// and charged when it is sent, since it may wait in between.
 class FleetRetryBudget {
  public:
-  /// `slack_from` is the time from which this gateway uses its part of the
-  /// slack.
-  FleetRetryBudget(RetryLimits limits, Time slack_from, Metrics& metrics);
+  /// From `whole_from` on no process before this one has used the budget within
+  /// the window.
+  FleetRetryBudget(RetryLimits limits, Time whole_from, Metrics& metrics);
 
   /// Takes effect at once.
   void SetLimits(const RetryLimits& limits);
@@ -41,7 +41,7 @@
   RetryWindow& WindowOf(const ServiceId& service);
 
   RetryLimits limits_;
-  const Time slack_from_;
+  const Time whole_from_;
   Metrics& metrics_;
   SharingGateways sharing_;
   std::map<ServiceId, RetryWindow> windows_;
--- a/include/corianderlink/Gateway/retry_window.h
+++ b/include/corianderlink/Gateway/retry_window.h
@@ -50,9 +50,10 @@
 /// Retry budget of this gateway for one service.
 class RetryWindow {
  public:
-  /// Before `slack_from` this gateway has no part of the slack.
-  explicit RetryWindow(RetryLimits limits, Time slack_from = Time::min())
-      : limits_(limits), slack_from_(slack_from) {}
+  /// Before `whole_from`, processes before this one may have used the budget:
+  /// this one takes what they leave, a smaller ratio and none of the slack.
+  explicit RetryWindow(RetryLimits limits, Time whole_from = Time::min())
+      : limits_(limits), whole_from_(whole_from) {}
 
   /// A client request for the service arrived.
   void OnRequest(Time now);
@@ -76,7 +77,7 @@
   void Expire(Time now);
 
   RetryLimits limits_;
-  const Time slack_from_;
+  const Time whole_from_;
   std::deque<Time> requests_;
   std::deque<Time> retries_;
   size_t reserved_ = 0;
--- a/lib/Gateway/fleet_retry_budget.cc
+++ b/lib/Gateway/fleet_retry_budget.cc
@@ -5,9 +5,9 @@
 
 namespace corianderlink {
 
-FleetRetryBudget::FleetRetryBudget(RetryLimits limits, Time slack_from,
+FleetRetryBudget::FleetRetryBudget(RetryLimits limits, Time whole_from,
                                    Metrics& metrics)
-    : limits_(limits), slack_from_(slack_from), metrics_(metrics) {}
+    : limits_(limits), whole_from_(whole_from), metrics_(metrics) {}
 
 void FleetRetryBudget::SetLimits(const RetryLimits& limits) {
   limits_ = limits;
@@ -15,7 +15,7 @@
 }
 
 RetryWindow& FleetRetryBudget::WindowOf(const ServiceId& service) {
-  return windows_.try_emplace(service, limits_, slack_from_).first->second;
+  return windows_.try_emplace(service, limits_, whole_from_).first->second;
 }
 
 void FleetRetryBudget::OnRequest(Time now, const ServiceId& service) {
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -37,9 +37,9 @@
 // Part of the process's memory that answers may take: 1 / this.
 constexpr size_t kAnswerMemoryDivisor = 8;
 
-// Processes that have run before may have used their parts of the slack, and
-// this one does not know yet how many it shares it with.
-Time SlackFrom(const GatewaySettings& settings) {
+// Processes that have run before may have used the budget, and this one does
+// not know yet how many it shares it with.
+Time WholeBudgetFrom(const GatewaySettings& settings) {
   if (settings.initial_start) return Time::min();
   return BootClock::now() + settings.retries.window;
 }
@@ -59,7 +59,7 @@
       codecs_(std::move(codecs)),
       process_id_(settings_.instance + "." + random_.HexId().substr(0, 12)),
       pool_(loop),
-      retry_budget_(settings_.retries, SlackFrom(settings_), metrics_),
+      retry_budget_(settings_.retries, WholeBudgetFrom(settings_), metrics_),
       answer_memory_(settings_.memory_bytes / kAnswerMemoryDivisor),
       placer_(PlacerLimits{}, MakeEjectorLimits(), GatewayPeers::kPeerTimeout,
               settings_.zone),
--- a/lib/Gateway/retry_window.cc
+++ b/lib/Gateway/retry_window.cc
@@ -9,6 +9,9 @@
 // Fraction of the budget that is used; the rest covers differences between the
 // gateways' clocks and between their views of the number of gateways.
 constexpr double kUsableFraction = 0.7;
+// Fraction for a process that has just started.  Those before it may have used
+// kUsableFraction in the same window; both together stay below 1.
+constexpr double kFractionAfterStart = 0.2;
 // Time after which a gateway without heartbeats leaves its share to the others:
 // several windows, and longer than connections between gateways hang.
 constexpr Duration kShareLifetime = seconds(60);
@@ -36,13 +39,13 @@
 
 RetryWindowUse RetryWindow::UseAt(Time now, size_t gateways) {
   Expire(now);
-  const double slack =
-      now < slack_from_
-          ? 0
-          : limits_.slack / static_cast<double>(std::max<size_t>(gateways, 1));
-  const double allowed =
-      kUsableFraction *
-      (limits_.ratio * static_cast<double>(requests_.size()) + slack);
+  const double by_requests =
+      limits_.ratio * static_cast<double>(requests_.size());
+  const double by_slack =
+      limits_.slack / static_cast<double>(std::max<size_t>(gateways, 1));
+  const double allowed = now < whole_from_
+                             ? kFractionAfterStart * by_requests
+                             : kUsableFraction * (by_requests + by_slack);
   return {requests_.size(), retries_.size() + reserved_, allowed};
 }
 
--- a/unittests/Gateway/fleet_retry_budget_test.cc
+++ b/unittests/Gateway/fleet_retry_budget_test.cc
@@ -24,9 +24,9 @@
   void StartAll(bool initial) {
     budgets_.clear();
     for (size_t i = 0; i < kGateways; ++i) {
-      const Time slack_from = initial ? Time::min() : now_ + kLimits.window;
+      const Time whole_from = initial ? Time::min() : now_ + kLimits.window;
       budgets_.push_back(
-          std::make_unique<FleetRetryBudget>(kLimits, slack_from, metrics_));
+          std::make_unique<FleetRetryBudget>(kLimits, whole_from, metrics_));
     }
   }
   /// Each gateway learns of the others after a while.
@@ -41,12 +41,17 @@
   }
   size_t retries_in_window() const { return retries_.size(); }
 
+  Time now_ = kStart;
+  /// No retry is needed before this time.
+  Time retries_from_ = kStart;
+
  private:
   void Step(FleetRetryBudget& budget) {
-    if (++steps_ % 20 == 0) {
+    if (++steps_ % 4 == 0) {
       budget.OnRequest(now_, kService);
       requests_.push_back(now_);
     }
+    if (now_ < retries_from_) return;
     if (!budget.TryReserve(now_, kService, RequestId("r"), 1)) return;
     budget.Charge(now_, kService);
     retries_.push_back(now_);
@@ -62,7 +67,6 @@
         kLimits.ratio * static_cast<double>(requests_.size()) + kLimits.slack);
   }
 
-  Time now_ = kStart;
   Metrics metrics_;
   std::vector<std::unique_ptr<FleetRetryBudget>> budgets_;
   std::deque<Time> requests_;
@@ -85,6 +89,20 @@
   EXPECT_GT(static_cast<double>(retries_in_window()), kLimits.slack / 2);
 }
 
+// Guards against processes that take a share for their own requests, while the
+// processes before them have used that of the requests of a whole window.
+TEST_F(RestartedGatewaysTest, GatewaysThatStartAgainInAFaultKeepTheBudget) {
+  StartAll(true);
+  retries_from_ = now_ + seconds(15);
+  Run(milliseconds(18'400));
+  for (int i = 0; i < 4; ++i) {
+    StartAll(false);
+    Run(milliseconds(500), false);
+    Run(seconds(4));
+  }
+  Run(seconds(25));
+}
+
 TEST_F(RestartedGatewaysTest, FirstStartHasTheSlackAtOnce) {
   StartAll(true);
   Run(seconds(1));
