--- a/include/corianderlink/Gateway/fleet_retry_budget.h
+++ b/include/corianderlink/Gateway/fleet_retry_budget.h
@@ -10,7 +10,7 @@
 
 namespace corianderlink {
 
-/// Retry budgets of all services.  A retry is reserved before it is decided on
+/// Retry budgets of all services.  A retry is reserved when it is decided on
 /// and charged when it is sent, since it may wait in between.
 class FleetRetryBudget {
  public:
