[Gateway] Count no bytes as held that a client has read

What an answer holds was counted when bytes came from the upstream, so that a stream which went silent after a long event counted its bytes although its client had read them; with enough of such streams, the answers of others would have been bounded to 16 KiB for nothing. And the rest of an event without end stayed with a stream that was given up and waits for another upstream.

The count is taken again when the client's bytes have left, and the rest is freed.

--- a/lib/Gateway/forward_task.cc
+++ b/lib/Gateway/forward_task.cc
@@ -193,10 +193,13 @@
 
 void ForwardTask::PauseReadingForSlowClient() {
   InboundExchange& exchange = *forwarded_.exchange;
-  const size_t limit = held_.LimitFor(kMaxPendingBytes);
-  if (exchange.PendingBytes() <= limit || !call_) return;
-  call_->PauseReading();
-  exchange.on_drained = [call = call_] { call->ResumeReading(); };
+  const size_t pending = exchange.PendingBytes();
+  if (pending == 0 || !call_) return;
+  exchange.on_drained = [self = shared_from_this(), call = call_] {
+    call->ResumeReading();
+    if (!self->finished_) self->UpdateHeldAnswer();
+  };
+  if (pending > held_.LimitFor(kMaxPendingBytes)) call_->PauseReading();
 }
 
 void ForwardTask::OnEnd() {
--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -104,15 +104,20 @@
   call_->Cancel();
   call_.reset();
   std::string().swap(buffered_);
+  event_splitter_.Clear();
+  UpdateHeldAnswer();
   OnAttemptFailed(Outcome::MayHaveRun("response is longer than any valid one"),
                   true);
 }
 
 void RelayTask::PauseReadingForSlowClient() {
-  const size_t limit = held_.LimitFor(kMaxPendingBytes);
-  if (exchange_->PendingBytes() <= limit || !call_) return;
-  call_->PauseReading();
-  exchange_->on_drained = [call = call_] { call->ResumeReading(); };
+  const size_t pending = exchange_->PendingBytes();
+  if (pending == 0 || !call_) return;
+  exchange_->on_drained = [self = shared_from_this(), call = call_] {
+    call->ResumeReading();
+    if (!self->finished_) self->UpdateHeldAnswer();
+  };
+  if (pending > held_.LimitFor(kMaxPendingBytes)) call_->PauseReading();
 }
 
 void RelayTask::ForwardEvents() {
--- a/unittests/Gateway/upstream_trouble_test.cc
+++ b/unittests/Gateway/upstream_trouble_test.cc
@@ -130,6 +130,23 @@
   EXPECT_LT(sent_bytes_, 4U * 1024 * 1024);
 }
 
+// Guards against answers that count as held after their clients have read them,
+// while the stream goes on in silence.
+TEST_F(UpstreamTroubleTest, BytesThatTheClientHasReadAreNotHeld) {
+  const std::string event =
+      "id: 1\ndata: " + std::string(600'000, 'x') + "\n\n";
+  harness_.AddUpstream("c1", "chat").on_request =
+      [&event](const Exchange& exchange) {
+        exchange->StartResponse(200, FakeUpstream::Signed(exchange),
+                                std::nullopt);
+        exchange->SendBody(event);
+      };
+  const auto result = harness_.Send("POST", "/chat/1", {}, "b");
+  harness_.RunFor(milliseconds(300));
+  EXPECT_EQ(result->body.size(), event.size());
+  EXPECT_EQ(harness_.gateway().answer_memory().held(), 0U);
+}
+
 // Guards against a process that runs out of memory by many answers at once,
 // each of which stays below its own bound.
 TEST_F(UpstreamTroubleTest, UnfinishedAnswersAreBoundedTogether) {
