--- a/utils/soak_lib/processes.py
+++ b/utils/soak_lib/processes.py
@@ -35,7 +35,8 @@
 class StoppableUpstream(Shared):
     """The soak's side."""
 
-    told = ("trouble", "leaving", "limit", "limit_named_at", "version")
+    told = ("trouble", "leaving", "limit", "limit_named_at", "version",
+            "slots")
 
     def __init__(self, *args):
         self.process = None
--- a/utils/soak_lib/stand_ins.py
+++ b/utils/soak_lib/stand_ins.py
@@ -428,7 +428,9 @@
 
     async def stream(self, run, writer, fields, gone, pause_s):
         first = int(fields.get("last-event-id", 0)) + 1
-        for event in range(first, EVENTS + 1):
+        events = int(fields.get("stand-in-events", EVENTS))
+        pause_s *= float(fields.get("stand-in-pace", 1))
+        for event in range(first, events + 1):
             data = event_of(run.request, event, self.version)
             if self.trouble == "cut" and event > 1:
                 writer.write(http1.chunk(data[:9]))
@@ -456,7 +458,8 @@
 # End of the target of requests that end their upstream.
 LETHAL = "lethal"
 
-# Events of each stream, and the time between them.
+# Events of a stream, and the time between them; requests may ask for another
+# number (Stand-In-Events) and for a multiple of that time (Stand-In-Pace).
 EVENTS = 8
 EVENT_PAUSE_S = 0.12
 
