[Http1] Close no connection as idle on which a request has arrived

A gateway that stops closes its idle connections, and took one for idle whose request had been read by libevent and not handed on, or waited in the kernel. Its caller got no answer, and may not repeat a request that must not run twice. A refused connection that is being closed in order was cut the same way.

Change: bytes that have arrived, and a close that is under way, make a connection not idle.

Before: InboundConnectionTest.ConnectionWithAnUnreadRequestIsNotIdle fails (idle).

--- a/include/corianderlink/Http1/byte_stream.h
+++ b/include/corianderlink/Http1/byte_stream.h
@@ -47,6 +47,7 @@
   /// Received data that was not consumed yet.  The view is valid until the
   /// next call on the stream.
   std::string_view Input();
+  size_t InputBytes() const;
   /// Removes the first `bytes` bytes from the input buffer.
   void Consume(size_t bytes);
   /// Appends `data` to the output buffer.
--- a/include/corianderlink/Http1/inbound_connection.h
+++ b/include/corianderlink/Http1/inbound_connection.h
@@ -46,9 +46,11 @@
   InboundConnection(const InboundContext& context, int fd);
   ~InboundConnection() override;
 
-  /// True while no request is being received or handled and all of the last
-  /// answer was handed to the kernel.
+  /// True while no request is being received or handled, none has arrived, and
+  /// the last answer was handed to the kernel and its connection stays open.
   bool idle() const;
+  /// Of answers, not handed to the kernel.
+  size_t unsent_bytes() const { return stream_.PendingBytes(); }
   /// Lets an idle connection stay open for the present idle timeout, if that is
   /// longer than the one that it was given.
   void ExtendIdleTime(Time now);
@@ -77,6 +79,8 @@
   /// read the answer.
   void CloseOnceRead();
   void BecomeIdle();
+  /// True if bytes of the client have arrived that no request has taken yet.
+  bool HasInput() const;
   void WriteHead(int status, const HeaderFields& fields,
                  std::optional<uint64_t> content_length);
 
--- a/include/corianderlink/Http1/inbound_server.h
+++ b/include/corianderlink/Http1/inbound_server.h
@@ -38,6 +38,14 @@
   void EndRequests();
   /// Number of open client connections.
   size_t connections() const { return connections_.size(); }
+  /// What is not finished on the open connections.
+  struct OpenWork {
+    size_t connections = 0;
+    size_t requests = 0;
+    /// Of answers, not handed to the kernel.
+    size_t unsent_bytes = 0;
+  };
+  OpenWork CountOpenWork() const;
 
   /// Called with the reason when the server rejects a request itself: it is
   /// malformed, too large or was not received in time.
--- a/lib/Http1/byte_stream.cc
+++ b/lib/Http1/byte_stream.cc
@@ -99,6 +99,10 @@
   return {reinterpret_cast<const char*>(data), size};
 }
 
+size_t ByteStream::InputBytes() const {
+  return evbuffer_get_length(bufferevent_get_input(bev_));
+}
+
 void ByteStream::Consume(size_t bytes) {
   evbuffer_drain(bufferevent_get_input(bev_), bytes);
 }
--- a/lib/Http1/inbound_connection.cc
+++ b/lib/Http1/inbound_connection.cc
@@ -59,8 +59,12 @@
 }
 
 bool InboundConnection::idle() const {
-  return exchange_ == nullptr && !request_started_ &&
-         stream_.PendingBytes() == 0;
+  return exchange_ == nullptr && !request_started_ && !answered_last_ &&
+         stream_.PendingBytes() == 0 && !HasInput();
+}
+
+bool InboundConnection::HasInput() const {
+  return stream_.InputBytes() > 0 || stream_.HasUnreadInput();
 }
 
 void InboundConnection::BecomeIdle() {
@@ -71,7 +75,7 @@
 
 void InboundConnection::ExtendIdleTime(Time now) {
   // Input that is not parsed yet is about to become a request.
-  if (!idle() || !stream_.Input().empty()) return;
+  if (!idle()) return;
   if (context_.limits.idle_timeout <= idle_timeout_) return;
   idle_timeout_ = context_.limits.idle_timeout;
   ArmTimer(std::max(Duration::zero(), idle_since_ + idle_timeout_ - now));
--- a/lib/Http1/inbound_server.cc
+++ b/lib/Http1/inbound_server.cc
@@ -91,6 +91,16 @@
   }
 }
 
+InboundServer::OpenWork InboundServer::CountOpenWork() const {
+  OpenWork open;
+  open.connections = connections_.size();
+  for (const auto& [key, connection] : connections_) {
+    if (connection->exchange()) ++open.requests;
+    open.unsent_bytes += connection->unsent_bytes();
+  }
+  return open;
+}
+
 void InboundServer::CloseIdleConnections() {
   std::vector<InboundConnection*> idle;
   for (const auto& [key, connection] : connections_) {
--- a/unittests/Http1/inbound_connection_test.cc
+++ b/unittests/Http1/inbound_connection_test.cc
@@ -74,6 +74,14 @@
   std::unique_ptr<InboundConnection> connection_;
 };
 
+// Guards against requests that are closed as idle when a process stops.
+TEST_F(InboundConnectionTest, ConnectionWithAnUnreadRequestIsNotIdle) {
+  RunFor(milliseconds(10));
+  ASSERT_TRUE(connection_->idle());
+  Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_FALSE(connection_->idle());
+}
+
 // The disconnect callback may replace itself while it runs.  What it captured
 // has to stay alive until it returns.
 TEST_F(InboundConnectionTest, DisconnectCallbackMayResetItself) {
