[Gateway] Take only what ends in time in a planned stop, and decide it at arrival

What callers saw: streams that a gateway took around its SIGTERM ended with a reset (LOST); of those sent in the three seconds after it nearly half were cut.

Cause: the end of taking requests was found by a timer of 0.1 s that starts when the signal is read, where callers count from when it was sent; and a request was taken whatever it needs. The class: a promise in time that is kept by this process's own look at its own clock, without a margin, and admission without a look at the time left.

Ruled out: answers that wait in this process (no lost request of a client that pauses).

Change: StopPlan holds the times of a stop and decides from the time at which a request is whole. In the first 2.5 s a request is taken if it probably ends in time, by the longest time that requests of its route and size took lately; until 3 s, only if its deadline is before the end; else it is refused with 503 and Retry-After: 0. The same is asked before each further attempt and before generation after a prefill.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -31,6 +31,7 @@
 #include "corianderlink/Gateway/relay_task.h"
 #include "corianderlink/Gateway/role_coordinator.h"
 #include "corianderlink/Gateway/route_table.h"
+#include "corianderlink/Gateway/stop_admission.h"
 #include "corianderlink/Gateway/store_contact.h"
 #include "corianderlink/Gateway/stream_versions.h"
 #include "corianderlink/Gateway/upstream_probe.h"
@@ -69,10 +70,10 @@
   void Reload(const GatewaySettings& settings);
   /// Begins a graceful shutdown, in which requests in progress are completed.
   /// The directory no longer lists this gateway, which accepts connections
-  /// until cached directory responses have expired and refuses requests from
-  /// then on.  Stops the loop when all client connections are closed, or
-  /// shortly before the end of the grace period; requests that are still in
-  /// progress are answered before.
+  /// until cached directory responses have expired, takes only requests that
+  /// end before it does, and refuses the others.  Stops the loop when all
+  /// client connections are closed, or shortly before the end of the grace
+  /// period; requests that are still in progress are answered before.
   void BeginShutdown();
 
   /// Handles records of the configuration that were read from the store.
@@ -241,6 +242,13 @@
   void CloseConnectionsToRemovedUpstreams();
   /// Next step of a shutdown, repeated until the loop is stopped.
   void ContinueShutdown();
+  /// Says what is still open, and stops the loop.
+  void EndShutdown(Time now);
+  /// False if a stop has begun and the request would be cut by it.
+  bool TakesInStop(Time now, const InboundExchange& exchange,
+                   const RouteSpec& route, const ClientRequest& request) const;
+  /// For how long clients may keep a response of the directory.
+  static Duration directory_ttl();
   /// Returns the state dump, a JSON document.
   std::string DumpState(Time now) const;
 
@@ -286,9 +294,7 @@
   // Highest fencing token of role orders that any gateway has told of.
   FencingToken highest_fencing_ = 0;
   bool shutting_down_ = false;
-  // In a shutdown, once no new client connections are accepted.
-  bool refuses_requests_ = false;
-  Time shutdown_began_at_{};
+  StopAdmission stop_admission_;
   EventHandle housekeeping_;
   EventHandle shutdown_timer_;
   EventHandle permit_timer_;
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -20,6 +20,7 @@
 #include "corianderlink/Gateway/placer.h"
 #include "corianderlink/Gateway/relay_codec.h"
 #include "corianderlink/Gateway/request_arrivals.h"
+#include "corianderlink/Gateway/stop_admission.h"
 #include "corianderlink/Gateway/stream_origins.h"
 #include "corianderlink/Gateway/upstream_probe.h"
 #include "corianderlink/Gateway/version_constraint.h"
@@ -43,6 +44,8 @@
   UpstreamProbe& upstream_probe;
   FleetRetryBudget& retry_budget;
   AnswerMemory& answer_memory;
+  /// How long requests take, and what this gateway begins while it stops.
+  StopAdmission& stop_admission;
   /// An attempt at an upstream has failed or stalled.
   std::function<void(Time, const UpstreamRecord&, const Outcome&)>
       on_suspect_failure = {};
@@ -224,6 +227,12 @@
   void RefuseForGood(const std::string& reason);
   void OnDeadline();
   void OnProcessEnding();
+  /// Refuses or fails a request, unless its response has begun, for which an
+  /// attempt that begins now would be cut by this gateway's stop.
+  bool EndIfStopping(Time now);
+  /// Refuses a request that another gateway may serve.
+  void RefuseForStop(const char* reason);
+  uint32_t OutputTokens() const;
   /// Ends a request that its upstream has not answered in time.
   void EndUnanswered(const std::string& reason);
   /// Moves an idempotent request whose upstream makes no progress to another
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -14,15 +14,6 @@
 // is available to client connections.
 constexpr int kReservedDescriptors = 1000;
 constexpr Duration kHousekeepingInterval = milliseconds(200);
-// Time for which clients may cache a response of the directory.
-constexpr Duration kDirectoryTtl = seconds(1);
-// Some clients cache a directory response for up to this many times its TTL.
-constexpr int kMaxTtlOverrunFactor = 3;
-constexpr Duration kShutdownPollInterval = milliseconds(100);
-// The process ends at the latest this long before the end of the grace period.
-constexpr Duration kShutdownMargin = milliseconds(700);
-// Requests that are still in progress are answered this long before that.
-constexpr Duration kAnswerTime = milliseconds(300);
 // Retry-After time sent to clients until the configuration is loaded.
 constexpr Duration kNotReadyRetryAfter = milliseconds(300);
 
@@ -310,12 +301,13 @@
 
 void Gateway::OnRequest(const std::shared_ptr<InboundExchange>& exchange,
                         bool from_peer) {
+  const Time now = BootClock::now();
   ClientRequest request = codecs_.relay.decode_request(exchange->head());
   const auto refuse = [&](int status, const char* reason) {
     std::optional<Duration> retry_after;
     if (status == 503) retry_after = kNotReadyRetryAfter;
     // Another gateway serves it at once.
-    if (refuses_requests_) retry_after = Duration::zero();
+    if (shutting_down_) retry_after = Duration::zero();
     Log(LogLevel::kInfo, "request_done",
         {{"request", request.id.value()},
          {"result", "refused"},
@@ -326,12 +318,13 @@
     exchange->SendResponse(
         status, codecs_.relay.encode_error_fields(request.id, retry_after), "");
   };
-  if (refuses_requests_) {
+  const std::optional<StopPlan>& stop = stop_admission_.plan();
+  if (stop && !stop->Accepts(now)) {
     refuse(503, "the gateway stops");
     return;
   }
   const std::shared_ptr<const GatewayConfig> config = record_cache_.config();
-  if (!CanServe(BootClock::now())) {
+  if (!CanServe(now)) {
     refuse(503, "no configuration or upstream list loaded yet");
     return;
   }
@@ -341,11 +334,16 @@
     refuse(404, "no matching route");
     return;
   }
+  if (!TakesInStop(now, *exchange, *route, request)) {
+    metrics_.Add("gateway_stop_refusals_total");
+    refuse(503, "the gateway stops before the request would end");
+    return;
+  }
   const WeightedService* target = PickService(*route);
   ServiceId service_id = target == nullptr ? ServiceId() : target->service;
   std::string reason;
   const auto versions =
-      ConstrainStream(BootClock::now(), *route, request, service_id, reason);
+      ConstrainStream(now, *route, request, service_id, reason);
   if (!versions) {
     metrics_.Add("gateway_refused_resumptions_total");
     refuse(503, reason.c_str());
@@ -387,7 +385,7 @@
     exchange->Reply(503, "text/plain", "");
     return;
   }
-  const Duration ttl = std::min(kDirectoryTtl, settings_.directory_ttl_max);
+  const Duration ttl = std::min(directory_ttl(), settings_.directory_ttl_max);
   exchange->Reply(200, "application/json",
                   codecs_.directory.encode_response(addresses, ttl));
 }
@@ -420,45 +418,4 @@
   }
 }
 
-void Gateway::BeginShutdown() {
-  if (shutting_down_) return;
-  shutting_down_ = true;
-  shutdown_began_at_ = BootClock::now();
-  Log(LogLevel::kInfo, "stopping",
-      {{"client_connections",
-        static_cast<uint64_t>(client_server_.connections())}});
-  if (role_coordinator_) role_coordinator_->Stop();
-  UpdateFleetView(shutdown_began_at_);
-  peers_.SendHeartbeat();
-  client_server_.CloseAfterResponses();
-  forward_server_.CloseAfterResponses();
-  ContinueShutdown();
-}
-
-void Gateway::ContinueShutdown() {
-  const Duration elapsed = BootClock::now() - shutdown_began_at_;
-  const Duration time_limit = settings_.stop_grace - kShutdownMargin;
-  // Clients may connect until cached directory responses have expired, so the
-  // gateway listens until then, but for at most half of its time.
-  const Duration directory_cache_time = kMaxTtlOverrunFactor * kDirectoryTtl;
-  if (elapsed >= std::min(directory_cache_time, time_limit / 2)) {
-    // What comes from now on, on a connection whose request was incomplete, may
-    // not be finished in time.
-    refuses_requests_ = true;
-    for (InboundServer* server : {&client_server_, &forward_server_}) {
-      server->StopListening();
-      server->CloseIdleConnections();
-      if (elapsed >= time_limit - kAnswerTime) server->EndRequests();
-    }
-    const size_t connections =
-        client_server_.connections() + forward_server_.connections();
-    if (connections == 0 || elapsed >= time_limit) {
-      loop_.Stop();
-      return;
-    }
-  }
-  shutdown_timer_ =
-      loop_.After(kShutdownPollInterval, [this] { ContinueShutdown(); });
-}
-
 }  // namespace corianderlink
--- a/lib/Gateway/gateway_records.cc
+++ b/lib/Gateway/gateway_records.cc
@@ -99,6 +99,7 @@
   for (const RouteSpec& route : config.routes) present.insert(route.id);
   const auto gone = [&](const RouteId& id) { return present.count(id) == 0; };
   placer_.ForgetRoutesIf(gone);
+  stop_admission_.ForgetRoutesIf(gone);
   std::erase_if(client_timeout_estimates_,
                 [&](const auto& entry) { return gone(entry.first); });
 }
--- a/lib/Gateway/gateway_relaying.cc
+++ b/lib/Gateway/gateway_relaying.cc
@@ -15,9 +15,10 @@
 }  // namespace
 
 RelayContext Gateway::MakeRelayContext() {
-  RelayContext context{
-      loop_,   pool_,       placer_,         codecs_.relay, metrics_,
-      random_, quarantine_, upstream_probe_, retry_budget_, answer_memory_};
+  RelayContext context{loop_,          pool_,           placer_,
+                       codecs_.relay,  metrics_,        random_,
+                       quarantine_,    upstream_probe_, retry_budget_,
+                       answer_memory_, stop_admission_};
   context.on_suspect_failure = [this](Time now, const UpstreamRecord& upstream,
                                       const Outcome& outcome) {
     OnSuspectFailure(now, upstream, outcome);
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -63,6 +63,10 @@
   PlaceAndSend();
 }
 
+uint32_t RelayTask::OutputTokens() const {
+  return request_.prompt ? request_.prompt->max_output_tokens : 0;
+}
+
 uint64_t RelayTask::PromptTokens() const {
   return request_.prompt ? request_.prompt->tokens : 0;
 }
@@ -120,6 +124,7 @@
 
 void RelayTask::PlaceAndSend() {
   const Time now = BootClock::now();
+  if (EndIfStopping(now)) return;
   if (EndIfQuarantined(now)) return;
   if (ForwardIfPartitioned(now)) return;
   if (AwaitTrial(now, &RelayTask::PlaceAndSend)) return;
@@ -359,6 +364,7 @@
 
 void RelayTask::SendDecodeStage() {
   const Time now = BootClock::now();
+  if (EndIfStopping(now)) return;
   if (EndIfQuarantined(now)) return;
   if (ForwardIfPartitioned(now)) return;
   if (AwaitTrial(now, &RelayTask::SendDecodeStage)) return;
@@ -429,7 +435,11 @@
                        const std::string& reason) {
   Detach();
   const Time now = BootClock::now();
-  const double elapsed_ms = ToMillis(now - exchange_->received_at());
+  const Duration taken = now - exchange_->received_at();
+  const double elapsed_ms = ToMillis(taken);
+  if (possible_runs_ > 0) {
+    context_.stop_admission.OnServed(now, route_.id, OutputTokens(), taken);
+  }
   Log(LogLevel::kInfo, "request_done",
       {{"request", request_.id.value()},
        {"route", route_.id.value()},
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -25,6 +25,8 @@
 // this time.
 constexpr Duration kAcknowledgementTime = milliseconds(1100);
 constexpr char kStalled[] = "upstream stalled";
+constexpr char kGatewayStops[] = "the gateway stops";
+constexpr char kNoTimeLeft[] = "the gateway stops before an attempt would end";
 
 }  // namespace
 
@@ -266,7 +268,39 @@
 }
 
 void RelayTask::OnProcessEnding() {
-  if (!finished_) EndUnanswered("the gateway stops");
+  if (finished_) return;
+  if (possible_runs_ > 0 || exchange_->response_started()) {
+    EndUnanswered(kGatewayStops);
+    return;
+  }
+  if (call_) call_->Cancel();
+  call_.reset();
+  EndDispatch();
+  RefuseForStop(kGatewayStops);
+}
+
+bool RelayTask::EndIfStopping(Time now) {
+  if (exchange_->response_started()) return false;
+  const bool fits = context_.stop_admission.Fits(now, route_.id, OutputTokens(),
+                                                 deadline_ - now);
+  if (fits) return false;
+  if (possible_runs_ > 0) {
+    ReleaseKvHandle();
+    FailRequest(Outcome::MayHaveRun(kNoTimeLeft));
+    return true;
+  }
+  RefuseForStop(kNoTimeLeft);
+  return true;
+}
+
+void RelayTask::RefuseForStop(const char* reason) {
+  ReleaseKvHandle();
+  // Another gateway serves it at once.
+  exchange_->SendResponse(
+      503, context_.codec.encode_error_fields(request_.id, Duration::zero()),
+      "");
+  context_.metrics.Add("gateway_stop_refusals_total");
+  Finish("refused", 503, reason);
 }
 
 void RelayTask::EndUnanswered(const std::string& reason) {
--- a/unittests/Gateway/planned_stop_test.cc
+++ b/unittests/Gateway/planned_stop_test.cc
@@ -40,9 +40,85 @@
     harness_.RunFor(milliseconds(50));
   }
 
+  /// Has a request of the route answered within a moment, so that the gateway
+  /// knows how long such requests take.
+  void ServeOne(FakeUpstream& upstream) {
+    upstream.on_request = [](const FakeUpstream::Exchange& exchange) {
+      exchange->SendResponse(200, FakeUpstream::Signed(exchange), "done");
+    };
+    harness_.Await(harness_.Send("POST", "/unsafe/1", {}, "b", "r0"));
+    ASSERT_EQ(upstream.requests.size(), 1U);
+  }
+  /// Answer to a request that is whole `at` after the stop has begun.
+  std::string AnswerToRequestAt(Duration at, const std::string& fields) {
+    const PieceClient client(harness_.front);
+    client.Send("POST /unsafe/1 HTTP/1.1\r\nHost: h.example\r\n" + fields);
+    harness_.RunFor(milliseconds(50));
+    harness_.gateway().BeginShutdown();
+    harness_.RunFor(at);
+    client.Send("Request-Id: r1\r\nContent-Length: 1\r\n\r\nb");
+    harness_.RunFor(milliseconds(50));
+    return client.Receive();
+  }
+
   GatewayTestHarness harness_;
 };
 
+// Guards against requests that a stopping gateway takes and surely cuts.
+TEST_F(PlannedStopTest, RequestThatMayOutlastTheProcessIsRefusedAtOnce) {
+  FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
+  const std::string answer = AnswerToRequestAt(milliseconds(10), "");
+  EXPECT_EQ(answer.find("HTTP/1.1 503"), 0U) << answer;
+  EXPECT_NE(answer.find("Retry-After: 0.000"), std::string::npos) << answer;
+  EXPECT_TRUE(upstream.requests.empty());
+}
+
+// Guards against refusals of what a stopping gateway can still serve.
+TEST_F(PlannedStopTest, RequestThatProbablyEndsInTimeIsServed) {
+  FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
+  ServeOne(upstream);
+  const std::string answer = AnswerToRequestAt(milliseconds(10), "");
+  EXPECT_EQ(answer.find("HTTP/1.1 200"), 0U) << answer;
+}
+
+// Guards against requests that are taken because a timer fires late.
+TEST_F(PlannedStopTest, RequestInTheLastPartIsRefusedUnlessItsDeadlineIsNear) {
+  FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
+  ServeOne(upstream);
+  // Connections are accepted for 0.8 s of the grace period.
+  const std::string answer = AnswerToRequestAt(milliseconds(720), "");
+  EXPECT_EQ(answer.find("HTTP/1.1 503"), 0U) << answer;
+  EXPECT_EQ(upstream.requests.size(), 1U);
+}
+
+// Guards against refusals of what its own deadline ends in time.
+TEST_F(PlannedStopTest, RequestWithANearDeadlineIsServedInTheLastPart) {
+  FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
+  ServeOne(upstream);
+  const std::string answer =
+      AnswerToRequestAt(milliseconds(720), "Deadline-Ms: 1200\r\n");
+  EXPECT_EQ(answer.find("HTTP/1.1 200"), 0U) << answer;
+}
+
+// Guards against attempts that begin late in a request that was taken early.
+TEST_F(PlannedStopTest, AttemptThatWouldBeCutIsRefusedInstead) {
+  FakeUpstream& first = harness_.AddUpstream("s1", "shop");
+  FakeUpstream& second = harness_.AddUpstream("s2", "shop");
+  const auto result = harness_.Send("POST", "/unsafe/1", {}, "b");
+  harness_.RunFor(milliseconds(50));
+  harness_.gateway().BeginShutdown();
+  harness_.RunFor(milliseconds(900));
+  ASSERT_EQ(first.requests.size() + second.requests.size(), 1U);
+  FakeUpstream& asked = first.requests.empty() ? second : first;
+  HeaderFields not_run = FakeUpstream::Signed(asked.requests[0]);
+  not_run.push_back({"Not-Run", "1"});
+  asked.requests[0]->SendResponse(503, not_run, "");
+  harness_.Await(result);
+  EXPECT_EQ(result->status, 503);
+  EXPECT_EQ(result->Field("Retry-After"), "0.000");
+  EXPECT_EQ(first.requests.size() + second.requests.size(), 1U);
+}
+
 // Guards against requests that are cut without an answer at the end of the
 // grace period, among them those that must not be repeated.
 TEST_F(PlannedStopTest, RequestInProgressAtTheEndGetsAnAnswer) {
