[Gateway] Promise that a request has not run which waits for a peer at its end

What callers saw: 502 for a request that a cut-off gateway had handed to no peer yet when its time ran out or the gateway stopped; a caller may not repeat it.

Cause: ForwardTask::EndUnanswered took every such request as possibly run.

Change: only one with a call in progress may have run.

--- a/lib/Gateway/forward_task.cc
+++ b/lib/Gateway/forward_task.cc
@@ -329,9 +329,11 @@
 }
 
 void ForwardTask::EndUnanswered(const std::string& reason) {
-  if (call_) call_->Cancel();
+  if (call_) {
+    call_->Cancel();
+    forwarded_.may_have_run = true;
+  }
   EndCall();
-  forwarded_.may_have_run = true;
   Fail(reason);
 }
 
