[Gateway] Send no caller from one stopping gateway to another

What callers saw: a stream that a stopping gateway refused came back at once, and was refused again by a second gateway that stops at the same time: most clients come back once.

Cause: the refusal said Retry-After: 0 whoever else leaves.

Change: while a caller may still hold the address of another gateway that leaves, the refusal names the time after which most callers have asked for addresses again, 1 s.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -247,8 +247,6 @@
   /// False if a stop has begun and the request would be cut by it.
   bool TakesInStop(Time now, const InboundExchange& exchange,
                    const RouteSpec& route, const ClientRequest& request) const;
-  /// For how long clients may keep a response of the directory.
-  static Duration directory_ttl();
   /// Returns the state dump, a JSON document.
   std::string DumpState(Time now) const;
 
@@ -262,6 +260,7 @@
   UpstreamPool pool_;
   FleetRetryBudget retry_budget_;
   AnswerMemory answer_memory_;
+  StopAdmission stop_admission_;
   Placer placer_;
   CrashQuarantine quarantine_;
   UpstreamProbe upstream_probe_;
@@ -294,7 +293,6 @@
   // Highest fencing token of role orders that any gateway has told of.
   FencingToken highest_fencing_ = 0;
   bool shutting_down_ = false;
-  StopAdmission stop_admission_;
   EventHandle housekeeping_;
   EventHandle shutdown_timer_;
   EventHandle permit_timer_;
--- a/include/corianderlink/Gateway/stop_admission.h
+++ b/include/corianderlink/Gateway/stop_admission.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 
 #include "corianderlink/Gateway/gateway_config.h"
 #include "corianderlink/Gateway/serving_times.h"
@@ -12,8 +13,18 @@
 
 namespace corianderlink {
 
+/// How long clients keep an answer of the directory.
+struct DirectoryTimes {
+  Duration ttl{};
+  /// Some keep it for so long.
+  Duration longest{};
+};
+
 class StopAdmission {
  public:
+  explicit StopAdmission(const DirectoryTimes& directory)
+      : directory_(directory) {}
+
   /// A request of the route that may have generated up to `output_tokens` has
   /// ended, or was broken off, `taken` after its arrival.
   void OnServed(Time now, const RouteId& route, uint32_t output_tokens,
@@ -24,7 +35,16 @@
                   [&](const auto& entry) { return is_gone(entry.first); });
   }
 
-  void Begin(Time now, const StopLimits& limits) { plan_.emplace(now, limits); }
+  /// A peer has said whether it leaves.
+  void OnPeer(Time now, const std::string& process, bool leaving);
+  /// When the client of a request that is refused here is to come back: at once
+  /// if it will reach a gateway that stays, else once most clients have asked
+  /// for addresses again.
+  Duration RetryAfter(Time now) const;
+
+  void Begin(Time now, Duration grace) {
+    plan_.emplace(now, StopLimits{grace, directory_.longest});
+  }
   /// Empty until a stop has begun.
   const std::optional<StopPlan>& plan() const { return plan_; }
 
@@ -40,7 +60,15 @@
   RequestNeed NeedOf(Time now, const RouteId& route, uint32_t output_tokens,
                      Duration limit) const;
 
+  const DirectoryTimes directory_;
   std::map<RouteId, ServingTimes> serving_times_;
+  struct Leaving {
+    /// When the peer first said so, and when last.
+    Time since{};
+    Time heard{};
+  };
+  // By process.
+  std::map<std::string, Leaving> leaving_peers_;
   std::optional<StopPlan> plan_;
 };
 
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -14,6 +14,10 @@
 // is available to client connections.
 constexpr int kReservedDescriptors = 1000;
 constexpr Duration kHousekeepingInterval = milliseconds(200);
+// Time for which clients may cache a response of the directory.
+constexpr Duration kDirectoryTtl = seconds(1);
+// Some clients cache a directory response for up to this many times its TTL.
+constexpr int kMaxTtlOverrunFactor = 3;
 // Retry-After time sent to clients until the configuration is loaded.
 constexpr Duration kNotReadyRetryAfter = milliseconds(300);
 
@@ -52,6 +56,7 @@
       pool_(loop),
       retry_budget_(settings_.retries, WholeBudgetFrom(settings_), metrics_),
       answer_memory_(settings_.memory_bytes / kAnswerMemoryDivisor),
+      stop_admission_({kDirectoryTtl, kMaxTtlOverrunFactor * kDirectoryTtl}),
       placer_(PlacerLimits{}, MakeEjectorLimits(), GatewayPeers::kPeerTimeout,
               settings_.zone),
       quarantine_(Fnv1aHash(process_id_.value())),
@@ -98,6 +103,7 @@
                                   peer.status.ready)) {
       peers_.RequestRecords(peer, true);
     }
+    stop_admission_.OnPeer(now, peer.process, peer.status.leaving);
     placer_.load().SetPeer(now, peer.process, peer.status.shares);
     for (const PromptUse& use : peer.status.prompt_uses) placer_.OnPeerUse(use);
     placer_.SetHeld(now, peer.process, peer.status.held_engines);
@@ -306,8 +312,7 @@
   const auto refuse = [&](int status, const char* reason) {
     std::optional<Duration> retry_after;
     if (status == 503) retry_after = kNotReadyRetryAfter;
-    // Another gateway serves it at once.
-    if (shutting_down_) retry_after = Duration::zero();
+    if (shutting_down_) retry_after = stop_admission_.RetryAfter(now);
     Log(LogLevel::kInfo, "request_done",
         {{"request", request.id.value()},
          {"result", "refused"},
@@ -385,7 +390,7 @@
     exchange->Reply(503, "text/plain", "");
     return;
   }
-  const Duration ttl = std::min(directory_ttl(), settings_.directory_ttl_max);
+  const Duration ttl = std::min(kDirectoryTtl, settings_.directory_ttl_max);
   exchange->Reply(200, "application/json",
                   codecs_.directory.encode_response(addresses, ttl));
 }
--- a/lib/Gateway/gateway_stop.cc
+++ b/lib/Gateway/gateway_stop.cc
@@ -7,10 +7,6 @@
 namespace corianderlink {
 namespace {
 
-// Time for which clients may cache a response of the directory.
-constexpr Duration kDirectoryTtl = seconds(1);
-// Some clients cache a directory response for up to this many times its TTL.
-constexpr int kMaxTtlOverrunFactor = 3;
 // Interval between looks for whether all connections have ended.
 constexpr Duration kStopPollInterval = milliseconds(100);
 
@@ -20,14 +16,11 @@
 
 }  // namespace
 
-Duration Gateway::directory_ttl() { return kDirectoryTtl; }
-
 void Gateway::BeginShutdown() {
   if (shutting_down_) return;
   const Time now = BootClock::now();
   shutting_down_ = true;
-  stop_admission_.Begin(
-      now, {settings_.stop_grace, kMaxTtlOverrunFactor * kDirectoryTtl});
+  stop_admission_.Begin(now, settings_.stop_grace);
   const StopPlan& plan = *stop_admission_.plan();
   Log(LogLevel::kInfo, "stopping",
       {{"client_connections",
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -295,10 +295,10 @@
 
 void RelayTask::RefuseForStop(const char* reason) {
   ReleaseKvHandle();
-  // Another gateway serves it at once.
+  const Duration retry_after =
+      context_.stop_admission.RetryAfter(BootClock::now());
   exchange_->SendResponse(
-      503, context_.codec.encode_error_fields(request_.id, Duration::zero()),
-      "");
+      503, context_.codec.encode_error_fields(request_.id, retry_after), "");
   context_.metrics.Add("gateway_stop_refusals_total");
   Finish("refused", 503, reason);
 }
--- a/lib/Gateway/stop_admission.cc
+++ b/lib/Gateway/stop_admission.cc
@@ -1,6 +1,8 @@
 // Which requests a gateway takes while it stops.
 #include "corianderlink/Gateway/stop_admission.h"
 
+#include <algorithm>
+
 namespace corianderlink {
 
 void StopAdmission::OnServed(Time now, const RouteId& route,
@@ -8,6 +10,24 @@
   serving_times_[route].Add(now, output_tokens, taken);
 }
 
+void StopAdmission::OnPeer(Time now, const std::string& process, bool leaving) {
+  if (leaving) {
+    leaving_peers_.try_emplace(process, Leaving{now, now}).first->second.heard =
+        now;
+  }
+  std::erase_if(leaving_peers_, [&](const auto& entry) {
+    return now - entry.second.heard >= directory_.longest;
+  });
+}
+
+Duration StopAdmission::RetryAfter(Time now) const {
+  const bool may_reach_one = std::any_of(
+      leaving_peers_.begin(), leaving_peers_.end(), [&](const auto& entry) {
+        return now - entry.second.since < directory_.longest;
+      });
+  return may_reach_one ? directory_.ttl : Duration::zero();
+}
+
 bool StopAdmission::Takes(Time now, const RouteId& route,
                           uint32_t output_tokens, Duration limit) const {
   return !plan_ || plan_->Takes(now, NeedOf(now, route, output_tokens, limit));
--- a/utils/stop_plays.py
+++ b/utils/stop_plays.py
@@ -21,7 +21,8 @@
 # The gateways that are stopped at once, by number; one step after the other.
 STEPS = ((0,), (1,), (2, 3), (0, 1))
 # What the rule and the time of a stop excuse.
-EXCUSED = ("cut", "crossed", "late", "refused", "refused twice")
+EXCUSED = ("cut", "crossed", "late", "refused", "refused twice",
+           "no connection")
 # From one step to the next: some stops overlap.
 MIN_GAP_S, MAX_GAP_S = 3.0, 9.5
 
