--- a/lib/Gateway/forward_task.cc
+++ b/lib/Gateway/forward_task.cc
@@ -329,11 +329,9 @@
 }
 
 void ForwardTask::EndUnanswered(const std::string& reason) {
-  if (call_) {
-    call_->Cancel();
-    forwarded_.may_have_run = true;
-  }
+  if (call_) call_->Cancel();
   EndCall();
+  forwarded_.may_have_run = true;
   Fail(reason);
 }
 
