--- a/utils/soak_lib/stops.py
+++ b/utils/soak_lib/stops.py
@@ -182,6 +182,11 @@
             connection.writer.transport.abort()
         return None
 
+    def close_idle(self):
+        for connections in self.idle.values():
+            for connection in connections:
+                connection.writer.transport.abort()
+
     async def open(self, request, port):
         kept = None
         if request.first is None and self.random.random() < KEPT_SHARE:
--- a/utils/stop_plays.py
+++ b/utils/stop_plays.py
@@ -93,6 +93,8 @@
             await asking
             await asyncio.sleep(0.3)
             watching.cancel()
+            self.callers.close_idle()
+            await asyncio.sleep(0.1)
         finally:
             self.world.stop()
             await asyncio.gather(*(u.gone() for u in self.world.all_upstreams))
