[Fleet] Take the rows under "fleet/" out of FleetServer

Callers see no change.

Change: FleetRows reads the transition row and the roles row, keeps their versions and makes the writes for both. FleetServer decides when.

--- a/include/corianderlink/Fleet/fleet_server.h
+++ b/include/corianderlink/Fleet/fleet_server.h
@@ -12,6 +12,7 @@
 #include "corianderlink/Authority/lease_client.h"
 #include "corianderlink/Authority/lease_socket_guard.h"
 #include "corianderlink/Fleet/engine_state.h"
+#include "corianderlink/Fleet/fleet_rows.h"
 #include "corianderlink/Fleet/note_api.h"
 #include "corianderlink/Fleet/role_controller.h"
 #include "corianderlink/Node/engine_poller.h"
@@ -63,7 +64,6 @@
   void ReadShardOrders(size_t index);
   void ReadOrder(const Address& engine);
   void OnOrderRow(const TableRow& row);
-  void ReadFleetRows();
   void OnRelease();
   void OnReport(const Address& engine, Time requested_at,
                 const std::string& body);
@@ -86,20 +86,11 @@
   Node& node_;
   LeaseSocketGuard socket_guard_;
   NoteApi note_api_;
+  FleetRows rows_;
   RoleController role_controller_;
   std::vector<Shard> shards_;
   std::map<Address, EngineState> engines_;
   EnginePoller report_poller_;
-  /// Roles that the role controller chose for engines declared with role auto,
-  /// as read from the table service.
-  std::map<Address, std::string> chosen_roles_;
-  RowVersion roles_version_ = 0;
-  /// Address of the engine whose serving is being interrupted by an order, or
-  /// empty.  At most one engine at a time, over all fleet processes.
-  std::string transitioning_engine_;
-  RowVersion transition_version_ = 0;
-  /// True once the rows under "fleet/" were read.
-  bool fleet_rows_read_ = false;
   /// True while a write of the chosen roles awaits its result.
   bool roles_write_pending_ = false;
   bool stopping_ = false;
--- a/lib/Fleet/fleet_server.cc
+++ b/lib/Fleet/fleet_server.cc
@@ -25,9 +25,6 @@
 // An engine whose latest report is older than this counts as lost.
 constexpr seconds kEngineLostTimeout{3};
 constexpr char kOrdersPrefix[] = "orders/";
-constexpr char kFleetPrefix[] = "fleet/";
-constexpr char kTransitionKey[] = "fleet/transition";
-constexpr char kRolesKey[] = "fleet/roles";
 
 std::string ShardRowKey(size_t index) {
   return "leases/shard-" + std::to_string(index);
@@ -59,6 +56,7 @@
 FleetServer::FleetServer(Node& node)
     : node_(node),
       note_api_(node),
+      rows_(node.table()),
       role_controller_(MakeRoleControllerOptions(node.settings().roles)),
       report_poller_(node.loop(), node.client(),
                      node.settings().timing.engine_poll,
@@ -84,8 +82,8 @@
 bool FleetServer::Start() {
   tick_timer_ = node_.loop().Every(kTickInterval, [this] { Tick(); });
   fleet_rows_timer_ =
-      node_.loop().Every(kFleetRowsPollInterval, [this] { ReadFleetRows(); });
-  ReadFleetRows();
+      node_.loop().Every(kFleetRowsPollInterval, [this] { rows_.Read(); });
+  rows_.Read();
   return true;
 }
 
@@ -233,32 +231,6 @@
   });
 }
 
-void FleetServer::ReadFleetRows() {
-  node_.table().ReadPrefix(kFleetPrefix, [this](const ReadResult& result) {
-    if (!result.rows) return;
-    fleet_rows_read_ = true;
-    transitioning_engine_.clear();
-    transition_version_ = 0;
-    for (const TableRow& row : *result.rows) {
-      if (row.key == kTransitionKey) {
-        transitioning_engine_ = row.value;
-        transition_version_ = row.version;
-      }
-      if (row.key != kRolesKey || row.version < roles_version_) continue;
-      const Json json = ParseJson(row.value);
-      if (!json.is_object()) continue;
-      roles_version_ = row.version;
-      chosen_roles_.clear();
-      for (const auto& [text, role] : json.items()) {
-        const auto address = Address::Parse(text);
-        if (address && role.is_string()) {
-          chosen_roles_[*address] = role.get<std::string>();
-        }
-      }
-    }
-  });
-}
-
 void FleetServer::OnRelease() {
   for (auto& [address, state] : engines_) {
     state.spec.reset();
@@ -309,18 +281,14 @@
   config.adapters = state.spec->adapters;
   config.role = ToString(state.spec->role);
   if (state.spec->role == EngineRole::kAuto) {
-    const auto chosen = chosen_roles_.find(state.address);
-    config.role = chosen == chosen_roles_.end() ? "mixed" : chosen->second;
+    config.role = rows_.RoleOf(state.address);
   }
   return config;
 }
 
 bool FleetServer::CanInterruptServing(const EngineState& state) const {
   const bool serving = state.report && !state.report->config.models.empty();
-  if (!serving) return true;
-  return fleet_rows_read_ &&
-         (transitioning_engine_.empty() ||
-          transitioning_engine_ == state.address.ToString());
+  return !serving || rows_.MayInterrupt(state.address);
 }
 
 void FleetServer::Reconcile(Time now, EngineState& state) {
@@ -369,42 +337,37 @@
   const bool serving = state.report && !state.report->config.models.empty();
   const bool starts = record.phase == OrderPhase::kDraining && serving &&
                       InterruptsServing(state.report->config, record.config) &&
-                      transitioning_engine_.empty();
-  const bool ends =
-      !IsOpen(record.phase) && transitioning_engine_ == address.ToString();
+                      rows_.transitioning_engine().empty();
+  const bool ends = !IsOpen(record.phase) &&
+                    rows_.transitioning_engine() == address.ToString();
+  const auto in_transition = starts ? std::optional(address) : std::nullopt;
   // The transition row changes in the same transaction, so that at most one
   // engine of the fleet is in transition.
-  if (starts || ends) {
-    txn.conditions.push_back({kTransitionKey, transition_version_});
-    txn.writes.push_back(
-        {kTransitionKey, starts ? std::optional<std::string>(address.ToString())
-                                : std::nullopt});
-  }
+  const bool changes = starts || ends;
+  if (changes) rows_.AddTransition(txn, in_transition);
   state.request_pending = true;
   LeaseClient& lease = *shards_[ShardOf(address)].lease;
-  lease.Enqueue(
-      txn, [this, address, record, starts, ends](const CommitResult& result) {
-        const auto it = engines_.find(address);
-        if (it == engines_.end()) return;
-        EngineState& current = it->second;
-        if (starts || ends) ReadFleetRows();
-        if (result.status == CommitStatus::kNotRun) {
-          current.request_pending = false;
-          return;
-        }
-        if (result.status != CommitStatus::kCommitted) {
-          return ReadOrder(address);
-        }
-        current.request_pending = false;
-        current.order = record;
-        current.order_version = result.version;
-        if (!IsOpen(record.phase)) current.barrier.Reset();
-        if (starts) transitioning_engine_ = address.ToString();
-        if (starts || ends) transition_version_ = result.version;
-        if (ends) transitioning_engine_.clear();
-        UpdatePollTargets();
-        node_.SendHeartbeat();
-      });
+  lease.Enqueue(txn, [this, address, record, changes,
+                      in_transition](const CommitResult& result) {
+    const auto it = engines_.find(address);
+    if (it == engines_.end()) return;
+    EngineState& current = it->second;
+    if (changes) rows_.Read();
+    if (result.status == CommitStatus::kNotRun) {
+      current.request_pending = false;
+      return;
+    }
+    if (result.status != CommitStatus::kCommitted) {
+      return ReadOrder(address);
+    }
+    current.request_pending = false;
+    current.order = record;
+    current.order_version = result.version;
+    if (!IsOpen(record.phase)) current.barrier.Reset();
+    if (changes) rows_.OnTransition(in_transition, result.version);
+    UpdatePollTargets();
+    node_.SendHeartbeat();
+  });
 }
 
 void FleetServer::SendOrder(Time now, EngineState& state,
@@ -485,7 +448,7 @@
     output_rate += peer->heartbeat.output_tokens_per_s();
   }
   RoleSnapshot snapshot;
-  snapshot.view.engine_unavailable = !transitioning_engine_.empty();
+  snapshot.view.engine_unavailable = !rows_.transitioning_engine().empty();
   for (const auto& [address, state] : engines_) {
     const bool is_auto = state.spec && state.spec->role == EngineRole::kAuto;
     if (!is_auto) continue;
@@ -508,8 +471,8 @@
 
 void FleetServer::DecideRoles(Time now) {
   // The holder of the first shard's lease decides for the whole fleet.
-  const bool is_decider = shards_[0].lease->IsHeld(now) &&
-                          !roles_write_pending_ && fleet_rows_read_;
+  const bool is_decider =
+      shards_[0].lease->IsHeld(now) && !roles_write_pending_ && rows_.read();
   if (!is_decider) return;
   const RoleSnapshot snapshot = TakeRoleSnapshot(now);
   if (snapshot.engines.size() < 2) return;
@@ -532,17 +495,10 @@
 
 void FleetServer::WriteChosenRole(const Address& engine,
                                   const std::string& role) {
-  Json roles = Json::object();
-  for (const auto& [address, chosen] : chosen_roles_) {
-    roles[address.ToString()] = chosen;
-  }
-  roles[engine.ToString()] = role;
-  TableTransaction txn;
-  txn.conditions.push_back({kRolesKey, roles_version_});
-  txn.writes.push_back({kRolesKey, roles.dump()});
   roles_write_pending_ = true;
   shards_[0].lease->Enqueue(
-      txn, [this, engine, role](const CommitResult& result) {
+      rows_.ChooseRole(engine, role),
+      [this, engine, role](const CommitResult& result) {
         roles_write_pending_ = false;
         node_.metrics().Add("role_changes_total");
         const bool committed = result.status == CommitStatus::kCommitted;
@@ -550,7 +506,7 @@
             {{"engine", engine.ToString()},
              {"role", role},
              {"committed", committed ? "yes" : "unclear"}});
-        ReadFleetRows();
+        rows_.Read();
       });
 }
 
@@ -605,7 +561,7 @@
                       {"rows_read", shard.orders_read}});
   }
   dump["shards"] = shards;
-  dump["transition"] = transitioning_engine_;
+  dump["transition"] = rows_.transitioning_engine();
   dump["status"] = Status();
   dump["demand"] = {
       {"prefill_engines", role_controller_.demand().prefill_engines},
