[Fleet] Take the shards and their leases out of FleetServer

Callers see no change.

Cause: FleetServer held the leases of the shards beside the orders and the role decisions, and set the fields of a shard in four of its functions.

Change: EngineShards selects the shards to hold, advances their leases and says whose engines this process may order. FleetServer keeps reading the order rows. A read that fails leaves `orders_read` as it is and is repeated at the next tick, as before.

--- a/include/corianderlink/Fleet/fleet_server.h
+++ b/include/corianderlink/Fleet/fleet_server.h
@@ -9,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "corianderlink/Authority/lease_client.h"
 #include "corianderlink/Authority/lease_socket_guard.h"
+#include "corianderlink/Fleet/engine_shards.h"
 #include "corianderlink/Fleet/engine_state.h"
 #include "corianderlink/Fleet/fleet_rows.h"
 #include "corianderlink/Fleet/note_api.h"
@@ -20,9 +20,8 @@
 
 namespace corianderlink {
 
-/// Reconciles the engines with the desired state.  The engines are divided into
-/// shards; each shard has a lease in the table service, and only its holder
-/// sends orders to the shard's engines.
+/// Reconciles the engines of the shards whose leases it holds with the desired
+/// state.
 class FleetServer {
  public:
   using Exchange = std::shared_ptr<HttpExchange>;
@@ -37,17 +36,6 @@
   void BeginStop();
 
  private:
-  /// One shard of the engines, with its lease.
-  struct Shard {
-    std::unique_ptr<LeaseClient> lease;
-    /// True once the order rows were read under the present lease.  No order is
-    /// written or sent before.
-    bool orders_read = false;
-    /// Fencing token of the lease at the start of the last read of the order
-    /// rows; 0 if that read failed.
-    FencingToken orders_fencing = 0;
-  };
-
   /// Input for a role decision: the available engines with automatic role, and
   /// the demand on them.
   struct RoleSnapshot {
@@ -57,10 +45,6 @@
   };
 
   void Tick();
-  void AdvanceLease(Shard& shard);
-  void UpdateLeaseCandidacy(Time now);
-  size_t ShardOf(const Address& engine) const;
-  bool HoldsLeaseFor(Time now, const Address& engine) const;
   void ReadShardOrders(size_t index);
   void ReadOrder(const Address& engine);
   void OnOrderRow(const TableRow& row);
@@ -87,8 +71,8 @@
   LeaseSocketGuard socket_guard_;
   NoteApi note_api_;
   FleetRows rows_;
+  EngineShards shards_;
   RoleController role_controller_;
-  std::vector<Shard> shards_;
   std::map<Address, EngineState> engines_;
   EnginePoller report_poller_;
   /// True while a write of the chosen roles awaits its result.
--- a/lib/Fleet/fleet_server.cc
+++ b/lib/Fleet/fleet_server.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "corianderlink/Http/problem.h"
-#include "corianderlink/Support/hash.h"
 #include "corianderlink/Support/id_json.h"
 #include "corianderlink/Support/json_reader.h"
 #include "corianderlink/Support/log.h"
@@ -14,7 +13,6 @@
 namespace corianderlink {
 namespace {
 
-constexpr size_t kShardCount = 4;
 constexpr milliseconds kTickInterval{50};
 constexpr milliseconds kFleetRowsPollInterval{1000};
 constexpr seconds kOrderTimeout{2};
@@ -26,19 +24,6 @@
 constexpr seconds kEngineLostTimeout{3};
 constexpr char kOrdersPrefix[] = "orders/";
 
-std::string ShardRowKey(size_t index) {
-  return "leases/shard-" + std::to_string(index);
-}
-
-LeaseTiming MakeLeaseTiming(const NodeSettings& settings) {
-  LeaseTiming timing;
-  timing.lease = settings.timing.lease;
-  timing.guard = settings.timing.lease_guard;
-  timing.renew_after = settings.timing.lease / 3;
-  timing.poll = settings.timing.lease / 6;
-  return timing;
-}
-
 RoleControllerOptions MakeRoleControllerOptions(const RoleSettings& settings) {
   RoleControllerOptions options;
   options.change_weight = settings.change_weight;
@@ -57,6 +42,7 @@
     : node_(node),
       note_api_(node),
       rows_(node.table()),
+      shards_(node),
       role_controller_(MakeRoleControllerOptions(node.settings().roles)),
       report_poller_(node.loop(), node.client(),
                      node.settings().timing.engine_poll,
@@ -64,14 +50,6 @@
                             const std::string& body) {
                        OnReport(engine, requested_at, body);
                      }) {
-  for (size_t i = 0; i < kShardCount; ++i) {
-    Shard shard;
-    shard.lease = std::make_unique<LeaseClient>(
-        ShardRowKey(i), node_.self(), MakeLeaseTiming(node_.settings()),
-        [this] { return node_.random().HexId(); });
-    shard.lease->SetCandidate(false);
-    shards_.push_back(std::move(shard));
-  }
   node_.signal_state_changed.connect(
       sigc::mem_fun(*this, &FleetServer::OnRelease));
   node_.fill_heartbeat = [this](wire::Heartbeat& h) { FillHeartbeat(h); };
@@ -87,97 +65,30 @@
   return true;
 }
 
-size_t FleetServer::ShardOf(const Address& engine) const {
-  return StableHash(engine.ToString()) % kShardCount;
-}
-
-bool FleetServer::HoldsLeaseFor(Time now, const Address& engine) const {
-  const Shard& shard = shards_[ShardOf(engine)];
-  return shard.lease->IsHeld(now) && shard.orders_read;
-}
-
 void FleetServer::Tick() {
   const Time now = BootClock::now();
-  UpdateLeaseCandidacy(now);
+  shards_.UpdateCandidacy(now, stopping_);
   for (size_t i = 0; i < shards_.size(); ++i) {
-    AdvanceLease(shards_[i]);
-    Shard& shard = shards_[i];
-    const bool held = shard.lease->IsHeld(now);
-    const bool changed = held && shard.orders_fencing != shard.lease->fencing();
-    if (!held) shard.orders_read = false;
-    if (held && (changed || !shard.orders_read)) ReadShardOrders(i);
+    shards_.AdvanceLease(i);
+    if (shards_.NeedsOrders(now, i)) ReadShardOrders(i);
   }
   for (auto& [address, state] : engines_) {
-    if (HoldsLeaseFor(now, address)) Reconcile(now, state);
+    if (shards_.MayOrder(now, address)) Reconcile(now, state);
   }
   DecideRoles(now);
   if (!stopping_) return;
-  const bool idle =
-      std::none_of(shards_.begin(), shards_.end(), [&](const Shard& s) {
-        return s.lease->observed().holder == node_.self();
-      });
-  if (idle || now - stop_start_time_ > kStopTimeout) node_.loop().Stop();
-}
-
-// Spreads the shards over the live fleet processes by rendezvous hashing
-// (Thaler and Ravishankar, 1998).  The result only selects which process tries
-// to acquire a lease; safety rests on the lease alone.
-void FleetServer::UpdateLeaseCandidacy(Time now) {
-  std::vector<std::string> candidates;
-  if (!stopping_) candidates.push_back(node_.settings().instance);
-  for (const PeerState* peer : node_.peers().Live(now, "fleet")) {
-    if (!peer->heartbeat.leaving()) {
-      candidates.push_back(peer->heartbeat.instance());
-    }
-  }
-  for (size_t i = 0; i < shards_.size(); ++i) {
-    std::string best;
-    uint64_t best_hash = 0;
-    for (const std::string& candidate : candidates) {
-      const uint64_t hash = StableHash(ShardRowKey(i) + candidate);
-      if (!best.empty() && hash <= best_hash) continue;
-      best = candidate;
-      best_hash = hash;
-    }
-    shards_[i].lease->SetCandidate(!stopping_ &&
-                                   best == node_.settings().instance);
-  }
-}
-
-void FleetServer::AdvanceLease(Shard& shard) {
-  LeaseClient* lease = shard.lease.get();
-  LeaseAction action = lease->Next(BootClock::now());
-  switch (action.kind) {
-    case LeaseAction::Kind::kNone:
-      return;
-    case LeaseAction::Kind::kRead:
-      node_.table().ReadPrefix(lease->row_key(),
-                               [lease](const ReadResult& result) {
-                                 lease->OnRead(BootClock::now(), result);
-                               });
-      return;
-    case LeaseAction::Kind::kCommit:
-      node_.table().Commit(action.txn, [lease](const CommitResult& result) {
-        lease->OnCommit(BootClock::now(), result);
-      });
-      return;
-  }
+  const bool timed_out = now - stop_start_time_ > kStopTimeout;
+  if (timed_out || shards_.HoldsNone()) node_.loop().Stop();
 }
 
 void FleetServer::ReadShardOrders(size_t index) {
-  const FencingToken fencing = shards_[index].lease->fencing();
-  shards_[index].orders_fencing = fencing;
-  shards_[index].orders_read = false;
+  const FencingToken fencing = shards_.BeginRead(index);
   node_.table().ReadPrefix(
       kOrdersPrefix, [this, index, fencing](const ReadResult& result) {
-        Shard& shard = shards_[index];
-        if (shard.orders_fencing != fencing) return;
-        if (!result.rows) {
-          shard.orders_fencing = 0;
-          return;
-        }
+        if (!shards_.IsCurrentRead(index, fencing)) return;
+        if (!result.rows) return shards_.EndRead(index, false);
         for (auto& [address, state] : engines_) {
-          if (ShardOf(address) != index) continue;
+          if (EngineShards::IndexOf(address) != index) continue;
           state.order.reset();
           state.order_version = 0;
           state.barrier.Reset();
@@ -186,9 +97,10 @@
         for (const TableRow& row : *result.rows) {
           const auto address =
               Address::Parse(row.key.substr(std::string(kOrdersPrefix).size()));
-          if (address && ShardOf(*address) == index) OnOrderRow(row);
+          if (!address || EngineShards::IndexOf(*address) != index) continue;
+          OnOrderRow(row);
         }
-        shard.orders_read = true;
+        shards_.EndRead(index, true);
         UpdatePollTargets();
         Log(LogLevel::kInfo, "shard_taken",
             {{"shard", uint64_t{index}}, {"fencing", fencing}});
@@ -218,7 +130,7 @@
     if (!result.rows) {
       // The row's contents are unknown, so no decision may be made for the
       // shard until its orders are read again at the next tick.
-      shards_[ShardOf(engine)].orders_read = false;
+      shards_.ForgetOrders(engine);
       return;
     }
     it->second.order.reset();
@@ -300,7 +212,7 @@
   view.order = state.order;
   view.report = state.report;
   view.report_requested_at = state.report_requested_at;
-  view.fencing = shards_[ShardOf(state.address)].lease->fencing();
+  view.fencing = shards_.LeaseFor(state.address).fencing();
   view.not_before = state.not_before;
   view.max_report_lag = node_.settings().timing.engine_report_lag;
   view.may_interrupt = CanInterruptServing(state);
@@ -346,7 +258,7 @@
   const bool changes = starts || ends;
   if (changes) rows_.AddTransition(txn, in_transition);
   state.request_pending = true;
-  LeaseClient& lease = *shards_[ShardOf(address)].lease;
+  LeaseClient& lease = shards_.LeaseFor(address);
   lease.Enqueue(txn, [this, address, record, changes,
                       in_transition](const CommitResult& result) {
     const auto it = engines_.find(address);
@@ -372,7 +284,7 @@
 
 void FleetServer::SendOrder(Time now, EngineState& state,
                             const OrderRecord& record) {
-  LeaseClient& lease = *shards_[ShardOf(state.address)].lease;
+  LeaseClient& lease = shards_.LeaseFor(state.address);
   if (!lease.IsHeld(now)) return;
   HttpRequest request;
   request.address = state.address;
@@ -472,7 +384,7 @@
 void FleetServer::DecideRoles(Time now) {
   // The holder of the first shard's lease decides for the whole fleet.
   const bool is_decider =
-      shards_[0].lease->IsHeld(now) && !roles_write_pending_ && rows_.read();
+      shards_.lease(0).IsHeld(now) && !roles_write_pending_ && rows_.read();
   if (!is_decider) return;
   const RoleSnapshot snapshot = TakeRoleSnapshot(now);
   if (snapshot.engines.size() < 2) return;
@@ -496,7 +408,7 @@
 void FleetServer::WriteChosenRole(const Address& engine,
                                   const std::string& role) {
   roles_write_pending_ = true;
-  shards_[0].lease->Enqueue(
+  shards_.lease(0).Enqueue(
       rows_.ChooseRole(engine, role),
       [this, engine, role](const CommitResult& result) {
         roles_write_pending_ = false;
@@ -513,13 +425,13 @@
 void FleetServer::FillHeartbeat(wire::Heartbeat& heartbeat) {
   const Time now = BootClock::now();
   for (auto& [address, state] : engines_) {
-    if (!HoldsLeaseFor(now, address) || !state.NeedsHold()) {
+    if (!shards_.MayOrder(now, address) || !state.NeedsHold()) {
       state.barrier.Reset();
       continue;
     }
     *heartbeat.add_holds() =
         state.barrier.Announcement(node_.self(), address, state.order->sequence,
-                                   shards_[ShardOf(address)].lease->fencing());
+                                   shards_.LeaseFor(address).fencing());
   }
 }
 
@@ -531,7 +443,7 @@
                    {"engine", state.name},
                    {"in_force", state.spec.has_value()},
                    {"reported", state.report.has_value()},
-                   {"ordered_here", HoldsLeaseFor(now, address)},
+                   {"ordered_here", shards_.MayOrder(now, address)},
                    {"reason", state.last_reason}};
     if (state.report) {
       engine["role"] = state.report->config.role;
@@ -551,16 +463,7 @@
 }
 
 void FleetServer::FillDump(Json& dump) const {
-  const Time now = BootClock::now();
-  Json shards = Json::array();
-  for (const Shard& shard : shards_) {
-    shards.push_back({{"row", shard.lease->row_key()},
-                      {"held", shard.lease->IsHeld(now)},
-                      {"fencing", shard.lease->fencing()},
-                      {"holder", shard.lease->observed().holder.value()},
-                      {"rows_read", shard.orders_read}});
-  }
-  dump["shards"] = shards;
+  dump["shards"] = shards_.Dump(BootClock::now());
   dump["transition"] = rows_.transitioning_engine();
   dump["status"] = Status();
   dump["demand"] = {
