[Fleet] Take the assignment of roles out of FleetServer

Callers see no change.

Cause: FleetServer measured the demand, selected the engine of a role change and wrote its role beside the reconciliation of the engines.

Change: RoleAssigner does so, with the engines, the rows that fleet processes share and the lease of the first shard passed to its constructor.

--- a/include/corianderlink/Fleet/engine_state.h
+++ b/include/corianderlink/Fleet/engine_state.h
@@ -2,6 +2,7 @@
 #ifndef CORIANDERLINK_FLEET_ENGINE_STATE_H_
 #define CORIANDERLINK_FLEET_ENGINE_STATE_H_
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -55,6 +56,9 @@
   }
 };
 
+/// The engines that a fleet process knows.
+using EngineStates = std::map<Address, EngineState>;
+
 }  // namespace corianderlink
 
 #endif  // CORIANDERLINK_FLEET_ENGINE_STATE_H_
--- a/include/corianderlink/Fleet/fleet_server.h
+++ b/include/corianderlink/Fleet/fleet_server.h
@@ -14,7 +14,7 @@
 #include "corianderlink/Fleet/engine_state.h"
 #include "corianderlink/Fleet/fleet_rows.h"
 #include "corianderlink/Fleet/note_api.h"
-#include "corianderlink/Fleet/role_controller.h"
+#include "corianderlink/Fleet/role_assigner.h"
 #include "corianderlink/Node/engine_poller.h"
 #include "corianderlink/Node/node.h"
 
@@ -36,14 +36,6 @@
   void BeginStop();
 
  private:
-  /// Input for a role decision: the available engines with automatic role, and
-  /// the demand on them.
-  struct RoleSnapshot {
-    RoleView view;
-    RoleDemand demand;
-    std::vector<const EngineState*> engines;
-  };
-
   void Tick();
   void ReadShardOrders(size_t index);
   void ReadOrder(const Address& engine);
@@ -59,9 +51,6 @@
   void WriteOrder(EngineState& state, const OrderRecord& record);
   void SendOrder(Time now, EngineState& state, const OrderRecord& record);
   void OnOrderResponse(const Address& engine, const HttpResponse& response);
-  RoleSnapshot TakeRoleSnapshot(Time now) const;
-  void DecideRoles(Time now);
-  void WriteChosenRole(const Address& engine, const std::string& role);
   void FillHeartbeat(wire::Heartbeat& heartbeat);
   void FillDump(Json& dump) const;
   bool OnAdmin(const Exchange& exchange);
@@ -72,11 +61,9 @@
   NoteApi note_api_;
   FleetRows rows_;
   EngineShards shards_;
-  RoleController role_controller_;
-  std::map<Address, EngineState> engines_;
+  EngineStates engines_;
+  RoleAssigner role_assigner_;
   EnginePoller report_poller_;
-  /// True while a write of the chosen roles awaits its result.
-  bool roles_write_pending_ = false;
   bool stopping_ = false;
   Time stop_start_time_{};
   EventHandle tick_timer_;
--- a/lib/Fleet/fleet_server.cc
+++ b/lib/Fleet/fleet_server.cc
@@ -20,22 +20,8 @@
 constexpr seconds kMaxBackoff{30};
 constexpr int kMaxBackoffDoublings = 8;
 constexpr seconds kStopTimeout{10};
-// An engine whose latest report is older than this counts as lost.
-constexpr seconds kEngineLostTimeout{3};
 constexpr char kOrdersPrefix[] = "orders/";
 
-RoleControllerOptions MakeRoleControllerOptions(const RoleSettings& settings) {
-  RoleControllerOptions options;
-  options.change_weight = settings.change_weight;
-  options.minimum_dwell = settings.minimum_dwell;
-  options.horizon = settings.horizon;
-  return options;
-}
-
-bool IsPrefill(const EngineState& state) {
-  return state.report && state.report->config.role == "prefill";
-}
-
 }  // namespace
 
 FleetServer::FleetServer(Node& node)
@@ -43,7 +29,7 @@
       note_api_(node),
       rows_(node.table()),
       shards_(node),
-      role_controller_(MakeRoleControllerOptions(node.settings().roles)),
+      role_assigner_(node, engines_, rows_, shards_.lease(0)),
       report_poller_(node.loop(), node.client(),
                      node.settings().timing.engine_poll,
                      [this](const Address& engine, Time requested_at,
@@ -75,7 +61,7 @@
   for (auto& [address, state] : engines_) {
     if (shards_.MayOrder(now, address)) Reconcile(now, state);
   }
-  DecideRoles(now);
+  role_assigner_.Decide(now);
   if (!stopping_) return;
   const bool timed_out = now - stop_start_time_ > kStopTimeout;
   if (timed_out || shards_.HoldsNone()) node_.loop().Stop();
@@ -349,79 +335,6 @@
       {{"engine", engine.ToString()}, {"reason", state.last_reason}});
 }
 
-// Counts the available engines with automatic role, and converts the token
-// rates that entries measure at admission into the number of engines needed per
-// role.
-FleetServer::RoleSnapshot FleetServer::TakeRoleSnapshot(Time now) const {
-  double prompt_rate = 0;
-  double output_rate = 0;
-  for (const PeerState* peer : node_.peers().Live(now, "entry")) {
-    prompt_rate += peer->heartbeat.prompt_tokens_per_s();
-    output_rate += peer->heartbeat.output_tokens_per_s();
-  }
-  RoleSnapshot snapshot;
-  snapshot.view.engine_unavailable = !rows_.transitioning_engine().empty();
-  for (const auto& [address, state] : engines_) {
-    const bool is_auto = state.spec && state.spec->role == EngineRole::kAuto;
-    if (!is_auto) continue;
-    const bool usable = state.report && !state.report->away &&
-                        now - state.report_requested_at <= kEngineLostTimeout;
-    if (!usable) {
-      snapshot.view.engine_unavailable = true;
-      continue;
-    }
-    const EngineReport& report = *state.report;
-    const double decode_rate =
-        static_cast<double>(report.max_batch) / (report.step_ms / 1000.0);
-    snapshot.engines.push_back(&state);
-    snapshot.demand = {prompt_rate / report.prefill_tokens_per_s,
-                       output_rate / decode_rate};
-    ++(IsPrefill(state) ? snapshot.view.prefill : snapshot.view.decode);
-  }
-  return snapshot;
-}
-
-void FleetServer::DecideRoles(Time now) {
-  // The holder of the first shard's lease decides for the whole fleet.
-  const bool is_decider =
-      shards_.lease(0).IsHeld(now) && !roles_write_pending_ && rows_.read();
-  if (!is_decider) return;
-  const RoleSnapshot snapshot = TakeRoleSnapshot(now);
-  if (snapshot.engines.size() < 2) return;
-  role_controller_.OnDemand(now, snapshot.demand);
-  const auto change = role_controller_.Decide(now, snapshot.view);
-  if (!change) return;
-  const bool to_prefill = *change == RoleChange::kToPrefill;
-  const EngineState* chosen = nullptr;
-  for (const EngineState* state : snapshot.engines) {
-    if (IsPrefill(*state) == to_prefill) continue;
-    // Changing the engine with the fewest requests interrupts the least work.
-    const bool less_loaded = chosen == nullptr || state->report->in_flight <
-                                                      chosen->report->in_flight;
-    if (less_loaded) chosen = state;
-  }
-  if (chosen == nullptr) return;
-  role_controller_.OnChanged(now, *change);
-  WriteChosenRole(chosen->address, to_prefill ? "prefill" : "decode");
-}
-
-void FleetServer::WriteChosenRole(const Address& engine,
-                                  const std::string& role) {
-  roles_write_pending_ = true;
-  shards_.lease(0).Enqueue(
-      rows_.ChooseRole(engine, role),
-      [this, engine, role](const CommitResult& result) {
-        roles_write_pending_ = false;
-        node_.metrics().Add("role_changes_total");
-        const bool committed = result.status == CommitStatus::kCommitted;
-        Log(LogLevel::kInfo, "role_chosen",
-            {{"engine", engine.ToString()},
-             {"role", role},
-             {"committed", committed ? "yes" : "unclear"}});
-        rows_.Read();
-      });
-}
-
 void FleetServer::FillHeartbeat(wire::Heartbeat& heartbeat) {
   const Time now = BootClock::now();
   for (auto& [address, state] : engines_) {
@@ -467,8 +380,8 @@
   dump["transition"] = rows_.transitioning_engine();
   dump["status"] = Status();
   dump["demand"] = {
-      {"prefill_engines", role_controller_.demand().prefill_engines},
-      {"decode_engines", role_controller_.demand().decode_engines}};
+      {"prefill_engines", role_assigner_.demand().prefill_engines},
+      {"decode_engines", role_assigner_.demand().decode_engines}};
 }
 
 bool FleetServer::OnAdmin(const Exchange& exchange) {
