[Gateway] Show that a stop gives up attempts and answers for attempts that it then refuses

Two tests that fail: a safe request whose upstream is silent for 0.4 s after SIGTERM is cancelled there and answered 502, though the upstream would answer 0.35 s later; and an upstream's 500 becomes 502 without its stamp and body.

--- a/unittests/Gateway/planned_stop_test.cc
+++ b/unittests/Gateway/planned_stop_test.cc
@@ -119,6 +119,39 @@
   EXPECT_EQ(first.requests.size() + second.requests.size(), 1U);
 }
 
+// Guards against attempts that are given up for one that is then not made.
+TEST_F(PlannedStopTest, SilentUpstreamIsWaitedForIfNoOtherAttemptFits) {
+  FakeUpstream& first = harness_.AddUpstream("s1", "shop");
+  FakeUpstream& second = harness_.AddUpstream("s2", "shop");
+  const auto result = harness_.Send("GET", "/safe/1");
+  harness_.RunFor(milliseconds(50));
+  harness_.gateway().BeginShutdown();
+  harness_.RunFor(milliseconds(700));
+  ASSERT_EQ(first.requests.size() + second.requests.size(), 1U);
+  const auto& asked = first.requests.empty() ? second : first;
+  asked.requests[0]->SendResponse(200, FakeUpstream::Signed(asked.requests[0]),
+                                  "done");
+  harness_.Await(result);
+  EXPECT_EQ(result->status, 200);
+}
+
+// Guards against answers that are dropped for an attempt that is then not made.
+TEST_F(PlannedStopTest, ServerErrorIsPassedOnIfNoOtherAttemptFits) {
+  FakeUpstream& first = harness_.AddUpstream("s1", "shop");
+  FakeUpstream& second = harness_.AddUpstream("s2", "shop");
+  const auto result = harness_.Send("GET", "/safe/1");
+  harness_.RunFor(milliseconds(50));
+  harness_.gateway().BeginShutdown();
+  harness_.RunFor(milliseconds(50));
+  ASSERT_EQ(first.requests.size() + second.requests.size(), 1U);
+  const auto& asked = first.requests.empty() ? second : first;
+  asked.requests[0]->SendResponse(500, FakeUpstream::Signed(asked.requests[0]),
+                                  "error");
+  harness_.Await(result);
+  EXPECT_EQ(result->status, 500);
+  EXPECT_EQ(result->body, "error");
+}
+
 // Guards against requests that are cut without an answer at the end of the
 // grace period, among them those that must not be repeated.
 TEST_F(PlannedStopTest, RequestInProgressAtTheEndGetsAnAnswer) {
