[Gateway] Give up no attempt for one that would not end in a planned stop

Cause: a stalled attempt was cancelled, and a 5xx of an upstream dropped, if another upstream could take the request; the stop was asked only afterwards, and then refused the second attempt, so the caller got 502.

Change: while a request may have run and another attempt would not end in the stop, there is no alternative: the silent upstream is waited for, and its error passed on. A prefill that is silent is still given up, for a 503 that another gateway serves.

--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -227,6 +227,9 @@
   void RefuseForGood(const std::string& reason);
   void OnDeadline();
   void OnProcessEnding();
+  /// True if an attempt that begins now ends before this gateway's stop does,
+  /// or continues a response that has begun.
+  bool FitsStop(Time now) const;
   /// Refuses or fails a request, unless its response has begun, for which an
   /// attempt that begins now would be cut by this gateway's stop.
   bool EndIfStopping(Time now);
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -209,6 +209,8 @@
 }
 
 bool RelayTask::HasAlternative(Time now) {
+  // An attempt that may have run would be given up for a refusal.
+  if (possible_runs_ > 0 && !FitsStop(now)) return false;
   const bool can_forward =
       !from_peer_ && (context_.must_forward(now, service_.id) ||
                       context_.can_peer_serve_better(now, service_.id));
@@ -279,11 +281,14 @@
   RefuseForStop(kGatewayStops);
 }
 
+bool RelayTask::FitsStop(Time now) const {
+  return exchange_->response_started() ||
+         context_.stop_admission.Fits(now, route_.id, OutputTokens(),
+                                      deadline_ - now);
+}
+
 bool RelayTask::EndIfStopping(Time now) {
-  if (exchange_->response_started()) return false;
-  const bool fits = context_.stop_admission.Fits(now, route_.id, OutputTokens(),
-                                                 deadline_ - now);
-  if (fits) return false;
+  if (FitsStop(now)) return false;
   if (possible_runs_ > 0) {
     ReleaseKvHandle();
     FailRequest(Outcome::MayHaveRun(kNoTimeLeft));
