[Gateway] Show that a stop misjudges how long requests take

Four tests that fail: a request whose client left after 50 ms, and an error that an upstream answers at once, tell that requests of the route are short, so the next one is taken in a stop and cut; requests in progress that take longer tell nothing; and a prompt that has been read is refused, as the time that it took is asked for again.

--- a/unittests/Gateway/planned_stop_test.cc
+++ b/unittests/Gateway/planned_stop_test.cc
@@ -73,6 +73,80 @@
   EXPECT_TRUE(upstream.requests.empty());
 }
 
+// Guards against estimates from requests that their clients gave up early.
+TEST_F(PlannedStopTest, RequestThatItsClientLeftTellsNoServingTime) {
+  FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
+  harness_.Send("POST", "/unsafe/1", {}, "b", "r0");
+  harness_.RunFor(milliseconds(50));
+  harness_.call->Cancel();
+  harness_.RunFor(milliseconds(50));
+  const std::string answer = AnswerToRequestAt(milliseconds(10), "");
+  EXPECT_EQ(answer.find("HTTP/1.1 503"), 0U) << answer;
+  EXPECT_EQ(upstream.requests.size(), 1U);
+}
+
+// Guards against estimates from errors that an upstream answers at once.
+TEST_F(PlannedStopTest, ErrorOfAnUpstreamTellsNoServingTime) {
+  FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
+  upstream.on_request = [](const FakeUpstream::Exchange& exchange) {
+    exchange->SendResponse(500, FakeUpstream::Signed(exchange), "error");
+  };
+  harness_.Await(harness_.Send("POST", "/unsafe/1", {}, "b", "r0"));
+  const std::string answer = AnswerToRequestAt(milliseconds(10), "");
+  EXPECT_EQ(answer.find("HTTP/1.1 503"), 0U) << answer;
+  EXPECT_EQ(upstream.requests.size(), 1U);
+}
+
+// Guards against estimates that do not see what takes longer and has not ended.
+TEST_F(PlannedStopTest, RequestInProgressTellsThatOthersTakeAsLong) {
+  FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
+  ServeOne(upstream);
+  upstream.on_request = nullptr;
+  const auto in_progress = harness_.Send("POST", "/unsafe/1", {}, "b", "r2");
+  harness_.RunFor(milliseconds(1500));
+  const FakeUpstream& free = harness_.AddUpstream("s2", "shop");
+  const std::string answer = AnswerToRequestAt(milliseconds(10), "");
+  EXPECT_EQ(answer.find("HTTP/1.1 503"), 0U) << answer;
+  EXPECT_NE(answer.find("Retry-After: 0.000"), std::string::npos) << answer;
+  EXPECT_EQ(upstream.requests.size(), 2U);
+  EXPECT_TRUE(free.requests.empty());
+}
+
+// Guards against prompts that are read in vain: only the rest has to fit.
+TEST_F(PlannedStopTest, TimeThatAPrefillHasTakenIsNotAskedForAgain) {
+  FakeUpstream& prefill = harness_.AddUpstream("p1", "model", "prefill");
+  FakeUpstream& decode = harness_.AddUpstream("d1", "model", "decode");
+  std::vector<EventHandle> timers;
+  prefill.on_request = [&](const FakeUpstream::Exchange& exchange) {
+    timers.push_back(harness_.loop.After(milliseconds(500), [exchange] {
+      exchange->SendResponse(200, FakeUpstream::Signed(exchange),
+                             R"({"handle":"h7","tokens":9,"version":1})");
+    }));
+  };
+  decode.on_request = [&](const FakeUpstream::Exchange& exchange) {
+    timers.push_back(harness_.loop.After(milliseconds(500), [exchange] {
+      exchange->StartResponse(200, FakeUpstream::Signed(exchange),
+                              std::nullopt);
+      exchange->SendBody("id: 1\ndata: x\n\n");
+      exchange->CompleteResponse();
+    }));
+  };
+  const auto send = [this](const std::string& id) {
+    return harness_.Send(
+        "POST", "/model/1",
+        {{"Token-Count", "6000,10"}, {"Prompt-Prefix", "a1:2000,b2:4000"}}, "b",
+        id);
+  };
+  harness_.Await(send("r0"));
+  ASSERT_EQ(decode.requests.size(), 1U);
+  const auto result = send("r1");
+  harness_.RunFor(milliseconds(10));
+  harness_.gateway().BeginShutdown();
+  harness_.Await(result);
+  EXPECT_EQ(result->status, 200);
+  EXPECT_EQ(decode.requests.size(), 2U);
+}
+
 // Guards against refusals of what a stopping gateway can still serve.
 TEST_F(PlannedStopTest, RequestThatProbablyEndsInTimeIsServed) {
   FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
