[Gateway] Ask a stop only for the rest of a request whose prompt has been read

Cause: after a prefill the whole time of such requests, prefill included, had to fit into the stop, so prompts were read in vain and refused. Change: the time since arrival is taken off. An attempt from the start needs it all. Before: TimeThatAPrefillHasTakenIsNotAskedForAgain fails.

--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -228,11 +228,12 @@
   void OnDeadline();
   void OnProcessEnding();
   /// True if an attempt that begins now ends before this gateway's stop does,
-  /// or continues a response that has begun.
-  bool FitsStop(Time now) const;
+  /// or continues a response that has begun.  `done` of the time that such
+  /// requests take is behind it.
+  bool FitsStop(Time now, Duration done = {}) const;
   /// Refuses or fails a request, unless its response has begun, for which an
   /// attempt that begins now would be cut by this gateway's stop.
-  bool EndIfStopping(Time now);
+  bool EndIfStopping(Time now, Duration done = {});
   /// Refuses a request that another gateway may serve.
   void RefuseForStop(const char* reason);
   uint32_t OutputTokens() const;
--- a/include/corianderlink/Gateway/stop_admission.h
+++ b/include/corianderlink/Gateway/stop_admission.h
@@ -52,9 +52,10 @@
   /// is taken.
   bool Takes(Time now, const RouteId& route, uint32_t output_tokens,
              Duration limit) const;
-  /// True if an attempt of a request that was taken may begin now.
+  /// True if an attempt of a request that was taken may begin now; `done` of
+  /// the time that it takes is behind it.
   bool Fits(Time now, const RouteId& route, uint32_t output_tokens,
-            Duration limit) const;
+            Duration limit, Duration done) const;
 
  private:
   RequestNeed NeedOf(Time now, const RouteId& route, uint32_t output_tokens,
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -364,7 +364,7 @@
 
 void RelayTask::SendDecodeStage() {
   const Time now = BootClock::now();
-  if (EndIfStopping(now)) return;
+  if (EndIfStopping(now, now - exchange_->received_at())) return;
   if (EndIfQuarantined(now)) return;
   if (ForwardIfPartitioned(now)) return;
   if (AwaitTrial(now, &RelayTask::SendDecodeStage)) return;
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -281,14 +281,14 @@
   RefuseForStop(kGatewayStops);
 }
 
-bool RelayTask::FitsStop(Time now) const {
+bool RelayTask::FitsStop(Time now, Duration done) const {
   return exchange_->response_started() ||
          context_.stop_admission.Fits(now, route_.id, OutputTokens(),
-                                      deadline_ - now);
+                                      deadline_ - now, done);
 }
 
-bool RelayTask::EndIfStopping(Time now) {
-  if (FitsStop(now)) return false;
+bool RelayTask::EndIfStopping(Time now, Duration done) {
+  if (FitsStop(now, done)) return false;
   if (possible_runs_ > 0) {
     ReleaseKvHandle();
     FailRequest(Outcome::MayHaveRun(kNoTimeLeft));
--- a/lib/Gateway/stop_admission.cc
+++ b/lib/Gateway/stop_admission.cc
@@ -34,8 +34,11 @@
 }
 
 bool StopAdmission::Fits(Time now, const RouteId& route, uint32_t output_tokens,
-                         Duration limit) const {
-  return !plan_ || plan_->Fits(now, NeedOf(now, route, output_tokens, limit));
+                         Duration limit, Duration done) const {
+  if (!plan_) return true;
+  RequestNeed need = NeedOf(now, route, output_tokens, limit);
+  need.expected = std::max(Duration::zero(), need.expected - done);
+  return plan_->Fits(now, need);
 }
 
 RequestNeed StopAdmission::NeedOf(Time now, const RouteId& route,
