[Gateway] Learn serving times only from requests that were served in full

Cause: a client that left, and an error answered at once, counted as a short request; where that was all that was known, a stop took long requests as short ones. Change: such an end only raises what is known; answers from 200 to 299 tell it. Before: two tests of PlannedStopTest fail.

--- a/include/corianderlink/Gateway/serving_times.h
+++ b/include/corianderlink/Gateway/serving_times.h
@@ -16,8 +16,11 @@
 class ServingTimes {
  public:
   /// A request that may have generated up to `output_tokens` (0 for a plain
-  /// one) has ended, or was broken off, `taken` after its arrival.
+  /// one) was served in full `taken` after its arrival.
   void Add(Time now, uint32_t output_tokens, Duration taken);
+  /// Such a request has failed or was broken off, and would have taken longer;
+  /// that alone tells no bound.
+  void AddBrokenOff(Time now, uint32_t output_tokens, Duration taken);
   /// The longest time that such a request has taken lately.  A larger one that
   /// has ended bounds it from above; from a smaller one the time grows with the
   /// tokens.  Empty if none has ended lately.
--- a/include/corianderlink/Gateway/stop_admission.h
+++ b/include/corianderlink/Gateway/stop_admission.h
@@ -25,10 +25,13 @@
   explicit StopAdmission(const DirectoryTimes& directory)
       : directory_(directory) {}
 
-  /// A request of the route that may have generated up to `output_tokens` has
-  /// ended, or was broken off, `taken` after its arrival.
+  /// A request of the route that may have generated up to `output_tokens` was
+  /// served in full `taken` after its arrival.
   void OnServed(Time now, const RouteId& route, uint32_t output_tokens,
                 Duration taken);
+  /// Such a request has failed or was broken off.
+  void OnBrokenOff(Time now, const RouteId& route, uint32_t output_tokens,
+                   Duration taken);
   template <typename Predicate>
   void ForgetRoutesIf(const Predicate& is_gone) {
     std::erase_if(serving_times_,
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -437,8 +437,11 @@
   const Time now = BootClock::now();
   const Duration taken = now - exchange_->received_at();
   const double elapsed_ms = ToMillis(taken);
-  if (possible_runs_ > 0) {
-    context_.stop_admission.OnServed(now, route_.id, OutputTokens(), taken);
+  StopAdmission& admission = context_.stop_admission;
+  const bool is_success = status >= 200 && status < 300;
+  if (is_success) admission.OnServed(now, route_.id, OutputTokens(), taken);
+  if (!is_success && possible_runs_ > 0) {
+    admission.OnBrokenOff(now, route_.id, OutputTokens(), taken);
   }
   Log(LogLevel::kInfo, "request_done",
       {{"request", request_.id.value()},
--- a/lib/Gateway/serving_times.cc
+++ b/lib/Gateway/serving_times.cc
@@ -31,6 +31,12 @@
   if (!longest || taken > longest->taken) longest = {output_tokens, taken};
 }
 
+void ServingTimes::AddBrokenOff(Time now, uint32_t output_tokens,
+                                Duration taken) {
+  const auto longest = Longest(now, output_tokens);
+  if (longest && taken > *longest) Add(now, output_tokens, taken);
+}
+
 std::optional<ServingTimes::Sample> ServingTimes::Find(
     Time now, size_t size_class) const {
   const Duration age = now - current_since_;
--- a/lib/Gateway/stop_admission.cc
+++ b/lib/Gateway/stop_admission.cc
@@ -28,6 +28,13 @@
   return may_reach_one ? directory_.ttl : Duration::zero();
 }
 
+void StopAdmission::OnBrokenOff(Time now, const RouteId& route,
+                                uint32_t output_tokens, Duration taken) {
+  const auto times = serving_times_.find(route);
+  if (times == serving_times_.end()) return;
+  times->second.AddBrokenOff(now, output_tokens, taken);
+}
+
 bool StopAdmission::Takes(Time now, const RouteId& route,
                           uint32_t output_tokens, Duration limit) const {
   return !plan_ || plan_->Takes(now, NeedOf(now, route, output_tokens, limit));
