[Gateway] Let requests in progress tell a stop how long others may take

Cause: long streams tell their time only when they end, so shortly after a start, or on a route of mixed lengths, only the short ones were known. Change: a request of the route, not larger, that has been here for longer raises the estimate, in a stop only. Before: RequestInProgressTellsThatOthersTakeAsLong fails.

--- a/include/corianderlink/Gateway/stop_admission.h
+++ b/include/corianderlink/Gateway/stop_admission.h
@@ -32,6 +32,12 @@
   /// Such a request has failed or was broken off.
   void OnBrokenOff(Time now, const RouteId& route, uint32_t output_tokens,
                    Duration taken);
+  /// `request` names one that has arrived until it has ended.
+  void OnArrived(const void* request, const RouteId& route,
+                 uint32_t output_tokens, Time arrived) {
+    in_progress_[request] = {route, output_tokens, arrived};
+  }
+  void OnEnded(const void* request) { in_progress_.erase(request); }
   template <typename Predicate>
   void ForgetRoutesIf(const Predicate& is_gone) {
     std::erase_if(serving_times_,
@@ -61,6 +67,14 @@
             Duration limit, Duration done) const;
 
  private:
+  struct InProgress {
+    RouteId route;
+    uint32_t output_tokens = 0;
+    Time arrived{};
+  };
+  /// The longest time that requests of the route, not larger, have been here.
+  Duration LongestInProgress(Time now, const RouteId& route,
+                             uint32_t output_tokens) const;
   RequestNeed NeedOf(Time now, const RouteId& route, uint32_t output_tokens,
                      Duration limit) const;
 
@@ -73,6 +87,7 @@
   };
   // By process.
   std::map<std::string, Leaving> leaving_peers_;
+  std::map<const void*, InProgress> in_progress_;
   std::optional<StopPlan> plan_;
 };
 
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -60,6 +60,8 @@
   deadline_timer_ =
       context_.loop.After(std::max(Duration::zero(), deadline_ - now),
                           [self] { self->OnDeadline(); });
+  context_.stop_admission.OnArrived(this, route_.id, OutputTokens(),
+                                    exchange_->received_at());
   PlaceAndSend();
 }
 
@@ -417,6 +419,7 @@
 
 void RelayTask::Detach() {
   finished_ = true;
+  context_.stop_admission.OnEnded(this);
   arrivals_.Release();
   held_.Set(0);
   if (trial_ != 0) {
--- a/lib/Gateway/stop_admission.cc
+++ b/lib/Gateway/stop_admission.cc
@@ -53,7 +53,21 @@
                                   Duration limit) const {
   const auto times = serving_times_.find(route);
   if (times == serving_times_.end()) return {limit, limit};
-  return {limit, times->second.Longest(now, output_tokens).value_or(limit)};
+  const auto longest = times->second.Longest(now, output_tokens);
+  if (!longest) return {limit, limit};
+  return {limit,
+          std::max(*longest, LongestInProgress(now, route, output_tokens))};
+}
+
+Duration StopAdmission::LongestInProgress(Time now, const RouteId& route,
+                                          uint32_t output_tokens) const {
+  Duration longest{};
+  for (const auto& [key, request] : in_progress_) {
+    if (request.output_tokens > output_tokens) continue;
+    if (request.route != route) continue;
+    longest = std::max(longest, now - request.arrived);
+  }
+  return longest;
 }
 
 }  // namespace corianderlink
