[Gateway] Bound the serving time that is derived from a smaller request

A request that names a very large number of tokens could overflow its estimate, which then looks short where the conversion wraps, so that a stopping gateway takes it. Found by reading; ServingTimesTest.LargestRequestTakesLong passes on arm64 before as well, where the conversion saturates.

--- a/include/corianderlink/Gateway/stop_admission.h
+++ b/include/corianderlink/Gateway/stop_admission.h
@@ -67,6 +67,11 @@
             Duration limit, Duration done) const;
 
  private:
+  struct Leaving {
+    /// When the peer first said so, and when last.
+    Time since{};
+    Time heard{};
+  };
   struct InProgress {
     RouteId route;
     uint32_t output_tokens = 0;
@@ -80,11 +85,6 @@
 
   const DirectoryTimes directory_;
   std::map<RouteId, ServingTimes> serving_times_;
-  struct Leaving {
-    /// When the peer first said so, and when last.
-    Time since{};
-    Time heard{};
-  };
   // By process.
   std::map<std::string, Leaving> leaving_peers_;
   std::map<const void*, InProgress> in_progress_;
--- a/lib/Gateway/serving_times.cc
+++ b/lib/Gateway/serving_times.cc
@@ -9,6 +9,8 @@
 
 // Samples are forgotten after one to two windows.
 constexpr Duration kWindow = seconds(30);
+// Bounds what is derived from a smaller request.
+constexpr Duration kLongestTime = std::chrono::hours(24);
 
 }  // namespace
 
@@ -56,7 +58,8 @@
     const double growth =
         static_cast<double>(output_tokens) /
         static_cast<double>(std::max<uint32_t>(1, sample->output_tokens));
-    return FromSeconds(ToSeconds(sample->taken) * std::max(1.0, growth));
+    const double grown_s = ToSeconds(sample->taken) * std::max(1.0, growth);
+    return FromSeconds(std::min(grown_s, ToSeconds(kLongestTime)));
   }
   return std::nullopt;
 }
--- a/unittests/Gateway/serving_times_test.cc
+++ b/unittests/Gateway/serving_times_test.cc
@@ -41,6 +41,12 @@
   EXPECT_EQ(times_.Longest(kStart, 0), milliseconds(30));
 }
 
+// Guards against times that overflow and look short.
+TEST_F(ServingTimesTest, LargestRequestTakesLong) {
+  times_.Add(kStart, 1, seconds(10));
+  EXPECT_GT(times_.Longest(kStart, 0xffffffff), seconds(3600));
+}
+
 TEST_F(ServingTimesTest, OldTimesAreForgotten) {
   times_.Add(kStart, 100, seconds(8));
   times_.Add(kStart + seconds(40), 100, seconds(2));
