--- a/unittests/Gateway/stop_admission_test.cc
+++ b/unittests/Gateway/stop_admission_test.cc
@@ -16,7 +16,8 @@
 
 TEST_F(StopAdmissionTest, EverythingIsTakenBeforeAStop) {
   EXPECT_TRUE(admission_.Takes(kStart, route_, 500, seconds(600)));
-  EXPECT_TRUE(admission_.Fits(kStart, route_, 500, seconds(600)));
+  EXPECT_TRUE(
+      admission_.Fits(kStart, route_, 500, seconds(600), Duration::zero()));
 }
 
 TEST_F(StopAdmissionTest, TimeOfOtherSizesDecidesInAStop) {
