[Serving] Wait in a planned stop for every request that has no answer

What callers saw: a job that was submitted (or read, or cancelled) just before the entry's address expired got no answer, and the connection closed; the caller could not tell whether the job was accepted. The entry counted chats, service calls and running jobs, and ended at the next look, 0.1 s at most after the address had expired, while the table service had yet to answer.

Ruled out: chats and service calls, also those whose outcome is still stored, are counted by their own owners; a table that is silent for its whole time-out ends in an answer of its own.

Now the HTTP server counts the requests whose answer is not complete, and the entry waits for them too. Each of them ends by the table's time-outs.

The test's entry now also has an engine, so that a job can be submitted.

--- a/include/corianderlink/Http/http_exchange.h
+++ b/include/corianderlink/Http/http_exchange.h
@@ -18,13 +18,20 @@
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
+/// What a server has yet to do for its clients.  Its exchanges share it.
+struct HttpServerState {
+  /// Requests whose answer is not complete and whose client has not left.
+  size_t unanswered = 0;
+  /// Complete answers that the kernel has not taken, of clients that are there.
+  size_t unsent = 0;
+};
+
 /// A received request and the interface to respond to it, with a single body
 /// or as a stream.  Responding after the client disconnected has no effect.
 class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
  public:
-  /// Wraps `request`, which stays owned by evhttp.  `unsent_answers` counts
-  /// complete answers until the kernel has taken them or the client has left.
-  HttpExchange(evhttp_request* request, std::shared_ptr<size_t> unsent_answers);
+  /// Wraps `request`, which stays owned by evhttp.
+  HttpExchange(evhttp_request* request, std::shared_ptr<HttpServerState> state);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
@@ -77,7 +84,7 @@
   void CountUntilSent(evhttp_request* request) const;
 
   evhttp_request* request_;
-  const std::shared_ptr<size_t> unsent_answers_;
+  const std::shared_ptr<HttpServerState> state_;
   std::string method_;
   std::string path_;
   std::string query_;
--- a/include/corianderlink/Http/http_server.h
+++ b/include/corianderlink/Http/http_server.h
@@ -39,14 +39,17 @@
   /// Binds the address.  Returns false if it cannot be bound.
   bool Listen(const Address& address);
 
+  /// Requests whose answer is not complete and whose client has not left.
+  size_t unanswered_requests() const { return state_->unanswered; }
   /// Complete answers of which the kernel has not yet taken every byte.
-  size_t unsent_answers() const { return *unsent_answers_; }
+  size_t unsent_answers() const { return state_->unsent; }
 
  private:
   const Handler handler_;
   // Of a connection.
   const size_t max_unparsed_bytes_;
-  const std::shared_ptr<size_t> unsent_answers_ = std::make_shared<size_t>(0);
+  const std::shared_ptr<HttpServerState> state_ =
+      std::make_shared<HttpServerState>();
   evhttp* http_;
 };
 
--- a/lib/Http/http_exchange.cc
+++ b/lib/Http/http_exchange.cc
@@ -40,11 +40,11 @@
 /// Counts one answer during its lifetime.
 class UnsentAnswer {
  public:
-  explicit UnsentAnswer(std::shared_ptr<size_t> count)
-      : count_(std::move(count)) {
-    ++*count_;
+  explicit UnsentAnswer(std::shared_ptr<HttpServerState> state)
+      : state_(std::move(state)) {
+    ++state_->unsent;
   }
-  ~UnsentAnswer() { --*count_; }
+  ~UnsentAnswer() { --state_->unsent; }
   UnsentAnswer(const UnsentAnswer&) = delete;
   UnsentAnswer& operator=(const UnsentAnswer&) = delete;
 
@@ -57,7 +57,7 @@
   }
 
  private:
-  const std::shared_ptr<size_t> count_;
+  const std::shared_ptr<HttpServerState> state_;
 };
 
 const char* ReasonPhrase(int status) { return status < 400 ? "OK" : "Error"; }
@@ -77,8 +77,8 @@
 }  // namespace
 
 HttpExchange::HttpExchange(evhttp_request* request,
-                           std::shared_ptr<size_t> unsent_answers)
-    : request_(request), unsent_answers_(std::move(unsent_answers)) {
+                           std::shared_ptr<HttpServerState> state)
+    : request_(request), state_(std::move(state)) {
   method_ = MethodName(evhttp_request_get_command(request));
   const evhttp_uri* uri = evhttp_request_get_evhttp_uri(request);
   if (uri != nullptr) {
@@ -119,6 +119,7 @@
 
 void HttpExchange::WatchForDisconnect() {
   keep_alive_self_ = shared_from_this();
+  ++state_->unanswered;
   evhttp_connection* connection = evhttp_request_get_connection(request_);
   bufferevent* bev = evhttp_connection_get_bufferevent(connection);
   // evhttp stops reading while a request is handled, so it would not notice a
@@ -147,6 +148,7 @@
   const std::shared_ptr<HttpExchange> self = keep_alive_self_;
   evhttp_request* request = request_;
   request_ = nullptr;
+  --state_->unanswered;
   keep_alive_self_.reset();
   // On a disconnect evhttp detaches the request from its connection before it
   // calls the close callback; ending the reply then frees the request.
@@ -169,13 +171,14 @@
     bufferevent_priority_set(bev, kDefaultPriority);
   }
   request_ = nullptr;
+  --state_->unanswered;
   keep_alive_self_.reset();
 }
 
 void HttpExchange::CountUntilSent(evhttp_request* request) const {
   evhttp_connection* connection = evhttp_request_get_connection(request);
   if (connection == nullptr) return;
-  auto* answer = new UnsentAnswer(unsent_answers_);
+  auto* answer = new UnsentAnswer(state_);
   evhttp_connection_set_closecb(connection, &UnsentAnswer::End, answer);
   evhttp_request_set_on_complete_cb(
       request,
--- a/lib/Http/http_server.cc
+++ b/lib/Http/http_server.cc
@@ -38,8 +38,7 @@
       http_,
       [](evhttp_request* request, void* arg) {
         auto* server = static_cast<HttpServer*>(arg);
-        auto exchange =
-            std::make_shared<HttpExchange>(request, server->unsent_answers_);
+        auto exchange = std::make_shared<HttpExchange>(request, server->state_);
         exchange->WatchForDisconnect();
         server->handler_(exchange);
       },
--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -496,8 +496,8 @@
 void EntryServer::StopIfDrained() {
   const Time now = BootClock::now();
   if (!HasAddressExpired(now)) return;
-  const size_t in_flight =
-      scheduler_.in_flight() + dispatcher_.in_flight() + jobs_.running();
+  const size_t in_flight = scheduler_.in_flight() + dispatcher_.in_flight() +
+                           jobs_.running() + server_.unanswered_requests();
   if (in_flight > 0 || drained_ == Time{}) drained_ = now;
   if (in_flight > 0) return;
   if (server_.unsent_answers() > 0 && now - drained_ < kMaxUnsentTime) return;
--- a/unittests/Serving/entry_server_test.cc
+++ b/unittests/Serving/entry_server_test.cc
@@ -36,6 +36,16 @@
   return received;
 }
 
+std::string ReadUntilEnd(int fd) {
+  std::string text;
+  char buffer[4096];
+  ssize_t n = 0;
+  while ((n = read(fd, buffer, sizeof(buffer))) > 0) {
+    text.append(buffer, static_cast<size_t>(n));
+  }
+  return text;
+}
+
 /// An entry whose client has sent a call that a worker answers at length.
 class EntryServerTest : public testing::Test {
  protected:
@@ -46,7 +56,12 @@
     DesiredState state;
     state.revision = 1;
     state.items.services[ServiceId("s")].workers = {worker};
+    EngineSpec engine;
+    engine.address = FreeAddress();
+    engine.models = {ModelId("m")};
+    state.items.engines[EngineId("e0")] = engine;
     entry_.node.release().ApplyState(state);
+    entry_.node.signal_state_changed.emit();
     client_ =
         SendAsSlowReader(entry_.node.settings().entry.listen,
                          "GET /v1/services/s/x HTTP/1.1\r\nHost: h\r\n\r\n");
@@ -64,10 +79,15 @@
       std::make_unique<EntryServer>(entry_.node);
   bool answered_ = false;
   HttpServer worker_{entry_.loop, {}, [this](const Node::Exchange& exchange) {
+                       answered_ = true;
+                       if (exchange->path() == "/held") {
+                         held_ = exchange;
+                         return;
+                       }
                        exchange->Reply(200, "text/plain",
                                        std::string(kAnswerBytes, 'x'));
-                       answered_ = true;
                      }};
+  Node::Exchange held_;
   int client_ = -1;
 };
 
@@ -112,6 +132,28 @@
   close(client_);
 }
 
+// The entry ended 0.1 s after its address had expired, with the commit in
+// progress; the client could not tell whether the job was accepted.
+TEST_F(EntryServerTest, JobThatIsBeingCommittedIsAnsweredInAPlannedStop) {
+  close(client_);
+  entry_.platform.holds_answer = [](const TableTransaction&) { return true; };
+  server_->BeginStop();
+  // The address expires 1,010 ms after the stop began.
+  entry_.RunUntil(milliseconds(900), [] { return false; });
+  const std::string body = EntryHarness::Body(1);
+  const int job =
+      SendAsSlowReader(entry_.node.settings().entry.listen,
+                       "POST /v1/jobs HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                           std::to_string(body.size()) + "\r\n\r\n" + body);
+  const EventHandle release = entry_.loop.After(
+      milliseconds(400), [this] { entry_.platform.ReleaseHeldAnswers(); });
+  entry_.loop.Run();
+  server_.reset();
+  const std::string answer = ReadUntilEnd(job);
+  EXPECT_EQ(answer.find("HTTP/1.1 202"), 0U) << answer;
+  close(job);
+}
+
 TEST_F(EntryServerTest, ClientThatLeftDelaysNoPlannedStop) {
   server_->BeginStop();
   const Time began = BootClock::now();
