[Fleet] Answer the notes in progress before a planned stop ends

What operators saw: a release note that was being committed as the fleet process got SIGTERM ended without an answer, though it was accepted. The process ended at its first tick of 50 ms at which it held no lease, whatever its administration address had in progress.

Now it ends once each administration request is answered and sent, within the 10 s that its stop may take. A note takes up to 5 s, so one that came late in those 10 s could still be cut: notes that arrive in a stop are refused, as not run.

--- a/include/corianderlink/Fleet/fleet_server.h
+++ b/include/corianderlink/Fleet/fleet_server.h
@@ -31,8 +31,9 @@
 
   /// Starts the timers.  Always returns true.
   bool Start();
-  /// Starts to release the leases; the loop stops once they are released, or
-  /// after a timeout.
+  /// Starts to release the leases; the loop stops once they are released and
+  /// every administration request is answered, or after a timeout.  No notes
+  /// are taken from now on.
   void BeginStop();
 
  private:
--- a/include/corianderlink/Node/node.h
+++ b/include/corianderlink/Node/node.h
@@ -80,6 +80,10 @@
   ReleaseFollower& release() { return release_; }
   const DesiredState& state() const { return release_.state(); }
   bool leaving() const { return leaving_; }
+  /// Administration requests whose answer was not given or not sent.
+  size_t open_admin_requests() const {
+    return admin_.unanswered_requests() + admin_.unsent_answers();
+  }
 
  private:
   void OnMessage(const wire::Envelope& message);
--- a/lib/Fleet/fleet_server.cc
+++ b/lib/Fleet/fleet_server.cc
@@ -64,7 +64,8 @@
   role_assigner_.Decide(now);
   if (!stopping_) return;
   const bool timed_out = now - stop_start_time_ > kStopTimeout;
-  if (timed_out || shards_.HoldsNone()) node_.loop().Stop();
+  const bool done = shards_.HoldsNone() && node_.open_admin_requests() == 0;
+  if (done || timed_out) node_.loop().Stop();
 }
 
 void FleetServer::ReadShardOrders(size_t index) {
@@ -385,6 +386,15 @@
 }
 
 bool FleetServer::OnAdmin(const Exchange& exchange) {
+  const bool submits_note =
+      exchange->path() == "/v1/notes" && exchange->method() == "POST";
+  if (stopping_ && submits_note) {
+    ReplyProblem(*exchange,
+                 {503, "Stopping",
+                  Outcome::NotRun("this process stops; use another instance"),
+                  std::nullopt, ""});
+    return true;
+  }
   if (note_api_.Handle(exchange)) return true;
   if (exchange->path() == "/v1/status") {
     exchange->Reply(200, "application/json", Status().dump());
