[Http] End the connections of requests from before a planned stop with their answers

What callers saw: an answer to a request from before SIGTERM left its connection open, as only requests that arrived in the stop got "Connection: close". A client that keeps connections sent its next request there, just as the entry, which had waited for that answer, ended within 0.1 s: the request got no status.

Now the server decides at the answer. A stream whose header was sent before ends its connection after its last chunk.

RequestFromBeforeAPlannedStopEndsItsConnection: no "Connection: close" before, there after. StreamFromBeforeAStopEndsItsConnection passes; it cannot be built without the new call, so it was not seen to fail.

--- a/include/corianderlink/Http/http_exchange.h
+++ b/include/corianderlink/Http/http_exchange.h
@@ -24,6 +24,8 @@
   size_t unanswered = 0;
   /// Complete answers that the kernel has not taken, of clients that are there.
   size_t unsent = 0;
+  /// Each answer from now on ends its connection.
+  bool closing = false;
 };
 
 /// A received request and the interface to respond to it, with a single body
@@ -48,9 +50,6 @@
   /// doesn't contain it.
   std::optional<std::string> QueryParameter(const std::string& name) const;
 
-  /// Adds "Connection: close" to the response, which ends the connection after
-  /// it.
-  void CloseAfterReply();
   /// Sends a complete response.
   void Reply(int status, const std::string& content_type,
              const std::string& body, const HttpHeaders& headers = {});
@@ -81,6 +80,9 @@
  private:
   void OnClientDisconnected();
   void DetachFromConnection();
+  /// Ends the connection after the response if the server is closing, also if
+  /// the response's header was sent without "Connection: close".
+  void CloseIfServerCloses();
   void CountUntilSent(evhttp_request* request) const;
 
   evhttp_request* request_;
--- a/include/corianderlink/Http/http_server.h
+++ b/include/corianderlink/Http/http_server.h
@@ -39,6 +39,10 @@
   /// Binds the address.  Returns false if it cannot be bound.
   bool Listen(const Address& address);
 
+  /// From now on, the connection of each request ends with its answer, also of
+  /// those in progress.
+  void CloseAfterAnswers() { state_->closing = true; }
+
   /// Requests whose answer is not complete and whose client has not left.
   size_t unanswered_requests() const { return state_->unanswered; }
   /// Complete answers of which the kernel has not yet taken every byte.
--- a/lib/Http/http_exchange.cc
+++ b/lib/Http/http_exchange.cc
@@ -188,10 +188,12 @@
       answer);
 }
 
-void HttpExchange::CloseAfterReply() {
-  if (request_ == nullptr) return;
-  evhttp_add_header(evhttp_request_get_output_headers(request_), "Connection",
-                    "close");
+void HttpExchange::CloseIfServerCloses() {
+  evkeyvalq* out = evhttp_request_get_output_headers(request_);
+  if (!state_->closing || evhttp_find_header(out, "Connection") != nullptr) {
+    return;
+  }
+  evhttp_add_header(out, "Connection", "close");
 }
 
 void HttpExchange::Reply(int status, const std::string& content_type,
@@ -199,6 +201,7 @@
   if (request_ == nullptr || streaming_) return;
   const std::shared_ptr<HttpExchange> self = keep_alive_self_;
   AddHeaders(request_, content_type, headers);
+  CloseIfServerCloses();
   evbuffer* out = evbuffer_new();
   evbuffer_add(out, body.data(), body.size());
   evhttp_request* request = request_;
@@ -212,6 +215,7 @@
                                const HttpHeaders& headers) {
   if (request_ == nullptr || streaming_) return;
   AddHeaders(request_, content_type, headers);
+  CloseIfServerCloses();
   streaming_ = true;
   evhttp_send_reply_start(request_, status, ReasonPhrase(status));
 }
@@ -233,6 +237,7 @@
 void HttpExchange::EndStream() {
   if (request_ == nullptr || !streaming_) return;
   const std::shared_ptr<HttpExchange> self = keep_alive_self_;
+  CloseIfServerCloses();
   evhttp_request* request = request_;
   DetachFromConnection();
   CountUntilSent(request);
--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -181,9 +181,6 @@
 void EntryServer::OnRequest(const Exchange& exchange) {
   const std::string& path = exchange->path();
   node_.metrics().Add("requests_total");
-  // A client must not send its next request on a connection that this process
-  // is about to close.
-  if (node_.leaving()) exchange->CloseAfterReply();
   if (path == "/v1/entries") return OnEntries(exchange);
   if (path == "/health") return exchange->Reply(200, "text/plain", "ok\n");
   const auto account = Admit(exchange);
@@ -482,6 +479,9 @@
   Log(LogLevel::kInfo, "stop_began",
       {{"in_flight", uint64_t{scheduler_.in_flight()}}});
   node_.SetLeaving();
+  // A client must not send its next request on a connection that this process
+  // is about to close.
+  server_.CloseAfterAnswers();
   jobs_.Drain();
   stop_timer_ =
       node_.loop().Every(kStopPollInterval, [this] { StopIfDrained(); });
--- a/unittests/Http/http_server_test.cc
+++ b/unittests/Http/http_server_test.cc
@@ -130,5 +130,37 @@
   EXPECT_TRUE(bodies_.empty());
 }
 
+// The header had been sent without "Connection: close", so a client that keeps
+// the connection sent its next request on it as the process ended.
+TEST_F(HttpServerTest, StreamFromBeforeAStopEndsItsConnection) {
+  std::shared_ptr<HttpExchange> stream;
+  HttpServer server(
+      loop_, {}, [&](const std::shared_ptr<HttpExchange>& e) { stream = e; });
+  const Address address = FreeAddress();
+  ASSERT_TRUE(server.Listen(address));
+  const int fd = ConnectTo(address);
+  const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  ASSERT_EQ(send(fd, request.data(), request.size(), MSG_NOSIGNAL),
+            static_cast<ssize_t>(request.size()));
+  RunFor(milliseconds(50));
+  ASSERT_TRUE(stream);
+  stream->StartStream(200, "text/plain");
+  server.CloseAfterAnswers();
+  EXPECT_EQ(server.unanswered_requests(), 1U);
+  stream->SendChunk("x");
+  stream->EndStream();
+  RunFor(milliseconds(50));
+  EXPECT_EQ(server.unanswered_requests(), 0U);
+  std::string answer;
+  char buffer[4096];
+  ssize_t n = 0;
+  while ((n = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT)) > 0) {
+    answer.append(buffer, static_cast<size_t>(n));
+  }
+  EXPECT_EQ(n, 0) << "the connection is open";
+  EXPECT_EQ(answer.substr(answer.size() - 5), "0\r\n\r\n");
+  close(fd);
+}
+
 }  // namespace
 }  // namespace corianderlink
--- a/unittests/Serving/entry_server_test.cc
+++ b/unittests/Serving/entry_server_test.cc
@@ -154,6 +154,27 @@
   close(job);
 }
 
+// A client that keeps the connection would send its next request on it, as the
+// process ends.
+TEST_F(EntryServerTest, RequestFromBeforeAPlannedStopEndsItsConnection) {
+  close(client_);
+  answered_ = false;
+  const int call =
+      SendAsSlowReader(entry_.node.settings().entry.listen,
+                       "GET /v1/services/s/held HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(entry_.RunUntil(seconds(5), [this] { return held_ != nullptr; }));
+  server_->BeginStop();
+  held_->Reply(200, "text/plain", "x");
+  entry_.RunUntil(milliseconds(200), [] { return false; });
+  char buffer[4096];
+  const ssize_t n = recv(call, buffer, sizeof(buffer), MSG_DONTWAIT);
+  const std::string answer(buffer,
+                           static_cast<size_t>(std::max<ssize_t>(n, 0)));
+  EXPECT_EQ(answer.find("HTTP/1.1 200"), 0U) << answer;
+  EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+  close(call);
+}
+
 TEST_F(EntryServerTest, ClientThatLeftDelaysNoPlannedStop) {
   server_->BeginStop();
   const Time began = BootClock::now();
