[Serving] Wait in a planned stop for requests that clients send slowly

What callers saw: a request whose header had reached the entry before its address expired, and whose body had not, got no status as the entry ended at the next look, 0.1 s at most later. Its caller could not tell whether it had run.

Now the HTTP server counts the connections on which a part of a request has arrived, and the entry waits for them as for clients that have yet to read their answers, 30 s at most. Once whole, such a request is refused as not run, as any that is whole after the address has expired.

--- a/include/corianderlink/Http/http_server.h
+++ b/include/corianderlink/Http/http_server.h
@@ -7,10 +7,12 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 #include "corianderlink/Http/http_exchange.h"
 #include "corianderlink/Support/address.h"
 
+struct bufferevent;
 struct evhttp;
 
 namespace corianderlink {
@@ -45,15 +47,27 @@
 
   /// Requests whose answer is not complete and whose client has not left.
   size_t unanswered_requests() const { return state_->unanswered; }
+  /// Connections on which a part of a request has arrived.
+  size_t incomplete_requests() const { return incomplete_requests_; }
   /// Complete answers of which the kernel has not yet taken every byte.
   size_t unsent_answers() const { return state_->unsent; }
 
  private:
+  /// What is known of one connection.
+  struct Connection;
+
+  /// Called as bytes arrive on the connection.
+  static void OnInput(Connection& connection);
+  void EndIncomplete(Connection& connection);
+
   const Handler handler_;
   // Of a connection.
   const size_t max_unparsed_bytes_;
   const std::shared_ptr<HttpServerState> state_ =
       std::make_shared<HttpServerState>();
+  size_t incomplete_requests_ = 0;
+  // An element outlives its connection until another one has its address.
+  std::unordered_map<bufferevent*, std::unique_ptr<Connection>> connections_;
   evhttp* http_;
 };
 
--- a/lib/Http/http_server.cc
+++ b/lib/Http/http_server.cc
@@ -1,6 +1,7 @@
 // HTTP server based on evhttp.
 #include "corianderlink/Http/http_server.h"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -9,6 +10,12 @@
 
 namespace corianderlink {
 
+struct HttpServer::Connection {
+  HttpServer* server;
+  bufferevent* stream;
+  bool has_incomplete_request = false;
+};
+
 HttpServer::HttpServer(EventLoop& loop, HttpServerLimits limits,
                        Handler handler)
     : handler_(std::move(handler)),
@@ -27,10 +34,19 @@
   evhttp_set_bevcb(
       http_,
       [](event_base* base, void* arg) {
+        auto* server = static_cast<HttpServer*>(arg);
         bufferevent* stream = bufferevent_socket_new(base, -1, 0);
-        bufferevent_setwatermark(
-            stream, EV_READ, 0,
-            static_cast<HttpServer*>(arg)->max_unparsed_bytes_);
+        bufferevent_setwatermark(stream, EV_READ, 0,
+                                 server->max_unparsed_bytes_);
+        auto& connection = server->connections_[stream];
+        connection = std::make_unique<Connection>(Connection{server, stream});
+        evbuffer_add_cb(
+            bufferevent_get_input(stream),
+            [](evbuffer*, const evbuffer_cb_info* info, void* connection) {
+              if (info->n_added == 0) return;
+              OnInput(*static_cast<Connection*>(connection));
+            },
+            connection.get());
         return stream;
       },
       this);
@@ -38,6 +54,9 @@
       http_,
       [](evhttp_request* request, void* arg) {
         auto* server = static_cast<HttpServer*>(arg);
+        bufferevent* stream = evhttp_connection_get_bufferevent(
+            evhttp_request_get_connection(request));
+        server->EndIncomplete(*server->connections_.at(stream));
         auto exchange = std::make_shared<HttpExchange>(request, server->state_);
         exchange->WatchForDisconnect();
         server->handler_(exchange);
@@ -47,6 +66,31 @@
 
 HttpServer::~HttpServer() { evhttp_free(http_); }
 
+void HttpServer::OnInput(Connection& connection) {
+  if (connection.has_incomplete_request) return;
+  // evhttp reads only between requests, and is then the callbacks' argument.
+  bufferevent_data_cb read_cb = nullptr;
+  void* evhttp_connection = nullptr;
+  bufferevent_getcb(connection.stream, &read_cb, nullptr, nullptr,
+                    &evhttp_connection);
+  if (read_cb == nullptr || evhttp_connection == nullptr) return;
+  connection.has_incomplete_request = true;
+  ++connection.server->incomplete_requests_;
+  evhttp_connection_set_closecb(
+      static_cast<struct evhttp_connection*>(evhttp_connection),
+      [](struct evhttp_connection*, void* closed) {
+        auto* connection = static_cast<Connection*>(closed);
+        connection->server->EndIncomplete(*connection);
+      },
+      &connection);
+}
+
+void HttpServer::EndIncomplete(Connection& connection) {
+  if (!connection.has_incomplete_request) return;
+  connection.has_incomplete_request = false;
+  --incomplete_requests_;
+}
+
 bool HttpServer::Listen(const Address& address) {
   return evhttp_bind_socket(http_, address.ip.c_str(), address.port) == 0;
 }
--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -18,8 +18,9 @@
 // Added to the time for which clients may cache a directory response.
 constexpr seconds kDirectoryCacheMargin{1};
 constexpr milliseconds kStopPollInterval{100};
-// Maximum time for which a stop waits for clients to read their answers.
-constexpr seconds kMaxUnsentTime{30};
+// Maximum time for which a stop waits for clients to read their answers and to
+// send the rest of their requests.
+constexpr seconds kMaxClientTime{30};
 constexpr milliseconds kCacheEventPollInterval{500};
 constexpr size_t kMaxIdempotencyKeyBytes = 256;
 constexpr size_t kJobIdChars = 32;
@@ -500,7 +501,9 @@
                            jobs_.running() + server_.unanswered_requests();
   if (in_flight > 0 || drained_ == Time{}) drained_ = now;
   if (in_flight > 0) return;
-  if (server_.unsent_answers() > 0 && now - drained_ < kMaxUnsentTime) return;
+  const bool clients_use_connections =
+      server_.unsent_answers() > 0 || server_.incomplete_requests() > 0;
+  if (clients_use_connections && now - drained_ < kMaxClientTime) return;
   Log(LogLevel::kInfo, "stop_finished",
       {{"ms", ToMillis(BootClock::now() - stop_began_)}});
   node_.loop().Stop();
--- a/unittests/Serving/entry_server_test.cc
+++ b/unittests/Serving/entry_server_test.cc
@@ -154,6 +154,27 @@
   close(job);
 }
 
+// The entry ended while it read the body; the client got no status and could
+// not tell whether its call had run.
+TEST_F(EntryServerTest, RequestThatIsSentSlowlyIsAnsweredInAPlannedStop) {
+  close(client_);
+  server_->BeginStop();
+  entry_.RunUntil(milliseconds(900), [] { return false; });
+  const int slow =
+      SendAsSlowReader(entry_.node.settings().entry.listen,
+                       "POST /v1/services/s/x HTTP/1.1\r\nHost: h\r\n"
+                       "Content-Length: 2\r\n\r\nx");
+  const EventHandle rest = entry_.loop.After(milliseconds(600), [slow] {
+    EXPECT_EQ(send(slow, "x", 1, MSG_NOSIGNAL), 1);
+  });
+  entry_.loop.Run();
+  server_.reset();
+  const std::string answer = ReadUntilEnd(slow);
+  EXPECT_EQ(answer.find("HTTP/1.1 503"), 0U) << answer;
+  EXPECT_NE(answer.find("not run"), std::string::npos) << answer;
+  close(slow);
+}
+
 // A client that keeps the connection would send its next request on it, as the
 // process ends.
 TEST_F(EntryServerTest, RequestFromBeforeAPlannedStopEndsItsConnection) {
@@ -183,5 +204,18 @@
   EXPECT_LT(BootClock::now() - began, seconds(5));
 }
 
+TEST_F(EntryServerTest, ClientThatLeftWithinItsRequestDelaysNoPlannedStop) {
+  close(client_);
+  const int partial = SendAsSlowReader(entry_.node.settings().entry.listen,
+                                       "POST /v1/services/s/x HTTP/1.1\r\n"
+                                       "Content-Length: 2\r\n\r\nx");
+  entry_.RunUntil(milliseconds(100), [] { return false; });
+  server_->BeginStop();
+  const Time began = BootClock::now();
+  close(partial);
+  entry_.loop.Run();
+  EXPECT_LT(BootClock::now() - began, seconds(5));
+}
+
 }  // namespace
 }  // namespace corianderlink
