[Soak][Tests] Take no ports that another process has claimed

Ruled out: two test programs share no ports, as FreeAddressTest.ProgramsThatRunAtOnceGetDifferentPorts shows.

Change: plays claim the same blocks of 200 ports as test programs, go on to a further block when one is used up, and to their oldest one after ten.

FreeAddressTest.PlaysTakeNoPortsOfATestProgram fails (199 shared ports) with blocks that go on past their end. A port that is taken fails the start of a gateway with "cannot bind"; whether the listed tests have printed that is not known.

--- a/unittests/Wire/free_address_test.cc
+++ b/unittests/Wire/free_address_test.cc
@@ -5,7 +5,9 @@
 #include <sys/wait.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace corianderlink {
@@ -49,5 +51,38 @@
       0);
 }
 
+/// Ports that a process of the plays takes, from that block on.
+std::set<uint16_t> PortsOfPlays(size_t count, int first_block) {
+  const std::string command =
+      "cd " SOURCE_DIR
+      "/utils && python3 -B -c 'from soak_lib import ports; "
+      "blocks = ports.PortBlocks(" +
+      std::to_string(first_block) + "); [print(blocks.next()) for _ in range(" +
+      std::to_string(count) + ")]'";
+  std::set<uint16_t> ports;
+  FILE* out = popen(command.c_str(), "r");
+  for (uint16_t port = 0; fscanf(out, "%hu", &port) == 1;) ports.insert(port);
+  pclose(out);
+  return ports;
+}
+
+// Guards against tests that failed beside plays, whose gateways had taken ports
+// that the tests had claimed.
+TEST(FreeAddressTest, PlaysTakeNoPortsOfATestProgram) {
+  constexpr size_t kPortsOfPlays = 1200;
+  constexpr int kFirstPort = 12000;
+  constexpr int kPortsPerBlock = 200;
+  std::set<uint16_t> own;
+  while (own.size() < kPortsPerBlock) own.insert(FreeAddress().port);
+  // The plays come to the blocks of this program.
+  const int block = (FreeAddress().port - kFirstPort) / kPortsPerBlock;
+  const std::set<uint16_t> others = PortsOfPlays(kPortsOfPlays, block + 98);
+  EXPECT_EQ(others.size(), kPortsOfPlays);
+  EXPECT_EQ(std::count_if(
+                own.begin(), own.end(),
+                [&others](uint16_t port) { return others.count(port) > 0; }),
+            0);
+}
+
 }  // namespace
 }  // namespace corianderlink
--- a/utils/soak_lib/world.py
+++ b/utils/soak_lib/world.py
@@ -6,13 +6,13 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import tempfile
 import time
 import urllib.request
 
 from . import processes, stand_ins
+from .ports import free_ports
 
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..")
 PROGRAM = os.path.join(ROOT, "build", "corianderlink-gateway")
@@ -47,42 +47,6 @@
     return ROUTES.get(kind) or LONG_ROUTES[kind]
 
 
-# Ports of this process, below those that the system gives to connections: a
-# gateway that is down for a while finds its ports free again.
-FIRST_PORT, PORTS, PORTS_EACH = 12000, 20000, 400
-
-
-def reserve_ports():
-    """Holds the first port of a range of its own, which claims the range."""
-    for i in range(PORTS // PORTS_EACH):
-        claim = socket.socket()
-        try:
-            claim.bind(("127.0.0.1", FIRST_PORT +
-                        (os.getpid() + i) * PORTS_EACH % PORTS))
-            return claim
-        except OSError:
-            claim.close()
-    raise OSError("all ports are taken")
-
-
-_claim = reserve_ports()
-_next_port = _claim.getsockname()[1] + 1
-
-
-def free_ports(count):
-    global _next_port
-    ports = []
-    while len(ports) < count:
-        port, _next_port = _next_port, _next_port + 1
-        with socket.socket() as s:
-            try:
-                s.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
-    return ports
-
-
 @functools.cache
 def knows_forward(program):
     """Whether that build can be told where peers hand requests over."""
