[Tests][Gateway] Wait in the fleet until its gateways know each other

A gateway awaits each listed peer's heartbeat for up to 800 ms; GatewayFleet::Introduce() waited 300 ms.

Ruled out: ports that two test programs share (they share none).

Change: it waits until all gateways are ready and have heard the others, for at most 5 s more.

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -148,6 +148,8 @@
   /// True if the configuration and the list of upstreams are loaded, the peers
   /// have sent heartbeats, and the gateway is not shutting down.
   bool ready() const;
+  /// Peers that have sent a heartbeat lately.
+  size_t LivePeers() const { return peers_.Live(BootClock::now()).size(); }
   const Metrics& metrics() const { return metrics_; }
   const AnswerMemory& answer_memory() const { return answer_memory_; }
 
--- a/unittests/Gateway/gateway_fleet.h
+++ b/unittests/Gateway/gateway_fleet.h
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -180,6 +181,17 @@
     }
     Publish();
     harness_.RunFor(milliseconds(300));
+    // On a busy machine heartbeats come late.
+    for (int i = 0; i < 500 && !AllKnowEachOther(); ++i) {
+      harness_.RunFor(milliseconds(10));
+    }
+  }
+  bool AllKnowEachOther() const {
+    return std::all_of(gateways_.begin(), gateways_.end(),
+                       [this](const std::unique_ptr<Gateway>& gateway) {
+                         return gateway->ready() &&
+                                gateway->LivePeers() + 1 >= gateways_.size();
+                       });
   }
   std::vector<StoreRecord> StreamRecords() const {
     std::vector<StoreRecord> records;
