--- a/unittests/Fleet/fleet_server_test.cc
+++ b/unittests/Fleet/fleet_server_test.cc
@@ -74,8 +74,7 @@
   FleetServer server_{node_};
 };
 
-// The process ended with its next tick, and the operator could not tell whether
-// the note was accepted.
+// Guards against an end during a commit, which leaves the operator in doubt.
 TEST_F(FleetServerTest, NoteThatIsBeingCommittedIsAnsweredInAPlannedStop) {
   platform_.holds_answer = [](const TableTransaction& txn) {
     return !txn.writes.empty() &&
--- a/unittests/Http/http_server_test.cc
+++ b/unittests/Http/http_server_test.cc
@@ -130,8 +130,7 @@
   EXPECT_TRUE(bodies_.empty());
 }
 
-// The header had been sent without "Connection: close", so a client that keeps
-// the connection sent its next request on it as the process ended.
+// Guards against a next request on a connection that the process then closes.
 TEST_F(HttpServerTest, StreamFromBeforeAStopEndsItsConnection) {
   std::shared_ptr<HttpExchange> stream;
   HttpServer server(
--- a/unittests/Serving/entry_server_test.cc
+++ b/unittests/Serving/entry_server_test.cc
@@ -132,8 +132,7 @@
   close(client_);
 }
 
-// The entry ended 0.1 s after its address had expired, with the commit in
-// progress; the client could not tell whether the job was accepted.
+// Guards against an end during a commit, which leaves the client in doubt.
 TEST_F(EntryServerTest, JobThatIsBeingCommittedIsAnsweredInAPlannedStop) {
   close(client_);
   entry_.platform.holds_answer = [](const TableTransaction&) { return true; };
@@ -154,8 +153,7 @@
   close(job);
 }
 
-// The entry ended while it read the body; the client got no status and could
-// not tell whether its call had run.
+// Guards against an end during a body, which leaves the client in doubt.
 TEST_F(EntryServerTest, RequestThatIsSentSlowlyIsAnsweredInAPlannedStop) {
   close(client_);
   server_->BeginStop();
@@ -175,8 +173,7 @@
   close(slow);
 }
 
-// A client that keeps the connection would send its next request on it, as the
-// process ends.
+// Guards against a next request on a connection that the process then closes.
 TEST_F(EntryServerTest, RequestFromBeforeAPlannedStopEndsItsConnection) {
   close(client_);
   answered_ = false;
