[Gateway] Name no time to come back in a stopping gateway's 404

What callers saw: a gateway that stops answered 404 for a path without a route with Retry-After: 0, so that a caller may ask again at once for what is not there.

Cause: the time to come back was set for every answer of a stopping gateway, where it had been for its refusals only.

Change: it belongs to 503 alone, as before a stop.

After: all tests of PlannedStopTest pass.

--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -311,8 +311,10 @@
   ClientRequest request = codecs_.relay.decode_request(exchange->head());
   const auto refuse = [&](int status, const char* reason) {
     std::optional<Duration> retry_after;
-    if (status == 503) retry_after = kNotReadyRetryAfter;
-    if (shutting_down_) retry_after = stop_admission_.RetryAfter(now);
+    if (status == 503) {
+      retry_after = shutting_down_ ? stop_admission_.RetryAfter(now)
+                                   : kNotReadyRetryAfter;
+    }
     Log(LogLevel::kInfo, "request_done",
         {{"request", request.id.value()},
          {"result", "refused"},
--- a/unittests/Gateway/planned_stop_test.cc
+++ b/unittests/Gateway/planned_stop_test.cc
@@ -73,6 +73,16 @@
   EXPECT_TRUE(upstream.requests.empty());
 }
 
+// Guards against a time to come back in an answer that is final.
+TEST_F(PlannedStopTest, UnknownRouteNamesNoTimeToComeBack) {
+  harness_.AddUpstream("s1", "shop");
+  harness_.gateway().BeginShutdown();
+  const auto result = harness_.Send("GET", "/unknown/1");
+  harness_.Await(result);
+  EXPECT_EQ(result->status, 404);
+  EXPECT_EQ(result->Field("Retry-After"), "");
+}
+
 // Guards against estimates from requests that their clients gave up early.
 TEST_F(PlannedStopTest, RequestThatItsClientLeftTellsNoServingTime) {
   FakeUpstream& upstream = harness_.AddUpstream("s1", "shop");
