[Soak][Tests] Judge failures and plain answers of planned stops more strictly

Seen by reading: a play took any complete failure of a request that was sent before SIGTERM for one that the end of its gateway excuses, also one of the first seconds or with another status, and did not compare the answers of plain requests.

Change: only 502 and 504 in the last part of the grace time are excused so; answers of plain requests are compared. A comment of FreeAddressTest is put plainly.

--- a/unittests/Wire/free_address_test.cc
+++ b/unittests/Wire/free_address_test.cc
@@ -66,8 +66,7 @@
   return ports;
 }
 
-// Guards against tests that failed beside plays, whose gateways had taken ports
-// that the tests had claimed.
+// Guards against plays that take ports which a test program has claimed.
 TEST(FreeAddressTest, PlaysTakeNoPortsOfATestProgram) {
   constexpr size_t kPortsOfPlays = 1200;
   constexpr int kFirstPort = 12000;
--- a/utils/soak_lib/stops.py
+++ b/utils/soak_lib/stops.py
@@ -299,9 +299,7 @@
         return "no connection"
     at = request.sigterm and request.sigterm()
     if request.complete and request.status == 200:
-        whole = request.kind == "book" or request.answer == b"".join(
-            stand_ins.event_of(request.identity, event, "v1")
-            for event in range(1, request.events + 1))
+        whole = request.answer == whole_answer(request)
         return "" if whole else "complete, not whole"
     deadline_s = ROUTES[request.kind]["timeout_ms"] / 1000
     if request.ended - request.sent_from > deadline_s - 0.1:
@@ -310,18 +308,28 @@
         return judge_refused(request, runs)
     if at is None or not at < request.ended < at + GRACE_S + 1:
         return "ended without a stop"
+    last_part = at + GRACE_S - LAST_PART_S
     if request.complete:
-        return judge_cut(request, at)
+        ended_by_stop = request.status in (502, 504) and \
+            request.ended > last_part
+        return (judge_cut(request, at) if ended_by_stop else
+                "failed %d" % request.status)
     slack_s = LOSS_SLACK_S + lateness.within(request.sent_from, request.ended)
     if not runs and request.ended < request.sent + slack_s:
         return "crossed"
-    last_part = at + GRACE_S - LAST_PART_S
     at_work = any(run.ended is None or run.ended > last_part for run in runs)
     if at_work and request.sent <= at + TAKEN_FOR_S:
         return judge_cut(request, at)
     return "lost"
 
 
+def whole_answer(request):
+    if request.kind == "book":
+        return stand_ins.body_of(request.identity)
+    return b"".join(stand_ins.event_of(request.identity, event, "v1")
+                    for event in range(1, request.events + 1))
+
+
 def judge_cut(request, at):
     return "cut taken" if request.sent > at else "cut"
 
