[Gateway] Read a request's greatest output in one place

The stop of a gateway and the relaying of requests each derived it from the prompt. It is the request's own now; nothing changes for callers. 50 tests of PlannedStopTest, StopAdmissionTest, GatewayTest and PrefillDecodeTest pass.

--- a/include/corianderlink/Gateway/relay_codec.h
+++ b/include/corianderlink/Gateway/relay_codec.h
@@ -50,6 +50,11 @@
   /// Present if a gateway has forwarded the request.  Clients may send anything
   /// here, so it counts on connections from gateways only.
   std::optional<ForwardingState> forwarding;
+
+  /// Tokens that an engine may generate for it; 0 if it has no prompt.
+  uint32_t OutputTokens() const {
+    return prompt ? prompt->max_output_tokens : 0;
+  }
 };
 
 /// Key of the stream that the attempt `id` of the request's client has begun.
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -236,7 +236,6 @@
   bool EndIfStopping(Time now, Duration done = {});
   /// Refuses a request that another gateway may serve.
   void RefuseForStop(const char* reason);
-  uint32_t OutputTokens() const;
   /// Ends a request that its upstream has not answered in time.
   void EndUnanswered(const std::string& reason);
   /// Moves an idempotent request whose upstream makes no progress to another
--- a/lib/Gateway/gateway_stop.cc
+++ b/lib/Gateway/gateway_stop.cc
@@ -10,10 +10,6 @@
 // Interval between looks for whether all connections have ended.
 constexpr Duration kStopPollInterval = milliseconds(100);
 
-uint32_t OutputTokensOf(const ClientRequest& request) {
-  return request.prompt ? request.prompt->max_output_tokens : 0;
-}
-
 }  // namespace
 
 void Gateway::BeginShutdown() {
@@ -42,7 +38,7 @@
                           const ClientRequest& request) const {
   const Duration limit =
       std::min(request.time_left.value_or(route.timeout), route.timeout);
-  return stop_admission_.Takes(now, route.id, OutputTokensOf(request),
+  return stop_admission_.Takes(now, route.id, request.OutputTokens(),
                                exchange.received_at() + limit - now);
 }
 
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -60,15 +60,11 @@
   deadline_timer_ =
       context_.loop.After(std::max(Duration::zero(), deadline_ - now),
                           [self] { self->OnDeadline(); });
-  context_.stop_admission.OnArrived(this, route_.id, OutputTokens(),
+  context_.stop_admission.OnArrived(this, route_.id, request_.OutputTokens(),
                                     exchange_->received_at());
   PlaceAndSend();
 }
 
-uint32_t RelayTask::OutputTokens() const {
-  return request_.prompt ? request_.prompt->max_output_tokens : 0;
-}
-
 uint64_t RelayTask::PromptTokens() const {
   return request_.prompt ? request_.prompt->tokens : 0;
 }
@@ -442,9 +438,10 @@
   const double elapsed_ms = ToMillis(taken);
   StopAdmission& admission = context_.stop_admission;
   const bool is_success = status >= 200 && status < 300;
-  if (is_success) admission.OnServed(now, route_.id, OutputTokens(), taken);
+  if (is_success)
+    admission.OnServed(now, route_.id, request_.OutputTokens(), taken);
   if (!is_success && possible_runs_ > 0) {
-    admission.OnBrokenOff(now, route_.id, OutputTokens(), taken);
+    admission.OnBrokenOff(now, route_.id, request_.OutputTokens(), taken);
   }
   Log(LogLevel::kInfo, "request_done",
       {{"request", request_.id.value()},
--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -283,7 +283,7 @@
 
 bool RelayTask::FitsStop(Time now, Duration done) const {
   return exchange_->response_started() ||
-         context_.stop_admission.Fits(now, route_.id, OutputTokens(),
+         context_.stop_admission.Fits(now, route_.id, request_.OutputTokens(),
                                       deadline_ - now, done);
 }
 
