--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -438,8 +438,9 @@
   const double elapsed_ms = ToMillis(taken);
   StopAdmission& admission = context_.stop_admission;
   const bool is_success = status >= 200 && status < 300;
-  if (is_success)
+  if (is_success) {
     admission.OnServed(now, route_.id, request_.OutputTokens(), taken);
+  }
   if (!is_success && possible_runs_ > 0) {
     admission.OnBrokenOff(now, route_.id, request_.OutputTokens(), taken);
   }
