[Gateway] Log which connection carried a request, and which answers were discarded

From today's logs it cannot be told whether an answer that counted as "not run" was the first on its connection, nor that an answer was discarded.

Answers that belong to another request are logged (response_discarded, at most four for a request) and counted; so are bytes on an idle connection (unsolicited_response), which closes it as before. The connection now compares ids itself, by UpstreamRequest::id, as it is the place that knows what it has carried.

Behaviour: as before for requests to upstreams. A forwarded request now accepts an answer without an id on a connection that carried nothing else, and no longer one without an id on a used connection where the client's request has none either.

Ruled out: nothing yet.

--- a/include/corianderlink/Gateway/relay_codec.h
+++ b/include/corianderlink/Gateway/relay_codec.h
@@ -125,6 +125,8 @@
   /// Decodes the head of a response from the upstream with the given id.
   std::function<UpstreamResponseInfo(const ResponseHead&, const UpstreamId&)>
       decode_response;
+  /// Returns the id of the request that a response names; empty if none.
+  std::function<std::string(const ResponseHead&)> named_request;
   /// Returns the id of the KV cache from the body of a prefill response, or
   /// nothing if the body is malformed.
   std::function<std::optional<std::string>(const std::string& body)>
--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -304,6 +304,7 @@
 
   // State of the present attempt.
   std::shared_ptr<UpstreamCall> call_;
+  UpstreamConnectionInfo connection_;
   std::optional<Placement> placement_;
   DispatchId dispatch_ = 0;
   Time sent_at_{};
@@ -312,8 +313,6 @@
   int events_received_ = 0;
   // False if the request certainly did not reach the upstream.
   bool reached_upstream_ = true;
-  // No other request has used the connection.
-  bool on_new_connection_ = false;
   Time first_output_at_{};
   std::optional<Time> last_event_at_;
   Duration longest_event_gap_{};
--- a/include/corianderlink/Http1/upstream_call.h
+++ b/include/corianderlink/Http1/upstream_call.h
@@ -2,6 +2,7 @@
 #ifndef CORIANDERLINK_HTTP1_UPSTREAM_CALL_H_
 #define CORIANDERLINK_HTTP1_UPSTREAM_CALL_H_
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -31,9 +32,21 @@
   size_t max_connections = 100;
   /// Time limit for establishing a new connection.
   Duration connect_timeout = milliseconds(300);
-  /// Returns whether a response belongs to this request; the connection
-  /// discards any other response.  If empty, the next response is accepted.
-  std::function<bool(const ResponseHead&)> matches_request;
+  /// Id of the request, which its response names.
+  std::string id;
+  /// Returns the id of the request that a response names, or an empty text. The
+  /// connection discards responses that name another request, and responses
+  /// that name none if it has carried other requests.  If not set, the next
+  /// response is accepted.
+  std::function<std::string(const ResponseHead&)> named_request;
+};
+
+/// The connection that carries a request, for the log.
+struct UpstreamConnectionInfo {
+  /// Number of the connection in its pool, from 1.
+  uint64_t number = 0;
+  /// Requests that it carried before this one.
+  uint64_t earlier_requests = 0;
 };
 
 /// Callbacks for the response.  The last one is either on_end or on_fail.
@@ -51,6 +64,7 @@
 class UpstreamCall {
  public:
   virtual ~UpstreamCall() = default;
+  virtual UpstreamConnectionInfo connection() const = 0;
   /// Closes the connection.  No handler is called afterwards.
   virtual void Cancel() = 0;
   /// Makes the upstream's host acknowledge the connection once a second while
--- a/include/corianderlink/Http1/upstream_pool.h
+++ b/include/corianderlink/Http1/upstream_pool.h
@@ -37,10 +37,13 @@
   void CloseIdleConnections(const Address& address);
   /// Number of connections opened since the pool was created.
   uint64_t connections_opened() const { return connections_opened_; }
+  /// Number of responses that belonged to no request in progress.
+  uint64_t responses_discarded() const { return responses_discarded_; }
 
  private:
   friend class UpstreamConnection;
 
+  void CountDiscardedResponse() { ++responses_discarded_; }
   void CloseOldestIdleConnection(const Address& address);
   void AddIdleConnection(std::shared_ptr<UpstreamConnection> connection);
   void RemoveConnection(UpstreamConnection* connection);
@@ -54,6 +57,7 @@
   // Number of open connections to each upstream, busy and idle.
   std::map<Address, size_t> open_;
   uint64_t connections_opened_ = 0;
+  uint64_t responses_discarded_ = 0;
 };
 
 }  // namespace corianderlink
--- a/lib/Gateway/forward_task.cc
+++ b/lib/Gateway/forward_task.cc
@@ -66,16 +66,17 @@
   std::string().swap(buffered_);
   event_splitter_.Clear();
   UpdateHeldAnswer();
+  context_.metrics.Add("gateway_forwarded_requests_total");
+  context_.on_begin(*peer_);
+  call_ = context_.pool.Start(BuildRequest(now), BuildHandlers());
   Log(LogLevel::kInfo, "request_forwarded",
       {{"request", forwarded_.request.id.value()},
        {"service", forwarded_.service.value()},
        {"peer", peer_->ToString()},
        {"left_ms", ToMillis(forwarded_.deadline - now)},
        {"may_have_run", forwarded_.may_have_run ? "yes" : "no"},
-       {"send", static_cast<uint64_t>(tried_.size())}});
-  context_.metrics.Add("gateway_forwarded_requests_total");
-  context_.on_begin(*peer_);
-  call_ = context_.pool.Start(BuildRequest(now), BuildHandlers());
+       {"send", static_cast<uint64_t>(tried_.size())},
+       {"connection", call_->connection().number}});
 }
 
 bool ForwardTask::WaitForPeers() {
@@ -112,10 +113,8 @@
   request.max_idle = kMaxIdle;
   request.max_connections = kMaxConnections;
   request.connect_timeout = kConnectTimeout;
-  request.matches_request = [codec = &context_.codec,
-                             id = client.id](const ResponseHead& head) {
-    return codec->decode_response(head, UpstreamId()).request == id;
-  };
+  request.id = client.id.value();
+  request.named_request = context_.codec.named_request;
   return request;
 }
 
--- a/lib/Gateway/gateway_admin.cc
+++ b/lib/Gateway/gateway_admin.cc
@@ -63,6 +63,8 @@
                static_cast<double>(client_server_.connections()));
   metrics_.Set("gateway_upstream_connects",
                static_cast<double>(pool_.connections_opened()));
+  metrics_.Set("gateway_discarded_responses",
+               static_cast<double>(pool_.responses_discarded()));
   metrics_.Set("gateway_answer_bytes_held",
                static_cast<double>(answer_memory_.held()));
   metrics_.Set("gateway_peers", static_cast<double>(peers_.Live(now).size()));
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -245,7 +245,6 @@
   first_output_seen_ = false;
   events_received_ = 0;
   reached_upstream_ = true;
-  on_new_connection_ = false;
   response_.reset();
   std::string().swap(buffered_);
   event_splitter_.Clear();
@@ -261,6 +260,9 @@
   } else {
     dispatch_ = context_.placer.OnDispatch(now, placement, nullptr);
   }
+  call_ = context_.pool.Start(BuildUpstreamRequest(now, placement),
+                              BuildHandlers());
+  connection_ = call_->connection();
   Log(LogLevel::kInfo, "request_sent",
       {{"request", request_.id.value()},
        {"route", route_.id.value()},
@@ -276,9 +278,9 @@
        {"left_ms", DeadlineLeftMs(now)},
        {"peers_age_ms", ToMillis(context_.placer.load().PeerAge(now))},
        {"config", config_version_},
-       {"send", sends_}});
-  call_ = context_.pool.Start(BuildUpstreamRequest(now, placement),
-                              BuildHandlers());
+       {"send", sends_},
+       {"connection", connection_.number},
+       {"earlier_requests", connection_.earlier_requests}});
   sent_to_.insert(placement.upstream.id);
   ArmStallTimer();
 }
@@ -307,16 +309,8 @@
   request.max_idle = MaxIdleTime(placement.upstream.id);
   request.max_connections = context_.placer.ConnectionQuota(service_.id);
   request.connect_timeout = kConnectTimeout;
-  request.matches_request =
-      [self = shared_from_this(),
-       upstream = placement.upstream.id](const ResponseHead& head) {
-        const UpstreamResponseInfo info =
-            self->context_.codec.decode_response(head, upstream);
-        // On a connection that others have used, bytes that name no request may
-        // belong to one of them.
-        if (info.request.empty()) return self->on_new_connection_;
-        return info.request == self->request_.id;
-      };
+  request.id = request_.id.value();
+  request.named_request = context_.codec.named_request;
   return request;
 }
 
@@ -329,7 +323,6 @@
 UpstreamHandlers RelayTask::BuildHandlers() {
   const auto self = shared_from_this();
   UpstreamHandlers handlers;
-  handlers.on_connected = [self] { self->on_new_connection_ = true; };
   handlers.on_head = [self](const ResponseHead& head) {
     self->OnResponseHead(head);
   };
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "corianderlink/Http1/upstream_pool.h"
+#include "corianderlink/Support/log.h"
 
 namespace corianderlink {
 namespace {
@@ -18,6 +19,8 @@
 // timeout that the upstream announced, so that no request is sent while the
 // upstream closes the connection.
 constexpr Duration kKeepAliveTimeoutMargin = milliseconds(500);
+// An upstream may send responses to other requests without end.
+constexpr int kMaxLoggedDiscards = 4;
 
 bool AllowsBody(const std::string& method) {
   return method != "GET" && method != "HEAD" && method != "DELETE";
@@ -26,10 +29,11 @@
 }  // namespace
 
 UpstreamConnection::UpstreamConnection(UpstreamPool& pool, EventLoop& loop,
-                                       Address address)
+                                       Address address, uint64_t number)
     : pool_(&pool),
       loop_(loop),
       address_(std::move(address)),
+      number_(number),
       stream_(std::make_unique<ByteStream>(loop, address_, *this)) {}
 
 UpstreamConnection::~UpstreamConnection() = default;
@@ -38,8 +42,11 @@
                               UpstreamHandlers handlers) {
   keep_alive_self_ = shared_from_this();
   handlers_ = std::move(handlers);
-  matches_request_ = std::move(request.matches_request);
+  id_ = std::move(request.id);
+  named_request_ = std::move(request.named_request);
+  discarded_ = 0;
   busy_ = true;
+  ++requests_;
   head_delivered_ = false;
   discarding_response_ = false;
   parser_ = std::make_unique<ResponseParser>(kResponseLimits);
@@ -75,6 +82,12 @@
   const auto self = shared_from_this();
   if (!busy_) {
     // Unsolicited data on an idle connection belongs to no request.
+    Log(LogLevel::kInfo, "unsolicited_response",
+        {{"connection", number_},
+         {"address", address_.ToString()},
+         {"earlier_requests", requests_},
+         {"bytes", static_cast<uint64_t>(stream_->Input().size())},
+         {"idle_ms", ToMillis(BootClock::now() - idle_since_)}});
     Close();
     return;
   }
@@ -102,13 +115,32 @@
 void UpstreamConnection::DeliverHead() {
   const ResponseHead& head = parser_->head();
   head_delivered_ = true;
-  discarding_response_ =
-      head.status < 200 || (matches_request_ && !matches_request_(head));
+  const bool is_interim = head.status < 200;
+  discarding_response_ = is_interim || !IsExpected(head);
+  if (!is_interim && discarding_response_) LogDiscarded(head);
   // Copied, as the handler may cancel the call, which clears handlers_.
   const auto on_head = handlers_.on_head;
   if (!discarding_response_ && on_head) on_head(head);
 }
 
+bool UpstreamConnection::IsExpected(const ResponseHead& head) const {
+  if (!named_request_) return true;
+  const std::string named = named_request_(head);
+  return named.empty() ? requests_ == 1 : named == id_;
+}
+
+void UpstreamConnection::LogDiscarded(const ResponseHead& head) {
+  pool_->CountDiscardedResponse();
+  if (++discarded_ > kMaxLoggedDiscards) return;
+  Log(LogLevel::kInfo, "response_discarded",
+      {{"request", id_},
+       {"connection", number_},
+       {"address", address_.ToString()},
+       {"earlier_requests", requests_ - 1},
+       {"names", named_request_(head)},
+       {"status", head.status}});
+}
+
 void UpstreamConnection::DeliverBody() {
   const auto on_body = handlers_.on_body;
   std::string body = std::exchange(parser_->body(), {});
@@ -139,7 +171,6 @@
   ApplyKeepAliveTimeout(head);
   busy_ = false;
   const UpstreamHandlers handlers = std::exchange(handlers_, {});
-  matches_request_ = nullptr;
   if (reusable) {
     idle_since_ = BootClock::now();
     stream_->ResumeReading();
@@ -205,7 +236,6 @@
   const auto self = shared_from_this();
   busy_ = false;
   const UpstreamHandlers handlers = std::exchange(handlers_, {});
-  matches_request_ = nullptr;
   // What the kernel has accepted may reach the upstream, whatever happens to
   // the connection.
   const bool sent = stream_->bytes_sent();
@@ -239,7 +269,6 @@
   const auto self = shared_from_this();
   busy_ = false;
   handlers_ = {};
-  matches_request_ = nullptr;
   stream_->ResetOnClose();
   Close();
 }
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -21,12 +21,17 @@
       public ByteStreamListener,
       public std::enable_shared_from_this<UpstreamConnection> {
  public:
-  UpstreamConnection(UpstreamPool& pool, EventLoop& loop, Address address);
+  /// `number` tells the connection from the others of the pool.
+  UpstreamConnection(UpstreamPool& pool, EventLoop& loop, Address address,
+                     uint64_t number);
   ~UpstreamConnection() override;
 
   /// Sends a request.  No other request may be in progress.
   void Send(UpstreamRequest request, UpstreamHandlers handlers);
 
+  UpstreamConnectionInfo connection() const override {
+    return {number_, requests_ - 1};
+  }
   void Cancel() override;
   void ProbeHost() override;
   std::optional<Duration> SinceAcknowledgement() const override;
@@ -50,6 +55,9 @@
   void OnConnectTimeout();
   void Fail(const std::string& reason, bool refused = false);
   void DeliverHead();
+  /// True if the response belongs to the request in progress.
+  bool IsExpected(const ResponseHead& head) const;
+  void LogDiscarded(const ResponseHead& head);
   void DeliverBody();
   void FinishResponse();
   void CompleteCall();
@@ -58,9 +66,16 @@
   UpstreamPool* pool_;
   EventLoop& loop_;
   const Address address_;
+  const uint64_t number_;
+  // Requests sent, with the present one.
+  uint64_t requests_ = 0;
   std::unique_ptr<ByteStream> stream_;
   std::unique_ptr<ResponseParser> parser_;
-  std::function<bool(const ResponseHead&)> matches_request_;
+  // Id of the request in progress, and how its response names it.
+  std::string id_;
+  std::function<std::string(const ResponseHead&)> named_request_;
+  // Discarded responses of the request in progress.
+  int discarded_ = 0;
   UpstreamHandlers handlers_;
   EventHandle connect_timer_;
   // Keeps this object alive until the connection is closed.
--- a/lib/Http1/upstream_pool.cc
+++ b/lib/Http1/upstream_pool.cc
@@ -20,10 +20,10 @@
     if (ConnectionCount(request.address) >= request.max_connections) {
       CloseOldestIdleConnection(request.address);
     }
-    connection =
-        std::make_shared<UpstreamConnection>(*this, loop_, request.address);
     ++open_[request.address];
     ++connections_opened_;
+    connection = std::make_shared<UpstreamConnection>(
+        *this, loop_, request.address, connections_opened_);
   }
   connection->Send(std::move(request), std::move(handlers));
   return connection;
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -54,9 +54,10 @@
     request.max_idle = max_idle_;
     request.max_connections = max_connections_;
     request.connect_timeout = connect_timeout_;
-    request.matches_request = [id](const ResponseHead& head) {
-      const std::string* got = FindField(head.fields, "Id");
-      return got != nullptr && *got == id;
+    request.id = id;
+    request.named_request = [](const ResponseHead& head) {
+      const std::string* named = FindField(head.fields, "Id");
+      return named == nullptr ? std::string() : *named;
     };
     UpstreamHandlers handlers;
     handlers.on_body = [&](const std::string& data) { result.body += data; };
