[Gateway][Tests] Show that a copy of a refusal is taken for a later answer

Ruled out by the old tests of this file: copies that name another request, copies that name none, a stream that is resumed within one attempt.

--- a/unittests/Gateway/role_coordinator_test.cc
+++ b/unittests/Gateway/role_coordinator_test.cc
@@ -3,10 +3,12 @@
 #include "corianderlink/Gateway/role_coordinator.h"
 
 #include <gtest/gtest.h>
+#include <poll.h>
 
 #include <map>
 #include <thread>
 
+#include "Common/raw_tcp_server.h"
 #include "Gateway/gateway_test_harness.h"
 
 namespace corianderlink {
@@ -231,5 +233,55 @@
   EXPECT_TRUE(table_.StoredLease().holder.empty());
 }
 
+constexpr char kRefusal[] =
+    "HTTP/1.1 503 Busy\r\nRequest-Id: r1\r\nNot-Run: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+
+/// Serves a connection of an engine that refuses the request r1, and writes the
+/// refusal once more before its answer to an order on that connection.
+void RepeatRefusalBeforeOrder(int fd) {
+  constexpr char kStatus[] = R"({"phase":"decode","busy":false,"seq":3})";
+  // Shorter than a call of the coordinator may take.
+  constexpr int kAwaitInputMs = 400;
+  bool has_refused = false;
+  char text[4096];
+  pollfd readable{fd, POLLIN, 0};
+  while (poll(&readable, 1, kAwaitInputMs) == 1) {
+    const ssize_t n = read(fd, text, sizeof(text));
+    if (n <= 0) return;
+    const std::string request(text, static_cast<size_t>(n));
+    std::string answer;
+    if (request.find("Request-Id: r1") != std::string::npos) {
+      has_refused = true;
+      answer = kRefusal;
+    } else if (request.starts_with("GET")) {
+      answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
+               std::to_string(sizeof(kStatus) - 1) + "\r\n\r\n" + kStatus;
+    } else {
+      answer = (has_refused ? kRefusal : std::string()) +
+               "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+    }
+    EXPECT_EQ(write(fd, answer.data(), answer.size()),
+              static_cast<ssize_t>(answer.size()));
+  }
+}
+
+TEST_F(RoleCoordinatorTest, AcceptedOrderIsNotTakenForRefused) {
+  const RawTcpServer engine(RepeatRefusalBeforeOrder);
+  record_.address = engine.address;
+  on_held_changed_ = [&] {
+    if (held_engines_.empty()) return;
+    UpstreamRequest request;
+    request.address = engine.address;
+    request.method = "POST";
+    request.fields = {{"Request-Id", "r1"}};
+    pool_.Start(std::move(request), {});
+  };
+  coordinator_.Start();
+  RunFor(milliseconds(2500));
+  // The coordinator waits until the engine has changed its role.
+  EXPECT_EQ(held_engines_, std::set<UpstreamId>{record_.id});
+}
+
 }  // namespace
 }  // namespace corianderlink
