[Http1] Carry each request id once on a connection, and calls without one alone

Cause: a response was matched to the request in progress by an id that an earlier request of the same connection may have had. What kept them apart, "to the same upstream again only over a new connection", was remembered by one attempt of one client (RelayTask::sent_to_) and by the upstream's id, while a connection outlives the attempt and belongs to an address. Class: an answer is matched to a question by something that is not unique to that question.

Change: the invariant moves to the connection, where it is one sentence: no two requests of a connection have the same id, and one without an id goes over a connection that has carried nothing. CarriedRequests decides it; the pool keeps it for every caller: runs, prefills, forwarded requests, orders, status requests, releases. An idle connection that cannot carry a request stays for others. It remembers 32-bit digests (two ids with one digest cost a connection, nothing else), 256 at most, 1 KB; then it ends. At 100 upstreams with 100 connections each that is 10 MB at most, and one connection in 256 requests. sent_to_ and its special case go.

Two tests of UpstreamPoolTest sent the same id twice over one connection, which is what must not happen any more; they send two ids now and expect the same as before.

--- a/include/corianderlink/Gateway/relay_task.h
+++ b/include/corianderlink/Gateway/relay_task.h
@@ -143,9 +143,6 @@
   /// Sends a prefilled prompt to a decode engine.
   void SendDecodeStage();
   UpstreamRequest BuildUpstreamRequest(Time now, const Placement& placement);
-  /// Longest idle time of a pooled connection to the upstream that the request
-  /// may use.
-  Duration MaxIdleTime(const UpstreamId& upstream) const;
   UpstreamHandlers BuildHandlers();
 
   void OnResponseHead(const ResponseHead& head);
@@ -286,8 +283,6 @@
 
   // Upstreams that failed or refused this request.
   std::set<UpstreamId> excluded_;
-  // Upstreams that were sent this request.
-  std::set<UpstreamId> sent_to_;
   // Attempts; prefill and decode together count as one.
   int sends_ = 0;
   // All calls of these attempts, for the retry budget.
--- a/include/corianderlink/Http1/upstream_call.h
+++ b/include/corianderlink/Http1/upstream_call.h
@@ -32,12 +32,13 @@
   size_t max_connections = 100;
   /// Time limit for establishing a new connection.
   Duration connect_timeout = milliseconds(300);
-  /// Id of the request, which its response names.
+  /// Id of the request, which its response names; empty if it names none.  Such
+  /// a request, and one whose id a pooled connection has carried, gets another
+  /// connection: a copy of an earlier response could be taken for its own.
   std::string id;
-  /// Returns the id of the request that a response names, or an empty text. The
-  /// connection discards responses that name another request, and responses
-  /// that name none if it has carried other requests.  If not set, the next
-  /// response is accepted.
+  /// Returns the id of the request that a response names; empty if none.  The
+  /// connection discards the responses to other requests.  Not needed without
+  /// an id.
   std::function<std::string(const ResponseHead&)> named_request;
 };
 
--- a/include/corianderlink/Http1/upstream_pool.h
+++ b/include/corianderlink/Http1/upstream_pool.h
@@ -24,7 +24,8 @@
   UpstreamPool(const UpstreamPool&) = delete;
   UpstreamPool& operator=(const UpstreamPool&) = delete;
 
-  /// Sends `request` on an idle or a new connection.  Handlers are called from
+  /// Sends `request` on an idle connection that can carry it, the most recently
+  /// used first, or on a new one.  Handlers are called from
   /// the event loop, never from within this call.
   std::shared_ptr<UpstreamCall> Start(UpstreamRequest request,
                                       UpstreamHandlers handlers);
@@ -47,9 +48,9 @@
   void CloseOldestIdleConnection(const Address& address);
   void AddIdleConnection(std::shared_ptr<UpstreamConnection> connection);
   void RemoveConnection(UpstreamConnection* connection);
-  std::shared_ptr<UpstreamConnection> TakeIdleConnection(Time now,
-                                                         const Address& address,
-                                                         Duration max_idle);
+  void RemoveIdleConnection(UpstreamConnection* connection);
+  std::shared_ptr<UpstreamConnection> TakeIdleConnection(
+      Time now, const UpstreamRequest& request);
 
   EventLoop& loop_;
   // Idle connections of each upstream; the most recently used is last.
--- a/lib/Gateway/relay_task.cc
+++ b/lib/Gateway/relay_task.cc
@@ -281,7 +281,6 @@
        {"send", sends_},
        {"connection", connection_.number},
        {"earlier_requests", connection_.earlier_requests}});
-  sent_to_.insert(placement.upstream.id);
   ArmStallTimer();
 }
 
@@ -306,7 +305,7 @@
   request.target = exchange_->head().target;
   request.fields = context_.codec.encode_request(exchange_->head(), options);
   request.body = exchange_->body();
-  request.max_idle = MaxIdleTime(placement.upstream.id);
+  request.max_idle = route_.idempotent() ? kMaxIdle : kMaxIdleNonIdempotent;
   request.max_connections = context_.placer.ConnectionQuota(service_.id);
   request.connect_timeout = kConnectTimeout;
   request.id = request_.id.value();
@@ -314,12 +313,6 @@
   return request;
 }
 
-Duration RelayTask::MaxIdleTime(const UpstreamId& upstream) const {
-  // What the upstream repeats of its earlier response would name this request.
-  if (sent_to_.count(upstream) > 0) return kNoReuse;
-  return route_.idempotent() ? kMaxIdle : kMaxIdleNonIdempotent;
-}
-
 UpstreamHandlers RelayTask::BuildHandlers() {
   const auto self = shared_from_this();
   UpstreamHandlers handlers;
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -46,7 +46,7 @@
   named_request_ = std::move(request.named_request);
   discarded_ = 0;
   busy_ = true;
-  ++requests_;
+  carried_.Add(id_);
   head_delivered_ = false;
   discarding_response_ = false;
   parser_ = std::make_unique<ResponseParser>(kResponseLimits);
@@ -85,7 +85,7 @@
     Log(LogLevel::kInfo, "unsolicited_response",
         {{"connection", number_},
          {"address", address_.ToString()},
-         {"earlier_requests", requests_},
+         {"earlier_requests", carried_.count()},
          {"bytes", static_cast<uint64_t>(stream_->Input().size())},
          {"idle_ms", ToMillis(BootClock::now() - idle_since_)}});
     Close();
@@ -116,17 +116,15 @@
   const ResponseHead& head = parser_->head();
   head_delivered_ = true;
   const bool is_interim = head.status < 200;
-  discarding_response_ = is_interim || !IsExpected(head);
+  discarding_response_ = is_interim || !carried_.IsResponse(NamedRequest(head));
   if (!is_interim && discarding_response_) LogDiscarded(head);
   // Copied, as the handler may cancel the call, which clears handlers_.
   const auto on_head = handlers_.on_head;
   if (!discarding_response_ && on_head) on_head(head);
 }
 
-bool UpstreamConnection::IsExpected(const ResponseHead& head) const {
-  if (!named_request_) return true;
-  const std::string named = named_request_(head);
-  return named.empty() ? requests_ == 1 : named == id_;
+std::string UpstreamConnection::NamedRequest(const ResponseHead& head) const {
+  return named_request_ ? named_request_(head) : std::string();
 }
 
 void UpstreamConnection::LogDiscarded(const ResponseHead& head) {
@@ -136,8 +134,8 @@
       {{"request", id_},
        {"connection", number_},
        {"address", address_.ToString()},
-       {"earlier_requests", requests_ - 1},
-       {"names", named_request_(head)},
+       {"earlier_requests", carried_.count() - 1},
+       {"names", NamedRequest(head)},
        {"status", head.status}});
 }
 
@@ -166,7 +164,8 @@
   const ResponseHead& head = parser_->head();
   // An upstream may respond before it has read all of a large request.  The
   // rest would still have to be sent, so the connection is not reusable.
-  const bool reusable = head.keep_alive && stream_->PendingBytes() == 0 &&
+  const bool reusable = head.keep_alive && carried_.HasRoom() &&
+                        stream_->PendingBytes() == 0 &&
                         stream_->Input().empty();
   ApplyKeepAliveTimeout(head);
   busy_ = false;
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -7,6 +7,7 @@
 
 #include "corianderlink/Http/event_loop.h"
 #include "corianderlink/Http1/byte_stream.h"
+#include "corianderlink/Http1/carried_requests.h"
 #include "corianderlink/Http1/message_parser.h"
 #include "corianderlink/Http1/upstream_call.h"
 
@@ -30,7 +31,7 @@
   void Send(UpstreamRequest request, UpstreamHandlers handlers);
 
   UpstreamConnectionInfo connection() const override {
-    return {number_, requests_ - 1};
+    return {number_, carried_.count() - 1};
   }
   void Cancel() override;
   void ProbeHost() override;
@@ -39,6 +40,9 @@
   void ResumeReading() override;
 
   const Address& address() const { return address_; }
+  /// False if the response to a request with this id, or to one without, could
+  /// be confused with that to an earlier request.
+  bool CanCarry(const std::string& id) const { return carried_.CanCarry(id); }
   /// Time at which the connection last became idle.
   Time idle_since() const { return idle_since_; }
   /// False if the upstream's announced keep-alive timeout has expired, or is
@@ -55,8 +59,8 @@
   void OnConnectTimeout();
   void Fail(const std::string& reason, bool refused = false);
   void DeliverHead();
-  /// True if the response belongs to the request in progress.
-  bool IsExpected(const ResponseHead& head) const;
+  /// Id of the request that the response names; empty if it names none.
+  std::string NamedRequest(const ResponseHead& head) const;
   void LogDiscarded(const ResponseHead& head);
   void DeliverBody();
   void FinishResponse();
@@ -68,7 +72,7 @@
   const Address address_;
   const uint64_t number_;
   // Requests sent, with the present one.
-  uint64_t requests_ = 0;
+  CarriedRequests carried_;
   std::unique_ptr<ByteStream> stream_;
   std::unique_ptr<ResponseParser> parser_;
   // Id of the request in progress, and how its response names it.
--- a/lib/Http1/upstream_pool.cc
+++ b/lib/Http1/upstream_pool.cc
@@ -14,8 +14,7 @@
 
 std::shared_ptr<UpstreamCall> UpstreamPool::Start(UpstreamRequest request,
                                                   UpstreamHandlers handlers) {
-  auto connection =
-      TakeIdleConnection(BootClock::now(), request.address, request.max_idle);
+  auto connection = TakeIdleConnection(BootClock::now(), request);
   if (!connection) {
     if (ConnectionCount(request.address) >= request.max_connections) {
       CloseOldestIdleConnection(request.address);
@@ -30,19 +29,20 @@
 }
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdleConnection(
-    Time now, const Address& address, Duration max_idle) {
-  while (true) {
-    const auto it = idle_.find(address);
-    if (it == idle_.end() || it->second.empty()) return nullptr;
-    const std::shared_ptr<UpstreamConnection> last = it->second.back();
-    if (!last->usable(now)) {
-      last->Close();
+    Time now, const UpstreamRequest& request) {
+  size_t older = IdleConnectionCount(request.address);
+  while (older-- > 0) {
+    const auto connection = idle_.at(request.address)[older];
+    if (!connection->usable(now)) {
+      connection->Close();
       continue;
     }
-    if (now - last->idle_since() > max_idle) return nullptr;
-    it->second.pop_back();
-    return last;
+    if (now - connection->idle_since() > request.max_idle) return nullptr;
+    if (!connection->CanCarry(request.id)) continue;
+    RemoveIdleConnection(connection.get());
+    return connection;
   }
+  return nullptr;
 }
 
 void UpstreamPool::CloseOldestIdleConnection(const Address& address) {
@@ -66,6 +66,10 @@
 void UpstreamPool::RemoveConnection(UpstreamConnection* connection) {
   const auto open = open_.find(connection->address());
   if (open != open_.end() && --open->second == 0) open_.erase(open);
+  RemoveIdleConnection(connection);
+}
+
+void UpstreamPool::RemoveIdleConnection(UpstreamConnection* connection) {
   const auto it = idle_.find(connection->address());
   if (it == idle_.end()) return;
   auto& idle = it->second;
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "Common/raw_tcp_server.h"
+#include "corianderlink/Http1/carried_requests.h"
 
 namespace corianderlink {
 namespace {
@@ -35,6 +36,13 @@
          body;
 }
 
+/// Answers the requests "1", "2" and so on of each connection.
+void AnswerInTurn(int fd, int first) {
+  for (int id = first; ReadUntil(fd, "\r\n\r\n"); ++id) {
+    Write(fd, MakeResponse(std::to_string(id), "x"));
+  }
+}
+
 struct CallResult {
   bool ended = false;
   std::string body;
@@ -91,33 +99,71 @@
 };
 
 TEST_F(UpstreamPoolTest, ReusesAConnection) {
-  RawTcpServer peer([](int fd) {
-    while (ReadUntil(fd, "\r\n\r\n")) Write(fd, MakeResponse("1", "x"));
-  });
-  EXPECT_TRUE(Call(peer.address, "1").ended);
+  RawTcpServer peer([](int fd) { AnswerInTurn(fd, 1); });
   EXPECT_TRUE(Call(peer.address, "1").ended);
+  EXPECT_TRUE(Call(peer.address, "2").ended);
   EXPECT_EQ(pool_.connections_opened(), 1U);
   pool_.CloseIdleConnections(peer.address);
   RunFor(milliseconds(10));
 }
 
 TEST_F(UpstreamPoolTest, NewConnectionBeyondTheLimitReplacesAnIdleOne) {
-  RawTcpServer peer([](int fd) {
-    while (ReadUntil(fd, "\r\n\r\n")) Write(fd, MakeResponse("1", "x"));
-  });
+  RawTcpServer peer([&](int fd) { AnswerInTurn(fd, peer.connections); });
   EXPECT_TRUE(Call(peer.address, "1").ended);
   EXPECT_EQ(pool_.AddressesWithIdleConnections().size(), 1U);
   // The idle connection is too old for the second request, but still open.
   max_idle_ = Duration::zero();
   max_connections_ = 1;
   RunFor(milliseconds(5));
-  EXPECT_TRUE(Call(peer.address, "1").ended);
+  EXPECT_TRUE(Call(peer.address, "2").ended);
+  EXPECT_EQ(pool_.connections_opened(), 2U);
+  EXPECT_EQ(pool_.ConnectionCount(peer.address), 1U);
+  pool_.CloseIdleConnections(peer.address);
+  RunFor(milliseconds(10));
+}
+
+TEST_F(UpstreamPoolTest, RequestThatComesBackIsNotAnsweredByACopy) {
+  RawTcpServer peer([&](int fd) {
+    const bool is_first = peer.connections == 1;
+    if (!ReadUntil(fd, "\r\n\r\n")) return;
+    Write(fd, MakeResponse("1", is_first ? "refused" : "answered"));
+    ReadUntil(fd, "never");
+  });
+  max_connections_ = 1;
+  EXPECT_EQ(Call(peer.address, "1").body, "refused");
+  EXPECT_EQ(Call(peer.address, "1").body, "answered");
   EXPECT_EQ(pool_.connections_opened(), 2U);
   EXPECT_EQ(pool_.ConnectionCount(peer.address), 1U);
   pool_.CloseIdleConnections(peer.address);
   RunFor(milliseconds(10));
 }
 
+TEST_F(UpstreamPoolTest, CallWithoutAnIdIsNotAnsweredByACopy) {
+  RawTcpServer peer([&](int fd) {
+    const bool is_first = peer.connections == 1;
+    if (!ReadUntil(fd, "\r\n\r\n")) return;
+    Write(fd, MakeResponse(is_first ? "1" : "", is_first ? "refused" : "own"));
+    ReadUntil(fd, "never");
+  });
+  max_connections_ = 1;
+  EXPECT_EQ(Call(peer.address, "1").body, "refused");
+  EXPECT_EQ(Call(peer.address, "").body, "own");
+  EXPECT_EQ(pool_.connections_opened(), 2U);
+  pool_.CloseIdleConnections(peer.address);
+  RunFor(milliseconds(10));
+}
+
+TEST_F(UpstreamPoolTest, ConnectionEndsOnceItHasCarriedItsLimit) {
+  RawTcpServer peer([](int fd) { AnswerInTurn(fd, 1); });
+  const int limit = CarriedRequests::kMaxRequests;
+  for (int id = 1; id <= limit; ++id) {
+    ASSERT_TRUE(Call(peer.address, std::to_string(id)).ended);
+  }
+  EXPECT_EQ(pool_.connections_opened(), 1U);
+  EXPECT_EQ(pool_.ConnectionCount(peer.address), 0U);
+  RunFor(milliseconds(10));
+}
+
 TEST_F(UpstreamPoolTest, DiscardsALateResponseToAnotherRequest) {
   RawTcpServer peer([](int fd) {
     if (!ReadUntil(fd, "\r\n\r\n")) return;
