[Tests] Use two ids for two requests on a kept connection

NoStatusOfACutHeadOnAKeptConnectionIsPassedOn sent the id r1 twice and expected the second request on the first one's connection, which no longer happens (it hung: its server waits for that connection). The first request is r0 now; what is expected of the second is unchanged.

--- a/unittests/Gateway/cut_head_test.cc
+++ b/unittests/Gateway/cut_head_test.cc
@@ -98,14 +98,16 @@
       std::atomic<bool> kept{false};
       const RawTcpServer server([&](int fd) {
         if (!ReadRequest(fd)) return;
-        WriteAll(fd, std::string(kHead) + "Content-Length: 2\r\n\r\nok");
+        WriteAll(fd,
+                 "HTTP/1.1 200 OK\r\nRequest-Id: r0\r\nServer-Stamp: 1.2.3\r\n"
+                 "Content-Length: 2\r\n\r\nok");
         if (!ReadRequest(fd)) return;
         kept = true;
         WriteAll(fd, head);
         End(fd, ending);
       });
       SetUpstream("shop", server.address);
-      const auto first = harness_.Send("POST", "/unsafe/1", {}, "b");
+      const auto first = harness_.Send("POST", "/unsafe/1", {}, "b", "r0");
       harness_.Await(first);
       EXPECT_EQ(first->body, "ok");
       ExpectNothingPassedOn("/unsafe/1", head);
