[Http1] Wait for the answer behind a discarded one that ends its connection

What callers saw: a request that must run once got 502, though its upstream answered, if a copy of another request's refusal with "Connection: close" came before its answer.

Cause: the call failed with the discarded response, whose promise to end the connection came from a response that belongs to no request in progress.

Change: it is discarded like any other; the connection is not kept after the call. If it does end, the call fails as before ("may have run").

UpstreamPoolTest.AnswerBehindACopyThatEndsTheConnectionArrives failed before and passes; Http1Tests 52 of 52, GatewayTests 392 of 392 in eight shards. Ruled out: a wait without end, as the request's deadline and the upstream's close still end it.

--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -146,15 +146,12 @@
 }
 
 void UpstreamConnection::FinishResponse() {
-  const bool keep = parser_->head().keep_alive;
   if (!discarding_response_) {
     CompleteCall();
     return;
   }
-  if (!keep && parser_->head().status >= 200) {
-    Fail("upstream closed after a response to another request");
-    return;
-  }
+  // The awaited response may follow even one that ends the connection.
+  if (!parser_->head().keep_alive) ends_after_call_ = true;
   parser_ = std::make_unique<ResponseParser>(kResponseLimits);
   head_delivered_ = false;
   discarding_response_ = false;
@@ -164,8 +161,8 @@
   const ResponseHead& head = parser_->head();
   // An upstream may respond before it has read all of a large request.  The
   // rest would still have to be sent, so the connection is not reusable.
-  const bool reusable = head.keep_alive && carried_.HasRoom() &&
-                        stream_->PendingBytes() == 0 &&
+  const bool reusable = head.keep_alive && !ends_after_call_ &&
+                        carried_.HasRoom() && stream_->PendingBytes() == 0 &&
                         stream_->Input().empty();
   ApplyKeepAliveTimeout(head);
   busy_ = false;
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -89,6 +89,8 @@
   bool connected_ = false;
   bool busy_ = false;
   bool closed_ = false;
+  // A discarded response has said that the connection ends.
+  bool ends_after_call_ = false;
   bool head_delivered_ = false;
   // The current response is interim or belongs to another request.
   bool discarding_response_ = false;
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -177,6 +177,26 @@
   RunFor(milliseconds(10));
 }
 
+TEST_F(UpstreamPoolTest, AnswerBehindACopyThatEndsTheConnectionArrives) {
+  RawTcpServer peer([](int fd) {
+    if (!ReadUntil(fd, "\r\n\r\n")) return;
+    Write(fd, MakeResponse("1", "x"));
+    if (!ReadUntil(fd, "\r\n\r\n")) return;
+    Write(fd,
+          "HTTP/1.1 503 Busy\r\nId: 1\r\nConnection: close\r\n"
+          "Content-Length: 0\r\n\r\n");
+    usleep(20000);
+    Write(fd, MakeResponse("2", "right"));
+    ReadUntil(fd, "never");
+  });
+  EXPECT_TRUE(Call(peer.address, "1").ended);
+  const CallResult result = Call(peer.address, "2");
+  EXPECT_TRUE(result.ended);
+  EXPECT_EQ(result.body, "right");
+  EXPECT_EQ(pool_.ConnectionCount(peer.address), 0U);
+  RunFor(milliseconds(10));
+}
+
 TEST_F(UpstreamPoolTest, ClosesAnIdleConnectionWithUnsolicitedData) {
   RawTcpServer peer([](int fd) {
     if (!ReadUntil(fd, "\r\n\r\n")) return;
