[Gateway] Split relaying by what it deals with

Moved, without a change of any function: stalled attempts to relay_task_stall.cc, requests that crash upstreams to relay_task_quarantine.cc, prefill and decode to relay_task_prefill.cc. The constants go with what uses them.

--- a/lib/Gateway/relay_task_failure.cc
+++ b/lib/Gateway/relay_task_failure.cc
@@ -1,10 +1,8 @@
-// Relaying a request: failed attempts, retries, refusals and timeouts.
-#include <algorithm>
+// Relaying a request: failed attempts, retries, refusals and the deadline.
 #include <utility>
 
 #include "corianderlink/Gateway/refusal_delay.h"
 #include "corianderlink/Gateway/relay_task.h"
-#include "corianderlink/Support/hash.h"
 #include "corianderlink/Support/log.h"
 
 namespace corianderlink {
@@ -15,16 +13,6 @@
 constexpr int kMaxSends = 4;
 // A retry with less time than this before the deadline cannot succeed.
 constexpr double kMinAttemptMs = 20;
-// Lower bounds of the time without progress after which an idempotent request
-// is retried on another upstream.
-constexpr Duration kMinStallTimeout = milliseconds(400);
-constexpr Duration kMinStreamStallTimeout = milliseconds(1000);
-// Time in which a stalled stream makes progress if its upstream works.
-constexpr Duration kProgressTime = milliseconds(200);
-// The host of an upstream that sends nothing acknowledges the connection within
-// this time.
-constexpr Duration kAcknowledgementTime = milliseconds(1100);
-constexpr char kStalled[] = "upstream stalled";
 constexpr char kGatewayStops[] = "the gateway stops";
 constexpr char kNoTimeLeft[] = "the gateway stops before an attempt would end";
 
@@ -85,94 +73,6 @@
        {"retry", retry}});
 }
 
-void RelayTask::CheckForCrash(const Outcome& outcome) {
-  if (placement_->prefill_only) return;
-  if (outcome.verdict == Verdict::kNotRun) return;
-  if (events_received_ >= kAnsweringEvents) return;
-  const Placer& placer = context_.placer;
-  const UpstreamRecord* upstream =
-      placer.directory().Find(placement_->upstream.id);
-  // The end of an upstream that leaves is planned.
-  if (upstream == nullptr || upstream->draining) return;
-  if (placer.notices().IsLeaving(*upstream)) return;
-  const UpstreamCrash crash{upstream->id, upstream->started_ms, sent_at_,
-                            BootClock::now(), RequestDigest()};
-  const auto on_probed = [&context = context_, service = service_.id,
-                          request = Suspects(), crash](ProbeResult result) {
-    // An upstream that cannot be reached may be behind a cut link.
-    if (result != ProbeResult::kGone) return;
-    context.report_crash(service, request, crash);
-  };
-  context_.upstream_probe.Start(*upstream, service_.health_path, on_probed);
-}
-
-RequestSuspects RelayTask::Suspects() {
-  RequestSuspects request;
-  if (is_model_request()) request = SuspectsOf(*request_.prompt);
-  request.digest = RequestDigest();
-  return request;
-}
-
-void RelayTask::ReportAnswered() {
-  context_.quarantine.OnAnswered(BootClock::now(), Suspects());
-}
-
-bool RelayTask::EndIfQuarantined(Time now) {
-  // A verdict may have come due since the last periodic update.
-  context_.quarantine.UpdateIfDue(now);
-  const auto quarantined = context_.quarantine.Find(now, Suspects(), trial_);
-  if (!quarantined) return false;
-  context_.metrics.Add("gateway_quarantine_refusals_total");
-  const std::string reason = "crashes upstreams: " + ToString(quarantined->key);
-  if (possible_runs_ == 0 && !exchange_->response_started()) {
-    Refuse(reason, quarantined->ends_at - now);
-    return true;
-  }
-  ReleaseKvHandle();
-  FailRequest(Outcome::MayHaveRun(reason));
-  return true;
-}
-
-bool RelayTask::AwaitTrial(Time now, void (RelayTask::*place_again)()) {
-  const TrialId claimed =
-      context_.quarantine.ClaimTrial(now, Suspects(), trial_);
-  if (claimed == 0) return false;
-  trial_ = claimed;
-  placement_timer_ = context_.loop.After(
-      QuarantineTrials::kSettle, [self = shared_from_this(), place_again] {
-        if (!self->finished_) (self.get()->*place_again)();
-      });
-  return true;
-}
-
-uint64_t RelayTask::RequestDigest() {
-  if (request_digest_) return *request_digest_;
-  const RequestHead& head = exchange_->head();
-  std::string text;
-  for (const std::string* field :
-       {&head.method, &request_.host, &head.target, &request_.credentials}) {
-    // The lengths keep the fields apart.
-    text += std::to_string(field->size()) + ":" + *field;
-  }
-  if (request_.prompt) {
-    for (const PromptPart& part : request_.prompt->parts) {
-      text += FormatPartId(part.id) + ",";
-    }
-  }
-  text += exchange_->body();
-  request_digest_ = StableHash(text);
-  return *request_digest_;
-}
-
-std::string RelayTask::SharedPartsText() const {
-  if (!request_.prompt) return "";
-  std::string text;
-  for (const PromptPart& part : request_.prompt->SharedParts()) {
-    text += (text.empty() ? "" : ",") + FormatPartId(part.id);
-  }
-  return text;
-}
-
 void RelayTask::RetryOnOtherUpstream(Time now, const Outcome& outcome,
                                      bool upstream_failed) {
   const bool was_prefill_stage = placement_->prefill_only;
@@ -328,104 +228,4 @@
   Finish("failed", 504, reason);
 }
 
-void RelayTask::ArmStallTimer() {
-  stall_timer_.Reset();
-  const bool is_repeatable = route_.idempotent() || placement_->prefill_only;
-  if (!is_repeatable || finished_) return;
-  Duration limit = is_stream() ? kMinStreamStallTimeout : kMinStallTimeout;
-  if (exchange_->response_started()) {
-    limit = std::max(limit, 4 * route_.event_gap_objective.value_or(limit));
-  } else {
-    limit = std::max(limit, 2 * route_.objective) +
-            FromSeconds(2 * std::max(0.0, placement_->predicted_ms) / 1000);
-  }
-  // The rest of the time is for the check whether the upstream responds.
-  if (MustNotOverlap()) limit -= kProgressTime;
-  stall_timer_ = context_.loop.After(
-      limit, [self = shared_from_this()] { self->OnStallTimeout(); });
-}
-
-void RelayTask::OnStallTimeout() {
-  if (finished_ || !call_) return;
-  // Reading from the upstream is paused because the client is slow.
-  if (exchange_->PendingBytes() > 0) return;
-  const Time now = BootClock::now();
-  context_.on_suspect_failure(now, placement_->upstream,
-                              Outcome::MayHaveRun(kStalled));
-  if (!HasAlternative(now)) {
-    ArmStallTimer();
-    return;
-  }
-  if (MustNotOverlap() && ProbeStalledUpstream()) return;
-  MoveStalledRequest();
-}
-
-bool RelayTask::ProbeStalledUpstream() {
-  const auto on_probed = [self = shared_from_this(), call = call_,
-                          events = events_received_](ProbeResult result) {
-    const bool goes_on = self->events_received_ != events;
-    if (self->finished_ || self->call_ != call || goes_on) return;
-    self->OnStalledUpstreamProbed(result);
-  };
-  call_->ProbeHost();
-  return context_.upstream_probe.Start(placement_->upstream,
-                                       service_.health_path, on_probed);
-}
-
-void RelayTask::ProbeLater() {
-  const auto probe = [self = shared_from_this()] {
-    if (self->finished_ || !self->call_) return;
-    self->ProbeStalledUpstream();
-  };
-  stall_timer_ = context_.loop.After(kProgressTime, probe);
-}
-
-bool RelayTask::IsAcknowledged() const {
-  const std::optional<Duration> age = call_->SinceAcknowledgement();
-  return age && *age < kAcknowledgementTime;
-}
-
-void RelayTask::OnStalledUpstreamProbed(ProbeResult result) {
-  Log(LogLevel::kInfo, "stalled_upstream_probed",
-      {{"request", request_.id.value()},
-       {"upstream", placement_->upstream.id.value()},
-       {"result", ToString(result)},
-       {"events", events_received_},
-       {"elapsed_ms", ToMillis(BootClock::now() - sent_at_)}});
-  // A paused process accepts no connections once its queue is full.
-  const bool is_paused =
-      result == ProbeResult::kUnresponsive ||
-      (result == ProbeResult::kUnreachable && IsAcknowledged());
-  if (is_paused) {
-    // It would not notice that the attempt is cancelled, and would run it
-    // beside the next one.
-    ProbeLater();
-    return;
-  }
-  if (result != ProbeResult::kAnswers) {
-    MoveStalledRequest();
-    return;
-  }
-  stall_timer_ =
-      context_.loop.After(kProgressTime, [self = shared_from_this()] {
-        if (!self->finished_ && self->call_) self->MoveStalledRequest();
-      });
-}
-
-void RelayTask::MoveStalledRequest() {
-  const Time now = BootClock::now();
-  const Outcome outcome = placement_->prefill_only
-                              ? Outcome::NotRun(kStalled)
-                              : Outcome::MayHaveRun(kStalled);
-  if (!HasAlternative(now) || !TryReserveRetry(now, outcome.verdict)) {
-    // Without a retry, the request keeps waiting for this upstream.
-    ArmStallTimer();
-    return;
-  }
-  call_->Cancel();
-  call_.reset();
-  kv_handle_.reset();
-  RetryOnOtherUpstream(now, outcome, true);
-}
-
 }  // namespace corianderlink
