[Serving] Take the APIs of jobs and services out of EntryServer

JobApi and ServiceApi answer their requests now, ProblemReplier sends and counts error responses, JoinErrors stands beside JsonError.

--- a/include/corianderlink/Serving/entry_server.h
+++ b/include/corianderlink/Serving/entry_server.h
@@ -7,12 +7,14 @@
 #include <string>
 
 #include "corianderlink/Http/http_server.h"
-#include "corianderlink/Http/problem.h"
 #include "corianderlink/Node/engine_poller.h"
 #include "corianderlink/Node/node.h"
 #include "corianderlink/Serving/chat_scheduler.h"
 #include "corianderlink/Serving/client_account.h"
+#include "corianderlink/Serving/job_api.h"
 #include "corianderlink/Serving/job_runner.h"
+#include "corianderlink/Serving/problem_replier.h"
+#include "corianderlink/Serving/service_api.h"
 #include "corianderlink/Serving/service_dispatcher.h"
 
 namespace corianderlink {
@@ -37,25 +39,14 @@
   void OnEntries(const Exchange& exchange);
   void OnModels(const Exchange& exchange);
   void OnChat(const Exchange& exchange, const ClientAccount& account);
-  void OnJobs(const Exchange& exchange, const ClientAccount& account);
-  void SubmitJob(const Exchange& exchange, const ClientAccount& account);
-  void OnService(const Exchange& exchange, const ClientAccount& account);
   ChatTask::Options MakeOptions(const HttpExchange& exchange,
                                 const ClientAccount& account,
                                 ChatRequest request);
   ChatCallbacks MakeCallbacks(const Exchange& exchange,
                               const ChatTask::Options& options);
-  ServiceCall MakeCall(const HttpExchange& exchange,
-                       const ClientAccount& account, const ServiceId& service,
-                       const std::string& path);
-  void ReplyServiceResult(const Exchange& exchange, const RequestId& id,
-                          const ClaimResult& result);
   /// Checks that this process may serve and authenticates the client.  On
   /// failure, sends the error response and returns nothing.
   std::optional<ClientAccount> Admit(const Exchange& exchange);
-  void Reply(const Exchange& exchange, int status, const std::string& title,
-             const Outcome& outcome,
-             std::optional<Duration> retry_after = std::nullopt);
 
   void OnEngineReport(const Address& engine, Time requested_at,
                       const std::string& body);
@@ -68,9 +59,12 @@
   bool OnAdmin(const Exchange& exchange);
 
   Node& node_;
+  const ProblemReplier problems_;
   ChatScheduler scheduler_;
   ServiceDispatcher dispatcher_;
   JobRunner jobs_;
+  JobApi job_api_;
+  ServiceApi service_api_;
   EnginePoller report_poller_;
   EnginePoller cache_event_poller_;
   HttpServer server_;
--- a/include/corianderlink/Support/json_reader.h
+++ b/include/corianderlink/Support/json_reader.h
@@ -23,6 +23,9 @@
   std::string ToString() const { return path + ": expected " + expected; }
 };
 
+/// Joins the errors to one line.
+std::string JoinErrors(const std::vector<JsonError>& errors);
+
 /// Objects and arrays in one another that a text from outside may have.  The
 /// library copies, compares and writes values recursively.
 inline constexpr int kMaxJsonDepth = 256;
--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -8,7 +8,6 @@
 #include "corianderlink/Authority/engine_report.h"
 #include "corianderlink/Membership/entry_directory.h"
 #include "corianderlink/Serving/engine_events.h"
-#include "corianderlink/Support/hash.h"
 #include "corianderlink/Support/json_reader.h"
 #include "corianderlink/Support/log.h"
 
@@ -22,8 +21,6 @@
 // send the rest of their requests.
 constexpr seconds kMaxClientTime{30};
 constexpr milliseconds kCacheEventPollInterval{500};
-constexpr size_t kMaxIdempotencyKeyBytes = 256;
-constexpr size_t kJobIdChars = 32;
 
 HttpServerLimits MakeHttpServerLimits(const NodeSettings& settings) {
   HttpServerLimits limits;
@@ -45,30 +42,16 @@
   return settings.chat_deadline;
 }
 
-std::string JoinErrors(const std::vector<JsonError>& errors) {
-  std::string text;
-  for (const JsonError& error : errors) {
-    text += (text.empty() ? "" : "; ") + error.ToString();
-  }
-  return text;
-}
-
-Json ToJson(const JobRecord& job) {
-  Json json = {{"id", job.id.value()},
-               {"object", "job"},
-               {"status", ToString(job.state)}};
-  if (job.state == JobState::kDone) json["result"] = job.result;
-  if (job.state == JobState::kFailed) json["error"] = job.result;
-  return json;
-}
-
 }  // namespace
 
 EntryServer::EntryServer(Node& node)
     : node_(node),
+      problems_(node.metrics()),
       scheduler_(node),
       dispatcher_(node),
       jobs_(node, scheduler_),
+      job_api_(node, scheduler_, jobs_, problems_),
+      service_api_(node, dispatcher_, problems_),
       report_poller_(node.loop(), node.client(),
                      node.settings().timing.engine_poll,
                      [this](const Address& engine, Time requested_at,
@@ -148,33 +131,26 @@
       "/v1/cache_events?after=" + std::to_string(index->last_sequence()));
 }
 
-void EntryServer::Reply(const Exchange& exchange, int status,
-                        const std::string& title, const Outcome& outcome,
-                        std::optional<Duration> retry_after) {
-  node_.metrics().Add("answers_total{status=\"" + std::to_string(status) +
-                      "\"}");
-  ReplyProblem(*exchange, {status, title, outcome, retry_after, ""});
-}
-
 std::optional<ClientAccount> EntryServer::Admit(const Exchange& exchange) {
   if (stop_began_ != Time{} && HasAddressExpired(BootClock::now())) {
-    Reply(exchange, 503, "Stopping",
-          Outcome::NotRun("this entry stops; use another entry"),
-          Duration::zero());
+    problems_.Reply(*exchange, 503, "Stopping",
+                    Outcome::NotRun("this entry stops; use another entry"),
+                    Duration::zero());
     return std::nullopt;
   }
   if (!node_.MayServe(BootClock::now())) {
-    Reply(exchange, 503, "Not in touch",
-          Outcome::NotRun("this entry is cut off from its peers and the table "
-                          "service; use another entry"),
-          seconds(2));
+    problems_.Reply(
+        *exchange, 503, "Not in touch",
+        Outcome::NotRun("this entry is cut off from its peers and the table "
+                        "service; use another entry"),
+        seconds(2));
     return std::nullopt;
   }
   auto account = FindAccount(node_.state().items.accounts,
                              exchange->Header("Authorization"));
   if (!account) {
-    Reply(exchange, 401, "Unauthorized",
-          Outcome::NotRun("wrong or missing account key"));
+    problems_.Reply(*exchange, 401, "Unauthorized",
+                    Outcome::NotRun("wrong or missing account key"));
   }
   return account;
 }
@@ -191,10 +167,12 @@
     return OnChat(exchange, *account);
   }
   if (path == "/v1/jobs" || path.rfind("/v1/jobs/", 0) == 0) {
-    return OnJobs(exchange, *account);
+    return job_api_.OnRequest(exchange, *account);
   }
-  if (path.rfind("/v1/services/", 0) == 0) return OnService(exchange, *account);
-  Reply(exchange, 404, "Not found", Outcome::NotRun("no such path or method"));
+  if (path.rfind("/v1/services/", 0) == 0)
+    return service_api_.OnRequest(exchange, *account);
+  problems_.Reply(*exchange, 404, "Not found",
+                  Outcome::NotRun("no such path or method"));
 }
 
 void EntryServer::OnEntries(const Exchange& exchange) {
@@ -233,19 +211,20 @@
   std::vector<JsonError> errors;
   auto request = ParseChatRequest(exchange->body(), errors);
   if (!request) {
-    return Reply(exchange, 400, "Invalid request",
-                 Outcome::NotRun(JoinErrors(errors)));
+    return problems_.Reply(*exchange, 400, "Invalid request",
+                           Outcome::NotRun(JoinErrors(errors)));
   }
   if (!scheduler_.router().Serves(request->model, request->adapter)) {
-    return Reply(exchange, 404, "Unknown model",
-                 Outcome::NotRun("no engine carries this model and adapter"));
+    return problems_.Reply(
+        *exchange, 404, "Unknown model",
+        Outcome::NotRun("no engine carries this model and adapter"));
   }
   const bool over_limit = scheduler_.InFlightOf(account.id) >=
                           static_cast<size_t>(account.spec.max_in_flight);
   if (over_limit) {
-    return Reply(exchange, 429, "Account limit",
-                 Outcome::NotRun("too many requests of this account"),
-                 seconds(1) + FromSeconds(node_.random().Uniform()));
+    return problems_.Reply(*exchange, 429, "Account limit",
+                           Outcome::NotRun("too many requests of this account"),
+                           seconds(1) + FromSeconds(node_.random().Uniform()));
   }
   ChatTask::Options options =
       MakeOptions(*exchange, account, std::move(*request));
@@ -314,157 +293,6 @@
   return callbacks;
 }
 
-void EntryServer::OnJobs(const Exchange& exchange,
-                         const ClientAccount& account) {
-  const std::string prefix = "/v1/jobs/";
-  if (exchange->path() == "/v1/jobs") {
-    if (exchange->method() == "POST") return SubmitJob(exchange, account);
-    return Reply(exchange, 405, "Method not allowed",
-                 Outcome::NotRun("use POST to submit a job"));
-  }
-  const JobId id(exchange->path().substr(prefix.size()));
-  const bool valid =
-      id.value().size() == kJobIdChars &&
-      id.value().find_first_not_of("0123456789abcdef") == std::string::npos;
-  if (!valid) {
-    return Reply(exchange, 404, "Unknown job",
-                 Outcome::NotRun("a job's id has 32 hexadecimal digits"));
-  }
-  const auto respond = [this, exchange](const JobLookup& lookup) {
-    switch (lookup.kind) {
-      case JobLookup::Kind::kFound:
-        exchange->Reply(200, "application/json", ToJson(lookup.job).dump());
-        return;
-      case JobLookup::Kind::kNotFound:
-        return Reply(exchange, 404, "Unknown job",
-                     Outcome::NotRun("no such job of this account"));
-      case JobLookup::Kind::kUnavailable:
-        return Reply(exchange, 503, "Job not readable",
-                     Outcome::NotRun(lookup.reason), seconds(1));
-    }
-  };
-  if (exchange->method() == "GET") return jobs_.Find(id, account.id, respond);
-  if (exchange->method() == "DELETE") {
-    return jobs_.Cancel(id, account.id, respond);
-  }
-  Reply(exchange, 405, "Method not allowed",
-        Outcome::NotRun("use GET or DELETE on a job"));
-}
-
-void EntryServer::SubmitJob(const Exchange& exchange,
-                            const ClientAccount& account) {
-  std::vector<JsonError> errors;
-  const auto request = ParseChatRequest(exchange->body(), errors);
-  if (!request) {
-    return Reply(exchange, 400, "Invalid request",
-                 Outcome::NotRun(JoinErrors(errors)));
-  }
-  if (!scheduler_.router().Serves(request->model, request->adapter)) {
-    return Reply(exchange, 404, "Unknown model",
-                 Outcome::NotRun("no engine carries this model and adapter"));
-  }
-  const std::string key = exchange->Header("Idempotency-Key");
-  JobRecord job;
-  job.account = account.id;
-  job.request = exchange->body();
-  job.request_digest = JobRequestDigest(account.id, exchange->body());
-  job.id = JobId(key.empty() ? node_.random().HexId()
-                             : Sha256Hex(account.id.value() + "\njob\n" + key)
-                                   .substr(0, kJobIdChars));
-  jobs_.Submit(std::move(job), [this, exchange](const JobSubmitResult& result) {
-    switch (result.kind) {
-      case JobSubmitResult::Kind::kAccepted:
-        exchange->Reply(202, "application/json", ToJson(result.job).dump(),
-                        {{"Location", "/v1/jobs/" + result.job.id.value()}});
-        return;
-      case JobSubmitResult::Kind::kKeyReused:
-        return Reply(exchange, 422, "Key reused",
-                     Outcome::NotRun("the key was used for another job"));
-      case JobSubmitResult::Kind::kNotRun:
-        return Reply(exchange, 503, "Job not accepted",
-                     Outcome::NotRun(result.reason), seconds(2));
-      case JobSubmitResult::Kind::kUnknown:
-        return Reply(exchange, 503, "Job may have been accepted",
-                     Outcome::MayHaveRun(result.reason), seconds(2));
-    }
-  });
-}
-
-void EntryServer::OnService(const Exchange& exchange,
-                            const ClientAccount& account) {
-  const std::string rest =
-      exchange->path().substr(std::string("/v1/services/").size());
-  const size_t slash = rest.find('/');
-  const ServiceId service(rest.substr(0, slash));
-  const auto& services = node_.state().items.services;
-  const auto spec = services.find(service);
-  if (spec == services.end()) {
-    return Reply(exchange, 404, "Unknown service",
-                 Outcome::NotRun("no such service is in force"));
-  }
-  const std::string path =
-      slash == std::string::npos ? "/" : rest.substr(slash);
-  ServiceCall call = MakeCall(*exchange, account, service, path);
-  if (call.key.size() > kMaxIdempotencyKeyBytes) {
-    return Reply(exchange, 400, "Invalid key",
-                 Outcome::NotRun("Idempotency-Key is longer than 256 bytes"));
-  }
-  const CallSpec* declared = spec->second.FindCall(call.method, path);
-  if (declared != nullptr) {
-    call.idempotent = declared->idempotent;
-    call.not_run_statuses = declared->not_run_statuses;
-  }
-  const RequestId id = call.id;
-  const auto task = dispatcher_.Start(
-      std::move(call), [this, exchange, id](const ClaimResult& result) {
-        ReplyServiceResult(exchange, id, result);
-      });
-  const std::weak_ptr<ServiceTask> weak = task;
-  exchange->signal_client_disconnected.connect([weak] {
-    if (const auto running = weak.lock()) running->OnClientDisconnected();
-  });
-}
-
-ServiceCall EntryServer::MakeCall(const HttpExchange& exchange,
-                                  const ClientAccount& account,
-                                  const ServiceId& service,
-                                  const std::string& path) {
-  ServiceCall call;
-  call.id = RequestId(node_.random().HexId());
-  call.account = account.id;
-  call.service = service;
-  call.method = exchange.method();
-  call.target = path + (exchange.query().empty() ? "" : "?") + exchange.query();
-  call.content_type = exchange.Header("Content-Type");
-  call.body = exchange.body();
-  call.key = exchange.Header("Idempotency-Key");
-  call.deadline = BootClock::now() + node_.settings().requests.service_timeout;
-  return call;
-}
-
-void EntryServer::ReplyServiceResult(const Exchange& exchange,
-                                     const RequestId& id,
-                                     const ClaimResult& result) {
-  Log(LogLevel::kInfo, "service_call_ended",
-      {{"request", id.value()},
-       {"status", result.response.status},
-       {"reason", result.reason}});
-  switch (result.kind) {
-    case ClaimResult::Kind::kResponse:
-      exchange->Reply(result.response.status, result.response.content_type,
-                      result.response.body, {{"X-Request-Id", id.value()}});
-      return;
-    case ClaimResult::Kind::kNotRun:
-      return Reply(exchange, 503, "Call not run",
-                   Outcome::NotRun(result.reason), seconds(1));
-    case ClaimResult::Kind::kMayHaveRun:
-      return Reply(exchange, 502, "Call may have run",
-                   Outcome::MayHaveRun(result.reason), seconds(1));
-    case ClaimResult::Kind::kKeyReused:
-      return Reply(exchange, 422, "Key reused", Outcome::NotRun(result.reason));
-  }
-}
-
 bool EntryServer::OnAdmin(const Exchange& exchange) {
   if (exchange->path() != "/v1/drain" || exchange->method() != "POST") {
     return false;
--- a/lib/Support/json_reader.cc
+++ b/lib/Support/json_reader.cc
@@ -24,6 +24,14 @@
 
 }  // namespace
 
+std::string JoinErrors(const std::vector<JsonError>& errors) {
+  std::string text;
+  for (const JsonError& error : errors) {
+    text += (text.empty() ? "" : "; ") + error.ToString();
+  }
+  return text;
+}
+
 Json ParseJson(std::string_view text) {
   DepthLimit limit;
   Json json = Json::parse(text, limit.Callback(), /*allow_exceptions=*/false);
