[Http1] Let the handle of an ended call do nothing

What callers saw or would see: while a gateway samples which upstreams it reaches, a client's request got 504 although its upstream answered: 2 to 3 of 80 in a test.

Cause: the handle of a call was its connection. The sampler keeps the handles of health checks that have been answered; their connections are the most recently used ones, so the next client's request goes over one, and the end of the sample cancels it. Class: as in this incident, something that outlives a question stands for the question. The handlers that resume reading for a slow client had the same hole (bounds of memory only, by reading).

Change: each call has a handle of its own, which does nothing unless that call is in progress on its connection.

Before: UpstreamPoolTest.HandleOfAnEndedCallDoesNotCancelTheNext and PartitionedGatewayTest.EndOfASampleCancelsNoRequest fail (3 requests). Ruled out: other users of Cancel drop their handles at the end of the call (by reading).

--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -26,6 +26,40 @@
   return method != "GET" && method != "HEAD" && method != "DELETE";
 }
 
+/// The handle of one call.  It does nothing once the call has ended: its
+/// connection may carry another one by then.
+class ConnectionCall : public UpstreamCall {
+ public:
+  explicit ConnectionCall(std::shared_ptr<UpstreamConnection> connection)
+      : connection_(std::move(connection)), info_(connection_->info()) {}
+
+  UpstreamConnectionInfo connection() const override { return info_; }
+  void Cancel() override {
+    if (IsInProgress()) connection_->Cancel();
+  }
+  void ProbeHost() override {
+    if (IsInProgress()) connection_->ProbeHost();
+  }
+  std::optional<Duration> SinceAcknowledgement() const override {
+    if (!IsInProgress()) return std::nullopt;
+    return connection_->SinceAcknowledgement();
+  }
+  void PauseReading() override {
+    if (IsInProgress()) connection_->PauseReading();
+  }
+  void ResumeReading() override {
+    if (IsInProgress()) connection_->ResumeReading();
+  }
+
+ private:
+  bool IsInProgress() const {
+    return connection_->IsInProgress(info_.earlier_requests);
+  }
+
+  const std::shared_ptr<UpstreamConnection> connection_;
+  const UpstreamConnectionInfo info_;
+};
+
 }  // namespace
 
 UpstreamConnection::UpstreamConnection(UpstreamPool& pool, EventLoop& loop,
@@ -38,8 +72,8 @@
 
 UpstreamConnection::~UpstreamConnection() = default;
 
-void UpstreamConnection::Send(UpstreamRequest request,
-                              UpstreamHandlers handlers) {
+std::shared_ptr<UpstreamCall> UpstreamConnection::Send(
+    UpstreamRequest request, UpstreamHandlers handlers) {
   keep_alive_self_ = shared_from_this();
   handlers_ = std::move(handlers);
   id_ = std::move(request.id);
@@ -57,9 +91,11 @@
   }
   head += "\r\n";
   stream_->Write(head + request.body);
-  if (connected_) return;
-  connect_timer_ =
-      loop_.After(request.connect_timeout, [this] { OnConnectTimeout(); });
+  if (!connected_) {
+    connect_timer_ =
+        loop_.After(request.connect_timeout, [this] { OnConnectTimeout(); });
+  }
+  return std::make_shared<ConnectionCall>(shared_from_this());
 }
 
 void UpstreamConnection::OnConnectTimeout() {
@@ -243,25 +279,17 @@
   handlers.on_fail(outcome);
 }
 
-void UpstreamConnection::ProbeHost() {
-  if (!closed_) stream_->ProbeHost();
-}
+void UpstreamConnection::ProbeHost() { stream_->ProbeHost(); }
 
 std::optional<Duration> UpstreamConnection::SinceAcknowledgement() const {
-  if (closed_) return std::nullopt;
   return stream_->SinceAcknowledgement();
 }
 
-void UpstreamConnection::PauseReading() {
-  if (!closed_) stream_->PauseReading();
-}
+void UpstreamConnection::PauseReading() { stream_->PauseReading(); }
 
-void UpstreamConnection::ResumeReading() {
-  if (!closed_) stream_->ResumeReading();
-}
+void UpstreamConnection::ResumeReading() { stream_->ResumeReading(); }
 
 void UpstreamConnection::Cancel() {
-  if (closed_ || !busy_) return;
   const auto self = shared_from_this();
   busy_ = false;
   handlers_ = {};
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -15,11 +15,9 @@
 
 class UpstreamPool;
 
-/// A connection that carries one request at a time.  It is also the handle of
-/// the request in progress.
+/// A connection that carries one request at a time.
 class UpstreamConnection
-    : public UpstreamCall,
-      public ByteStreamListener,
+    : public ByteStreamListener,
       public std::enable_shared_from_this<UpstreamConnection> {
  public:
   /// `number` tells the connection from the others of the pool.
@@ -27,17 +25,24 @@
                      uint64_t number);
   ~UpstreamConnection() override;
 
-  /// Sends a request.  No other request may be in progress.
-  void Send(UpstreamRequest request, UpstreamHandlers handlers);
+  /// Sends a request and returns its handle.  No other request may be in
+  /// progress.
+  std::shared_ptr<UpstreamCall> Send(UpstreamRequest request,
+                                     UpstreamHandlers handlers);
 
-  UpstreamConnectionInfo connection() const override {
+  UpstreamConnectionInfo info() const {
     return {number_, carried_.count() - 1};
   }
-  void Cancel() override;
-  void ProbeHost() override;
-  std::optional<Duration> SinceAcknowledgement() const override;
-  void PauseReading() override;
-  void ResumeReading() override;
+  /// True if the request that followed so many others is in progress.
+  bool IsInProgress(uint64_t earlier_requests) const {
+    return busy_ && !closed_ && carried_.count() == earlier_requests + 1;
+  }
+  /// These concern the request in progress, as described in UpstreamCall.
+  void Cancel();
+  void ProbeHost();
+  std::optional<Duration> SinceAcknowledgement() const;
+  void PauseReading();
+  void ResumeReading();
 
   const Address& address() const { return address_; }
   /// False if the response to a request with this id, or to one without, could
--- a/lib/Http1/upstream_pool.cc
+++ b/lib/Http1/upstream_pool.cc
@@ -24,8 +24,7 @@
     connection = std::make_shared<UpstreamConnection>(
         *this, loop_, request.address, connections_opened_);
   }
-  connection->Send(std::move(request), std::move(handlers));
-  return connection;
+  return connection->Send(std::move(request), std::move(handlers));
 }
 
 std::shared_ptr<UpstreamConnection> UpstreamPool::TakeIdleConnection(
--- a/unittests/Gateway/partitioned_gateway_test.cc
+++ b/unittests/Gateway/partitioned_gateway_test.cc
@@ -179,6 +179,24 @@
   ExpectRunOnce();
 }
 
+TEST_F(PartitionedGatewayTest, EndOfASampleCancelsNoRequest) {
+  work_time_ = milliseconds(200);
+  Start(1);
+  PartitionFromMost(0, Cut::kHang);
+  std::vector<std::shared_ptr<ClientResult>> results;
+  for (int i = 0; i < 80; ++i) {
+    results.push_back(Send(0, "/u/1"));
+    harness_.RunFor(milliseconds(25));
+  }
+  harness_.RunFor(seconds(3));
+  for (const auto& result : results) {
+    EXPECT_TRUE(result->complete);
+    EXPECT_NE(result->status, 502);
+    EXPECT_NE(result->status, 504);
+  }
+  ExpectRunOnce();
+}
+
 TEST_F(PartitionedGatewayTest, OneGatewayServesForTwo) {
   Start(3);
   Partition(0, Cut::kHang);
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -153,6 +153,19 @@
   RunFor(milliseconds(10));
 }
 
+TEST_F(UpstreamPoolTest, HandleOfAnEndedCallDoesNotCancelTheNext) {
+  RawTcpServer peer([](int fd) { AnswerInTurn(fd, 1); });
+  EXPECT_TRUE(Call(peer.address, "1").ended);
+  const auto ended = call_;
+  const EventHandle cancel =
+      loop_.After(milliseconds(5), [&] { ended->Cancel(); });
+  standstill_ = milliseconds(20);
+  EXPECT_TRUE(Call(peer.address, "2").ended);
+  EXPECT_EQ(pool_.connections_opened(), 1U);
+  pool_.CloseIdleConnections(peer.address);
+  RunFor(milliseconds(10));
+}
+
 TEST_F(UpstreamPoolTest, ConnectionEndsOnceItHasCarriedItsLimit) {
   RawTcpServer peer([](int fd) { AnswerInTurn(fd, 1); });
   const int limit = CarriedRequests::kMaxRequests;
