[Http1] Close the connection of a call without an id after its answer

What operators would see: connections pile up at an upstream, one for each release of a KV cache, status request or order, beside the limit that the service has; beyond it the upstream resets connections of all callers.

Cause: since such a call opens a connection, which then stays idle, and nothing closes it while requests find others.

Change: the connection ends with the call, as nothing of its kind may use it again.

UpstreamPoolTest.CallsWithoutAnIdLeaveNoConnections failed before (a connection after the first call) and passes. The client of GatewayTests names its requests now, each with another id, so that it keeps its connections as it did before. Ruled out: the service's limit on them alone, which still leaves connections that only serve to be closed.

--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -197,7 +197,8 @@
   const ResponseHead& head = parser_->head();
   // An upstream may respond before it has read all of a large request.  The
   // rest would still have to be sent, so the connection is not reusable.
-  const bool reusable = head.keep_alive && !ends_after_call_ &&
+  // Calls without an id open connections, which nothing else would close.
+  const bool reusable = head.keep_alive && !ends_after_call_ && !id_.empty() &&
                         carried_.HasRoom() && stream_->PendingBytes() == 0 &&
                         stream_->Input().empty();
   ApplyKeepAliveTimeout(head);
--- a/unittests/Gateway/gateway_test_harness.h
+++ b/unittests/Gateway/gateway_test_harness.h
@@ -149,6 +149,11 @@
     fields.push_back({"Request-Id", request_id});
     request.fields = std::move(fields);
     request.body = body;
+    // Any response on a kept connection counts, whatever it names.
+    request.id = std::to_string(++requests_);
+    request.named_request = [id = request.id](const ResponseHead&) {
+      return id;
+    };
     UpstreamHandlers handlers;
     handlers.on_head = [result](const ResponseHead& head) {
       result->status = head.status;
@@ -209,6 +214,8 @@
   std::vector<std::unique_ptr<FakeUpstream>> upstreams_;
   std::vector<StoreRecord> records_;
   uint64_t store_version_ = 0;
+  // Requests of the client.
+  int requests_ = 0;
 };
 
 }  // namespace corianderlink
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -153,6 +153,19 @@
   RunFor(milliseconds(10));
 }
 
+TEST_F(UpstreamPoolTest, CallsWithoutAnIdLeaveNoConnections) {
+  RawTcpServer peer([&](int fd) {
+    if (!ReadUntil(fd, "\r\n\r\n")) return;
+    Write(fd, MakeResponse("", "x"));
+    ReadUntil(fd, "never");
+  });
+  for (int i = 0; i < 30; ++i) {
+    EXPECT_TRUE(Call(peer.address, "").ended);
+    EXPECT_EQ(pool_.ConnectionCount(peer.address), 0U);
+    RunFor(milliseconds(1));
+  }
+}
+
 TEST_F(UpstreamPoolTest, HandleOfAnEndedCallDoesNotCancelTheNext) {
   RawTcpServer peer([](int fd) { AnswerInTurn(fd, 1); });
   EXPECT_TRUE(Call(peer.address, "1").ended);
