[Soak] Play refusals that come twice and requests that come back

The soak's `again` copied plain answers only, refusals bore no id and clients drew a new id for each attempt: no play could show it.

What: seeds from 8000 on. Clients come back up to four times, mostly with the same id. Checks: once over all attempts with an id (TWICE); each attempt with the runs since it began (REFUSED, MIXED); an answer that names another request is MIXED in all tiers; QUIET if fewer than 20 requests arrive while a copy of theirs is due.

--- a/utils/soak.py
+++ b/utils/soak.py
@@ -45,6 +45,11 @@
 # From here on also plain answers of several hundred kilobytes, clients that pause
 # while they read them, and answers that come twice, the second time late.
 FIRST_LONG_SEED = 7000
+# From here on upstreams also refuse many requests, each refusal comes once
+# more, later, and clients come back with the id that was refused; to few
+# gateways, so that they meet the copies.
+FIRST_REFUSAL_SEED = 8000
+REFUSED_SHARE, FEW_GATEWAYS = 0.5, 2
 # A rate limit is judged in windows of this length.
 WINDOW_S = 4.0
 # Time in which a change is in force; gateways answer for it again this long
@@ -439,7 +444,11 @@
 
 
 async def play(seed, length_s, size, only=None, beside=None):
+    refusing = seed >= FIRST_REFUSAL_SEED
+    if refusing:
+        size = (min(size[0], FEW_GATEWAYS),) + size[1:]
     deployment = world.World(seed, *size)
+    deployment.twice = REFUSED_SHARE if refusing else None
     deployment.earlier_program = beside or world.PROGRAM
     deployment.stoppable = seed >= FIRST_BUILDS_SEED
     deployment.keeps_addresses = seed >= FIRST_BUILDS_SEED
@@ -461,6 +470,7 @@
         asking = asyncio.ensure_future(callers.run(end, RATE_PER_S))
         await asyncio.sleep(WARM_UP_S)
         await faults.play()
+        deployment.refuse_no_more()
         calm_from = time.monotonic() + SETTLE_S
         # Upgrades take their time.
         if seed >= FIRST_BUILDS_SEED:
@@ -477,6 +487,8 @@
         broken += checks.check(deployment, callers.requests, faults)
         broken += checks.check_recovery(callers.requests, calm_from)
         broken += checks.check_store_followed(deployment)
+        if refusing:
+            broken += checks.check_not_quiet(deployment.refusals())
         if peak[0] > checks.MAX_RESIDENT_MB:
             broken.append("MEMORY %.0f MB" % peak[0])
     finally:
@@ -484,9 +496,10 @@
         await asyncio.gather(*(u.gone() for u in deployment.all_upstreams))
     served = sum(1 for r in callers.requests.values()
                  if r.status == 200 and r.complete)
-    print("seed %d: %d of %d served, %d faults, peak %.0f MB: %s" %
+    about = about_refusals(deployment, callers) if refusing else ""
+    print("seed %d: %d of %d served, %d faults, peak %.0f MB%s: %s" %
           (seed, served, len(callers.requests), len(faults.plan), peak[0],
-           "ok" if not broken else "BROKEN"))
+           about, "ok" if not broken else "BROKEN"))
     for text in broken[:10]:
         print("  " + text)
     if broken:
@@ -498,6 +511,16 @@
     return not broken
 
 
+def about_refusals(deployment, callers):
+    seen = deployment.refusals()
+    returned = sum(len(list(request.attempts())) - 1
+                   for request in callers.requests.values())
+    return (", %d refusals, %d copies, %d met their request, %d requests came "
+            "back with their id, %d arrivals while a copy was due" %
+            (seen["refused"], seen["copied"] + seen["met"], seen["met"],
+             returned, seen["awaited"]))
+
+
 def play_alone(seed, arguments):
     """Plays a seed in a process of its own."""
     done = subprocess.run(
--- a/utils/soak_lib/checks.py
+++ b/utils/soak_lib/checks.py
@@ -7,7 +7,7 @@
 
 from . import clients, stand_ins, world
 
-PROMISES = (408, 421, 429, 503)
+PROMISES = clients.REFUSALS
 # What the system may take after a client left before its worker is free.
 FREE_S = 0.6
 MAX_RESIDENT_MB = 120
@@ -24,6 +24,8 @@
 # After its first pause, an upstream's wish is known to whoever asked it.
 PAUSE_KNOWN_S = 0.5
 LIMIT_WINDOW_S = 4.0
+# A play about copies of refusals has so many requests that could meet theirs.
+MIN_AWAITED = 20
 
 
 def check(deployment, requests, faults):
@@ -38,12 +40,12 @@
         if identity not in requests:
             broken.append("UNASKED %s" % identity)
     for request in requests.values():
-        broken += check_request(deployment, request, runs[request.identity],
-                                troubled)
-        broken += check_versions(request)
+        broken += check_once(request, runs[request.identity])
         broken += check_one_run(request, runs[request.identity], faults.cut)
-        broken += check_not_lost(request, runs[request.identity],
-                                 faults.moved)
+        for attempt, its_runs in by_attempt(request, runs[request.identity]):
+            broken += check_request(deployment, attempt, its_runs, troubled)
+            broken += check_versions(attempt)
+            broken += check_not_lost(attempt, its_runs, faults.moved)
     broken += check_draining(deployment, troubled)
     broken += check_pauses(deployment)
     for gateway in deployment.gateways:
@@ -54,6 +56,26 @@
     return broken
 
 
+def by_attempt(request, runs):
+    """Attempts with one id, each with the runs that began before the next: what
+    begins after the refusal of an attempt may be owed to the next one only."""
+    for attempt in request.attempts():
+        since = attempt.began if attempt.earlier else 0
+        yield attempt, [run for run in runs if run.began >= since]
+        runs = [run for run in runs if run.began < since]
+
+
+def runs_once(request):
+    return request.kind in ("unsafe", "once", "far_once")
+
+
+def check_once(request, runs):
+    """Over all attempts with one id."""
+    if runs_once(request) and len(runs) > 1:
+        return ["TWICE %s ran %d times" % (request.name(), len(runs))]
+    return []
+
+
 def check_request(deployment, request, runs, troubled):
     broken = []
     name = request.name()
@@ -61,13 +83,12 @@
         if (run.method, run.target, run.body) != (
                 request.method, request.target, request.body):
             broken.append("UNASKED %s was changed" % name)
-    once = request.kind in ("unsafe", "once", "far_once")
-    if once and len(runs) > 1:
-        broken.append("TWICE %s ran %d times" % (name, len(runs)))
-    if once and request.status in PROMISES and runs:
+    if runs_once(request) and request.status in PROMISES and runs:
         broken.append("REFUSED %s: %d, but it ran" % (name, request.status))
     if request.status in (400, 401, 403, 404, 413) and not request.signer:
         broken.append("DENIED %s: %d" % (name, request.status))
+    if request.named not in (None, request.identity):
+        broken.append("MIXED %s: the answer to %s" % (name, request.named))
     if request.signer:
         broken += check_signed(name, request, runs)
     elif request.status is not None and request.status < 300:
@@ -224,6 +245,14 @@
             (len(late), len(ends))]
 
 
+def check_not_quiet(seen):
+    """A play without requests that came back shows nothing."""
+    if seen["awaited"] >= MIN_AWAITED:
+        return []
+    return ["QUIET only %d requests came back while a copy was due" %
+            seen["awaited"]]
+
+
 def check_store_followed(deployment):
     """Every gateway has the newest configuration and is registered, also after
     restores of the store."""
@@ -245,7 +274,7 @@
 
 def check_recovery(requests, since):
     """After the last fault, nearly all requests are served."""
-    later = [r for r in requests.values()
+    later = [r for request in requests.values() for r in request.attempts()
              if r.began > since and r.left_at is None]
     served = sum(1 for r in later if r.status == 200 and r.complete)
     if len(later) >= 20 and served < 0.9 * len(later):
--- a/utils/soak_lib/clients.py
+++ b/utils/soak_lib/clients.py
@@ -8,6 +8,8 @@
 from . import http1, stand_ins, world
 
 MAX_RESUMPTIONS = 3
+# They promise that the request has not run and never will.
+REFUSALS = (408, 421, 429, 503)
 
 
 class Request:
@@ -20,6 +22,8 @@
         self.ended = None
         self.status = None
         self.signer = None
+        # The request that the answer names.
+        self.named = None
         self.answer = b""
         self.complete = False
         self.left_at = None
@@ -32,6 +36,8 @@
         # The attempt that began this stream, if this one resumes it, and the
         # last event that the client has.
         self.begun_by, self.after = None, 0
+        # The attempt with the same id that was refused before.
+        self.earlier = None
 
     def name(self):
         at = "no gateway"
@@ -41,6 +47,13 @@
         clock = time.strftime("%H:%M:%S", time.gmtime(ended_s))
         return "%s %s at %s, end %s" % (self.kind, self.identity, at, clock)
 
+    def attempts(self):
+        """Those with its id, the last one first."""
+        attempt = self
+        while attempt is not None:
+            yield attempt
+            attempt = attempt.earlier
+
     def events(self):
         """Number of the last whole event of the stream that has arrived."""
         return self.after + self.answer.count(b"\n\n")
@@ -67,6 +80,10 @@
 # follows is longer than the gateway's buffers.
 PAUSING_SHARE, PAUSE_S, SMALL_WINDOW = 0.25, (2.2, 3.0), 16 * 1024
 
+# Clients that come back after refusals: how often, within what time, and which
+# share of them with the id that was refused.
+MAX_RETURNS, RETURN_S, SAME_ID_SHARE = 4, 0.2, 0.8
+
 # Clients that keep the directory's answers, and for how many times its TTL.
 KEEPERS, KEPT_TTLS = 12, (1, 3)
 MAX_CONNECTS = 5
@@ -99,8 +116,13 @@
 
     async def session(self):
         """A request, repeated once as clients may."""
-        kind = self.random.choice(list(self.world.routes()))
+        kinds = list(self.world.routes())
+        if self.world.twice is not None:
+            kinds += 4 * ["unsafe"]
+        kind = self.random.choice(kinds)
         request = await self.attempt(kind)
+        if self.world.twice is not None:
+            request = await self.come_back(request)
         if self.world.resumes and kind == "stream":
             await self.resume(request)
             return
@@ -110,6 +132,17 @@
         await asyncio.sleep(min(request.refused_for_s or 0.1, 1.0))
         await self.attempt(kind)
 
+    async def come_back(self, request):
+        """Asks again after refusals, mostly with the id that was refused."""
+        for _ in range(MAX_RETURNS):
+            if request.status not in REFUSALS or not request.complete:
+                break
+            await asyncio.sleep(self.random.uniform(0, RETURN_S))
+            same = self.random.random() < SAME_ID_SHARE
+            request = await self.attempt(request.kind,
+                                         earlier=request if same else None)
+        return request
+
     async def resume(self, request):
         """Takes a stream up again, as often as it breaks off."""
         begun_by, after = request, request.events()
@@ -173,9 +206,12 @@
         finally:
             writer.transport.abort()
 
-    async def attempt(self, kind, item="x", begun_by=None, after=0):
+    async def attempt(self, kind, item="x", begun_by=None, after=0,
+                      earlier=None):
         self.count += 1
         identity = "%016x" % (self.count * 0x9e3779b97f4a7c15 % 2 ** 64)
+        if earlier:
+            identity = earlier.identity
         route = world.route_of(kind)
         repeatable = route["kind"] == "safe"
         method = "GET" if repeatable else "POST"
@@ -184,6 +220,7 @@
             body = b""
         request = Request(identity, kind, method, route["prefix"] + item, body)
         request.begun_by, request.after = begun_by, after
+        request.earlier = earlier
         port = await self.choose()
         if port is None:
             return request
@@ -255,6 +292,7 @@
             first, answer = await http1.read_head(reader)
             request.status = int(first.split(" ")[1])
             request.signer = answer.get("server-stamp")
+            request.named = answer.get("request-id")
             if "retry-after" in answer:
                 request.refused_for_s = float(answer["retry-after"])
             if request.kind in world.LONG_ROUTES:
--- a/utils/soak_lib/processes.py
+++ b/utils/soak_lib/processes.py
@@ -36,7 +36,7 @@
     """The soak's side."""
 
     told = ("trouble", "leaving", "limit", "limit_named_at", "version",
-            "slots")
+            "slots", "twice")
 
     def __init__(self, *args):
         self.process = None
@@ -72,8 +72,8 @@
             self.told_of(*about)
         elif what == "pauses":
             self.pauses.append(*about)
-        elif what == "arrivals":
-            self.arrivals.append(tuple(*about))
+        elif what in ("arrivals", "refusals"):
+            getattr(self, what).append(tuple(*about))
         elif what == "run":
             number, began, request, method, target, body = about
             run = stand_ins.Run(request, self.identity, method, target,
@@ -139,6 +139,7 @@
     def __init__(self, identity, service, role):
         super().__init__(identity, service, role, [], Told(self, "arrivals"))
         self.pauses = Told(self, "pauses")
+        self.refusals = Told(self, "refusals")
         self.on_lethal = lambda _: os._exit(1)
         self.count = 0
 
--- a/utils/soak_lib/stand_ins.py
+++ b/utils/soak_lib/stand_ins.py
@@ -13,6 +13,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from . import http1
+from .copies import Copies
 
 REASONS = {200: "OK", 404: "Not Found", 410: "Gone", 412: "Failed",
            421: "Misdirected", 500: "Error", 503: "Unavailable"}
@@ -216,6 +217,9 @@
     (the answer of another request comes first), pause (refuses and asks for no
     requests for a time), endless (bytes that are no answer, without end), again
     (a plain answer comes twice, the second time late).
+
+    It refuses the share `twice` of the requests besides; each refusal then
+    bears its request's id and comes once more, later.  None: none does.
     """
 
     troubles = ["mute", "grey", "slow", "lost", "cut", "extra", "full",
@@ -230,6 +234,9 @@
         self.identity, self.service, self.role = identity, service, role
         self.runs, self.arrivals = runs, arrivals
         self.trouble = None
+        self.twice = None
+        # What `Copies` saw, and those of each connection.
+        self.refusals, self.copies = [], {}
         self.slots = 32 if role else 6
         # Version of the software; only streams show it.
         self.version = "v1"
@@ -292,8 +299,29 @@
             self.limit_named_at = self.limit_named_at or time.monotonic()
             name = b"\r\nServer-Limit: %.2f\r\n" % self.limit
             head = head.replace(b"\r\n", name, 1)
+        self.copies[writer].answering = True
         writer.write(head)
 
+    async def _serve(self, reader, writer):
+        self.copies[writer] = Copies(writer, self.refusals)
+        await super()._serve(reader, writer)
+        del self.copies[writer]
+
+    def refuse(self, writer, request, status=503, **more):
+        """Says that a request has not run, and later perhaps again."""
+        if self.twice is None or request is None:
+            self.send(writer, reply(status, Not_Run="1", **more))
+            return
+        refusal = reply(status, Not_Run="1", Request_Id=request, **more)
+        self.send(writer, refusal)
+        self.copies[writer].add(request, refusal)
+
+    def note_return(self, writer, request):
+        for copies in self.copies.values():
+            if copies.awaits(request):
+                self.copies[writer].note("awaited", request)
+                return
+
     async def send_without_end(self, writer):
         try:
             while self.trouble == "endless":
@@ -306,6 +334,15 @@
         first, fields = await http1.read_head(reader)
         body = await http1.read_body(reader, fields)
         await self.awake.wait()
+        copies = self.copies[writer]
+        self.note_return(writer, fields.get("request-id"))
+        copies.request = fields.get("request-id")
+        goes_on = await self.answer(reader, writer, first, fields, body)
+        if goes_on:
+            copies.answered()
+        return goes_on
+
+    async def answer(self, reader, writer, first, fields, body):
         method, target, _ = first.split(" ")
         self.arrivals.append((time.monotonic(), self.identity,
                               fields.get("request-id")))
@@ -324,12 +361,17 @@
             return False
         if self.trouble == "pause":
             self.pauses.append(time.monotonic())
-            self.send(writer, reply(503, Not_Run="1",
-                                    Retry_After=str(self.PAUSE_S)))
+            self.refuse(writer, fields.get("request-id"),
+                        Retry_After=str(self.PAUSE_S))
             return True
         if self.busy >= self.slots or self.trouble == "full":
-            self.send(writer, reply(503, Not_Run="1"))
+            self.refuse(writer, fields.get("request-id"))
+            return True
+        if self.twice and random.random() < self.twice:
+            self.refuse(writer, fields.get("request-id"),
+                        random.choice([503, 503, 503, 429]))
             return True
+        self.copies[writer].work_begins()
         self.busy += 1
         try:
             return await self.work(reader, writer, method, target, fields,
--- a/utils/soak_lib/world.py
+++ b/utils/soak_lib/world.py
@@ -1,6 +1,7 @@
 """The soak's deployment: stand-ins in this process, gateways as processes."""
 
 import asyncio
+import collections
 import functools
 import json
 import os
@@ -173,6 +174,8 @@
         self.earlier_program = PROGRAM
         # Some answers are long, and some clients pause while they read them.
         self.long_answers = False
+        # Share of requests that upstreams refuse, each refusal twice.
+        self.twice = None
         # The shortest time for which a client may leave a connection idle.
         self.idle_s = 15
         # When upstreams ended under a lethal request.
@@ -255,6 +258,7 @@
         upstream = make(identity, service, role, self.runs, self.arrivals)
         if self.mixed:
             upstream.version = self.random.choice(["v1", "v2"])
+        upstream.twice = self.twice
         inner, outer = free_ports(2)
         await upstream.listen(inner)
         link = stand_ins.Link(inner)
@@ -294,6 +298,17 @@
         upstream.close()
         link.close()
 
+    def refuse_no_more(self):
+        """Copies of earlier refusals still come."""
+        self.twice = 0.0 if self.twice else None
+        for upstream in self.upstreams.values():
+            upstream.twice = self.twice
+
+    def refusals(self):
+        """How often `Copies` saw what."""
+        return collections.Counter(what for upstream in self.all_upstreams
+                                   for what, *_ in upstream.refusals)
+
     def stood_still(self, identity, since, to):
         return any(u.stood_still(since, to) for u in self.all_upstreams
                    if u.identity == identity)
@@ -343,6 +358,9 @@
                 print("run", run.request, run.upstream, clock(run.began),
                       clock(run.ended), run.status, file=f)
             for upstream in self.all_upstreams:
+                for what, at, request, port in upstream.refusals:
+                    print(what, request, upstream.identity, clock(at),
+                          "port %d" % port, file=f)
                 for began, ended in upstream.still_spans:
                     print("still", upstream.identity, clock(began),
                           clock(ended), file=f)
