[Serving] Match the answers of a job's reads to their acquisition

What a client would see: a job's result with text twice, "0 1 0 1 2 " in place of "0 1 2 ", and its request sent to engines twice.

Cause: an entry matched the answers of LoadJob, LoadRequest and OnRequestText, and the chat's events, to a running job by its id. The object store answered the read of an acquisition after the job had been abandoned and acquired again: that text started the job, the second read's started it again, and both chats wrote to one text. Class: an answer is matched by something that isn't unique to that asking.

Change: each acquisition has a number, and all that it asks for (rows, text, chat, timers, result) carries it. FindRunning gives nothing for an acquisition that has ended. running_[id], which made a job if there was none, is gone from these places.

Test: SlowPlatformJobTest.TextReadByAnEarlierAcquisitionStartsNoSecondRun. The chat's and the result's late answers have no test of their own.

Ruled out: cancelling the reads when a job is abandoned; an answer that has already arrived would still count. The version of the open row is unique as well, but is known only once the row is written.

--- a/include/corianderlink/Serving/job_runner.h
+++ b/include/corianderlink/Serving/job_runner.h
@@ -58,7 +58,14 @@
   size_t running() const { return running_.size(); }
 
  private:
+  /// One acquisition of a job.  A job may be acquired again while answers that
+  /// an earlier acquisition asked for are still out.
+  struct Acquisition {
+    JobId id;
+    uint64_t number = 0;
+  };
   struct RunningJob {
+    uint64_t acquisition = 0;
     JobRecord job;
     RowVersion job_version = 0;
     RowVersion open_version = 0;
@@ -82,17 +89,20 @@
   /// being stored.
   void Abandon(const JobId& id);
   void Acquire(const JobId& id, const TableRow& row);
-  void LoadJob(const JobId& id, RowVersion open_version, uint32_t attempts);
-  void LoadRequest(const JobId& id);
+  /// Null if that acquisition has ended, also if the job was acquired again.
+  RunningJob* FindRunning(const Acquisition& acquired);
+  void LoadJob(const Acquisition& acquired, RowVersion open_version,
+               uint32_t attempts);
+  void LoadRequest(const Acquisition& acquired);
   /// Releases the job if `text` is not its request.
-  void OnRequestText(const JobId& id, const std::string& text);
-  void RunJob(const JobId& id);
-  void OnChatFinished(const JobId& id, const ChatResult& result);
-  void StoreFinalState(const JobId& id, JobState state,
+  void OnRequestText(const Acquisition& acquired, const std::string& text);
+  void RunJob(const Acquisition& acquired);
+  void OnChatFinished(const Acquisition& acquired, const ChatResult& result);
+  void StoreFinalState(const Acquisition& acquired, JobState state,
                        const std::string& result);
-  void CommitFinalState(const JobId& id);
-  void Release(const JobId& id);
-  void RetryLater(const JobId& id);
+  void CommitFinalState(const Acquisition& acquired);
+  void Release(const Acquisition& acquired);
+  void RetryLater(const Acquisition& acquired);
   void Commit(const JobRecord& job, bool retried,
               std::function<void(const JobSubmitResult&)> done);
   void ResolveSubmission(const JobRecord& job, bool response_lost,
@@ -104,6 +114,7 @@
   std::map<JobId, RunningJob> running_;
   // When the owner of a job was first found not to be live.
   std::map<JobId, Time> orphan_since_;
+  uint64_t last_acquisition_ = 0;
   bool draining_ = false;
   bool poll_in_progress_ = false;
   EventHandle timer_;
--- a/lib/Serving/job_runner.cc
+++ b/lib/Serving/job_runner.cc
@@ -237,77 +237,91 @@
   return since != orphan_since_.end() && now - since->second >= kOrphanTimeout;
 }
 
+JobRunner::RunningJob* JobRunner::FindRunning(const Acquisition& acquired) {
+  const auto it = running_.find(acquired.id);
+  const bool is_current =
+      it != running_.end() && it->second.acquisition == acquired.number;
+  return is_current ? &it->second : nullptr;
+}
+
 void JobRunner::Acquire(const JobId& id, const TableRow& row) {
-  running_[id];
+  const Acquisition acquired{id, ++last_acquisition_};
+  running_[id].acquisition = acquired.number;
   const auto previous = DecodeOpenJobRecord(row.value);
   const uint32_t attempts = previous ? previous->attempts + 1 : 1;
   node_.table().Commit(AcquireJob(id, row, node_.self()),
-                       [this, id, attempts](const CommitResult& result) {
+                       [this, acquired, attempts](const CommitResult& result) {
                          // If only the response was lost, the row names this
                          // process; it is acquired again once it is orphaned.
                          if (result.status != CommitStatus::kCommitted) {
-                           running_.erase(id);
+                           running_.erase(acquired.id);
                            return;
                          }
-                         LoadJob(id, result.version, attempts);
+                         LoadJob(acquired, result.version, attempts);
                        });
 }
 
-void JobRunner::LoadJob(const JobId& id, RowVersion open_version,
+void JobRunner::LoadJob(const Acquisition& acquired, RowVersion open_version,
                         uint32_t attempts) {
-  node_.table().ReadPrefix(JobRowKey(id), [this, id, open_version,
-                                           attempts](const ReadResult& result) {
-    const auto it = running_.find(id);
-    if (it == running_.end()) return;
-    RunningJob& running = it->second;
-    running.open_version = open_version;
-    running.attempts = attempts;
-    const TableRow* row =
-        result.rows ? FindRow(*result.rows, JobRowKey(id)) : nullptr;
-    const auto job =
-        row == nullptr ? std::nullopt : DecodeJobRecord(row->value);
-    if (!job) return Release(id);
-    running.job = *job;
-    running.job_version = row->version;
-    LoadRequest(id);
-  });
+  node_.table().ReadPrefix(
+      JobRowKey(acquired.id),
+      [this, acquired, open_version, attempts](const ReadResult& result) {
+        RunningJob* const found = FindRunning(acquired);
+        if (found == nullptr) return;
+        RunningJob& running = *found;
+        running.open_version = open_version;
+        running.attempts = attempts;
+        const TableRow* row =
+            result.rows ? FindRow(*result.rows, JobRowKey(acquired.id))
+                        : nullptr;
+        const auto job =
+            row == nullptr ? std::nullopt : DecodeJobRecord(row->value);
+        if (!job) return Release(acquired);
+        running.job = *job;
+        running.job_version = row->version;
+        LoadRequest(acquired);
+      });
 }
 
-void JobRunner::LoadRequest(const JobId& id) {
-  const JobRecord& job = running_[id].job;
-  if (!job.request_in_object) return RunJob(id);
-  const std::string old_key = OldJobRequestObjectKey(id);
-  objects_.Get(
-      JobRequestObjectKey(job),
-      [this, id, old_key](std::optional<std::string> text, const std::string&) {
-        if (text) return OnRequestText(id, *text);
-        objects_.Get(old_key, [this, id](std::optional<std::string> old,
-                                         const std::string&) {
-          OnRequestText(id, old.value_or(""));
-        });
-      });
+void JobRunner::LoadRequest(const Acquisition& acquired) {
+  const RunningJob* const running = FindRunning(acquired);
+  if (running == nullptr) return;
+  const JobRecord& job = running->job;
+  if (!job.request_in_object) return RunJob(acquired);
+  const std::string old_key = OldJobRequestObjectKey(acquired.id);
+  objects_.Get(JobRequestObjectKey(job), [this, acquired, old_key](
+                                             std::optional<std::string> text,
+                                             const std::string&) {
+    if (text) return OnRequestText(acquired, *text);
+    objects_.Get(old_key, [this, acquired](std::optional<std::string> old,
+                                           const std::string&) {
+      OnRequestText(acquired, old.value_or(""));
+    });
+  });
 }
 
-void JobRunner::OnRequestText(const JobId& id, const std::string& text) {
-  const auto it = running_.find(id);
-  if (it == running_.end()) return;
-  JobRecord& job = it->second.job;
+void JobRunner::OnRequestText(const Acquisition& acquired,
+                              const std::string& text) {
+  RunningJob* const running = FindRunning(acquired);
+  if (running == nullptr) return;
+  JobRecord& job = running->job;
   if (JobRequestDigest(job.account, text) != job.request_digest) {
-    return Release(id);
+    return Release(acquired);
   }
   job.request = text;
-  RunJob(id);
+  RunJob(acquired);
 }
 
-void JobRunner::RunJob(const JobId& id) {
-  const auto it = running_.find(id);
-  if (it == running_.end()) return;
-  if (draining_) return Release(id);
-  RunningJob& running = it->second;
+void JobRunner::RunJob(const Acquisition& acquired) {
+  RunningJob* const found = FindRunning(acquired);
+  if (found == nullptr) return;
+  if (draining_) return Release(acquired);
+  RunningJob& running = *found;
   std::vector<JsonError> errors;
   auto request = ParseChatRequest(running.job.request, errors);
   if (!request) {
-    return StoreFinalState(id, JobState::kFailed, errors.front().ToString());
+    return StoreFinalState(acquired, JobState::kFailed,
+                           errors.front().ToString());
   }
   request->cls = PriorityClass::kBulk;
   const Time now = BootClock::now();
@@ -320,121 +334,130 @@
   options.deadline = now + kJobDeadline;
   running.text.clear();
   ChatCallbacks callbacks;
-  callbacks.on_event = [this, id](const std::string&, const std::string& data) {
-    const auto job = running_.find(id);
-    if (job == running_.end()) return;
-    job->second.text += EventText(ParseJson(data));
+  callbacks.on_event = [this, acquired](const std::string&,
+                                        const std::string& data) {
+    RunningJob* const job = FindRunning(acquired);
+    if (job == nullptr) return;
+    job->text += EventText(ParseJson(data));
   };
-  callbacks.on_end = [this, id](const ChatResult& result) {
-    OnChatFinished(id, result);
+  callbacks.on_end = [this, acquired](const ChatResult& result) {
+    OnChatFinished(acquired, result);
   };
   Log(LogLevel::kInfo, "job_started",
-      {{"job", id.value()}, {"attempt", int64_t{running.attempts}}});
+      {{"job", acquired.id.value()}, {"attempt", int64_t{running.attempts}}});
   const auto task = scheduler_.Start(std::move(options), std::move(callbacks));
-  const auto started = running_.find(id);
-  if (started != running_.end()) started->second.task = task;
+  RunningJob* const started = FindRunning(acquired);
+  if (started != nullptr) started->task = task;
 }
 
-void JobRunner::OnChatFinished(const JobId& id, const ChatResult& result) {
-  const auto it = running_.find(id);
-  if (it == running_.end()) return;
-  it->second.task = nullptr;
+void JobRunner::OnChatFinished(const Acquisition& acquired,
+                               const ChatResult& result) {
+  RunningJob* const running = FindRunning(acquired);
+  if (running == nullptr) return;
+  running->task = nullptr;
   if (result.outcome.ran()) {
-    return StoreFinalState(id, JobState::kDone, it->second.text);
+    return StoreFinalState(acquired, JobState::kDone, running->text);
   }
   const bool bad_request =
       result.status >= 400 && result.status < 500 && result.status != 429;
   // A refusal, by engines or by this entry, is not the job's fault.
   const bool engine_failed =
       result.status == 502 && result.outcome.verdict != Verdict::kNotRun;
-  const bool given_up = engine_failed && it->second.attempts >= kMaxAttempts;
+  const bool given_up = engine_failed && running->attempts >= kMaxAttempts;
   if (bad_request || given_up) {
-    return StoreFinalState(id, JobState::kFailed, result.outcome.reason);
+    return StoreFinalState(acquired, JobState::kFailed, result.outcome.reason);
   }
   // Generation is idempotent, so the job is retried until it is done.
-  if (engine_failed) ++it->second.attempts;
-  RetryLater(id);
+  if (engine_failed) ++running->attempts;
+  RetryLater(acquired);
 }
 
-void JobRunner::RetryLater(const JobId& id) {
-  const auto it = running_.find(id);
-  if (it == running_.end()) return;
-  if (draining_) return Release(id);
-  it->second.timer =
-      node_.loop().After(kRetryDelay, [this, id] { RunJob(id); });
+void JobRunner::RetryLater(const Acquisition& acquired) {
+  RunningJob* const running = FindRunning(acquired);
+  if (running == nullptr) return;
+  if (draining_) return Release(acquired);
+  running->timer =
+      node_.loop().After(kRetryDelay, [this, acquired] { RunJob(acquired); });
 }
 
-void JobRunner::StoreFinalState(const JobId& id, JobState state,
+void JobRunner::StoreFinalState(const Acquisition& acquired, JobState state,
                                 const std::string& result) {
-  RunningJob& running = running_[id];
+  RunningJob* const found = FindRunning(acquired);
+  if (found == nullptr) return;
+  RunningJob& running = *found;
   running.finishing = true;
   running.job.state = state;
   if (result.size() <= kMaxInlineBytes) {
     running.job.result = result;
     running.job.result_in_object = false;
-    return CommitFinalState(id);
+    return CommitFinalState(acquired);
   }
   running.job.result.clear();
   running.job.result_in_object = true;
-  objects_.Put(
-      JobResultObjectKey(id), result, [this, id, state, result](bool stored) {
-        const auto it = running_.find(id);
-        if (it == running_.end()) return;
-        if (stored) return CommitFinalState(id);
-        it->second.timer = node_.loop().After(
-            kRetryDelay,
-            [this, id, state, result] { StoreFinalState(id, state, result); });
-      });
+  objects_.Put(JobResultObjectKey(acquired.id), result,
+               [this, acquired, state, result](bool stored) {
+                 RunningJob* const job = FindRunning(acquired);
+                 if (job == nullptr) return;
+                 if (stored) return CommitFinalState(acquired);
+                 job->timer = node_.loop().After(
+                     kRetryDelay, [this, acquired, state, result] {
+                       StoreFinalState(acquired, state, result);
+                     });
+               });
 }
 
-void JobRunner::CommitFinalState(const JobId& id) {
-  const auto it = running_.find(id);
-  if (it == running_.end()) return;
-  JobRecord record = it->second.job;
+void JobRunner::CommitFinalState(const Acquisition& acquired) {
+  RunningJob* const running = FindRunning(acquired);
+  if (running == nullptr) return;
+  JobRecord record = running->job;
   if (record.request_in_object) record.request.clear();
   node_.table().Commit(
-      FinishJob(record, it->second.job_version, it->second.open_version),
-      [this, id](const CommitResult& result) {
-        const auto job = running_.find(id);
-        if (job == running_.end()) return;
+      FinishJob(record, running->job_version, running->open_version),
+      [this, acquired](const CommitResult& result) {
+        RunningJob* const job = FindRunning(acquired);
+        if (job == nullptr) return;
         const bool closed = result.status == CommitStatus::kCommitted ||
                             result.status == CommitStatus::kConflict;
         if (!closed) {
           // If only the response was lost, the repeated write conflicts with
           // the first one, which ends the job here as well.
-          job->second.timer = node_.loop().After(
-              kRetryDelay, [this, id] { CommitFinalState(id); });
+          job->timer = node_.loop().After(
+              kRetryDelay, [this, acquired] { CommitFinalState(acquired); });
           return;
         }
         Log(LogLevel::kInfo, "job_finished",
-            {{"job", id.value()},
-             {"state", ToString(job->second.job.state)},
+            {{"job", acquired.id.value()},
+             {"state", ToString(job->job.state)},
              {"stored",
               result.status == CommitStatus::kCommitted ? "here" : "before"}});
-        running_.erase(job);
+        running_.erase(acquired.id);
       });
 }
 
-void JobRunner::Release(const JobId& id) {
-  const auto it = running_.find(id);
-  if (it == running_.end()) return;
+void JobRunner::Release(const Acquisition& acquired) {
+  RunningJob* const running = FindRunning(acquired);
+  if (running == nullptr) return;
   const TableTransaction txn =
-      ReleaseJob(id, it->second.open_version, it->second.attempts);
-  running_.erase(it);
+      ReleaseJob(acquired.id, running->open_version, running->attempts);
+  running_.erase(acquired.id);
   node_.table().Commit(txn, [](const CommitResult&) {});
 }
 
 void JobRunner::Drain() {
   draining_ = true;
-  std::vector<JobId> ids;
+  std::vector<Acquisition> acquisitions;
   for (const auto& [id, running] : running_) {
-    if (!running.finishing) ids.push_back(id);
+    if (!running.finishing) {
+      acquisitions.push_back({id, running.acquisition});
+    }
   }
-  for (const JobId& id : ids) {
-    const auto task = running_[id].task;
-    const bool loaded = running_[id].open_version != 0;
+  for (const Acquisition& acquired : acquisitions) {
+    const RunningJob* const running = FindRunning(acquired);
+    if (running == nullptr) continue;
+    const auto task = running->task;
+    const bool loaded = running->open_version != 0;
     if (task && !task->ended()) task->Cancel();
-    if (loaded) Release(id);
+    if (loaded) Release(acquired);
   }
 }
 
--- a/unittests/Common/fake_platform.h
+++ b/unittests/Common/fake_platform.h
@@ -27,6 +27,16 @@
     server_.Listen(address);
   }
 
+  /// Reads of objects are kept back until ReleaseHeldGets().
+  bool hold_gets = false;
+  size_t held_gets() const { return held_gets_.size(); }
+  void ReleaseHeldGets() {
+    hold_gets = false;
+    for (const auto& [key, exchange] : std::exchange(held_gets_, {})) {
+      exchange->Reply(200, "text/plain", objects[key]);
+    }
+  }
+
   /// Object keys whose next PUT is kept back until ReleaseHeldPuts().
   bool hold_puts = false;
 
@@ -73,7 +83,12 @@
       const auto prefix = exchange->QueryParameter("prefix");
       return Reply(*exchange, EncodeRows(table.Rows(prefix.value_or(""))));
     }
-    OnObject(*exchange, path.substr(std::string("/v1/objects/").size()));
+    const std::string key = path.substr(std::string("/v1/objects/").size());
+    if (hold_gets && exchange->method() == "GET") {
+      held_gets_.emplace_back(key, exchange);
+      return;
+    }
+    OnObject(*exchange, key);
   }
 
   void OnObject(HttpExchange& exchange, const std::string& key) {
@@ -91,6 +106,7 @@
     exchange.Reply(200, "application/json", json);
   }
 
+  std::vector<std::pair<std::string, std::shared_ptr<HttpExchange>>> held_gets_;
   std::vector<std::pair<std::string, std::string>> held_puts_;
   std::vector<std::pair<std::shared_ptr<HttpExchange>, std::string>>
       held_answers_;
--- a/unittests/Serving/entry_harness.h
+++ b/unittests/Serving/entry_harness.h
@@ -92,9 +92,12 @@
 class EntryHarness {
  public:
   explicit EntryHarness(RequestSettings requests = {},
-                        LimitSettings limits = {}, TimingSettings timing = {})
+                        LimitSettings limits = {}, TimingSettings timing = {},
+                        Duration platform_timeout = milliseconds(1000))
       : platform(loop),
-        node(loop, MakeSettings(platform.address, requests, limits, timing),
+        node(loop,
+             MakeSettings(platform.address, requests, limits, timing,
+                          platform_timeout),
              NodeKind::kEntry, std::nullopt, "token") {
     std::string reason;
     node.Start(reason);
@@ -173,11 +176,13 @@
   static NodeSettings MakeSettings(const Address& platform,
                                    const RequestSettings& requests,
                                    const LimitSettings& limits,
-                                   TimingSettings timing) {
+                                   TimingSettings timing,
+                                   Duration platform_timeout) {
     NodeSettings settings;
     settings.deployment = "test";
     settings.instance = "i0";
     settings.platform = platform;
+    settings.platform_timeout = platform_timeout;
     settings.entry = {FreeAddress(), FreeAddress(), FreeAddress()};
     timing.instance_poll = milliseconds(20);
     timing.store_poll = milliseconds(20);
--- a/unittests/Serving/job_runner_test.cc
+++ b/unittests/Serving/job_runner_test.cc
@@ -117,6 +117,56 @@
   EXPECT_EQ(ran.substr(0, 1), "y");
 }
 
+// The platform may answer after the job was abandoned and acquired again.
+TEST(SlowPlatformJobTest, TextReadByAnEarlierAcquisitionStartsNoSecondRun) {
+  EntryHarness entry({}, {}, {}, seconds(5));
+  int requests = 0;
+  Node::Exchange first;
+  EventHandle timer;
+  entry.AddEngine([&](const Node::Exchange& exchange, const Json& body) {
+    if (++requests > 1) {
+      ScriptedEngine::SendTokens(*exchange, 0, 2);
+      return;
+    }
+    first = exchange;
+    timer = entry.loop.After(milliseconds(200), [&first, body] {
+      ScriptedEngine::Complete(*first, body);
+    });
+  });
+  JobRunner jobs{entry.node, entry.scheduler};
+  const std::string body = EntryHarness::Body(3);
+  JobRecord job;
+  job.id = JobId("j");
+  job.account = AccountId(kAccount);
+  job.request_digest = Sha256Hex(std::string(kAccount) + "\n" + body);
+  job.request_in_object = true;
+  entry.platform.objects[JobRequestObjectKey(job)] = body;
+  entry.platform.hold_gets = true;
+  entry.platform.table.Apply(InsertJob(job));
+  const auto write_open_row = [&](const std::string& owner) {
+    TableTransaction txn;
+    txn.writes = {
+        {OpenJobRowKey(job.id), EncodeOpenJobRecord({ProcessId(owner), 2})}};
+    entry.platform.table.Apply(txn);
+  };
+  ASSERT_TRUE(
+      entry.RunUntil(kLimit, [&] { return entry.platform.held_gets() == 1; }));
+  write_open_row("entry-other");
+  ASSERT_TRUE(entry.RunUntil(kLimit, [&] { return jobs.running() == 0; }));
+  write_open_row("");
+  ASSERT_TRUE(
+      entry.RunUntil(kLimit, [&] { return entry.platform.held_gets() == 2; }));
+  entry.platform.ReleaseHeldGets();
+  const auto is_closed = [&] {
+    return entry.platform.table.Row(OpenJobRowKey(job.id)).version == 0;
+  };
+  ASSERT_TRUE(entry.RunUntil(kLimit, is_closed));
+  const auto stored =
+      DecodeJobRecord(entry.platform.table.Row(JobRowKey(job.id)).value);
+  EXPECT_EQ(stored->result, ScriptedEngine::Text(3));
+  EXPECT_EQ(requests, 1);
+}
+
 TEST_F(JobRunnerTest, JobOfAnEarlierVersionIsRun) {
   entry_.AddEngine([](const Node::Exchange& exchange, const Json& body) {
     ScriptedEngine::Complete(*exchange, body);
