[Node] Ask for the list of instances once at a time

What users would see: after a change of the fleet, a process goes back to an older list of instances until its next poll, so it misses a new instance or counts one that has gone.

Cause: PollInstances asked at each interval whatever was outstanding, and took each answer when it came; the answer to an earlier question replaced that to a later one. Class: an answer is matched by something that isn't unique to that asking.

Change: no second question while one is outstanding, as EnginePoller and PollRevision do. One without an answer ends at platform_timeout, and its answer is not read afterwards.

Ruled out: giving the answer the time of its question; it is more state for the same result. Cost: if the platform does not answer, the list is asked for once per timeout (1 s by default, as the interval is) instead of once per interval.

--- a/include/corianderlink/Node/node.h
+++ b/include/corianderlink/Node/node.h
@@ -116,6 +116,7 @@
   Metrics metrics_;
   HttpServer admin_;
   bool leaving_ = false;
+  bool instances_read_outstanding_ = false;
   bool revision_read_outstanding_ = false;
   bool head_read_outstanding_ = false;
   bool store_ever_read_ = false;
--- a/lib/Node/node.cc
+++ b/lib/Node/node.cc
@@ -169,11 +169,14 @@
 }
 
 void Node::PollInstances() {
+  if (instances_read_outstanding_) return;
+  instances_read_outstanding_ = true;
   HttpRequest request;
   request.address = settings_.platform;
   request.target = "/v1/instances";
   request.timeout = settings_.platform_timeout;
   client_.Start(request, [this](const HttpResponse& response) {
+    instances_read_outstanding_ = false;
     if (!response.ok()) return;
     std::string reason;
     auto instances = DecodeInstances(response.body, reason);
