[Tests] A partitioned gateway forwards what arrived in its standstill

Callers of a gateway cut off from its upstreams depend on its peers. Seen in ServesThroughOthersWhileConnectionsHang: 30 requests refused, as no heartbeat had come for 1.5 s around a standstill of 1.48 s. This test rules out one cause: a gateway that alone stands still for 1.7 s hears the waiting heartbeats in time, and forwards ten waiting requests.

--- a/unittests/Gateway/partitioned_gateway_test.cc
+++ b/unittests/Gateway/partitioned_gateway_test.cc
@@ -170,6 +170,24 @@
   ExpectRunOnce();
 }
 
+TEST_F(PartitionedGatewayTest, ServesWhatArrivedWhileItStoodStill) {
+  fleet_.PrepareStandstill(0);
+  Start(3);
+  Partition(0, Cut::kHang);
+  ServedShare(0, "/u/1", 40);
+  fleet_.BeginStandstill(0);
+  harness_.RunFor(milliseconds(1600));
+  std::vector<std::shared_ptr<ClientResult>> results;
+  for (int i = 0; i < 10; ++i) results.push_back(Send(0, "/u/1"));
+  harness_.RunFor(milliseconds(100));
+  fleet_.EndStandstill(0);
+  for (const auto& result : results) {
+    harness_.Await(result);
+    EXPECT_EQ(result->status, 200);
+  }
+  ExpectRunOnce();
+}
+
 TEST_F(PartitionedGatewayTest, ServesThroughOthersWhileConnectionsAreRefused) {
   Start(3);
   Partition(0, Cut::kRefuse);
