[Gateway] Answer a question about an upstream from a connection that began after it

What callers would see: a request that crashes its upstreams is not noticed and goes on to crash others. A second request asks for the upstream while a probe is open; the upstream dies, the probe's connection ends with it, and both hear "answers".

Cause: a later asker joined the open probe, whose connection was older than its question; the end of an established connection counts as an answer. Class: an answer is matched to a question by something that is not unique to that asking.

Change: an asker whose probe has a connection hears of the next probe, which begins when the present one ends; all later ones share it. Askers that joined before the connection was known here may meet the same, as the kernel may have had it: they hear refusals, whole answers and timeouts of the probe, but not the failure of its connection. Late events of an ended probe do not reach its successor (weak pointer).

Ruled out: counting a closed connection as no answer (a working process may close it, and stalled streams rely on that).

--- a/include/corianderlink/Gateway/upstream_probe.h
+++ b/include/corianderlink/Gateway/upstream_probe.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -26,7 +27,9 @@
 const char* ToString(ProbeResult result);
 
 /// Asks upstreams for their status on new connections.  Requests that ask for
-/// the same upstream at a time share one probe.
+/// the same upstream at a time share one probe.  What a connection shows that
+/// was there before a request asked may be older than its question: all that
+/// ask while one is there share a further probe, which begins when it ends.
 class UpstreamProbe {
  public:
   using Done = std::function<void(ProbeResult)>;
@@ -46,21 +49,31 @@
   using Incarnation = std::pair<UpstreamId, int64_t>;
 
   struct Probe {
+    UpstreamRecord upstream;
+    std::string health_path;
     std::shared_ptr<UpstreamCall> call;
     EventHandle timeout;
     bool connected = false;
     std::vector<Done> waiting;
+    /// Those that asked since it began, with no connection known.  The kernel
+    /// may have had one, so its end says nothing to them.
+    std::vector<Done> joined;
+    /// Those that asked when the connection was there.
+    std::vector<Done> later;
   };
+  using ProbePtr = std::shared_ptr<Probe>;
 
-  UpstreamHandlers MakeHandlers(const UpstreamRecord& upstream);
-  void OnFailure(const Incarnation& incarnation, const Outcome& outcome);
-  void OnTimeout(const Incarnation& incarnation);
-  void OnResult(const Incarnation& incarnation, ProbeResult result);
+  void Begin(const UpstreamRecord& upstream, const std::string& health_path,
+             std::vector<Done> waiting);
+  UpstreamHandlers MakeHandlers(const ProbePtr& probe);
+  void OnFailure(const ProbePtr& probe, const Outcome& outcome);
+  void OnTimeout(const ProbePtr& probe);
+  void OnResult(const ProbePtr& probe, ProbeResult result);
 
   EventLoop& loop_;
   UpstreamPool& pool_;
   const OrderCodec& codec_;
-  std::map<Incarnation, Probe> pending_;
+  std::map<Incarnation, ProbePtr> pending_;
 };
 
 }  // namespace corianderlink
--- a/lib/Gateway/upstream_probe.cc
+++ b/lib/Gateway/upstream_probe.cc
@@ -1,7 +1,10 @@
 // Checks whether an upstream responds.
 #include "corianderlink/Gateway/upstream_probe.h"
 
+#include <algorithm>
+#include <iterator>
 #include <memory>
+#include <utility>
 
 namespace corianderlink {
 namespace {
@@ -31,67 +34,91 @@
                           const std::string& health_path, Done done) {
   const bool is_engine = upstream.role != UpstreamRole::kPlain;
   if (!is_engine && health_path.empty()) return false;
-  const Incarnation incarnation{upstream.id, upstream.started_ms};
-  Probe& probe = pending_[incarnation];
-  probe.waiting.push_back(std::move(done));
-  if (probe.waiting.size() > 1) return true;
+  const auto it = pending_.find({upstream.id, upstream.started_ms});
+  if (it == pending_.end()) {
+    std::vector<Done> waiting;
+    waiting.push_back(std::move(done));
+    Begin(upstream, health_path, std::move(waiting));
+    return true;
+  }
+  Probe& probe = *it->second;
+  (probe.connected ? probe.later : probe.joined).push_back(std::move(done));
+  return true;
+}
+
+void UpstreamProbe::Begin(const UpstreamRecord& upstream,
+                          const std::string& health_path,
+                          std::vector<Done> waiting) {
+  const auto probe = std::make_shared<Probe>();
+  probe->upstream = upstream;
+  probe->health_path = health_path;
+  probe->waiting = std::move(waiting);
+  pending_[{upstream.id, upstream.started_ms}] = probe;
   UpstreamRequest request =
-      is_engine ? codec_.encode_status_request(upstream)
-                : codec_.encode_health_check(upstream, health_path);
+      upstream.role != UpstreamRole::kPlain
+          ? codec_.encode_status_request(upstream)
+          : codec_.encode_health_check(upstream, health_path);
   // A pooled connection may be broken like the one that raised the question.
   request.max_idle = kNoReuse;
   request.connect_timeout = kConnectTimeout;
-  probe.timeout =
-      loop_.After(kTimeout, [this, incarnation] { OnTimeout(incarnation); });
-  probe.call = pool_.Start(std::move(request), MakeHandlers(upstream));
-  return true;
+  const std::weak_ptr<Probe> weak = probe;
+  probe->timeout = loop_.After(kTimeout, [this, weak] {
+    if (const ProbePtr pending = weak.lock()) OnTimeout(pending);
+  });
+  probe->call = pool_.Start(std::move(request), MakeHandlers(probe));
 }
 
-UpstreamHandlers UpstreamProbe::MakeHandlers(const UpstreamRecord& upstream) {
-  const Incarnation incarnation{upstream.id, upstream.started_ms};
+UpstreamHandlers UpstreamProbe::MakeHandlers(const ProbePtr& probe) {
+  // The probe owns the call, which owns the handlers.
+  const std::weak_ptr<Probe> weak = probe;
   const auto result = std::make_shared<ProbeResult>(ProbeResult::kAnswers);
   UpstreamHandlers handlers;
-  handlers.on_connected = [this, incarnation] {
-    const auto probe = pending_.find(incarnation);
-    if (probe != pending_.end()) probe->second.connected = true;
+  handlers.on_connected = [weak] {
+    if (const ProbePtr pending = weak.lock()) pending->connected = true;
   };
-  handlers.on_head = [this, upstream, result](const ResponseHead& head) {
+  handlers.on_head = [this, upstream = probe->upstream,
+                      result](const ResponseHead& head) {
     if (head.status == kMisdirected) *result = ProbeResult::kGone;
     if (on_answer) on_answer(upstream, head);
   };
-  handlers.on_end = [this, incarnation, result] {
-    OnResult(incarnation, *result);
+  handlers.on_end = [this, weak, result] {
+    if (const ProbePtr pending = weak.lock()) OnResult(pending, *result);
   };
-  handlers.on_fail = [this, incarnation](const Outcome& outcome) {
-    OnFailure(incarnation, outcome);
+  handlers.on_fail = [this, weak](const Outcome& outcome) {
+    if (const ProbePtr pending = weak.lock()) OnFailure(pending, outcome);
   };
   return handlers;
 }
 
-void UpstreamProbe::OnFailure(const Incarnation& incarnation,
-                              const Outcome& outcome) {
+void UpstreamProbe::OnFailure(const ProbePtr& probe, const Outcome& outcome) {
   if (outcome.connection_refused) {
-    OnResult(incarnation, ProbeResult::kGone);
+    OnResult(probe, ProbeResult::kGone);
     return;
   }
-  const auto probe = pending_.find(incarnation);
-  if (probe == pending_.end()) return;
-  OnResult(incarnation, probe->second.connected ? ProbeResult::kAnswers
-                                                : ProbeResult::kUnreachable);
+  std::move(probe->joined.begin(), probe->joined.end(),
+            std::back_inserter(probe->later));
+  probe->joined.clear();
+  OnResult(probe, probe->connected ? ProbeResult::kAnswers
+                                   : ProbeResult::kUnreachable);
 }
 
-void UpstreamProbe::OnTimeout(const Incarnation& incarnation) {
-  const Probe& probe = pending_.at(incarnation);
-  probe.call->Cancel();
-  OnResult(incarnation, probe.connected ? ProbeResult::kUnresponsive
-                                        : ProbeResult::kUnreachable);
+void UpstreamProbe::OnTimeout(const ProbePtr& probe) {
+  probe->call->Cancel();
+  OnResult(probe, probe->connected ? ProbeResult::kUnresponsive
+                                   : ProbeResult::kUnreachable);
 }
 
-void UpstreamProbe::OnResult(const Incarnation& incarnation,
-                             ProbeResult result) {
-  const auto node = pending_.extract(incarnation);
-  if (node.empty()) return;
-  for (const Done& done : node.mapped().waiting) done(result);
+void UpstreamProbe::OnResult(const ProbePtr& probe, ProbeResult result) {
+  const auto it =
+      pending_.find({probe->upstream.id, probe->upstream.started_ms});
+  if (it == pending_.end() || it->second != probe) return;
+  pending_.erase(it);
+  // The callbacks may ask again, so this comes before they run.
+  if (!probe->later.empty()) {
+    Begin(probe->upstream, probe->health_path, std::move(probe->later));
+  }
+  for (const Done& done : probe->waiting) done(result);
+  for (const Done& done : probe->joined) done(result);
 }
 
 }  // namespace corianderlink
--- a/unittests/Gateway/upstream_probe_test.cc
+++ b/unittests/Gateway/upstream_probe_test.cc
@@ -66,5 +66,43 @@
   EXPECT_EQ(results_, expected);
 }
 
+TEST_F(UpstreamProbeTest, ProbeFromBeforeTheEndDoesNotHideIt) {
+  Probe();
+  RunFor(milliseconds(100));
+  ASSERT_EQ(engine_->requests.size(), 1U);
+  engine_.reset();
+  Probe();
+  RunFor(milliseconds(500));
+  ASSERT_EQ(results_.size(), 2U);
+  EXPECT_EQ(results_[1], ProbeResult::kGone);
+}
+
+// Its connection is in the queue of an engine that ends before it accepts it.
+TEST_F(UpstreamProbeTest, EndBeforeTheProbeIsAcceptedIsNotHidden) {
+  Probe();
+  engine_.reset();
+  Probe();
+  RunFor(milliseconds(500));
+  ASSERT_EQ(results_.size(), 2U);
+  EXPECT_EQ(results_[1], ProbeResult::kGone);
+}
+
+TEST_F(UpstreamProbeTest, LaterRequestsShareOneFurtherProbe) {
+  Probe();
+  RunFor(milliseconds(100));
+  ASSERT_EQ(engine_->requests.size(), 1U);
+  Probe();
+  Probe();
+  Probe();
+  RunFor(milliseconds(100));
+  EXPECT_EQ(pool_.connections_opened(), 1U);
+  engine_.reset();
+  RunFor(milliseconds(500));
+  const std::vector expected{ProbeResult::kAnswers, ProbeResult::kGone,
+                             ProbeResult::kGone, ProbeResult::kGone};
+  EXPECT_EQ(results_, expected);
+  EXPECT_EQ(pool_.connections_opened(), 2U);
+}
+
 }  // namespace
 }  // namespace corianderlink
