[Gateway] Number permit requests so that no later process takes their replies

What would be seen: a gateway that starts again at its address takes a permit that its predecessor asked for as its own, so that one request goes out beyond what was granted.

Cause: numbers began at 1 in each process, and the reply goes to an address.

Change: the first number is drawn from the gateway's source of random numbers.

FleetRateLimiterTest.PermitOfAnEarlierProcessIsNotTaken failed before (the permit is taken) and passes; with it 34 of 34 of FleetRateLimiter*, PermitAllocator*, RateLimited*, Placer*, NoticePlacement* and SizeFairness*. The simulation draws its numbers from a source of its own, so that its other draws stay as they were.

--- a/include/corianderlink/Gateway/fleet_rate_limiter.h
+++ b/include/corianderlink/Gateway/fleet_rate_limiter.h
@@ -12,6 +12,7 @@
 #include "corianderlink/Gateway/upstream_limits.h"
 #include "corianderlink/Gateway/upstream_record.h"
 #include "corianderlink/Support/address.h"
+#include "corianderlink/Support/random.h"
 #include "corianderlink/Support/time.h"
 
 namespace corianderlink {
@@ -69,6 +70,11 @@
  public:
   using PermitCallback = std::function<void(bool granted)>;
 
+  /// Numbers of requests begin at random: replies go to an address, at which an
+  /// earlier process may have asked.
+  explicit FleetRateLimiter(RandomSource& random)
+      : next_number_(random.Bits()) {}
+
   /// Sets the members; replaces the earlier view.
   void SetView(FleetView view);
   const FleetView& view() const { return view_; }
@@ -155,7 +161,7 @@
   std::map<UpstreamId, Pending> pending_;
   // When requests of a priority, or less urgent ones, may ask again.
   std::map<UpstreamId, std::map<int, Time>> blocked_;
-  uint64_t next_number_ = 1;
+  uint64_t next_number_;
   uint64_t denials_ = 0;
   // Hashes of the members' addresses, in the order of the members.
   std::vector<uint64_t> member_hashes_;
--- a/include/corianderlink/Gateway/placer.h
+++ b/include/corianderlink/Gateway/placer.h
@@ -102,7 +102,7 @@
 class Placer {
  public:
   Placer(PlacerLimits limits, OutlierEjectorLimits ejector,
-         Duration peer_timeout, ZoneId own_zone);
+         Duration peer_timeout, ZoneId own_zone, RandomSource& random);
 
   /// Chooses an upstream of a plain service, or refuses.
   PlacementResult PlacePlain(Time now, const ServiceId& service,
--- a/lib/Gateway/placer.cc
+++ b/lib/Gateway/placer.cc
@@ -38,12 +38,13 @@
 }  // namespace
 
 Placer::Placer(PlacerLimits limits, OutlierEjectorLimits ejector,
-               Duration peer_timeout, ZoneId own_zone)
+               Duration peer_timeout, ZoneId own_zone, RandomSource& random)
     : limits_(limits),
       own_zone_(std::move(own_zone)),
       directory_(kRecordRestoreGrace),
       load_(peer_timeout),
       ejector_(ejector),
+      rate_limiter_(random),
       peer_timeout_(peer_timeout) {}
 
 bool Placer::Ineligible(Time now, const UpstreamRecord& upstream,
--- a/unittests/Gateway/permit_allocator_test.cc
+++ b/unittests/Gateway/permit_allocator_test.cc
@@ -93,7 +93,7 @@
     }
   }
   void Reset(const Address& self) {
-    limiter_ = FleetRateLimiter();
+    limiter_ = FleetRateLimiter(random_);
     limiter_.SetView({self, members_, 3, milliseconds(100)});
     limiter_.limits().OnNotice(Notice(5));
     limiter_.send_request = [this](const Address&,
@@ -118,7 +118,8 @@
 
   std::vector<Address> members_;
   UpstreamRecord upstream_;
-  FleetRateLimiter limiter_;
+  RandomSource random_{1};
+  FleetRateLimiter limiter_{random_};
   std::vector<PermitRequest> requests_;
   std::vector<bool> decisions_;
 };
@@ -147,6 +148,19 @@
   EXPECT_EQ(decisions_.size(), 1U);
 }
 
+// Replies go to an address, at which the next process may listen.
+TEST_F(FleetRateLimiterTest, PermitOfAnEarlierProcessIsNotTaken) {
+  const Address self = limiter_.view().self;
+  const PermitRequest former = requests_.back();
+  Reset(self);
+  Acquire(1);
+  ASSERT_EQ(requests_.size(), 1U);
+  limiter_.OnReply(After(2), {former.number, kUpstream, {1, {}}});
+  EXPECT_TRUE(decisions_.empty());
+  Reply(3, 1, {});
+  EXPECT_EQ(decisions_, std::vector<bool>{true});
+}
+
 TEST_F(FleetRateLimiterTest, GatewayThatDoesNotKeepTheLimitGrantsNothing) {
   PermitRequest request;
   request.limit = Notice(1000);
--- a/unittests/Gateway/placer_test.cc
+++ b/unittests/Gateway/placer_test.cc
@@ -33,7 +33,7 @@
   PlacerTest() {
     OutlierEjectorLimits ejector;
     placer_ = std::make_unique<Placer>(PlacerLimits{}, ejector, seconds(1),
-                                       ZoneId("z"));
+                                       ZoneId("z"), random_);
     engine_.cache_tokens = 200000;
     engine_.link_bytes_per_ms = 1e9;
     engine_.cache_bytes_per_token = 300000;
@@ -71,6 +71,7 @@
 
   EngineTraits engine_;
   std::set<UpstreamId> excluded_;
+  RandomSource random_{1};
   std::unique_ptr<Placer> placer_;
 };
 
--- a/unittests/Gateway/rate_limit_simulation.h
+++ b/unittests/Gateway/rate_limit_simulation.h
@@ -36,6 +36,7 @@
     upstream_.started_ms = 1;
     for (size_t i = 0; i < options.gateways; ++i) {
       nodes_.push_back(std::make_unique<Node>());
+      nodes_[i]->limiter = std::make_unique<FleetRateLimiter>(numbers_);
       nodes_[i]->address = {"10.0.0.1", static_cast<uint16_t>(kFirstPort + i)};
     }
     // All of them have been there for a while.
@@ -68,7 +69,7 @@
   /// Starts a killed gateway, which knows nothing.
   void Restart(size_t i) {
     Node& node = *nodes_[i];
-    node.limiter = std::make_unique<FleetRateLimiter>();
+    node.limiter = std::make_unique<FleetRateLimiter>(numbers_);
     node.alive = true;
     node.frozen = node.leaving = false;
     node.backlog.clear();
@@ -137,8 +138,7 @@
   };
   struct Node {
     Address address;
-    std::unique_ptr<FleetRateLimiter> limiter =
-        std::make_unique<FleetRateLimiter>();
+    std::unique_ptr<FleetRateLimiter> limiter;
     bool alive = true;
     bool frozen = false;
     bool leaving = false;
@@ -330,6 +330,8 @@
 
   const Options options_;
   std::mt19937_64 random_;
+  // For the numbers of permit requests; apart, so that plays stay as they were.
+  RandomSource numbers_{options_.seed};
   Time now_ = Time(seconds(1000));
   uint64_t event_number_ = 0;
   std::priority_queue<Event> events_;
--- a/unittests/Gateway/size_fairness_test.cc
+++ b/unittests/Gateway/size_fairness_test.cc
@@ -28,7 +28,7 @@
  public:
   explicit OverloadedEngines(double overload) : overload_(overload) {
     placer_ = std::make_unique<Placer>(PlacerLimits{}, OutlierEjectorLimits{},
-                                       seconds(1), ZoneId("z"));
+                                       seconds(1), ZoneId("z"), random_);
     for (size_t i = 0; i < kEngines; ++i) {
       UpstreamRecord record;
       record.id = UpstreamId("p" + std::to_string(i));
@@ -107,6 +107,7 @@
   }
 
   const double overload_;
+  RandomSource random_{1};
   std::unique_ptr<Placer> placer_;
   EngineTraits traits_;
   std::set<UpstreamId> excluded_;
--- a/unittests/Gateway/upstream_notices_test.cc
+++ b/unittests/Gateway/upstream_notices_test.cc
@@ -59,8 +59,9 @@
     return result.placement ? result.placement->upstream.id.value() : "";
   }
 
+  RandomSource random_{1};
   Placer placer_{PlacerLimits{}, OutlierEjectorLimits{}, seconds(1),
-                 ZoneId("z")};
+                 ZoneId("z"), random_};
   Duration retry_after_{};
 };
 
