--- a/lib/Serving/entry_server.cc
+++ b/lib/Serving/entry_server.cc
@@ -169,8 +169,9 @@
   if (path == "/v1/jobs" || path.rfind("/v1/jobs/", 0) == 0) {
     return job_api_.OnRequest(exchange, *account);
   }
-  if (path.rfind("/v1/services/", 0) == 0)
+  if (path.rfind("/v1/services/", 0) == 0) {
     return service_api_.OnRequest(exchange, *account);
+  }
   problems_.Reply(*exchange, 404, "Not found",
                   Outcome::NotRun("no such path or method"));
 }
