--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import sys
@@ -582,6 +583,7 @@
                 gateway.signal(signal.SIGCONT)
                 gateway.signal(signal.SIGKILL)
                 await gateway.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     def logs(self, pattern):
         found = []
