[Http1] Refuse a request whose final transfer coding is not chunked

Cause: Beast's parser acts on Transfer-Encoding only if "chunked" is the last element of one field; a request with any other coding ends with its head, and no part of ours asked for the field. InboundConnection then read the body as the next request. Ruled out: a fault of the connection's state after an answer (the outer request is complete for the parser when it is dispatched).

Change: MessageFraming collects the framing fields of a head and judges them by RFC 9112, section 6: the final coding is chunked, once, over all fields of that name; no length beside it; none before HTTP/1.1; lengths are digits and agree. Otherwise 400 and the connection ends. A coding before chunked gets 501: the body would go on in that coding without the field that names it.

--- /dev/null
+++ b/include/corianderlink/Http/message_framing.h
@@ -0,0 +1,40 @@
+// What the head of an HTTP/1.1 message says about where the message ends.
+#ifndef CORIANDERLINK_HTTP_MESSAGE_FRAMING_H_
+#define CORIANDERLINK_HTTP_MESSAGE_FRAMING_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace corianderlink {
+
+/// Why a head cannot be accepted.
+struct FramingFault {
+  /// Status of the answer to a request with such a head.
+  int status = 400;
+  /// For logs and errors.
+  std::string reason;
+};
+
+/// Judges the head of one message by RFC 9112, section 6.  Parsers of
+/// other projects leave a message whose length they do not understand without a
+/// body; its body would then be read as the next message.
+class MessageFraming {
+ public:
+  /// Adds a header field as received; called for each one, in their order.
+  void AddField(std::string_view name, std::string_view value);
+
+  /// Returns why a request with these fields is refused.  `version` is 11 for
+  /// HTTP/1.1.
+  std::optional<FramingFault> RequestFault(int version) const;
+
+ private:
+  /// Values of the fields Transfer-Encoding and Content-Length.
+  std::vector<std::string> codings_;
+  std::vector<std::string> lengths_;
+};
+
+}  // namespace corianderlink
+
+#endif  // CORIANDERLINK_HTTP_MESSAGE_FRAMING_H_
--- a/include/corianderlink/Http1/message_parser.h
+++ b/include/corianderlink/Http1/message_parser.h
@@ -38,8 +38,9 @@
   size_t Feed(std::string_view data);
   ParseState state() const;
   const std::string& reason() const;
-  /// True if parsing failed because a size limit was exceeded.
-  bool too_large() const;
+  /// Status of the answer to a request that failed to parse: 413 if it exceeds
+  /// a size limit, 501 if its transfer coding is not supported, else 400.
+  int rejection_status() const;
   /// Valid once the state is kBody or kDone.
   const RequestHead& head() const;
   /// Decoded body data received so far; the caller may move it out.
--- a/lib/Http1/inbound_connection.cc
+++ b/lib/Http1/inbound_connection.cc
@@ -36,6 +36,8 @@
       return "Too Many Requests";
     case 500:
       return "Internal Server Error";
+    case 501:
+      return "Not Implemented";
     case 502:
       return "Bad Gateway";
     case 503:
@@ -155,7 +157,7 @@
   stream_.Consume(parser_->Feed(input));
   switch (parser_->state()) {
     case ParseState::kFailed:
-      Reject(parser_->too_large() ? 413 : 400, parser_->reason());
+      Reject(parser_->rejection_status(), parser_->reason());
       return;
     case ParseState::kDone:
       Dispatch();
--- a/lib/Http1/message_parser.cc
+++ b/lib/Http1/message_parser.cc
@@ -5,6 +5,8 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "corianderlink/Http/message_framing.h"
+
 namespace corianderlink {
 namespace {
 
@@ -58,7 +60,7 @@
   ResponseHead response;
   std::string body;
   std::string reason;
-  bool too_large = false;
+  int rejection_status = 400;
 
  private:
   // The base class consumes the header line of a chunk and the trailer section
@@ -71,13 +73,20 @@
   }
   void Fail(const error_code& ec) {
     failed_ = true;
+    if (framing_fault_) {
+      reason = framing_fault_->reason;
+      rejection_status = framing_fault_->status;
+      return;
+    }
     reason = ec.message();
-    too_large =
+    const bool too_large =
         ec == http::error::body_limit || ec == http::error::header_limit;
+    if (too_large) rejection_status = 413;
   }
 
-  void on_request_impl(http::verb, string_view method, string_view target, int,
-                       error_code&) override {
+  void on_request_impl(http::verb, string_view method, string_view target,
+                       int version, error_code&) override {
+    version_ = version;
     request.method = std::string{method};
     request.target = std::string{target};
   }
@@ -86,10 +95,17 @@
   }
   void on_field_impl(http::field, string_view name, string_view value,
                      error_code&) override {
+    framing_.AddField({name.data(), name.size()}, {value.data(), value.size()});
     HeaderFields& fields = kIsRequest ? request.fields : response.fields;
     fields.push_back({std::string{name}, std::string{value}});
   }
-  void on_header_impl(error_code&) override {
+  // Asked before the base class decides whether there is a body.
+  void on_header_impl(error_code& ec) override {
+    if constexpr (kIsRequest) framing_fault_ = framing_.RequestFault(version_);
+    if (framing_fault_) {
+      ec = http::error::bad_transfer_encoding;
+      return;
+    }
     request.keep_alive = this->keep_alive();
     response.keep_alive = this->keep_alive();
     response.ends_with_connection = this->need_eof();
@@ -112,6 +128,10 @@
   void on_finish_impl(error_code&) override {}
 
   const size_t max_header_bytes_;
+  MessageFraming framing_;
+  std::optional<FramingFault> framing_fault_;
+  // Of the protocol, 11 for HTTP/1.1.
+  int version_ = 0;
   bool failed_ = false;
 };
 
@@ -132,7 +152,9 @@
 const std::string& RequestParser::reason() const {
   return impl_->collector.reason;
 }
-bool RequestParser::too_large() const { return impl_->collector.too_large; }
+int RequestParser::rejection_status() const {
+  return impl_->collector.rejection_status;
+}
 const RequestHead& RequestParser::head() const {
   return impl_->collector.request;
 }
--- a/unittests/Http1/message_parser_test.cc
+++ b/unittests/Http1/message_parser_test.cc
@@ -75,7 +75,7 @@
   EXPECT_LE(input.ReceiveWithoutEnd(FieldOfOneBlock()),
             kLimits.max_header_bytes + kBlockBytes);
   EXPECT_EQ(input.parser().state(), ParseState::kFailed);
-  EXPECT_TRUE(input.parser().too_large());
+  EXPECT_EQ(input.parser().rejection_status(), 413);
 }
 
 TEST(MessageParserTest, ChunkExtensionWithoutEndOfARequestFails) {
@@ -84,7 +84,7 @@
   EXPECT_LE(input.ReceiveWithoutEnd(std::string(kBlockBytes, 'j')),
             kLimits.max_header_bytes + kBlockBytes);
   EXPECT_EQ(input.parser().state(), ParseState::kFailed);
-  EXPECT_TRUE(input.parser().too_large());
+  EXPECT_EQ(input.parser().rejection_status(), 413);
 }
 
 // The limit is for what has no end yet, not for the whole of a long body.
