[Http1] Leave trailer fields out of the head

What callers saw: a chunked request with a trailer "Request-Id: other" reached its upstream with two ids; the upstream answered to "other", that response was discarded as one to another request, and the client got nothing. On the way back a Request-Id or a signature in a trailer counted as the head's if the whole response came in one read, and did not if it came in two.

Cause: Beast reports the fields of the trailer section by the same function as those of the head, and Collector appended both to one list.

Change: fields that follow the head are dropped (RFC 9110, 6.5.1: they may not be merged unless their definition allows it).

Tests: MessageParserTest.TrailersOfARequestAreNoPartOfItsHead and TrailersOfAResponseAreNoPartOfItsHead; both red before, green after.

--- a/lib/Http1/message_parser.cc
+++ b/lib/Http1/message_parser.cc
@@ -95,6 +95,8 @@
   }
   void on_field_impl(http::field, string_view name, string_view value,
                      error_code&) override {
+    // The base class reports the fields of the trailer section here, too.
+    if (head_complete_) return;
     framing_.AddField({name.data(), name.size()}, {value.data(), value.size()});
     HeaderFields& fields = kIsRequest ? request.fields : response.fields;
     fields.push_back({std::string{name}, std::string{value}});
@@ -106,6 +108,7 @@
       ec = http::error::bad_transfer_encoding;
       return;
     }
+    head_complete_ = true;
     request.keep_alive = this->keep_alive();
     response.keep_alive = this->keep_alive();
     response.ends_with_connection = this->need_eof();
@@ -132,6 +135,7 @@
   std::optional<FramingFault> framing_fault_;
   // Of the protocol, 11 for HTTP/1.1.
   int version_ = 0;
+  bool head_complete_ = false;
   bool failed_ = false;
 };
 
--- a/unittests/Http1/message_parser_test.cc
+++ b/unittests/Http1/message_parser_test.cc
@@ -104,6 +104,28 @@
   EXPECT_EQ(input.parser().body(), body);
 }
 
+// Guards against ids and signatures that come behind the body: they counted as
+// the head's if all of a message was read at once, and doubled them.
+TEST(MessageParserTest, TrailersOfARequestAreNoPartOfItsHead) {
+  RequestInput input;
+  input.Receive(std::string(kChunkedRequest) +
+                "3\r\nabc\r\n0\r\nRequest-Id: other\r\n\r\n");
+  EXPECT_EQ(input.parser().state(), ParseState::kDone);
+  EXPECT_EQ(FindField(input.parser().head().fields, "Request-Id"), nullptr);
+}
+
+TEST(MessageParserTest, TrailersOfAResponseAreNoPartOfItsHead) {
+  const std::string response =
+      std::string(kChunkedResponse) + "0\r\nServer-Stamp: x\r\n\r\n";
+  for (const size_t first : {response.size(), response.size() - 5}) {
+    ResponseInput input;
+    input.Receive(response.substr(0, first));
+    input.Receive(response.substr(first));
+    EXPECT_EQ(input.parser().state(), ParseState::kDone);
+    EXPECT_EQ(FindField(input.parser().head().fields, "Server-Stamp"), nullptr);
+  }
+}
+
 // The bytes of the next message are no part of this one.
 TEST(MessageParserTest, PipelinedRequestsAreNoPartOfAMessage) {
   RequestInput input;
