[Http] Refuse requests whose end evhttp does not know

What callers saw: on the own path (entry and fleet servers) a request with "Transfer-Encoding: identity", a coding in quotes, a blank before the colon of Content-Length, two lengths, a length beside chunks, or a HEAD with a body was run without its body or with a part of it, and its body was read as the next request.

Ruled out: a body of GET or DELETE, which evhttp reads.

Change: HttpServer asks MessageFraming before it passes a request on, answers 400 or 501 and ends the connection, so that nothing behind it is read. Names of fields have to be tokens, values hold no control characters. What the RFC allows and evhttp does not read ("identity, chunked", a folded line) gets 501.

--- a/include/corianderlink/Http/message_framing.h
+++ b/include/corianderlink/Http/message_framing.h
@@ -17,7 +17,7 @@
   std::string reason;
 };
 
-/// Judges the head of one message by RFC 9112, section 6.  Parsers of
+/// Judges the head of one message by RFC 9112, sections 5 and 6.  Parsers of
 /// other projects leave a message whose length they do not understand without a
 /// body; its body would then be read as the next message.
 class MessageFraming {
@@ -28,11 +28,20 @@
   /// Returns why a request with these fields is refused.  `version` is 11 for
   /// HTTP/1.1.
   std::optional<FramingFault> RequestFault(int version) const;
+  /// As RequestFault, if evhttp reads the message: it takes a message as
+  /// chunked only if "chunked" is the whole value of the field.
+  std::optional<FramingFault> EvhttpFault(int version) const;
+
+  /// The message says that it has a body.
+  bool announces_body() const;
 
  private:
+  std::optional<FramingFault> LengthFault() const;
+
   /// Values of the fields Transfer-Encoding and Content-Length.
   std::vector<std::string> codings_;
   std::vector<std::string> lengths_;
+  std::optional<std::string> malformed_;
 };
 
 }  // namespace corianderlink
--- a/lib/Http/http_server.cc
+++ b/lib/Http/http_server.cc
@@ -5,10 +5,35 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
 
 #include "corianderlink/Http/event_loop.h"
+#include "corianderlink/Http/message_framing.h"
+#include "corianderlink/Support/log.h"
 
 namespace corianderlink {
+namespace {
+
+// evhttp has read a request that it does not understand without its body, which
+// is then the next thing on the connection.
+std::optional<FramingFault> FindFault(evhttp_request* request) {
+  MessageFraming framing;
+  const evkeyvalq* fields = evhttp_request_get_input_headers(request);
+  for (const evkeyval* field = fields->tqh_first; field != nullptr;
+       field = field->next.tqe_next) {
+    framing.AddField(field->key, field->value);
+  }
+  if (auto fault = framing.EvhttpFault(request->major * 10 + request->minor)) {
+    return fault;
+  }
+  // evhttp reads no body of such a request.
+  const bool is_head = evhttp_request_get_command(request) == EVHTTP_REQ_HEAD;
+  if (!is_head || !framing.announces_body()) return std::nullopt;
+  return FramingFault{400, "body of a HEAD request"};
+}
+
+}  // namespace
 
 struct HttpServer::Connection {
   HttpServer* server;
@@ -59,6 +84,13 @@
         server->EndIncomplete(*server->connections_.at(stream));
         auto exchange = std::make_shared<HttpExchange>(request, server->state_);
         exchange->WatchForDisconnect();
+        if (const auto fault = FindFault(request)) {
+          Log(LogLevel::kWarning, "request_malformed",
+              {{"reason", fault->reason}});
+          exchange->Reply(fault->status, "text/plain", fault->reason + "\n",
+                          {{"Connection", "close"}});
+          return;
+        }
         server->handler_(exchange);
       },
       this);
--- a/lib/Http/message_framing.cc
+++ b/lib/Http/message_framing.cc
@@ -17,6 +17,27 @@
 
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
+bool IsLetter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+}
+
+// "tchar" of RFC 9110, section 5.6.2.
+bool IsTokenCharacter(char c) {
+  constexpr std::string_view kOthers = "!#$%&'*+-.^_`|~";
+  return IsDigit(c) || IsLetter(c) || kOthers.find(c) != std::string_view::npos;
+}
+
+bool IsToken(std::string_view text) {
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), IsTokenCharacter);
+}
+
+// Control characters may not stand in the value of a field; a tab may.
+bool IsControl(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return (byte < 0x20 && c != '\t') || byte == 0x7F;
+}
+
 std::string_view Trim(std::string_view text) {
   constexpr std::string_view kBlanks = " \t";
   const size_t begin = text.find_first_not_of(kBlanks);
@@ -64,6 +85,10 @@
 }  // namespace
 
 void MessageFraming::AddField(std::string_view name, std::string_view value) {
+  if (!IsToken(name)) malformed_ = "malformed field name";
+  if (std::any_of(value.begin(), value.end(), IsControl)) {
+    malformed_ = "control character in a field";
+  }
   if (EqualsIgnoringCase(name, "Transfer-Encoding")) {
     codings_.emplace_back(value);
   } else if (EqualsIgnoringCase(name, "Content-Length")) {
@@ -71,12 +96,15 @@
   }
 }
 
-std::optional<FramingFault> MessageFraming::RequestFault(int version) const {
-  if (!codings_.empty()) {
-    if (version < kHttp11) return Refuse("transfer coding before HTTP/1.1");
-    if (!lengths_.empty()) return Refuse("length beside a transfer coding");
-    return CodingFault(Elements(codings_));
-  }
+bool MessageFraming::announces_body() const {
+  const auto is_not_zero = [](const std::string& length) {
+    return length.find_first_not_of("0 \t") != std::string::npos;
+  };
+  return !codings_.empty() ||
+         std::any_of(lengths_.begin(), lengths_.end(), is_not_zero);
+}
+
+std::optional<FramingFault> MessageFraming::LengthFault() const {
   for (const std::string& value : lengths_) {
     const std::string_view length = Trim(value);
     if (length.empty() || !std::all_of(length.begin(), length.end(), IsDigit)) {
@@ -87,4 +115,21 @@
   return std::nullopt;
 }
 
+std::optional<FramingFault> MessageFraming::RequestFault(int version) const {
+  if (malformed_) return FramingFault{400, *malformed_};
+  if (codings_.empty()) return LengthFault();
+  if (version < kHttp11)
+    return Refuse("transfer coding in an older protocol version");
+  if (!lengths_.empty()) return Refuse("length beside a transfer coding");
+  return CodingFault(Elements(codings_));
+}
+
+std::optional<FramingFault> MessageFraming::EvhttpFault(int version) const {
+  if (auto fault = RequestFault(version)) return fault;
+  const bool is_understood =
+      codings_.empty() || (codings_.size() == 1 && IsChunked(codings_.front()));
+  if (is_understood) return std::nullopt;
+  return FramingFault{501, "transfer coding not supported"};
+}
+
 }  // namespace corianderlink
--- /dev/null
+++ b/unittests/Http/server_framing_test.cc
@@ -0,0 +1,88 @@
+// Tests that the server refuses a request whose end is not known, and takes
+// nothing behind its head for another request.
+#include <string>
+
+#include "Common/refused_framings.h"
+#include "Http/http_server_fixture.h"
+
+namespace corianderlink {
+namespace {
+
+const char kInner[] =
+    "0\r\n\r\nPOST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+
+class ServerFramingTest : public HttpServerTest {
+ protected:
+  /// Sends a request with another one behind its head; returns the answers.
+  std::string SendWithRequestInside(const std::string& start_line,
+                                    const std::string& fields) {
+    const RawClient client(address_);
+    client.Send(start_line + "\r\nHost: a\r\n" + fields + "\r\n\r\n" + kInner);
+    RunFor(milliseconds(50));
+    return client.Receive();
+  }
+  void ExpectRefused(const std::string& start_line, const std::string& fields,
+                     const std::string& status) {
+    SCOPED_TRACE(start_line + " with " + fields);
+    const std::string answer = SendWithRequestInside(start_line, fields);
+    EXPECT_EQ(answer.substr(answer.find(' ') + 1, 3), status);
+    EXPECT_EQ(answer.find("HTTP/1.", 1), std::string::npos);
+    EXPECT_EQ(bodies_.size(), 0U) << "was run";
+    bodies_.clear();
+  }
+};
+
+// Guards against smuggled requests: evhttp leaves a request without a body if
+// its transfer coding is not exactly "chunked".
+TEST_F(ServerFramingTest, RequestOfUnknownLengthIsRefused) {
+  for (const RefusedFraming& framing : kRefusedFramings) {
+    ExpectRefused(std::string("POST / HTTP/") + framing.version, framing.fields,
+                  framing.status);
+  }
+}
+
+// Guards against smuggled requests: evhttp reads no body of this method.
+TEST_F(ServerFramingTest, BodyOfAMethodWithoutOneIsRefused) {
+  ExpectRefused("HEAD / HTTP/1.1", "Content-Length: 60", "400");
+  ExpectRefused("HEAD / HTTP/1.1", "Transfer-Encoding: chunked", "400");
+}
+
+// Guards against smuggled requests: RFC 9112 allows these codings, and evhttp
+// does not understand them.
+TEST_F(ServerFramingTest, ChunksThatAreNotReadAsSuchAreRefused) {
+  for (const char* fields :
+       {"Transfer-Encoding: identity, chunked",
+        "Transfer-Encoding:\r\n chunked", "Transfer-Encoding: , chunked"}) {
+    ExpectRefused("POST / HTTP/1.1", fields, "501");
+  }
+}
+
+// Guards against fields that only some readers take for the ones that they
+// resemble.
+TEST_F(ServerFramingTest, MalformedFieldsAreRefused) {
+  for (const char* fields : {"Bad Name: 1", "Content-Length\t: 5", "X(y): 1",
+                             "X: a\x01z", "X: a\rContent-Length: 5"}) {
+    ExpectRefused("POST / HTTP/1.1", fields, "400");
+  }
+}
+
+TEST_F(ServerFramingTest, FramingsThatAreReadArePassedOn) {
+  const RawClient client(address_);
+  client.Send(
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: Chunked\r\n\r\n"
+      "3\r\nabc\r\n0\r\n\r\n");
+  RunFor(milliseconds(50));
+  for (const char* method : {"GET", "DELETE"}) {
+    client.Send(std::string(method) +
+                " / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+    RunFor(milliseconds(50));
+  }
+  client.Send("HEAD / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+  RunFor(milliseconds(50));
+  client.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nde");
+  RunFor(milliseconds(50));
+  EXPECT_EQ(bodies_, (std::vector<std::string>{"abc", "x", "x", "", "de"}));
+}
+
+}  // namespace
+}  // namespace corianderlink
