[Http1] Take a connection that failed for no end of a response

Cause: a socket gives its error once. The write of the upload fetched the error of the reset, the read that followed in the same turn of the loop returned 0. ByteStream's callbacks are deferred, so libevent reports both together, and ByteStream asked for the end of file first. UpstreamConnection then let the parser end a body that ends with its connection.

Ruled out: the write's error alone (it fails the call); a read that fetches the error (the same); interim responses.

--- a/lib/Http1/byte_stream.cc
+++ b/lib/Http1/byte_stream.cc
@@ -56,11 +56,14 @@
         auto* self = static_cast<ByteStream*>(arg);
         if ((what & BEV_EVENT_CONNECTED) != 0) {
           self->listener_.OnConnected();
-        } else if ((what & BEV_EVENT_EOF) != 0) {
-          self->listener_.OnPeerClosed();
         } else if ((what & BEV_EVENT_ERROR) != 0) {
+          // The callback is deferred and may report an end of file as well: a
+          // socket gives its error once, here to a write, and 0 to the read
+          // that follows.
           self->listener_.OnError(
               evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
+        } else if ((what & BEV_EVENT_EOF) != 0) {
+          self->listener_.OnPeerClosed();
         }
       },
       this);
