[Http1] Read the rest of a response when a connection fails

What callers saw: 502 instead of the answer of an upstream that had answered a long upload early and completely, with a length, and then reset the connection.

Cause: the write of the upload learns of the reset first, and libevent reports that before it has read what the kernel has received, 16 KB at a time. The call failed with the rest of its response unread.

Change: an UpstreamConnection whose connection fails reads what the kernel has before it decides. Bounded by the kernel's receive buffer; nothing is read while the reader is paused.

--- a/include/corianderlink/Http1/byte_stream.h
+++ b/include/corianderlink/Http1/byte_stream.h
@@ -48,6 +48,9 @@
   /// next call on the stream.
   std::string_view Input();
   size_t InputBytes() const;
+  /// Reads what the kernel has received, also after the connection has failed;
+  /// nothing while reading is paused or the end was read.
+  void ReadRemaining();
   /// Removes the first `bytes` bytes from the input buffer.
   void Consume(size_t bytes);
   /// Appends `data` to the output buffer.
--- a/lib/Http1/byte_stream.cc
+++ b/lib/Http1/byte_stream.cc
@@ -106,6 +106,16 @@
   return evbuffer_get_length(bufferevent_get_input(bev_));
 }
 
+void ByteStream::ReadRemaining() {
+  if ((bufferevent_get_enabled(bev_) & EV_READ) == 0) return;
+  evbuffer* input = bufferevent_get_input(bev_);
+  // The bufferevent lets nothing else add to its input.
+  evbuffer_unfreeze(input, 0);
+  while (evbuffer_read(input, bufferevent_getfd(bev_), -1) > 0) {
+  }
+  evbuffer_freeze(input, 0);
+}
+
 void ByteStream::Consume(size_t bytes) {
   evbuffer_drain(bufferevent_get_input(bev_), bytes);
 }
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -251,7 +251,11 @@
 void UpstreamConnection::OnError(const std::string& reason) {
   if (closed_) return;
   const auto self = shared_from_this();
-  if (busy_ && connected_) OnReadable();
+  if (busy_ && connected_) {
+    // The response may have come before the connection failed, all of it.
+    stream_->ReadRemaining();
+    OnReadable();
+  }
   if (closed_) return;
   if (!busy_) {
     Close();
--- a/unittests/Http1/response_end_test.cc
+++ b/unittests/Http1/response_end_test.cc
@@ -78,6 +78,15 @@
   }
 }
 
+// What the kernel has received before the reset is read, however long it is.
+TEST_F(ResponseEndTest, LongFramedResponseBeforeTheWholeUploadIsComplete) {
+  const std::string body(40'000, 'b');
+  const CallResult result =
+      CallDuringUpload(milliseconds(0), MakeResponse("1", body), ResetOnClose);
+  EXPECT_TRUE(result.ended);
+  EXPECT_EQ(result.body.size(), body.size());
+}
+
 TEST_F(ResponseEndTest, CloseAfterTheWholeUploadIsTheEnd) {
   RawTcpServer peer([](int fd) {
     std::string received;
