[Http1] Take an early close for no end of a response without a length

What callers saw: a worker that ended its output during a long upload, in order (FIN), after a part of a 200 without a length: that part was passed on as a complete answer.

A peer whose host has not received the whole request when it ends its output resets the connection or may have failed: nothing then says that the body is whole. So the call fails, may have run, and is answered 502 or repeated elsewhere. A worker that answers early and completely is free to say so by a length or by chunks.

Change: ByteStream::EndedInOrder: all written data is acknowledged and the socket holds no error. Asked by UpstreamConnection for bodies that end with the connection, and for them alone.

--- a/include/corianderlink/Http1/byte_stream.h
+++ b/include/corianderlink/Http1/byte_stream.h
@@ -75,6 +75,9 @@
   /// Ends the sending direction (end of file at the peer); all written data has
   /// to be sent before.
   void EndOutput();
+  /// True if the peer's host had received all written data before the peer
+  /// closed its sending direction, and the connection has not failed.
+  bool EndedInOrder() const;
   /// Lets a peer that reads late receive, after the connection is closed in
   /// order, what the kernel has accepted.
   void DeliverAfterClose();
--- a/lib/Http1/byte_stream.cc
+++ b/lib/Http1/byte_stream.cc
@@ -5,6 +5,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
@@ -159,6 +160,16 @@
 
 void ByteStream::EndOutput() { shutdown(bufferevent_getfd(bev_), SHUT_WR); }
 
+bool ByteStream::EndedInOrder() const {
+  const int fd = bufferevent_getfd(bev_);
+  int error = 0;
+  socklen_t size = sizeof(error);
+  if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0) return false;
+  int unacknowledged = 0;
+  if (ioctl(fd, SIOCOUTQ, &unacknowledged) != 0) return false;
+  return error == 0 && unacknowledged == 0 && PendingBytes() == 0;
+}
+
 void ByteStream::DeliverAfterClose() { window_watch_->BeforeClose(); }
 
 void ByteStream::Stop() { bufferevent_disable(bev_, EV_READ | EV_WRITE); }
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -239,13 +239,19 @@
   parser_->FeedEof();
   const bool complete = head_received && !discarding_response_ &&
                         parser_->state() == ParseState::kDone;
-  if (complete) {
-    // keep_alive is false for a body that ends with the connection, so
-    // CompleteCall closes this one.
-    CompleteCall();
+  if (!complete) {
+    Fail("upstream closed the connection");
+    return;
+  }
+  // An upstream that stops before it has the whole request may have failed, and
+  // the connection's end is all that says that the body is complete.
+  if (!stream_->EndedInOrder()) {
+    Fail("upstream closed the connection before it had the request");
     return;
   }
-  Fail("upstream closed the connection");
+  // keep_alive is false for a body that ends with the connection, so
+  // CompleteCall closes this one.
+  CompleteCall();
 }
 
 void UpstreamConnection::OnError(const std::string& reason) {
--- a/unittests/Http1/response_end_test.cc
+++ b/unittests/Http1/response_end_test.cc
@@ -64,6 +64,17 @@
   }
 }
 
+// Guards against parts of answers that look complete: a peer that ended its
+// output before it had the whole request resets the connection afterwards.
+TEST_F(ResponseEndTest, EndOfOutputBeforeTheWholeUploadIsNoEnd) {
+  ExpectPartRefused(
+      CallDuringUpload(milliseconds(10),
+                       kHeadWithoutLength + std::string(1200, 'x'), [](int fd) {
+                         shutdown(fd, SHUT_WR);
+                         std::this_thread::sleep_for(milliseconds(50));
+                       }));
+}
+
 // A response with a length, or in chunks, says itself that it is complete.
 TEST_F(ResponseEndTest, FramedResponseBeforeTheWholeUploadIsComplete) {
   const std::vector<std::string> responses = {
