--- a/lib/Gateway/relay_task_response.cc
+++ b/lib/Gateway/relay_task_response.cc
@@ -22,6 +22,11 @@
   return info.is_signed && info.request == request;
 }
 
+// For the log: only the order of the close says that such a body is complete.
+const char* EndOfBody(const ResponseHead& head) {
+  return head.ends_with_connection ? "body ended with its connection" : "";
+}
+
 }  // namespace
 
 void RelayTask::OnResponseHead(const ResponseHead& head) {
@@ -245,7 +250,7 @@
     exchange_->SendResponse(response_->status,
                             EndToEndFields(response_->fields), buffered_);
   }
-  Finish("answered", response_->status, "");
+  Finish("answered", response_->status, EndOfBody(*response_));
 }
 
 void RelayTask::FinishStream() {
@@ -281,7 +286,7 @@
                              EndToEndFields(response_->fields), std::nullopt);
   }
   exchange_->CompleteResponse();
-  Finish("answered", response_->status, "");
+  Finish("answered", response_->status, EndOfBody(*response_));
 }
 
 }  // namespace corianderlink
