[Http1] Take a head that is no HTTP for no answer

An answer with "Transfer-Encoding: identity", "xchunked" or "chunked, gzip" was read up to the close and passed on without that field; "gzip, chunked" was passed on in gzip without the field that names it.

Cause: "below 200" was taken for interim, also below 100; 101 switches protocols, which nothing asks for. For answers, too, Beast looks at Transfer-Encoding only to find "chunked" at its end. Ruled out: blanks and control bytes in names and values, two lengths, a length beside chunks, other versions: Beast refuses them (rows of the same table, green before).

Change: MessageFraming::ResponseFault, asked by the parser as the head is complete. The call fails at once, may have run, and its caller gets 502 or another worker's answer.

Interim responses are skipped as before.

--- a/include/corianderlink/Http/message_framing.h
+++ b/include/corianderlink/Http/message_framing.h
@@ -28,6 +28,8 @@
   /// Returns why a request with these fields is refused.  `version` is 11 for
   /// HTTP/1.1.
   std::optional<FramingFault> RequestFault(int version) const;
+  /// Returns why a response with this status and these fields is no answer.
+  std::optional<FramingFault> ResponseFault(int version, int status) const;
   /// As RequestFault, if evhttp reads the message: it takes a message as
   /// chunked only if "chunked" is the whole value of the field.
   std::optional<FramingFault> EvhttpFault(int version) const;
--- a/lib/Http/message_framing.cc
+++ b/lib/Http/message_framing.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int kHttp11 = 11;
+constexpr int kMinStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 
 bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
   return a.size() == b.size() &&
@@ -124,6 +126,15 @@
   return CodingFault(Elements(codings_));
 }
 
+std::optional<FramingFault> MessageFraming::ResponseFault(int version,
+                                                          int status) const {
+  if (status < kMinStatus) return Refuse("status below 100");
+  // No request asks for another protocol.
+  if (status == kSwitchingProtocols) return Refuse("switch of protocols");
+  // A coding whose field is not passed on would be lost here, too.
+  return RequestFault(version);
+}
+
 std::optional<FramingFault> MessageFraming::EvhttpFault(int version) const {
   if (auto fault = RequestFault(version)) return fault;
   const bool is_understood =
--- a/lib/Http1/message_parser.cc
+++ b/lib/Http1/message_parser.cc
@@ -90,7 +90,9 @@
     request.method = std::string{method};
     request.target = std::string{target};
   }
-  void on_response_impl(int status, string_view, int, error_code&) override {
+  void on_response_impl(int status, string_view, int version,
+                        error_code&) override {
+    version_ = version;
     response.status = status;
   }
   void on_field_impl(http::field, string_view name, string_view value,
@@ -103,7 +105,9 @@
   }
   // Asked before the base class decides whether there is a body.
   void on_header_impl(error_code& ec) override {
-    if constexpr (kIsRequest) framing_fault_ = framing_.RequestFault(version_);
+    framing_fault_ = kIsRequest
+                         ? framing_.RequestFault(version_)
+                         : framing_.ResponseFault(version_, response.status);
     if (framing_fault_) {
       ec = http::error::bad_transfer_encoding;
       return;
