[Http] Move the parser and the byte stream below both paths

Files only: lib/Http1/{message_head,message_parser,byte_stream} go to lib/Http, so that the client of the own path can read answers with them; one comparison of names instead of two. No change of behaviour; HttpTests and Http1Tests build and the parser's tests pass.

--- a/include/corianderlink/Gateway/relay_codec.h
+++ b/include/corianderlink/Gateway/relay_codec.h
@@ -13,7 +13,7 @@
 #include "corianderlink/Gateway/prompt.h"
 #include "corianderlink/Gateway/stream_origins.h"
 #include "corianderlink/Gateway/upstream_record.h"
-#include "corianderlink/Http1/message_head.h"
+#include "corianderlink/Http/message_head.h"
 #include "corianderlink/Support/hash.h"
 #include "corianderlink/Support/strong_id.h"
 #include "corianderlink/Support/time.h"
--- a/include/corianderlink/Http1/byte_stream.h
+++ b/include/corianderlink/Http/byte_stream.h
@@ -1,6 +1,6 @@
 // A TCP connection on the event loop with buffered input and output.
-#ifndef CORIANDERLINK_HTTP1_BYTE_STREAM_H_
-#define CORIANDERLINK_HTTP1_BYTE_STREAM_H_
+#ifndef CORIANDERLINK_HTTP_BYTE_STREAM_H_
+#define CORIANDERLINK_HTTP_BYTE_STREAM_H_
 
 #include <cstdint>
 #include <optional>
@@ -100,4 +100,4 @@
 
 }  // namespace corianderlink
 
-#endif  // CORIANDERLINK_HTTP1_BYTE_STREAM_H_
+#endif  // CORIANDERLINK_HTTP_BYTE_STREAM_H_
--- a/include/corianderlink/Http1/message_head.h
+++ b/include/corianderlink/Http/message_head.h
@@ -1,6 +1,6 @@
 // Start line and header fields of an HTTP/1.1 message (RFC 9112).
-#ifndef CORIANDERLINK_HTTP1_MESSAGE_HEAD_H_
-#define CORIANDERLINK_HTTP1_MESSAGE_HEAD_H_
+#ifndef CORIANDERLINK_HTTP_MESSAGE_HEAD_H_
+#define CORIANDERLINK_HTTP_MESSAGE_HEAD_H_
 
 #include <optional>
 #include <string>
@@ -17,6 +17,9 @@
 
 using HeaderFields = std::vector<HeaderField>;
 
+/// True if both are the same but for the case of ASCII letters.
+bool EqualsIgnoringCase(std::string_view a, std::string_view b);
+
 /// Returns the value of the first field with this name (compared without
 /// case), or null.
 const std::string* FindField(const HeaderFields& fields, std::string_view name);
@@ -59,4 +62,4 @@
 
 }  // namespace corianderlink
 
-#endif  // CORIANDERLINK_HTTP1_MESSAGE_HEAD_H_
+#endif  // CORIANDERLINK_HTTP_MESSAGE_HEAD_H_
--- a/include/corianderlink/Http1/message_parser.h
+++ b/include/corianderlink/Http/message_parser.h
@@ -1,13 +1,13 @@
 // Incremental parsing of HTTP/1.1 messages with Boost.Beast's parser.
-#ifndef CORIANDERLINK_HTTP1_MESSAGE_PARSER_H_
-#define CORIANDERLINK_HTTP1_MESSAGE_PARSER_H_
+#ifndef CORIANDERLINK_HTTP_MESSAGE_PARSER_H_
+#define CORIANDERLINK_HTTP_MESSAGE_PARSER_H_
 
 #include <cstdint>
 #include <memory>
 #include <string>
 #include <string_view>
 
-#include "corianderlink/Http1/message_head.h"
+#include "corianderlink/Http/message_head.h"
 
 namespace corianderlink {
 
@@ -74,4 +74,4 @@
 
 }  // namespace corianderlink
 
-#endif  // CORIANDERLINK_HTTP1_MESSAGE_PARSER_H_
+#endif  // CORIANDERLINK_HTTP_MESSAGE_PARSER_H_
--- a/include/corianderlink/Http1/inbound_connection.h
+++ b/include/corianderlink/Http1/inbound_connection.h
@@ -9,10 +9,10 @@
 #include <string>
 #include <string_view>
 
+#include "corianderlink/Http/byte_stream.h"
 #include "corianderlink/Http/event_loop.h"
-#include "corianderlink/Http1/byte_stream.h"
+#include "corianderlink/Http/message_parser.h"
 #include "corianderlink/Http1/inbound_exchange.h"
-#include "corianderlink/Http1/message_parser.h"
 
 namespace corianderlink {
 
--- a/include/corianderlink/Http1/inbound_exchange.h
+++ b/include/corianderlink/Http1/inbound_exchange.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-#include "corianderlink/Http1/message_head.h"
+#include "corianderlink/Http/message_head.h"
 #include "corianderlink/Support/time.h"
 
 namespace corianderlink {
--- a/include/corianderlink/Http1/upstream_call.h
+++ b/include/corianderlink/Http1/upstream_call.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string>
 
-#include "corianderlink/Http1/message_head.h"
+#include "corianderlink/Http/message_head.h"
 #include "corianderlink/Support/address.h"
 #include "corianderlink/Support/time.h"
 #include "corianderlink/Support/verdict.h"
--- a/lib/Http1/byte_stream.cc
+++ b/lib/Http/byte_stream.cc
@@ -1,5 +1,5 @@
 // TCP connections based on libevent bufferevents.
-#include "corianderlink/Http1/byte_stream.h"
+#include "corianderlink/Http/byte_stream.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
--- a/lib/Http/message_framing.cc
+++ b/lib/Http/message_framing.cc
@@ -1,10 +1,10 @@
 // What the head of an HTTP/1.1 message says about where the message ends.
 #include "corianderlink/Http/message_framing.h"
 
-#include <event2/util.h>
-
 #include <algorithm>
 
+#include "corianderlink/Http/message_head.h"
+
 namespace corianderlink {
 namespace {
 
@@ -12,11 +12,6 @@
 constexpr int kMinStatus = 100;
 constexpr int kSwitchingProtocols = 101;
 
-bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() &&
-         evutil_ascii_strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
 bool IsLetter(char c) {
--- a/lib/Http1/message_head.cc
+++ b/lib/Http/message_head.cc
@@ -1,5 +1,5 @@
 // Header fields of HTTP/1.1 messages.
-#include "corianderlink/Http1/message_head.h"
+#include "corianderlink/Http/message_head.h"
 
 #include <event2/util.h>
 
@@ -10,11 +10,6 @@
 namespace corianderlink {
 namespace {
 
-bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
-  return a.size() == b.size() &&
-         evutil_ascii_strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 constexpr std::array<std::string_view, 11> kHopByHopFields = {
     "Connection",
     "Keep-Alive",
@@ -44,6 +39,11 @@
 
 }  // namespace
 
+bool EqualsIgnoringCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() &&
+         evutil_ascii_strncasecmp(a.data(), b.data(), a.size()) == 0;
+}
+
 const std::string* FindField(const HeaderFields& fields,
                              std::string_view name) {
   for (const HeaderField& field : fields) {
--- a/lib/Http1/message_parser.cc
+++ b/lib/Http/message_parser.cc
@@ -1,5 +1,5 @@
 // HTTP/1.1 parsers based on boost::beast::http::basic_parser.
-#include "corianderlink/Http1/message_parser.h"
+#include "corianderlink/Http/message_parser.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -5,10 +5,10 @@
 #include <memory>
 #include <string>
 
+#include "corianderlink/Http/byte_stream.h"
 #include "corianderlink/Http/event_loop.h"
-#include "corianderlink/Http1/byte_stream.h"
+#include "corianderlink/Http/message_parser.h"
 #include "corianderlink/Http1/carried_requests.h"
-#include "corianderlink/Http1/message_parser.h"
 #include "corianderlink/Http1/upstream_call.h"
 
 namespace corianderlink {
--- a/unittests/Http1/message_parser_test.cc
+++ b/unittests/Http/message_parser_test.cc
@@ -1,5 +1,5 @@
 // Tests of the limits of the parsers: what waits for its end is bounded.
-#include "corianderlink/Http1/message_parser.h"
+#include "corianderlink/Http/message_parser.h"
 
 #include <gtest/gtest.h>
 
