[Http] Connect to IPv6 addresses

Cause: ByteStream knew IPv4 only and did not ask whether the text is such an address.

Test: UpstreamPoolTest.AddressOfTheOtherFamilyIsNotTheOwnMachine; before, the call was answered by the server on 127.0.0.1 (the first run of the test hung there, as it kept that connection), after, it fails as not run.

--- a/lib/Http/byte_stream.cc
+++ b/lib/Http/byte_stream.cc
@@ -17,6 +17,35 @@
 #include "corianderlink/Http/event_loop.h"
 
 namespace corianderlink {
+namespace {
+
+struct SocketAddress {
+  sockaddr_storage any{};
+  int size = 0;
+};
+
+// Of either address family.
+SocketAddress ToSocketAddress(const Address& address) {
+  SocketAddress result;
+  auto* v4 = reinterpret_cast<sockaddr_in*>(&result.any);
+  if (inet_pton(AF_INET, address.ip.c_str(), &v4->sin_addr) == 1) {
+    v4->sin_family = AF_INET;
+    v4->sin_port = htons(address.port);
+    result.size = sizeof(*v4);
+    return result;
+  }
+  auto* v6 = reinterpret_cast<sockaddr_in6*>(&result.any);
+  v6->sin6_family = AF_INET6;
+  v6->sin6_port = htons(address.port);
+  result.size = sizeof(*v6);
+  // An address is numeric; port 0 of none is refused.
+  if (inet_pton(AF_INET6, address.ip.c_str(), &v6->sin6_addr) != 1) {
+    v6->sin6_port = 0;
+  }
+  return result;
+}
+
+}  // namespace
 
 ByteStream::ByteStream(EventLoop& loop, int fd, ByteStreamListener& listener)
     : listener_(listener) {
@@ -27,16 +56,14 @@
 ByteStream::ByteStream(EventLoop& loop, const Address& to,
                        ByteStreamListener& listener)
     : listener_(listener) {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const SocketAddress address = ToSocketAddress(to);
+  const int fd = socket(address.any.ss_family,
+                        SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   Init(loop, fd);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(to.port);
-  inet_pton(AF_INET, to.ip.c_str(), &address.sin_addr);
   SetSocketOptions();
   // An immediate failure is also reported through the event callback.
-  bufferevent_socket_connect(bev_, reinterpret_cast<sockaddr*>(&address),
-                             sizeof(address));
+  bufferevent_socket_connect(
+      bev_, reinterpret_cast<const sockaddr*>(&address.any), address.size);
 }
 
 void ByteStream::Init(EventLoop& loop, int fd) {
--- a/unittests/Http1/upstream_pool_test.cc
+++ b/unittests/Http1/upstream_pool_test.cc
@@ -17,6 +17,20 @@
   RunFor(milliseconds(10));
 }
 
+// Guards against requests to a process of the own machine: an address of the
+// other family was taken for 0.0.0.0.
+TEST_F(UpstreamPoolTest, AddressOfTheOtherFamilyIsNotTheOwnMachine) {
+  RawTcpServer peer([](int fd) { AnswerInTurn(fd, 1); });
+  const Address other{"::ffff:127.0.0.2", peer.address.port};
+  const CallResult result = Call(other, "1");
+  pool_.CloseIdleConnections(other);
+  RunFor(milliseconds(10));
+  EXPECT_FALSE(result.ended);
+  ASSERT_TRUE(result.failure);
+  EXPECT_EQ(result.failure->verdict, Verdict::kNotRun);
+  EXPECT_EQ(peer.connections, 0);
+}
+
 TEST_F(UpstreamPoolTest, NewConnectionBeyondTheLimitReplacesAnIdleOne) {
   RawTcpServer peer([&](int fd) { AnswerInTurn(fd, peer.connections); });
   EXPECT_TRUE(Call(peer.address, "1").ended);
