[Http] Read the answers of the own path with the parser of all paths

What callers saw: the client that reads answers of the store, of orders and reports, and of the own path's engines and services took what is no HTTP for an answer: a status of 099 or of two or four digits, names of fields with a blank, a control byte or a blank before the colon, control bytes in values, two lengths, a length with a sign, 101. With "Content-Length : 3" or another coding than "chunked" the body was not the peer's: empty, or all up to the close. An interim 103 was taken for the answer, and the fields of a 100 counted as the final answer's. With "Connection: keep-alive" and no length the body was dropped. A body without a length that ended before the peer had the whole upload was taken as complete.

Cause: evhttp takes any bytes before a colon for a name, three or other digits for a status, the first length that it finds, and "chunked" only as the whole value. A check beside evhttp could not see what it drops (a NUL ends a value), so the client reads with ByteStream and ResponseParser now, as the gateway's pool does: one place says what an answer is and where it ends. The verdicts stay: bytes sent or not, complete or not. evhttp's own limit of 50 s without bytes falls away; the call's time limit and the detection of dead peers stay.

Also: the end of a connection before the first byte of a head was the end of a message for Beast; FeedEof fails before the end of a head now (MessageParserTest.EndBeforeTheEndOfAHeadIsNoMessage; the pool had its own guard).

--- a/include/corianderlink/Http/byte_stream.h
+++ b/include/corianderlink/Http/byte_stream.h
@@ -33,13 +33,20 @@
   virtual void OnError(const std::string& reason) = 0;
 };
 
+/// What becomes of a connection whose peer is alive and does not read.
+enum class PausedPeer {
+  kWaitFor,  ///< It is kept (see ClosedWindowWatch).
+  kGiveUp,   ///< It fails after kTcpUserTimeout: nothing stays in transit.
+};
+
 /// Owns a socket; the destructor closes it.
 class ByteStream {
  public:
   /// Takes ownership of an accepted socket.
   ByteStream(EventLoop& loop, int fd, ByteStreamListener& listener);
   /// Starts to connect to `to`; OnConnected or OnError reports the result.
-  ByteStream(EventLoop& loop, const Address& to, ByteStreamListener& listener);
+  ByteStream(EventLoop& loop, const Address& to, ByteStreamListener& listener,
+             PausedPeer paused_peer = PausedPeer::kWaitFor);
   ~ByteStream();
   ByteStream(const ByteStream&) = delete;
   ByteStream& operator=(const ByteStream&) = delete;
@@ -59,6 +66,10 @@
   size_t PendingBytes() const;
   /// Stops reading from the socket while `bytes` or more are unconsumed.
   void SetReadLimit(size_t bytes);
+  /// Of the loop, for all events of the connection from now on.
+  void SetPriority(int priority);
+  /// The socket.
+  int fd() const;
   void PauseReading();
   void ResumeReading();
   /// Makes the peer's host acknowledge the connection once a second while no
--- a/include/corianderlink/Http/http_client.h
+++ b/include/corianderlink/Http/http_client.h
@@ -1,5 +1,4 @@
-// HTTP client based on evhttp that reports whether a failed request may have
-// been executed.
+// HTTP client that reports whether a failed request may have been executed.
 #ifndef CORIANDERLINK_HTTP_HTTP_CLIENT_H_
 #define CORIANDERLINK_HTTP_HTTP_CLIENT_H_
 
--- a/lib/Http/byte_stream.cc
+++ b/lib/Http/byte_stream.cc
@@ -54,12 +54,13 @@
 }
 
 ByteStream::ByteStream(EventLoop& loop, const Address& to,
-                       ByteStreamListener& listener)
+                       ByteStreamListener& listener, PausedPeer paused_peer)
     : listener_(listener) {
   const SocketAddress address = ToSocketAddress(to);
   const int fd = socket(address.any.ss_family,
                         SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   Init(loop, fd);
+  if (paused_peer == PausedPeer::kGiveUp) window_watch_.reset();
   SetSocketOptions();
   // An immediate failure is also reported through the event callback.
   bufferevent_socket_connect(
@@ -197,7 +198,15 @@
   return error == 0 && unacknowledged == 0 && PendingBytes() == 0;
 }
 
-void ByteStream::DeliverAfterClose() { window_watch_->BeforeClose(); }
+void ByteStream::DeliverAfterClose() {
+  if (window_watch_) window_watch_->BeforeClose();
+}
+
+int ByteStream::fd() const { return bufferevent_getfd(bev_); }
+
+void ByteStream::SetPriority(int priority) {
+  bufferevent_priority_set(bev_, priority);
+}
 
 void ByteStream::Stop() { bufferevent_disable(bev_, EV_READ | EV_WRITE); }
 
--- a/lib/Http/http_client.cc
+++ b/lib/Http/http_client.cc
@@ -1,246 +1,191 @@
-// HTTP client based on evhttp.
+// HTTP client that reads answers with the parser of all paths.
 #include "corianderlink/Http/http_client.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/event.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
+#include <event2/util.h>
 
-#include <optional>
+#include <utility>
 
-#include "corianderlink/Http/closed_window_watch.h"
-#include "corianderlink/Http/dead_peer_detection.h"
+#include "corianderlink/Http/byte_stream.h"
 #include "corianderlink/Http/event_loop.h"
+#include "corianderlink/Http/message_parser.h"
 
 namespace corianderlink {
 namespace {
 
-// Limits of a response; a longer one fails.
-constexpr size_t kMaxHeaderBytes = 64 * 1024;
-constexpr size_t kMaxBodyBytes = 64 * 1024 * 1024;
-// Received bytes that evhttp has not parsed: it waits for the whole of a body
-// with a length, and for the end of a chunk's header line.
-constexpr size_t kMaxUnparsedBytes = kMaxHeaderBytes + kMaxBodyBytes;
-constexpr char kTooLong[] = "upstream answer too long";
+// A longer answer fails.
+constexpr ParserLimits kAnswerLimits{64 * 1024, 64 * 1024 * 1024};
 
-// Any name that is not listed means GET.
-evhttp_cmd_type ToEvhttpMethod(const std::string& name) {
-  if (name == "POST") return EVHTTP_REQ_POST;
-  if (name == "PUT") return EVHTTP_REQ_PUT;
-  if (name == "DELETE") return EVHTTP_REQ_DELETE;
-  if (name == "PATCH") return EVHTTP_REQ_PATCH;
-  return EVHTTP_REQ_GET;
+bool IsInterim(const ResponseHead& head) { return head.status < 200; }
+
+bool IsSuccess(const ResponseHead& head) {
+  return head.status >= 200 && head.status < 300;
 }
 
-std::string DrainBuffer(evbuffer* buffer) {
-  std::string text(evbuffer_get_length(buffer), '\0');
-  evbuffer_remove(buffer, text.data(), text.size());
-  return text;
+// A line break would begin another field or message.
+bool FitsOneLine(std::string_view text) {
+  return text.find_first_of("\r\n") == std::string_view::npos;
 }
 
-const char* ErrorMessage(evhttp_request_error error) {
-  switch (error) {
-    case EVREQ_HTTP_TIMEOUT:
-      return "upstream timed out";
-    case EVREQ_HTTP_EOF:
-      return "upstream closed the connection";
-    case EVREQ_HTTP_INVALID_HEADER:
-      return "upstream sent an invalid header";
-    case EVREQ_HTTP_BUFFER_ERROR:
-      return "connection failed";
-    case EVREQ_HTTP_DATA_TOO_LONG:
-      return kTooLong;
-    default:
-      return "call cancelled";
+std::string Serialize(const HttpRequest& request) {
+  std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+  HeaderFields fields = {{"Host", request.address.ToString()},
+                         {"Connection", "close"}};
+  for (const auto& [name, value] : request.headers) {
+    if (FitsOneLine(name) && FitsOneLine(value))
+      fields.push_back({name, value});
+  }
+  if (!request.body.empty() || request.method != "GET") {
+    fields.push_back({"Content-Length", std::to_string(request.body.size())});
   }
+  AppendFields(fields, text);
+  return text + "\r\n" + request.body;
 }
 
 /// One call.  Keeps itself alive until its connection is freed.
-class EvhttpCall : public HttpCall,
-                   public std::enable_shared_from_this<EvhttpCall> {
+class ClientCall : public HttpCall,
+                   public ByteStreamListener,
+                   public std::enable_shared_from_this<ClientCall> {
  public:
-  EvhttpCall(EventLoop& loop, HttpClient::DoneCallback done,
+  ClientCall(EventLoop& loop, HttpClient::DoneCallback done,
              HttpClient::ChunkCallback on_chunk)
       : loop_(loop), done_(std::move(done)), on_chunk_(std::move(on_chunk)) {}
 
   void Start(const HttpRequest& request) {
     keep_alive_self_ = shared_from_this();
-    connection_ = evhttp_connection_base_bufferevent_new(
-        loop_.base(), nullptr, nullptr, request.address.ip.c_str(),
-        request.address.port);
-    evhttp_connection_set_retries(connection_, 0);
-    evhttp_connection_set_max_headers_size(connection_, kMaxHeaderBytes);
-    evhttp_connection_set_max_body_size(connection_, kMaxBodyBytes);
-    bufferevent* stream = evhttp_connection_get_bufferevent(connection_);
-    ObserveBuffers(stream);
-    if (!request.discard_undelivered) window_watch_.emplace(loop_, stream);
-    evhttp_request* out = evhttp_request_new(&EvhttpCall::OnDone, this);
-    evhttp_request_set_error_cb(out, &EvhttpCall::OnError);
-    if (on_chunk_) evhttp_request_set_chunked_cb(out, &EvhttpCall::OnChunk);
-    AddHeaders(out, request);
-    evbuffer_add(evhttp_request_get_output_buffer(out), request.body.data(),
-                 request.body.size());
-    timer_ = loop_.After(request.timeout, [this] {
-      reason_ = "deadline exceeded";
-      Finish(MakeFailureResponse());
-    });
-    const int rc =
-        evhttp_make_request(connection_, out, ToEvhttpMethod(request.method),
-                            request.target.c_str());
-    if (rc == 0) {
-      EnableDeadPeerDetection(fd());
+    stream_ = std::make_unique<ByteStream>(loop_, request.address, *this,
+                                           request.discard_undelivered
+                                               ? PausedPeer::kGiveUp
+                                               : PausedPeer::kWaitFor);
+    timer_ =
+        loop_.After(request.timeout, [this] { Fail("deadline exceeded"); });
+    if (!FitsOneLine(request.method + request.target)) {
+      loop_.Post([self = keep_alive_self_] { self->Fail("malformed target"); });
       return;
     }
-    FailLater("connection could not be started");
-  }
-
-  void Cancel() override {
-    if (finished_) return;
-    finished_ = true;
-    FreeConnectionLater();
+    stream_->Write(Serialize(request));
   }
 
-  bool bytes_sent() const override { return bytes_sent_; }
+  void Cancel() override { End(); }
 
-  int fd() const override {
-    if (connection_ == nullptr) return -1;
-    return bufferevent_getfd(evhttp_connection_get_bufferevent(connection_));
+  bool bytes_sent() const override {
+    return stream_ == nullptr ? bytes_sent_ : stream_->bytes_sent();
   }
 
+  int fd() const override { return stream_ == nullptr ? -1 : stream_->fd(); }
+
  private:
-  void ObserveBuffers(bufferevent* stream) {
-    // Data counts as sent when it leaves the output buffer, that is, when it
-    // was written to the socket.
-    evbuffer_add_cb(
-        bufferevent_get_output(stream),
-        [](evbuffer*, const evbuffer_cb_info* info, void* arg) {
-          if (info->n_deleted > 0) {
-            static_cast<EvhttpCall*>(arg)->bytes_sent_ = true;
-          }
-        },
-        this);
-    evbuffer_add_cb(
-        bufferevent_get_input(stream),
-        [](evbuffer* input, const evbuffer_cb_info* info, void* arg) {
-          if (info->n_added == 0) return;
-          if (evbuffer_get_length(input) <= kMaxUnparsedBytes) return;
-          static_cast<EvhttpCall*>(arg)->FailLater(kTooLong);
-        },
-        this);
+  void OnReadable() override {
+    const std::shared_ptr<ClientCall> self = keep_alive_self_;
+    while (!ended_ && stream_->InputBytes() > 0) {
+      const size_t used = parser_->Feed(stream_->Input());
+      stream_->Consume(used);
+      OnParsed();
+      if (used == 0) return;
+    }
   }
 
-  static void AddHeaders(evhttp_request* out, const HttpRequest& request) {
-    evkeyvalq* headers = evhttp_request_get_output_headers(out);
-    evhttp_add_header(headers, "Host", request.address.ToString().c_str());
-    evhttp_add_header(headers, "Connection", "close");
-    for (const auto& [name, value] : request.headers) {
-      evhttp_add_header(headers, name.c_str(), value.c_str());
+  void OnParsed() {
+    const ParseState state = parser_->state();
+    if (state == ParseState::kFailed) {
+      Fail("malformed answer: " + parser_->reason());
+      return;
+    }
+    if (state == ParseState::kHead) return;
+    if (IsInterim(parser_->head())) {
+      // Its fields are no part of the answer.
+      parser_ = std::make_unique<ResponseParser>(kAnswerLimits);
+      return;
     }
+    DeliverChunk();
+    if (state == ParseState::kDone) Succeed();
   }
 
-  static void OnError(evhttp_request_error error, void* arg) {
-    static_cast<EvhttpCall*>(arg)->reason_ = ErrorMessage(error);
+  void DeliverChunk() {
+    const ResponseHead& head = parser_->head();
+    if (ended_ || !on_chunk_ || !IsSuccess(head)) return;
+    if (parser_->body().empty()) return;
+    if (!std::exchange(streaming_, true)) stream_->SetPriority(kStreamPriority);
+    on_chunk_(head.status, std::exchange(parser_->body(), {}));
   }
 
-  static void OnChunk(evhttp_request* request, void* arg) {
-    auto* call = static_cast<EvhttpCall*>(arg);
-    if (call->finished_) return;
-    const int status = evhttp_request_get_response_code(request);
-    if (status < 200 || status >= 300) {
-      // evhttp limits the whole body.
-      call->error_body_ +=
-          DrainBuffer(evhttp_request_get_input_buffer(request));
+  void OnPeerClosed() override {
+    const std::shared_ptr<ClientCall> self = keep_alive_self_;
+    OnReadable();
+    if (ended_) return;
+    parser_->FeedEof();
+    if (parser_->state() != ParseState::kDone) {
+      Fail("upstream closed the connection");
       return;
     }
-    const std::shared_ptr<EvhttpCall> self = call->keep_alive_self_;
-    if (!call->streaming_) {
-      call->streaming_ = true;
-      bufferevent_priority_set(
-          evhttp_connection_get_bufferevent(call->connection_),
-          kStreamPriority);
+    // Only the end of the connection says that the body is complete.
+    if (!stream_->EndedInOrder()) {
+      Fail("upstream closed the connection before it had the request");
+      return;
     }
-    call->on_chunk_(status,
-                    DrainBuffer(evhttp_request_get_input_buffer(request)));
+    Succeed();
   }
 
-  static void OnDone(evhttp_request* request, void* arg) {
-    auto* call = static_cast<EvhttpCall*>(arg);
-    if (call->finished_) return;
-    if (request == nullptr || evhttp_request_get_response_code(request) == 0) {
-      call->Finish(call->MakeFailureResponse());
-      return;
-    }
+  void OnError(const std::string& reason) override {
+    const std::shared_ptr<ClientCall> self = keep_alive_self_;
+    if (ended_) return;
+    // The answer may have come before the connection failed, all of it.
+    if (stream_->bytes_sent()) stream_->ReadRemaining();
+    OnReadable();
+    Fail("connection failed: " + reason);
+  }
+
+  void Succeed() {
+    if (ended_) return;
+    const ResponseHead& head = parser_->head();
     HttpResponse response;
     response.outcome = Outcome::Ran();
-    response.status = evhttp_request_get_response_code(request);
-    response.body = call->error_body_ +
-                    DrainBuffer(evhttp_request_get_input_buffer(request));
-    const evkeyvalq* in = evhttp_request_get_input_headers(request);
-    for (const evkeyval* kv = in->tqh_first; kv != nullptr;
-         kv = kv->next.tqe_next) {
-      response.headers.emplace_back(kv->key, kv->value);
+    response.status = head.status;
+    response.body = std::move(parser_->body());
+    for (const HeaderField& field : head.fields) {
+      response.headers.emplace_back(field.name, field.value);
     }
-    call->Finish(response);
+    Finish(response);
   }
 
-  void FailLater(const char* reason) {
-    reason_ = reason;
-    loop_.Post([self = keep_alive_self_] {
-      if (self) self->Finish(self->MakeFailureResponse());
-    });
-  }
-
-  HttpResponse MakeFailureResponse() const {
+  void Fail(const std::string& reason) {
+    if (ended_) return;
     HttpResponse response;
     response.outcome =
-        bytes_sent_ ? Outcome::MayHaveRun(reason_) : Outcome::NotRun(reason_);
-    return response;
+        bytes_sent() ? Outcome::MayHaveRun(reason) : Outcome::NotRun(reason);
+    Finish(response);
   }
 
   void Finish(const HttpResponse& response) {
-    if (finished_) return;
-    finished_ = true;
-    const std::shared_ptr<EvhttpCall> self = keep_alive_self_;
-    FreeConnectionLater();
+    const std::shared_ptr<ClientCall> self = keep_alive_self_;
+    End();
     if (done_) done_(response);
   }
 
-  // evhttp does not allow a connection to be freed within its own callback.
-  void FreeConnectionLater() {
+  void End() {
+    if (ended_) return;
+    ended_ = true;
     timer_.Reset();
-    StopConnection();
-    loop_.Post([self = keep_alive_self_] {
-      self->window_watch_.reset();
-      if (self->connection_ != nullptr) {
-        evhttp_connection_free(self->connection_);
-      }
-      self->connection_ = nullptr;
-      self->keep_alive_self_.reset();
+    bytes_sent_ = stream_->bytes_sent();
+    stream_->Stop();
+    // The stream or the parser may be on the call stack, so the loop frees them
+    // later.
+    loop_.Post([self = std::exchange(keep_alive_self_, nullptr)] {
+      self->stream_.reset();
     });
   }
 
-  // Without callbacks, evhttp does not learn that the connection is established
-  // and writes no request to it.
-  void StopConnection() {
-    if (connection_ == nullptr) return;
-    bufferevent* stream = evhttp_connection_get_bufferevent(connection_);
-    bufferevent_setcb(stream, nullptr, nullptr, nullptr, nullptr);
-    bufferevent_disable(stream, EV_READ | EV_WRITE);
-  }
-
   EventLoop& loop_;
   HttpClient::DoneCallback done_;
   HttpClient::ChunkCallback on_chunk_;
-  evhttp_connection* connection_ = nullptr;
-  std::optional<ClosedWindowWatch> window_watch_;
+  std::unique_ptr<ByteStream> stream_;
+  std::unique_ptr<ResponseParser> parser_ =
+      std::make_unique<ResponseParser>(kAnswerLimits);
   EventHandle timer_;
-  std::shared_ptr<EvhttpCall> keep_alive_self_;
-  std::string reason_ = "connection failed";
-  std::string error_body_;
+  std::shared_ptr<ClientCall> keep_alive_self_;
+  // Of a call whose stream is gone.
   bool bytes_sent_ = false;
   bool streaming_ = false;
-  bool finished_ = false;
+  bool ended_ = false;
 };
 
 }  // namespace
@@ -256,7 +201,7 @@
                                             DoneCallback done,
                                             ChunkCallback on_chunk) {
   auto call =
-      std::make_shared<EvhttpCall>(loop_, std::move(done), std::move(on_chunk));
+      std::make_shared<ClientCall>(loop_, std::move(done), std::move(on_chunk));
   call->Start(request);
   return call;
 }
--- a/lib/Http/message_parser.cc
+++ b/lib/Http/message_parser.cc
@@ -45,8 +45,9 @@
 
   void FeedEof() {
     if (this->is_done() || failed_) return;
-    error_code ec;
-    this->put_eof(ec);
+    // The base class takes an end before the first byte for that of a message.
+    error_code ec = http::error::end_of_stream;
+    if (this->is_header_done()) this->put_eof(ec);
     if (ec) Fail(ec);
   }
 
--- a/unittests/Http/message_parser_test.cc
+++ b/unittests/Http/message_parser_test.cc
@@ -126,6 +126,19 @@
   }
 }
 
+// Guards against an empty answer of status 0 from a peer that just closed.
+TEST(MessageParserTest, EndBeforeTheEndOfAHeadIsNoMessage) {
+  const std::string head = "HTTP/1.1 200 OK\r\nA: b\r\n\r\n";
+  for (size_t length = 0; length <= head.size(); ++length) {
+    ResponseInput input;
+    input.Receive(head.substr(0, length));
+    input.parser().FeedEof();
+    EXPECT_EQ(input.parser().state(),
+              length == head.size() ? ParseState::kDone : ParseState::kFailed)
+        << length;
+  }
+}
+
 // The bytes of the next message are no part of this one.
 TEST(MessageParserTest, PipelinedRequestsAreNoPartOfAMessage) {
   RequestInput input;
