[Http1] Bound the bodies of all requests together

Cause: InboundConnection kept each body up to its own limit, whatever the others held, and Send made two copies of it on its way out.

Change: RequestMemory, a sixth of the process's memory for clients and peers together. Send writes head and body apart. A client that is still sending reads its refusal: input is discarded until none has come for 1 s, for 30 s at most (1 s during a planned stop).

--- a/include/corianderlink/Gateway/gateway.h
+++ b/include/corianderlink/Gateway/gateway.h
@@ -262,6 +262,7 @@
   UpstreamPool pool_;
   FleetRetryBudget retry_budget_;
   AnswerMemory answer_memory_;
+  const std::shared_ptr<RequestMemory> request_memory_;
   StopAdmission stop_admission_;
   Placer placer_;
   CrashQuarantine quarantine_;
--- a/include/corianderlink/Http/message_head.h
+++ b/include/corianderlink/Http/message_head.h
@@ -43,6 +43,8 @@
   HeaderFields fields;
   /// True if the connection may be reused after the response.
   bool keep_alive = true;
+  /// Value of Content-Length, unless the body is chunked.
+  std::optional<uint64_t> content_length;
 
   /// Path without the query.
   std::string_view Path() const;
--- a/include/corianderlink/Http1/inbound_connection.h
+++ b/include/corianderlink/Http1/inbound_connection.h
@@ -13,6 +13,7 @@
 #include "corianderlink/Http/event_loop.h"
 #include "corianderlink/Http/message_parser.h"
 #include "corianderlink/Http1/inbound_exchange.h"
+#include "corianderlink/Http1/request_memory.h"
 
 namespace corianderlink {
 
@@ -37,6 +38,8 @@
   std::function<void(InboundConnection*)> on_closed;
   /// The connection rejected a request itself; `reason` is for logs.
   std::function<void(const std::string& reason)> on_request_rejected;
+  /// Shared by all bodies; without it they are not bounded together.
+  std::shared_ptr<RequestMemory> memory = nullptr;
 };
 
 /// Reads requests one at a time: a pipelined request is parsed only after the
@@ -68,6 +71,8 @@
   void OnError(const std::string& reason) override;
 
   void ParseInput();
+  /// Refuses the request if there is no memory for its body.
+  bool HoldBody();
   void Dispatch();
   void Reject(int status, const std::string& reason);
   void ArmTimer(Duration delay);
@@ -78,6 +83,7 @@
   /// Closes the connection, once a client that is still sending has had time to
   /// read the answer.
   void CloseOnceRead();
+  void ArmDiscardTimer(Time now);
   void BecomeIdle();
   /// True if bytes of the client have arrived that no request has taken yet.
   bool HasInput() const;
@@ -87,13 +93,18 @@
   const InboundContext& context_;
   ByteStream stream_;
   std::unique_ptr<RequestParser> parser_;
+  // Of the request that is being received.
+  HeldRequest held_;
   std::optional<Time> request_started_;
   std::shared_ptr<InboundExchange> exchange_;
   bool close_after_response_ = false;
   // The last response is complete; what the client sends from now on is no
   // request.
   bool answered_last_ = false;
-  bool has_discarded_input_ = false;
+  // More of a refused request has come or is to come.
+  bool client_sends_on_ = false;
+  // Set once the client has the last answer and is still sending.
+  std::optional<Time> discards_until_;
   // Of the last answer, when the timer last ran, and since when it is so.
   size_t unread_bytes_ = 0;
   Time read_at_{};
--- a/include/corianderlink/Http1/inbound_exchange.h
+++ b/include/corianderlink/Http1/inbound_exchange.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "corianderlink/Http/message_head.h"
+#include "corianderlink/Http1/request_memory.h"
 #include "corianderlink/Support/time.h"
 
 namespace corianderlink {
@@ -21,7 +22,7 @@
 class InboundExchange {
  public:
   InboundExchange(InboundConnection* connection, RequestHead head,
-                  std::string body, Time received_at);
+                  std::string body, Time received_at, HeldRequest held);
 
   const RequestHead& head() const { return head_; }
   const std::string& body() const { return body_; }
@@ -66,6 +67,8 @@
   const RequestHead head_;
   const std::string body_;
   const Time received_at_;
+  // The body may be sent again until this object is gone.
+  const HeldRequest held_;
   bool response_started_ = false;
   bool chunked_ = false;
 };
--- a/include/corianderlink/Http1/inbound_server.h
+++ b/include/corianderlink/Http1/inbound_server.h
@@ -20,7 +20,9 @@
   using Handler = std::function<void(std::shared_ptr<InboundExchange>)>;
 
   /// Connections beyond `max_connections` are closed when they are accepted.
-  InboundServer(EventLoop& loop, size_t max_connections, Handler handler);
+  /// Requests whose bodies do not fit into `memory` are refused with 503.
+  InboundServer(EventLoop& loop, size_t max_connections, Handler handler,
+                std::shared_ptr<RequestMemory> memory = nullptr);
   ~InboundServer();
   InboundServer(const InboundServer&) = delete;
   InboundServer& operator=(const InboundServer&) = delete;
--- a/lib/Gateway/gateway.cc
+++ b/lib/Gateway/gateway.cc
@@ -31,6 +31,9 @@
 
 // Part of the process's memory that answers may take: 1 / this.
 constexpr size_t kAnswerMemoryDivisor = 8;
+// The share of the process's memory for the bodies of requests, each of which
+// is kept for another attempt while it is being sent.
+constexpr size_t kRequestMemoryDivisor = 6;
 
 // Processes that have run before may have used the budget, and this one does
 // not know yet how many it shares it with.
@@ -56,6 +59,8 @@
       pool_(loop),
       retry_budget_(settings_.retries, WholeBudgetFrom(settings_), metrics_),
       answer_memory_(settings_.memory_bytes / kAnswerMemoryDivisor),
+      request_memory_(std::make_shared<RequestMemory>(settings_.memory_bytes /
+                                                      kRequestMemoryDivisor)),
       stop_admission_({kDirectoryTtl, kMaxTtlOverrunFactor * kDirectoryTtl}),
       placer_(PlacerLimits{}, MakeEjectorLimits(), GatewayPeers::kPeerTimeout,
               settings_.zone, random_),
@@ -67,14 +72,18 @@
              [this](Time now) { return CurrentStatus(now); }),
       reachability_sampler_(loop, pool_, random_, codecs_.orders),
       peer_selection_(settings_.zone, random_),
-      client_server_(loop, MaxClientConnections(settings_.max_descriptors),
-                     [this](const std::shared_ptr<InboundExchange>& exchange) {
-                       OnRequest(exchange, false);
-                     }),
-      forward_server_(loop, MaxClientConnections(settings_.max_descriptors),
-                      [this](const std::shared_ptr<InboundExchange>& exchange) {
-                        OnRequest(exchange, true);
-                      }),
+      client_server_(
+          loop, MaxClientConnections(settings_.max_descriptors),
+          [this](const std::shared_ptr<InboundExchange>& exchange) {
+            OnRequest(exchange, false);
+          },
+          request_memory_),
+      forward_server_(
+          loop, MaxClientConnections(settings_.max_descriptors),
+          [this](const std::shared_ptr<InboundExchange>& exchange) {
+            OnRequest(exchange, true);
+          },
+          request_memory_),
       ready_server_(
           loop, {},
           [this](const auto& exchange) {
@@ -90,7 +99,7 @@
       relay_context_(MakeRelayContext()) {
   client_server_.on_request_rejected = [this](const std::string& reason) {
     metrics_.Add("gateway_malformed_requests_total");
-    Log(LogLevel::kWarning, "request_malformed", {{"reason", reason}});
+    Log(LogLevel::kWarning, "request_rejected", {{"reason", reason}});
   };
   peers_.on_records_request = [this](bool needs_upstreams) {
     return record_cache_.RecordsForPeer(needs_upstreams);
--- a/lib/Http/http_client.cc
+++ b/lib/Http/http_client.cc
@@ -26,7 +26,7 @@
   return text.find_first_of("\r\n") == std::string_view::npos;
 }
 
-std::string Serialize(const HttpRequest& request) {
+std::string SerializeHead(const HttpRequest& request) {
   std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
   HeaderFields fields = {{"Host", request.address.ToString()},
                          {"Connection", "close"}};
@@ -38,7 +38,7 @@
     fields.push_back({"Content-Length", std::to_string(request.body.size())});
   }
   AppendFields(fields, text);
-  return text + "\r\n" + request.body;
+  return text + "\r\n";
 }
 
 /// One call.  Keeps itself alive until its connection is freed.
@@ -62,7 +62,8 @@
       loop_.Post([self = keep_alive_self_] { self->Fail("malformed target"); });
       return;
     }
-    stream_->Write(Serialize(request));
+    stream_->Write(SerializeHead(request));
+    stream_->Write(request.body);
   }
 
   void Cancel() override { End(); }
--- a/lib/Http/http_server.cc
+++ b/lib/Http/http_server.cc
@@ -85,7 +85,7 @@
         auto exchange = std::make_shared<HttpExchange>(request, server->state_);
         exchange->WatchForDisconnect();
         if (const auto fault = FindFault(request)) {
-          Log(LogLevel::kWarning, "request_malformed",
+          Log(LogLevel::kWarning, "request_rejected",
               {{"reason", fault->reason}});
           exchange->Reply(fault->status, "text/plain", fault->reason + "\n",
                           {{"Connection", "close"}});
--- a/lib/Http/message_parser.cc
+++ b/lib/Http/message_parser.cc
@@ -118,7 +118,8 @@
     response.keep_alive = this->keep_alive();
     response.ends_with_connection = this->need_eof();
     if (!this->chunked() && this->content_length()) {
-      response.content_length = *this->content_length();
+      request.content_length = *this->content_length();
+      response.content_length = request.content_length;
     }
   }
   void on_body_init_impl(const boost::optional<std::uint64_t>&,
--- a/lib/Http1/inbound_connection.cc
+++ b/lib/Http1/inbound_connection.cc
@@ -11,8 +11,12 @@
 constexpr size_t kMaxReadAheadBytes = 64 * 1024;
 // A client that has read nothing of its answer for this long has gone.
 constexpr Duration kMaxUnreadTime = seconds(30);
-// Time for a client to read the refusal of a request that it is still sending.
-constexpr Duration kMaxRefusedInputTime = seconds(1);
+// A client that is still sending a request has to read its refusal: input is
+// discarded until none has come for the first time, or for the second in all.
+constexpr Duration kMaxRefusedInputGap = seconds(1);
+constexpr Duration kMaxRefusedInputTime = seconds(30);
+// As the bodies of others have been passed on.
+constexpr char kRetryAfterSeconds[] = "1";
 
 const char* ReasonPhrase(int status) {
   switch (status) {
@@ -137,7 +141,8 @@
     // The rest of a request that was refused, or a request that the client sent
     // before it read that the connection closes.
     stream_.Consume(stream_.Input().size());
-    has_discarded_input_ = true;
+    client_sends_on_ = true;
+    if (discards_until_) ArmDiscardTimer(BootClock::now());
     return;
   }
   if (exchange_) return;  // Pipelined data is parsed after the response.
@@ -149,6 +154,7 @@
   if (input.empty()) return;
   if (!request_started_) {
     request_started_ = BootClock::now();
+    held_ = HeldRequest(context_.memory);
     parser_ = std::make_unique<RequestParser>(ParserLimits{
         context_.limits.max_header_bytes, context_.limits.max_body_bytes});
     ArmTimer(context_.limits.header_timeout);
@@ -160,9 +166,10 @@
       Reject(parser_->rejection_status(), parser_->reason());
       return;
     case ParseState::kDone:
-      Dispatch();
+      if (HoldBody()) Dispatch();
       return;
     case ParseState::kBody:
+      if (!HoldBody()) return;
       if (previous_state == ParseState::kHead) {
         const std::string* expect = FindField(parser_->head().fields, "Expect");
         if (expect != nullptr) stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -174,11 +181,21 @@
   }
 }
 
+bool InboundConnection::HoldBody() {
+  const uint64_t announced = parser_->head().content_length.value_or(0);
+  const uint64_t received = parser_->body().size();
+  if (held_.TryHold(std::max(announced, received))) return true;
+  client_sends_on_ = parser_->state() != ParseState::kDone;
+  Reject(503, "no memory for the body");
+  return false;
+}
+
 void InboundConnection::Dispatch() {
   timer_.Reset();
   close_after_response_ = !parser_->head().keep_alive;
   exchange_ = std::make_shared<InboundExchange>(
-      this, parser_->head(), std::move(parser_->body()), *request_started_);
+      this, parser_->head(), std::move(parser_->body()), *request_started_,
+      std::move(held_));
   parser_.reset();
   stream_.SetReadLimit(kMaxReadAheadBytes);
   context_.on_request(exchange_);
@@ -188,7 +205,9 @@
   context_.on_request_rejected(reason);
   close_after_response_ = true;
   timer_.Reset();
-  WriteHead(status, {}, 0);
+  HeaderFields fields;
+  if (status == 503) fields.push_back({"Retry-After", kRetryAfterSeconds});
+  WriteHead(status, fields, 0);
   OnResponseComplete();
 }
 
@@ -212,6 +231,7 @@
   exchange_ = nullptr;
   request_started_.reset();
   parser_.reset();
+  held_ = HeldRequest(context_.memory);
   unread_bytes_ = 0;
   if (close_after_response_) {
     answered_last_ = true;
@@ -247,12 +267,20 @@
 void InboundConnection::CloseOnceRead() {
   // The kernel resets a connection that is closed with input, and the client
   // might lose the answer.
-  if (!has_discarded_input_ && !stream_.HasUnreadInput()) {
+  if (!client_sends_on_ && !stream_.HasUnreadInput()) {
     Close();
     return;
   }
   stream_.EndOutput();
-  ArmTimer(kMaxRefusedInputTime);
+  const Time now = BootClock::now();
+  discards_until_ = now + (context_.shutting_down ? kMaxRefusedInputGap
+                                                  : kMaxRefusedInputTime);
+  ArmDiscardTimer(now);
+}
+
+void InboundConnection::ArmDiscardTimer(Time now) {
+  ArmTimer(std::clamp(*discards_until_ - now, Duration::zero(),
+                      kMaxRefusedInputGap));
 }
 
 void InboundConnection::OnPeerClosed() { Close(); }
@@ -261,11 +289,12 @@
 
 InboundExchange::InboundExchange(InboundConnection* connection,
                                  RequestHead head, std::string body,
-                                 Time received_at)
+                                 Time received_at, HeldRequest held)
     : connection_(connection),
       head_(std::move(head)),
       body_(std::move(body)),
-      received_at_(received_at) {}
+      received_at_(received_at),
+      held_(std::move(held)) {}
 
 void InboundExchange::Detach() { connection_ = nullptr; }
 
--- a/lib/Http1/inbound_server.cc
+++ b/lib/Http1/inbound_server.cc
@@ -17,7 +17,8 @@
 }  // namespace
 
 InboundServer::InboundServer(EventLoop& loop, size_t max_connections,
-                             Handler handler)
+                             Handler handler,
+                             std::shared_ptr<RequestMemory> memory)
     : loop_(loop),
       max_connections_(max_connections),
       context_{loop_,
@@ -27,7 +28,8 @@
                [this](InboundConnection* connection) { OnClosed(connection); },
                [this](const std::string& reason) {
                  if (on_request_rejected) on_request_rejected(reason);
-               }} {}
+               },
+               std::move(memory)} {}
 
 InboundServer::~InboundServer() { StopListening(); }
 
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -90,7 +90,8 @@
     head += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
   }
   head += "\r\n";
-  stream_->Write(head + request.body);
+  stream_->Write(head);
+  stream_->Write(request.body);
   if (!connected_) {
     connect_timer_ =
         loop_.After(request.connect_timeout, [this] { OnConnectTimeout(); });
--- a/unittests/Http1/inbound_connection_fixture.h
+++ b/unittests/Http1/inbound_connection_fixture.h
@@ -18,6 +18,9 @@
 
 using Exchange = std::shared_ptr<InboundExchange>;
 
+// Of the bodies of all requests.
+constexpr uint64_t kCapacityBytes = 100'000;
+
 class InboundConnectionTest : public ::testing::Test {
  protected:
   InboundConnectionTest() {
@@ -60,6 +63,8 @@
     requests_.push_back(std::move(exchange));
   };
   std::function<void()> on_rejected_;
+  std::shared_ptr<RequestMemory> memory_ =
+      std::make_shared<RequestMemory>(kCapacityBytes);
   InboundContext context_{
       loop_,
       limits_,
@@ -73,7 +78,8 @@
       [this](const std::string& reason) {
         malformed_.push_back(reason);
         if (on_rejected_) on_rejected_();
-      }};
+      },
+      memory_};
   int fds_[2] = {-1, -1};
   std::unique_ptr<InboundConnection> connection_;
 };
