[Http] Keep connections whose peer reads slowly and steadily

Cause: with a window below a segment's size the kernel sends by probes and counts the time since the first one, whatever is read in between. ClosedWindowWatch set TCP_USER_TIMEOUT again whenever a check met bytes in flight, and that count was over. Ruled out: the gateway's own timer for unread answers (30 s; the kernel holds the answer).

Change: a limit that was lifted stays lifted while bytes are outstanding and a check of the last 2 s found the window closed or new bytes acknowledged. A host that is gone acknowledges none.

Test: PausedClientTest.SlowlyReadAnswerIsNotCut; before: 155,605 of 400,000 bytes after 3.8 s; after: 3 of 3 at once.

--- a/include/corianderlink/Http/closed_window_watch.h
+++ b/include/corianderlink/Http/closed_window_watch.h
@@ -38,6 +38,10 @@
   EventLoop& loop_;
   bufferevent* const stream_;
   evbuffer_cb_entry* const callback_;
+  // By the last check.
+  uint64_t acknowledged_ = 0;
+  // A check last found the window closed, or new bytes acknowledged.
+  Time alive_at_{};
   bool lifted_ = false;
   EventHandle timer_;
 };
--- a/lib/Http/closed_window_watch.cc
+++ b/lib/Http/closed_window_watch.cc
@@ -4,7 +4,12 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <linux/sockios.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <utility>
 
 #include "corianderlink/Http/dead_peer_detection.h"
 
@@ -30,6 +35,14 @@
   return queue;
 }
 
+// Bytes that the peer's host has acknowledged; 0 if the kernel does not tell.
+uint64_t AcknowledgedBytes(int fd) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
+  return info.tcpi_bytes_acked;
+}
+
 }  // namespace
 
 ClosedWindowWatch::ClosedWindowWatch(EventLoop& loop, bufferevent* stream)
@@ -63,7 +76,17 @@
   const SendQueue queue = QueryQueue(bufferevent_getfd(stream_));
   const size_t unwritten = evbuffer_get_length(bufferevent_get_output(stream_));
   // The window is closed if nothing is in flight and something waits.
-  Lift(queue.unsent > 0 && queue.unsent == queue.outstanding);
+  const bool is_closed = queue.unsent > 0 && queue.unsent == queue.outstanding;
+  const uint64_t acknowledged = AcknowledgedBytes(bufferevent_getfd(stream_));
+  const bool is_read =
+      std::exchange(acknowledged_, acknowledged) < acknowledged;
+  const Time now = BootClock::now();
+  if (is_closed || is_read) alive_at_ = now;
+  // A window below a segment's size opens and closes between two checks, and
+  // the kernel counts all of that time as closed.  So a limit that is lifted
+  // stays lifted while the peer reads.
+  const bool is_silent = now - alive_at_ >= kTcpUserTimeout;
+  Lift(is_closed || (lifted_ && queue.outstanding > 0 && !is_silent));
   if (queue.outstanding == 0 && unwritten == 0) return;
   timer_ = loop_.After(kCheckInterval, [this] { Check(); });
 }
--- a/unittests/Http1/paused_reader_test.cc
+++ b/unittests/Http1/paused_reader_test.cc
@@ -22,6 +22,9 @@
 constexpr size_t kAnswerBytes = 8'000'000;
 constexpr size_t kShortAnswerBytes = 200'000;
 constexpr size_t kBodyBytes = 4'000'000;
+// Read at 41 KB/s.
+constexpr size_t kSlowAnswerBytes = 400'000;
+constexpr Duration kTimeBetweenReads = milliseconds(200);
 
 /// Sends a request on a connection of its own, pauses, and reads to the end.
 std::string ReadAfterAPause(const Address& to, const std::string& request) {
@@ -34,10 +37,32 @@
   return answer;
 }
 
+/// Sends a request and reads its answer without a pause, a little at a time.
+std::string ReadSlowly(const Address& to, const std::string& request) {
+  const int fd = ConnectTo(to, kSmallBufferBytes);
+  ssize_t n = send(fd, request.data(), request.size(), MSG_NOSIGNAL);
+  std::string answer;
+  char buffer[8192];
+  const std::string end_of_head = "\r\n\r\n";
+  while ((n = read(fd, buffer, sizeof(buffer))) > 0) {
+    answer.append(buffer, static_cast<size_t>(n));
+    const size_t head = answer.find(end_of_head) + end_of_head.size();
+    if (answer.size() == head + kSlowAnswerBytes) break;
+    std::this_thread::sleep_for(kTimeBetweenReads);
+  }
+  close(fd);
+  return answer;
+}
+
 class PausedClientTest : public ::testing::Test {
  protected:
-  /// The body that a client receives that pauses before it reads.
-  size_t BodyReceived(size_t body_bytes, bool last) {
+  using Reader = std::string (*)(const Address&, const std::string&);
+
+  /// The body that a client receives, which pauses before it reads unless it
+  /// has another `reader`.
+  size_t BodyReceived(size_t body_bytes, bool last,
+                      Reader reader = ReadAfterAPause,
+                      Duration idle_timeout = seconds(1)) {
     const Address address = FreeAddress();
     InboundServer server(
         loop_, 10, [&](const std::shared_ptr<InboundExchange>& exchange) {
@@ -45,14 +70,14 @@
         });
     EXPECT_TRUE(server.Listen(address));
     InboundLimits limits;
-    limits.idle_timeout = seconds(1);
+    limits.idle_timeout = idle_timeout;
     server.SetLimits(BootClock::now(), limits);
     std::string answer;
     std::atomic<bool> done{false};
     std::thread client([&] {
-      answer = ReadAfterAPause(
-          address, std::string("GET / HTTP/1.1\r\nHost: a\r\n") +
-                       (last ? "Connection: close\r\n" : "") + "\r\n");
+      answer =
+          reader(address, std::string("GET / HTTP/1.1\r\nHost: a\r\n") +
+                              (last ? "Connection: close\r\n" : "") + "\r\n");
       done = true;
     });
     const EventHandle poll = loop_.Every(milliseconds(10), [&] {
@@ -79,6 +104,14 @@
   EXPECT_EQ(BodyReceived(kShortAnswerBytes, true), kShortAnswerBytes);
 }
 
+// Guards against an answer that is cut while its client reads it steadily and
+// slowly: its window is smaller than a segment, so the kernel counts the time
+// since the first probe, whatever is read in between.
+TEST_F(PausedClientTest, SlowlyReadAnswerIsNotCut) {
+  EXPECT_EQ(BodyReceived(kSlowAnswerBytes, false, ReadSlowly, seconds(60)),
+            kSlowAnswerBytes);
+}
+
 // Guards against a request that fails because its upstream pauses before it
 // reads the body.
 TEST(PausedUpstreamConnectionTest, LongRequestIsReadAfterAPause) {
