--- a/lib/Http/http_client.cc
+++ b/lib/Http/http_client.cc
@@ -31,8 +31,8 @@
   HeaderFields fields = {{"Host", request.address.ToString()},
                          {"Connection", "close"}};
   for (const auto& [name, value] : request.headers) {
-    if (FitsOneLine(name) && FitsOneLine(value))
-      fields.push_back({name, value});
+    if (!FitsOneLine(name) || !FitsOneLine(value)) continue;
+    fields.push_back({name, value});
   }
   if (!request.body.empty() || request.method != "GET") {
     fields.push_back({"Content-Length", std::to_string(request.body.size())});
--- a/lib/Http/message_framing.cc
+++ b/lib/Http/message_framing.cc
@@ -115,8 +115,7 @@
 std::optional<FramingFault> MessageFraming::RequestFault(int version) const {
   if (malformed_) return FramingFault{400, *malformed_};
   if (codings_.empty()) return LengthFault();
-  if (version < kHttp11)
-    return Refuse("transfer coding in an older protocol version");
+  if (version < kHttp11) return Refuse("transfer coding before version 1.1");
   if (!lengths_.empty()) return Refuse("length beside a transfer coding");
   return CodingFault(Elements(codings_));
 }
