[Http] End an answer to HEAD with its head

Change: ResponseParser is told what the response answers, and skips the body of one to HEAD, also behind interim responses.

--- a/include/corianderlink/Http/message_parser.h
+++ b/include/corianderlink/Http/message_parser.h
@@ -51,11 +51,18 @@
   std::unique_ptr<Impl> impl_;
 };
 
+/// What a response answers.
+enum class AnsweredMethod {
+  kAny,
+  kHead,  ///< The head says the length of a body that does not come.
+};
+
 /// Parses one response.  An interim (1xx) response counts as a message, which
 /// the caller has to skip.
 class ResponseParser {
  public:
-  explicit ResponseParser(ParserLimits limits);
+  explicit ResponseParser(ParserLimits limits,
+                          AnsweredMethod method = AnsweredMethod::kAny);
   ~ResponseParser();
 
   size_t Feed(std::string_view data);
--- a/lib/Http/http_client.cc
+++ b/lib/Http/http_client.cc
@@ -52,6 +52,8 @@
 
   void Start(const HttpRequest& request) {
     keep_alive_self_ = shared_from_this();
+    if (request.method == "HEAD") method_ = AnsweredMethod::kHead;
+    StartParser();
     stream_ = std::make_unique<ByteStream>(loop_, request.address, *this,
                                            request.discard_undelivered
                                                ? PausedPeer::kGiveUp
@@ -94,13 +96,17 @@
     if (state == ParseState::kHead) return;
     if (IsInterim(parser_->head())) {
       // Its fields are no part of the answer.
-      parser_ = std::make_unique<ResponseParser>(kAnswerLimits);
+      StartParser();
       return;
     }
     DeliverChunk();
     if (state == ParseState::kDone) Succeed();
   }
 
+  void StartParser() {
+    parser_ = std::make_unique<ResponseParser>(kAnswerLimits, method_);
+  }
+
   void DeliverChunk() {
     const ResponseHead& head = parser_->head();
     if (ended_ || !on_chunk_ || !IsSuccess(head)) return;
@@ -179,8 +185,8 @@
   HttpClient::DoneCallback done_;
   HttpClient::ChunkCallback on_chunk_;
   std::unique_ptr<ByteStream> stream_;
-  std::unique_ptr<ResponseParser> parser_ =
-      std::make_unique<ResponseParser>(kAnswerLimits);
+  AnsweredMethod method_ = AnsweredMethod::kAny;
+  std::unique_ptr<ResponseParser> parser_;
   EventHandle timer_;
   std::shared_ptr<ClientCall> keep_alive_self_;
   // Of a call whose stream is gone.
--- a/lib/Http/message_parser.cc
+++ b/lib/Http/message_parser.cc
@@ -175,8 +175,10 @@
   Collector<false> collector;
 };
 
-ResponseParser::ResponseParser(ParserLimits limits)
-    : impl_(std::make_unique<Impl>(limits)) {}
+ResponseParser::ResponseParser(ParserLimits limits, AnsweredMethod method)
+    : impl_(std::make_unique<Impl>(limits)) {
+  impl_->collector.skip(method == AnsweredMethod::kHead);
+}
 ResponseParser::~ResponseParser() = default;
 size_t ResponseParser::Feed(std::string_view data) {
   return impl_->collector.Feed(data);
--- a/lib/Http1/upstream_connection.cc
+++ b/lib/Http1/upstream_connection.cc
@@ -76,6 +76,8 @@
     UpstreamRequest request, UpstreamHandlers handlers) {
   keep_alive_self_ = shared_from_this();
   handlers_ = std::move(handlers);
+  method_ =
+      request.method == "HEAD" ? AnsweredMethod::kHead : AnsweredMethod::kAny;
   id_ = std::move(request.id);
   named_request_ = std::move(request.named_request);
   discarded_ = 0;
@@ -83,7 +85,7 @@
   carried_.Add(id_);
   head_delivered_ = false;
   discarding_response_ = false;
-  parser_ = std::make_unique<ResponseParser>(kResponseLimits);
+  StartParser();
   std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
   AppendFields(request.fields, head);
   if (!request.body.empty() || AllowsBody(request.method)) {
@@ -99,6 +101,10 @@
   return std::make_shared<ConnectionCall>(shared_from_this());
 }
 
+void UpstreamConnection::StartParser() {
+  parser_ = std::make_unique<ResponseParser>(kResponseLimits, method_);
+}
+
 void UpstreamConnection::OnConnectTimeout() {
   // The connection may be established, with OnConnected yet to be called.
   if (stream_->bytes_sent()) return;
@@ -189,7 +195,7 @@
   }
   // The awaited response may follow even one that ends the connection.
   if (!parser_->head().keep_alive) ends_after_call_ = true;
-  parser_ = std::make_unique<ResponseParser>(kResponseLimits);
+  StartParser();
   head_delivered_ = false;
   discarding_response_ = false;
 }
--- a/lib/Http1/upstream_connection.h
+++ b/lib/Http1/upstream_connection.h
@@ -69,6 +69,7 @@
   void LogDiscarded(const ResponseHead& head);
   void DeliverBody();
   void FinishResponse();
+  void StartParser();
   void CompleteCall();
   void ApplyKeepAliveTimeout(const ResponseHead& head);
 
@@ -80,6 +81,7 @@
   CarriedRequests carried_;
   std::unique_ptr<ByteStream> stream_;
   std::unique_ptr<ResponseParser> parser_;
+  AnsweredMethod method_ = AnsweredMethod::kAny;
   // Id of the request in progress, and how its response names it.
   std::string id_;
   std::function<std::string(const ResponseHead&)> named_request_;
--- a/unittests/Http/http_answer_test.cc
+++ b/unittests/Http/http_answer_test.cc
@@ -54,7 +54,7 @@
     HttpClient client(loop);
     HttpRequest request;
     request.address = peer.address;
-    request.method = "POST";
+    request.method = method_;
     request.body = body;
     request.timeout = seconds(3);
     Answer result;
@@ -74,6 +74,8 @@
     loop.Run();
     return result;
   }
+  std::string method_ = "POST";
+
   /// A call whose peer keeps the connection open.
   Answer CallAnsweredBy(const std::string& answer) const {
     return Call(answer, "", [](int fd) { ReadToEnd(fd); });
@@ -111,6 +113,21 @@
   EXPECT_EQ(answer.response.Header("X-First"), "");
 }
 
+// Guards against calls that wait for their whole time limit: the length of an
+// answer to HEAD is that of a body that does not come.
+TEST_P(HttpAnswerTest, AnswerToHeadHasNoBody) {
+  method_ = "HEAD";
+  for (const char* field :
+       {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+    SCOPED_TRACE(field);
+    const Answer answer =
+        CallAnsweredBy("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" +
+                       std::string(field) + "\r\n");
+    EXPECT_EQ(answer.response.status, 200);
+    EXPECT_EQ(BodyOf(answer), "");
+  }
+}
+
 TEST_P(HttpAnswerTest, TrailersAreNoPartOfTheHead) {
   const Answer answer = CallAnsweredBy(
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/unittests/Http1/response_head_test.cc
+++ b/unittests/Http1/response_head_test.cc
@@ -46,6 +46,20 @@
   }
 }
 
+// Guards against callers that wait for their whole deadline: the length of a
+// response to HEAD is that of a body that does not come.
+TEST_F(ResponseHeadTest, ResponseToHeadHasNoBody) {
+  method_ = "HEAD";
+  for (const char* field :
+       {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+    SCOPED_TRACE(field);
+    const CallResult result = CallAnsweredBy(
+        std::string("HTTP/1.1 200 OK\r\nId: 1\r\n") + field + "\r\n");
+    EXPECT_TRUE(result.ended);
+    EXPECT_EQ(result.body, "");
+  }
+}
+
 TEST_F(ResponseHeadTest, InterimResponsesAreSkipped) {
   const CallResult result = CallAnsweredBy(
       "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nId: 1\r\n\r\n" +
--- a/unittests/Http1/upstream_pool_fixture.h
+++ b/unittests/Http1/upstream_pool_fixture.h
@@ -61,7 +61,7 @@
     CallResult result;
     UpstreamRequest request;
     request.address = to;
-    request.method = "POST";
+    request.method = method_;
     request.fields = {{"Id", id}};
     request.body = body;
     request.max_idle = max_idle_;
@@ -93,6 +93,7 @@
     loop_.Run();
   }
 
+  std::string method_ = "POST";
   Duration max_idle_ = seconds(60);
   size_t max_connections_ = 100;
   Duration connect_timeout_ = milliseconds(300);
