[Http1] Let no refused upload delay a planned stop

What operators would see: a gateway that stops waits until its connections have ended. A client that goes on sending a refused body may keep its own for 30 s since; the limit of 1 s held only if the stop had begun before the refusal. Found by reading the change again.

Change: once the stop has begun, input no longer puts the end off, whenever the request was refused; the separate limit for refusals during a stop falls away.

Test: RequestMemoryTest.ClientThatSendsOnDoesNotDelayAStop, red before, green after; the tests of InboundConnection and InboundServer passed.

--- a/lib/Http1/inbound_connection.cc
+++ b/lib/Http1/inbound_connection.cc
@@ -142,7 +142,9 @@
     // before it read that the connection closes.
     stream_.Consume(stream_.Input().size());
     client_sends_on_ = true;
-    if (discards_until_) ArmDiscardTimer(BootClock::now());
+    // A planned stop waits for what the timer has left only.
+    const bool waits = discards_until_ && !context_.shutting_down;
+    if (waits) ArmDiscardTimer(BootClock::now());
     return;
   }
   if (exchange_) return;  // Pipelined data is parsed after the response.
@@ -273,8 +275,7 @@
   }
   stream_.EndOutput();
   const Time now = BootClock::now();
-  discards_until_ = now + (context_.shutting_down ? kMaxRefusedInputGap
-                                                  : kMaxRefusedInputTime);
+  discards_until_ = now + kMaxRefusedInputTime;
   ArmDiscardTimer(now);
 }
 
--- a/unittests/Http1/request_memory_test.cc
+++ b/unittests/Http1/request_memory_test.cc
@@ -52,6 +52,20 @@
   EXPECT_TRUE(closed_);
 }
 
+// Guards against a planned stop that waits for a client whose request it will
+// not take.
+TEST_F(RequestMemoryTest, ClientThatSendsOnDoesNotDelayAStop) {
+  ASSERT_TRUE(other_.TryHold(kBodyBytes));
+  Send(HeadOf(kBodyBytes));
+  RunFor(milliseconds(50));
+  shutting_down_ = true;
+  for (int i = 0; i < 12 && !closed_; ++i) {
+    Send(std::string(kBodyBytes / 12, 'b'));
+    RunFor(milliseconds(100));
+  }
+  EXPECT_TRUE(closed_);
+}
+
 TEST_F(RequestMemoryTest, ChunksWithoutRoomAreRefusedAsTheyCome) {
   ASSERT_TRUE(other_.TryHold(kBodyBytes));
   Send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
