--- a/include/corianderlink/Http/message_framing.h
+++ b/include/corianderlink/Http/message_framing.h
@@ -17,9 +17,9 @@
   std::string reason;
 };
 
-/// Judges the head of one message by RFC 9112, sections 5 and 6.  Parsers of
-/// other projects leave a message whose length they do not understand without a
-/// body; its body would then be read as the next message.
+/// Judges the head of one message by RFC 9112, sections 5 and 6.  The
+/// libraries that parse messages leave one whose length they do not understand
+/// without a body, and its body would be read as the next message.
 class MessageFraming {
  public:
   /// Adds a header field as received; called for each one, in their order.
