--- a/review/lib3/engines.py
+++ b/review/lib3/engines.py
@@ -36,19 +36,17 @@
         # Ends the worker in the middle of a run, if it returns true.
         self.is_fatal = lambda request, fields, event: False
 
-    async def start(self, version=None, first_beat_s=0.0):
-        self.version = version or self.version
+    async def start(self):
         self.born = int(time.time() * 1000)
         self.seq = 0
         self.is_up = True
         await self.listen(*self.address)
         self.case.note("worker", self.identity, "starts", self.version,
                        "born", self.born)
-        self.heart = self.case.spawn(self.beat(first_beat_s))
+        self.heart = self.case.spawn(self.beat())
 
-    async def beat(self, first_beat_s):
+    async def beat(self):
         """Writes the entry; it changes when more than `seq` does."""
-        await asyncio.sleep(first_beat_s)
         registered = False
         while True:
             self.seq += 1
