--- a/review/lib3/harness.py
+++ b/review/lib3/harness.py
@@ -383,6 +383,8 @@
     """Plays the case and exits with its verdict."""
     case = None
     verdict = CANNOT_RUN
+    # The gateways end with the script also if it is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
 
     async def main():
         nonlocal case, verdict
